--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: setup demo test lint types unit format
+
+setup: $(READY)
+
+$(READY): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $(READY)
+
+demo: setup
+	$(BIN)/python -m demo
+
+test: setup lint types unit
+
+lint:
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 src standins tests demo
+
+types:
+	$(BIN)/mypy
+
+unit:
+	$(BIN)/python -m pytest
+
+format: setup
+	$(BIN)/ruff format .
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A short demonstration on real processes."""
--- /dev/null
+++ b/src/gentianpulley/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/src/gentianpulley/cfg.py
@@ -0,0 +1,124 @@
+"""The site's cfg: classes of work, teams, failure domains and rules.
+
+The cfg is merged from the operators' folder, checked as a whole and then
+stored as one document. Every field has a type, so that a document that was
+accepted once is read the same everywhere.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Final
+
+import msgspec
+
+DEFAULT_RUN_MS: Final = 1000
+DEFAULT_ISOLATED_START_MS: Final = 600_000
+DEFAULT_KEEP_RECORD_MS: Final = 86_400_000
+DEFAULT_TARGET_SHARE: Final = 0.999
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """A service-level objective: `target_share` within `latency_ms`."""
+
+    latency_ms: int
+    target_share: float = DEFAULT_TARGET_SHARE
+
+
+@dataclass(frozen=True, slots=True)
+class WorkClass:
+    """How one class of work is treated.
+
+    `urgent` work is latency-critical. Work that is not `idempotent` runs at
+    most once. `exclusive` work never runs in two places at once. `resumable`
+    work may be evicted and goes on from its checkpoint. `isolated_start`
+    allows a start in a failure domain that is cut off from everything.
+    """
+
+    urgent: bool
+    idempotent: bool
+    exclusive: bool = False
+    resumable: bool = False
+    isolated_start: bool = False
+    run_ms: int = DEFAULT_RUN_MS
+    objective: Objective | None = None
+
+    def needs_record(self) -> bool:
+        """Tell whether a job record has to stand in the store first."""
+        return not self.idempotent or self.exclusive or self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team whose requests are served."""
+
+    title: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class FailureDomain:
+    """A failure domain and its region."""
+
+    region: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """A rule of law about where and when matching work may start.
+
+    A rule matches when its classes and its data tags both match; an empty
+    list matches everything. `allow_domains`, if given, are the only places
+    for a start; `deny_domains` are closed. Nothing starts before
+    `not_before` or from `not_after` on. `hold` keeps matching work waiting.
+    Records of matching work stay until `keep_until` at least.
+    """
+
+    classes: tuple[str, ...] = ()
+    data_tags: tuple[str, ...] = ()
+    allow_domains: tuple[str, ...] = ()
+    deny_domains: tuple[str, ...] = ()
+    not_before: datetime | None = None
+    not_after: datetime | None = None
+    hold: bool = False
+    keep_until: datetime | None = None
+    reason: str = ''
+
+    def matches(self, work_class: str, data_tags: tuple[str, ...]) -> bool:
+        """Tell whether the rule applies to such work."""
+        class_matches = not self.classes or work_class in self.classes
+        tag_matches = not self.data_tags or bool(
+            set(self.data_tags).intersection(data_tags)
+        )
+        return class_matches and tag_matches
+
+
+@dataclass(frozen=True, slots=True)
+class SiteLimits:
+    """Bounds that hold for the whole site, in milliseconds and bytes."""
+
+    isolated_start_ms: int = DEFAULT_ISOLATED_START_MS
+    keep_record_ms: int = DEFAULT_KEEP_RECORD_MS
+
+
+@dataclass(frozen=True, slots=True)
+class SiteCfg:
+    """The whole cfg of a site."""
+
+    failure_domains: Mapping[str, FailureDomain] = field(default_factory=dict)
+    classes: Mapping[str, WorkClass] = field(default_factory=dict)
+    teams: Mapping[str, Team] = field(default_factory=dict)
+    rules: Mapping[str, Rule] = field(default_factory=dict)
+    limits: SiteLimits = SiteLimits()
+
+
+def encode_cfg(cfg: SiteCfg) -> bytes:
+    """Return the cfg as canonical JSON."""
+    return msgspec.json.format(
+        msgspec.json.encode(cfg, order='deterministic'), indent=2
+    )
+
+
+def decode_cfg(body: bytes) -> SiteCfg:
+    """Read a cfg document; raises `msgspec.DecodeError` if it is damaged."""
+    return msgspec.json.decode(body, type=SiteCfg)
--- /dev/null
+++ b/src/gentianpulley/cfg_folder.py
@@ -0,0 +1,132 @@
+"""Merges the operators' folder of cfg files and checks the merged cfg.
+
+Files are merged in the order of their names. Objects merge member by member;
+any other value replaces the earlier one; `null` removes it.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from gentianpulley.cfg import (
+    FailureDomain,
+    Rule,
+    SiteCfg,
+    SiteLimits,
+    Team,
+    WorkClass,
+)
+from gentianpulley.cfg_rules import check_references
+from gentianpulley.checked_json import (
+    Fault,
+    FaultList,
+    JsonObject,
+    parse_object,
+    read_record,
+    read_table,
+)
+from gentianpulley.errors import CfgError
+from gentianpulley.messages import (
+    cfg_faults,
+    empty_folder,
+    file_unreadable,
+    unknown_key,
+)
+
+FILE_PATTERN: Final = '*.json*'
+_SECTIONS: Final = (
+    'failure_domains',
+    'classes',
+    'teams',
+    'rules',
+    'limits',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedFolder:
+    """The outcome of a check: the cfg, or the faults that prevent one."""
+
+    cfg: SiteCfg
+    faults: tuple[Fault, ...]
+
+
+def load_cfg_folder(folder: Path) -> SiteCfg:
+    """Return the merged cfg; raises `CfgError` that lists every fault."""
+    checked = check_cfg_folder(folder)
+    if checked.faults:
+        listed = '\n'.join(str(fault) for fault in checked.faults)
+        raise CfgError(cfg_faults(listed))
+    return checked.cfg
+
+
+def check_cfg_folder(folder: Path) -> CheckedFolder:
+    """Merge and check all files of the folder."""
+    faults = FaultList()
+    merged: JsonObject = {}
+    paths = sorted(folder.glob(FILE_PATTERN), key=lambda path: path.name)
+    if not paths:
+        faults.add((), empty_folder(str(folder)))
+    for path in paths:
+        merge_objects(merged, _read_file(path, faults))
+    cfg = read_cfg(merged, faults)
+    return CheckedFolder(cfg, tuple(faults.faults))
+
+
+def merge_objects(base: JsonObject, overlay: JsonObject) -> None:
+    """Merge `overlay` into `base` in place."""
+    for name, member in overlay.items():
+        earlier = base.get(name)
+        if member is None:
+            base.pop(name, None)
+        elif isinstance(member, dict) and isinstance(earlier, dict):
+            merge_objects(earlier, member)
+        else:
+            base[name] = _without_nulls(member)
+
+
+def read_cfg(merged: JsonObject, faults: FaultList) -> SiteCfg:
+    """Convert and check a merged object; faults are added to the list."""
+    for name in merged:
+        if name not in _SECTIONS:
+            faults.add((name,), unknown_key())
+    limits = read_record(
+        merged.get('limits', {}), SiteLimits, ('limits',), faults
+    )
+    cfg = SiteCfg(
+        failure_domains=_table(
+            merged, 'failure_domains', FailureDomain, faults
+        ),
+        classes=_table(merged, 'classes', WorkClass, faults),
+        teams=_table(merged, 'teams', Team, faults),
+        rules=_table(merged, 'rules', Rule, faults),
+        limits=limits or SiteLimits(),
+    )
+    check_references(cfg, merged, faults)
+    return cfg
+
+
+def _table(
+    merged: JsonObject, section: str, record_type: type, faults: FaultList
+) -> dict[str, Any]:
+    return read_table(merged.get(section, {}), record_type, (section,), faults)
+
+
+def _read_file(path: Path, faults: FaultList) -> JsonObject:
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = file_unreadable(str(path), exc)
+        faults.faults.append(Fault(str(path), 1, reason))
+        return {}
+    return parse_object(text, str(path), faults)
+
+
+def _without_nulls(member: Any) -> Any:
+    if not isinstance(member, dict):
+        return member
+    return {
+        name: _without_nulls(inner)
+        for name, inner in member.items()
+        if inner is not None
+    }
--- /dev/null
+++ b/src/gentianpulley/checked_json.py
@@ -0,0 +1,165 @@
+"""Reads JSON with comments into frozen data classes and collects all faults.
+
+Readers go on after a fault, so that a person sees every fault of a file at
+once, each with file, line and reason.
+"""
+
+from collections import Counter
+from dataclasses import MISSING, Field, dataclass, field, fields
+from typing import Any, TypeVar, get_type_hints
+
+import jsonc
+import msgspec
+
+from gentianpulley.key_lines import KeyPath, find_key_lines
+from gentianpulley.messages import (
+    duplicate_key,
+    invalid_syntax,
+    missing_key,
+    not_an_object,
+    unknown_key,
+)
+
+JsonObject = dict[str, Any]
+
+_Record = TypeVar('_Record')
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong, and where; `line` counts from one."""
+
+    source: str
+    line: int
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the fault as file:line: reason."""
+        return f'{self.source}:{self.line}: {self.reason}'
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a key was last set."""
+
+    source: str
+    line: int
+
+
+@dataclass
+class FaultList:
+    """Collects faults; knows where each key path comes from."""
+
+    origins: dict[KeyPath, Origin] = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+
+    def add(self, path: KeyPath, reason: str) -> None:
+        """Add a fault at the nearest known origin of `path`."""
+        origin = self._origin(path)
+        label = '.'.join(path)
+        text = f'{label}: {reason}' if label else reason
+        self.faults.append(Fault(origin.source, origin.line, text))
+
+    def _origin(self, path: KeyPath) -> Origin:
+        for end in range(len(path), -1, -1):
+            found = self.origins.get(path[:end])
+            if found is not None:
+                return found
+        return Origin('', 0)
+
+
+def parse_object(text: str, source: str, faults: FaultList) -> JsonObject:
+    """Parse one file; notes where each key stands; empty after a fault."""
+    duplicates: list[str] = []
+    try:
+        parsed = jsonc.loads(
+            text,
+            object_pairs_hook=lambda pairs: _to_object(pairs, duplicates),
+        )
+    except (ValueError, RecursionError) as exc:
+        line = getattr(exc, 'lineno', 1)
+        faults.faults.append(Fault(source, line, invalid_syntax(str(exc))))
+        return {}
+    faults.faults.extend(
+        Fault(source, 1, duplicate_key(name)) for name in duplicates
+    )
+    if not isinstance(parsed, dict):
+        faults.faults.append(Fault(source, 1, not_an_object()))
+        return {}
+    faults.origins[()] = Origin(source, 1)
+    for path, line in find_key_lines(text).items():
+        faults.origins[path] = Origin(source, line)
+    return parsed
+
+
+def read_record(
+    raw: object, record_type: type[_Record], path: KeyPath, faults: FaultList
+) -> _Record | None:
+    """Convert one object; adds every fault and returns None if any."""
+    if not isinstance(raw, dict):
+        faults.add(path, not_an_object())
+        return None
+    before = len(faults.faults)
+    known = _converted_fields(raw, record_type, path, faults)
+    for name in raw:
+        if name not in get_type_hints(record_type):
+            faults.add((*path, str(name)), unknown_key())
+    if len(faults.faults) > before:
+        return None
+    return record_type(**known)
+
+
+def read_table(
+    raw: object,
+    record_type: type[_Record],
+    path: KeyPath,
+    faults: FaultList,
+) -> dict[str, _Record]:
+    """Convert an object whose members are records of one type."""
+    if not isinstance(raw, dict):
+        faults.add(path, not_an_object())
+        return {}
+    table = {}
+    for name, member in raw.items():
+        record = read_record(member, record_type, (*path, name), faults)
+        if record is not None:
+            table[name] = record
+    return table
+
+
+def _converted_fields(
+    raw: JsonObject, record_type: Any, path: KeyPath, faults: FaultList
+) -> JsonObject:
+    known = {}
+    specs = {spec.name: spec for spec in fields(record_type)}
+    for name in specs.keys() & raw.keys():
+        member_path = (*path, name)
+        known[name] = _converted(raw[name], record_type, member_path, faults)
+    for missing in sorted(specs.keys() - raw.keys()):
+        if _is_required(specs[missing]):
+            faults.add(path, missing_key(missing))
+    return known
+
+
+def _is_required(spec: 'Field[Any]') -> bool:
+    return spec.default is MISSING and spec.default_factory is MISSING
+
+
+def _converted(
+    member: object, record_type: Any, path: KeyPath, faults: FaultList
+) -> Any:
+    member_type = get_type_hints(record_type)[path[-1]]
+    try:
+        return msgspec.convert(member, member_type)
+    except msgspec.ValidationError as exc:
+        faults.add(path, str(exc))
+    return None
+
+
+def _to_object(
+    pairs: list[tuple[str, Any]], duplicates: list[str]
+) -> JsonObject:
+    counts = Counter(name for name, _ in pairs)
+    repeated = [name for name, count in counts.items() if count > 1]
+    duplicates.extend(repeated)
+    return dict(pairs)
--- /dev/null
+++ b/src/gentianpulley/document.py
@@ -0,0 +1,148 @@
+"""Versioned documents: the cfg and the states of the failure domains.
+
+Both are agreed through one key each in the store and spread by watch, by peer
+heartbeat and by the CLI directly. An instance takes only higher revisions, so
+no document ever reverts, whatever order copies arrive in.
+"""
+
+import enum
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from gentianpulley.cfg import SiteCfg, decode_cfg
+from gentianpulley.logs import EventLog
+
+DocumentListener = Callable[[], None]
+
+
+class DocumentKind(enum.StrEnum):
+    """Which document it is."""
+
+    CFG = 'cfg'
+    DOMAINS = 'domains'
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """One revision of a document.
+
+    `change_id` is unique for each change, so that an operator who lost the
+    store's answer can tell whose change stands there.
+    """
+
+    kind: DocumentKind
+    revision: int
+    change_id: str
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutState:
+    """A failure domain that is out of service, and since when."""
+
+    since_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class DomainStates:
+    """The failure domains that are out of service; all others are in."""
+
+    out: Mapping[str, OutState] = field(default_factory=dict)
+
+    def is_out(self, failure_domain: str) -> bool:
+        """Tell whether nothing may start in the failure domain."""
+        return failure_domain in self.out
+
+    def with_out(self, failure_domain: str, since_ms: int) -> 'DomainStates':
+        """Return the states with the domain out; idempotent."""
+        return DomainStates({failure_domain: OutState(since_ms), **self.out})
+
+    def without_out(self, failure_domain: str) -> 'DomainStates':
+        """Return the states with the domain in; idempotent."""
+        left = dict(self.out)
+        left.pop(failure_domain, None)
+        return DomainStates(left)
+
+
+def encode_document(document: Document) -> bytes:
+    """Return the document as it stands in the store."""
+    return msgspec.json.encode(document)
+
+
+def decode_document(body: bytes) -> Document:
+    """Read a document; raises `msgspec.DecodeError` if it is damaged."""
+    return msgspec.json.decode(body, type=Document)
+
+
+def encode_domain_states(states: DomainStates) -> str:
+    """Return the states as the body of a document."""
+    return msgspec.json.encode(states, order='deterministic').decode()
+
+
+def decode_domain_states(body: str) -> DomainStates:
+    """Read the states; raises `msgspec.DecodeError` if they are damaged."""
+    return msgspec.json.decode(body, type=DomainStates)
+
+
+class DocumentShelf:
+    """The highest revision of each document that this instance has seen."""
+
+    def __init__(self, log: EventLog) -> None:
+        """Start without documents."""
+        self._log = log
+        self._lock = threading.Lock()
+        self._documents: dict[DocumentKind, Document] = {}
+        self._listeners: list[DocumentListener] = []
+        self._cfg: SiteCfg | None = None
+        self._domains = DomainStates()
+
+    @property
+    def cfg(self) -> SiteCfg | None:
+        """Return the cfg in force, or None before the first."""
+        return self._cfg
+
+    @property
+    def domains(self) -> DomainStates:
+        """Return the states of the failure domains in force."""
+        return self._domains
+
+    def revision(self, kind: DocumentKind) -> int:
+        """Return the revision in force, zero before the first."""
+        document = self._documents.get(kind)
+        return document.revision if document else 0
+
+    def document(self, kind: DocumentKind) -> Document | None:
+        """Return the document in force."""
+        return self._documents.get(kind)
+
+    def add_listener(self, listener: DocumentListener) -> None:
+        """Call `listener` after each document that is put in force."""
+        self._listeners.append(listener)
+
+    def offer(self, document: Document) -> bool:
+        """Put the document in force if it is newer; False if it is not.
+
+        A damaged document is logged and left out, whatever its revision.
+        """
+        with self._lock:
+            if document.revision <= self.revision(document.kind):
+                return False
+            try:
+                self._install(document)
+            except msgspec.DecodeError as exc:
+                self._log.document_damaged(document.kind, str(exc))
+                return False
+        self._log.document_in_force(document.kind, document.revision)
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def _install(self, document: Document) -> None:
+        if document.kind is DocumentKind.CFG:
+            self._cfg = decode_cfg(document.body.encode())
+        else:
+            self._domains = decode_domain_states(document.body)
+        self._documents[document.kind] = document
--- /dev/null
+++ b/src/gentianpulley/document_push.py
@@ -0,0 +1,145 @@
+"""Changes of the agreed documents by operators.
+
+A change goes to the store by compare-and-swap on the revision it was made
+from. Its change id tells, after a lost answer, whether it is this change that
+stands there or another operator's.
+"""
+
+import secrets
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.cfg import SiteCfg, encode_cfg
+from gentianpulley.control_keys import document_key
+from gentianpulley.deadline import deadline_in, has_passed, now_ms
+from gentianpulley.document import (
+    Document,
+    DocumentKind,
+    DomainStates,
+    decode_document,
+    decode_domain_states,
+    encode_document,
+    encode_domain_states,
+)
+from gentianpulley.errors import (
+    CfgConflictError,
+    StoreAnswerLostError,
+    StoreError,
+)
+from gentianpulley.messages import change_conflict
+from gentianpulley.store import ABSENT, Entry, GuardedWrite, Put, Store, Verdict
+
+CHANGE_ID_BYTES: Final = 8
+SETTLE_MS: Final = 15_000
+
+
+@dataclass(frozen=True, slots=True)
+class StoredDocument:
+    """A document as it stands in the store; None before the first."""
+
+    document: Document | None
+    store_revision: int
+
+    @property
+    def body(self) -> str:
+        """Return the document's body, empty before the first."""
+        return self.document.body if self.document else ''
+
+    @property
+    def revision(self) -> int:
+        """Return the document's revision, zero before the first."""
+        return self.document.revision if self.document else 0
+
+
+def read_document(store: Store, kind: DocumentKind) -> StoredDocument:
+    """Return the document that stands in the store."""
+    return _stored(store.read(document_key(kind)))
+
+
+def push_cfg(store: Store, cfg: SiteCfg, expected: int | None) -> Document:
+    """Put a checked cfg in place of revision `expected`.
+
+    Without `expected`, the revision that stands there is replaced. Raises
+    `CfgConflictError` if another change was accepted meanwhile.
+    """
+    base = read_document(store, DocumentKind.CFG)
+    if expected is not None and base.revision != expected:
+        raise CfgConflictError(change_conflict(base.revision))
+    body = encode_cfg(cfg).decode()
+    return _replace(store, base, _next(DocumentKind.CFG, base, body))
+
+
+def take_out(store: Store, failure_domain: str) -> Document:
+    """Take a failure domain out of service."""
+    return _edit_domains(
+        store, lambda states: states.with_out(failure_domain, now_ms())
+    )
+
+
+def bring_in(store: Store, failure_domain: str) -> Document:
+    """Bring a failure domain back into service."""
+    return _edit_domains(
+        store, lambda states: states.without_out(failure_domain)
+    )
+
+
+def _edit_domains(
+    store: Store, edit: Callable[[DomainStates], DomainStates]
+) -> Document:
+    """Apply an edit that commutes with others, so that races are retried."""
+    until_ms = deadline_in(SETTLE_MS)
+    while not has_passed(until_ms):
+        base = read_document(store, DocumentKind.DOMAINS)
+        states = decode_domain_states(base.body or '{}')
+        body = encode_domain_states(edit(states))
+        document = _next(DocumentKind.DOMAINS, base, body)
+        with suppress(CfgConflictError):
+            return _replace(store, base, document)
+    raise CfgConflictError(change_conflict(base.revision))
+
+
+def _next(kind: DocumentKind, base: StoredDocument, body: str) -> Document:
+    change_id = secrets.token_hex(CHANGE_ID_BYTES)
+    return Document(kind, base.revision + 1, change_id, body)
+
+
+def _replace(
+    store: Store, base: StoredDocument, document: Document
+) -> Document:
+    """Write the document over `base`, through lost answers."""
+    verdict = _write_settled(store, base.store_revision, document)
+    if verdict.applied:
+        return document
+    current = _stored(verdict.current)
+    found = current.document
+    if found is not None and found.change_id == document.change_id:
+        return document
+    raise CfgConflictError(change_conflict(current.revision))
+
+
+def _write_settled(
+    store: Store, expected_revision: int, document: Document
+) -> Verdict:
+    """Repeat the write until the store answers; raises `StoreError`."""
+    key = document_key(document.kind)
+    put = Put(key, encode_document(document))
+    write = GuardedWrite(key, expected_revision, (put,))
+    until_ms = deadline_in(SETTLE_MS)
+    while True:
+        try:
+            return store.write((write,))[0]
+        except StoreAnswerLostError:
+            if has_passed(until_ms):
+                raise
+
+
+def _stored(entry: Entry | None) -> StoredDocument:
+    if entry is None:
+        return StoredDocument(None, ABSENT)
+    try:
+        document = decode_document(entry.body)
+    except ValueError as exc:
+        raise StoreError(str(exc)) from exc
+    return StoredDocument(document, entry.revision)
--- /dev/null
+++ b/src/gentianpulley/entry_instance.py
@@ -0,0 +1,243 @@
+"""One entry instance: all parts put together, started and shut down."""
+
+import secrets
+import time
+from typing import Final
+
+from gentianpulley.background import BackgroundLoop
+from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.control_watch import ControlWatch
+from gentianpulley.deadline import deadline_in, has_passed
+from gentianpulley.document import DocumentShelf
+from gentianpulley.endpoint_slices import connect_instance_list
+from gentianpulley.etcd_store import connect_store
+from gentianpulley.heartbeats import PeerCare
+from gentianpulley.http_front import FrontParts, HttpFront
+from gentianpulley.http_worker import HttpWorkerConnector
+from gentianpulley.instance_peer import InstancePeer, StatusSource
+from gentianpulley.instance_view import InstanceView
+from gentianpulley.job import StoredJob
+from gentianpulley.job_queue import JobQueue
+from gentianpulley.job_store import JobStore
+from gentianpulley.journal import Journal
+from gentianpulley.logs import EventLog
+from gentianpulley.member_lease import MemberLease
+from gentianpulley.membership import Membership
+from gentianpulley.metrics import Metrics
+from gentianpulley.ownership_keeper import OwnershipKeeper
+from gentianpulley.peer_directory import PeerDirectory
+from gentianpulley.peer_server import PeerServer
+from gentianpulley.placement import create_placement
+from gentianpulley.quick_requests import QuickRequests
+from gentianpulley.recorded_requests import RecordedRequests
+from gentianpulley.request_desk import Desk, RequestDesk
+from gentianpulley.routing import Router
+from gentianpulley.settings import DaemonSettings, checked_address
+from gentianpulley.start_gate import Isolation, StartGate
+from gentianpulley.succession import Succession
+from gentianpulley.task_ending import TaskEnding
+from gentianpulley.task_entry import TaskTable
+from gentianpulley.task_follower import TaskFollower
+from gentianpulley.task_runner import TaskRunner
+from gentianpulley.worker_fleet import WorkerFleet
+
+BOOT_ID_BYTES: Final = 4
+DRAIN_POLL_S: Final = 0.05
+ANNOUNCE_S: Final = 0.3
+
+
+class EntryInstance:
+    """Builds the parts of an instance in the order of their needs."""
+
+    def __init__(self, settings: DaemonSettings, log: EventLog) -> None:
+        """Build everything; listen and connect nowhere yet."""
+        self._settings = settings
+        self._log = log
+        self.myself = _member_record(settings)
+        self._build_control()
+        self._build_owner()
+        self._build_coordinator()
+        self._build_outside()
+
+    def start(self) -> None:
+        """Listen, join the site and serve; raises `OSError` if it cannot."""
+        address = checked_address(self._settings.peer)
+        self._server = PeerServer(address, self._peer, self._log)
+        self._server.start()
+        self._front.start()
+        for loop in self._loops():
+            loop.start()
+        self._log.process_state('started')
+
+    def shut_down(self) -> None:
+        """Finish what is in progress, hand over the rest, and stop.
+
+        Requests in progress are answered within the drain deadline. Tasks on
+        workers run on under their next owners.
+        """
+        deadline_ms = deadline_in(self._settings.drain_ms)
+        self._log.process_state('draining')
+        self._gate.is_draining = True
+        self._care.announce()
+        self._queue.stop()
+        time.sleep(ANNOUNCE_S)
+        self._wait_until_quiet(deadline_ms)
+        self._ownership.release_all()
+        self._ownership.stop()
+        self._wait_for_journal(deadline_ms)
+        self._lease.give_up()
+        self._front.stop()
+        for loop in self._loops():
+            loop.stop()
+        self._server.close()
+        self._log.process_state('stopped')
+
+    def _build_control(self) -> None:
+        settings = self._settings
+        self._store = connect_store(checked_address(settings.store))
+        self._instances = connect_instance_list(
+            checked_address(settings.instance_list)
+        )
+        self._shelf = DocumentShelf(self._log)
+        self._state = ControlState(self._shelf, self._log)
+        self._membership = Membership(self._state, self.myself)
+        self._directory = PeerDirectory(self._membership, self._state)
+        self._isolation = Isolation(self._state, self._membership)
+        self._gate = StartGate(
+            self._shelf, self._isolation, settings.failure_domain
+        )
+        self._watch = ControlWatch(self._store, self._state, self._log)
+        self._lease = MemberLease(
+            self._store, self._state, self.myself, self._log
+        )
+
+    def _build_owner(self) -> None:
+        member_id = self.myself.member_id
+        self._journal = Journal(self._store, self._log)
+        self._jobs = JobStore(self._store, self._journal, self._log)
+        table = TaskTable()
+        ending = TaskEnding(
+            member_id, table, self._jobs, self._take_requeued, self._log
+        )
+        self._fleet = WorkerFleet(
+            HttpWorkerConnector(), create_placement(), table, ending, self._log
+        )
+        self._runner = TaskRunner(
+            member_id, self._gate, self._fleet, self._jobs, self._log
+        )
+        self._ownership = OwnershipKeeper(
+            self._store,
+            self._state,
+            self._membership,
+            self._fleet,
+            self._log,
+        )
+        self._ownership.attach(self._jobs, self._gate)
+        self._state.add_listener(self._ownership.wake)
+
+    def _build_coordinator(self) -> None:
+        router = Router(
+            self._shelf,
+            self._membership,
+            self._directory,
+            self._fleet,
+            self._gate,
+        )
+        follower = TaskFollower(router, self._directory, self._log)
+        self._quick = QuickRequests(self.myself.member_id, router, follower)
+        self._queue = JobQueue(
+            self._shelf, self._jobs, router, follower, self._log
+        )
+        self._shelf.add_listener(self._queue.wake)
+        self._recorded = RecordedRequests(
+            self.myself.member_id,
+            self._jobs,
+            self._queue,
+            follower,
+            self._log,
+        )
+        self._succession = Succession(
+            self._state,
+            self._membership,
+            self._jobs,
+            self._queue,
+            self._log,
+        )
+
+    def _build_outside(self) -> None:
+        status = StatusSource(
+            self.myself, self._shelf, self._state, self._fleet, self._gate
+        )
+        self._peer = InstancePeer(
+            self._runner, self._quick, self._membership, self._shelf, status
+        )
+        self._directory.attach_local(self._peer)
+        self._care = PeerCare(
+            self._instances,
+            self._directory,
+            self._membership,
+            self._shelf,
+            status,
+            self._log,
+        )
+        metrics = Metrics(self._shelf)
+        view = InstanceView(
+            self._shelf, self._membership, self._fleet, self._gate, status
+        )
+        view.attach(
+            self._store,
+            self._journal,
+            self._queue,
+            self._quick,
+            metrics,
+            self._isolation,
+        )
+        desk = RequestDesk(
+            self._shelf,
+            self._gate,
+            Desk(self._quick, self._recorded, self._directory),
+            metrics,
+            self._log,
+        )
+        self._front = HttpFront(
+            self._settings, FrontParts(desk, view, self._log)
+        )
+
+    def _take_requeued(self, stored: StoredJob) -> None:
+        self._queue.add_requeued(stored)
+
+    def _loops(self) -> list[BackgroundLoop]:
+        return [
+            self._watch,
+            self._lease,
+            self._care,
+            self._journal,
+            self._ownership,
+            self._queue,
+            self._succession,
+        ]
+
+    def _wait_until_quiet(self, deadline_ms: int) -> None:
+        while self._quick.in_progress() and not has_passed(deadline_ms):
+            time.sleep(DRAIN_POLL_S)
+
+    def _wait_for_journal(self, deadline_ms: int) -> None:
+        while self._journal.unsettled() and not has_passed(deadline_ms):
+            time.sleep(DRAIN_POLL_S)
+
+
+def create_entry_instance(
+    settings: DaemonSettings, log: EventLog
+) -> EntryInstance:
+    """Return an instance that is ready to start."""
+    return EntryInstance(settings, log)
+
+
+def _member_record(settings: DaemonSettings) -> MemberRecord:
+    return MemberRecord(
+        instance=settings.instance,
+        boot_id=secrets.token_hex(BOOT_ID_BYTES),
+        failure_domain=settings.failure_domain,
+        http=settings.http,
+        peer=settings.peer,
+    )
--- /dev/null
+++ b/src/gentianpulley/etcd_store.py
@@ -0,0 +1,263 @@
+"""Adapter of the store to the etcd v3 JSON gateway.
+
+Requests are POSTs with JSON bodies; keys and values travel as base64 and
+64-bit integers as decimal strings. Independent guarded writes share one call
+by nesting one transaction for each inside an outer one without conditions.
+"""
+
+import threading
+from base64 import b64decode, b64encode
+from collections.abc import Iterator, Sequence
+from typing import Final, TypeVar
+
+import msgspec
+
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in
+from gentianpulley.errors import (
+    HttpSilentError,
+    HttpUnreachableError,
+    StoreAnswerLostError,
+    StoreRefusedError,
+    StoreUnreachableError,
+)
+from gentianpulley.etcd_messages import (
+    EMPTY_KV,
+    Compare,
+    CompareTarget,
+    DeleteRequest,
+    KeyValue,
+    LeaseGrantRequest,
+    LeaseGrantResponse,
+    LeaseKeepAliveResponse,
+    LeaseRequest,
+    PutRequest,
+    RangeRequest,
+    RangeResponse,
+    RequestOp,
+    ResponseOp,
+    TxnRequest,
+    TxnResponse,
+    WatchCreate,
+    WatchEnvelope,
+    WatchRequest,
+)
+from gentianpulley.http_conn import HttpAddress, HttpConn
+from gentianpulley.messages import store_refused
+from gentianpulley.store import (
+    Change,
+    ChangeBatch,
+    Entry,
+    GuardedWrite,
+    Put,
+    Snapshot,
+    Store,
+    StoreLease,
+    Verdict,
+)
+
+CALL_TIMEOUT_MS: Final = 2000
+WATCH_IDLE_TIMEOUT_S: Final = 4.0
+MAX_CONNS: Final = 8
+_HTTP_OK: Final = 200
+_LAST_BYTE: Final = 0xFF
+_DELETE_EVENT: Final = 'DELETE'
+
+_Resp = TypeVar('_Resp')
+
+
+class EtcdStore(Store):
+    """The store behind an etcd v3 JSON gateway."""
+
+    def __init__(self, address: HttpAddress) -> None:
+        """Connect at the first call."""
+        self._conn = HttpConn(address, MAX_CONNS)
+        self._calls = 0
+        self._calls_lock = threading.Lock()
+
+    def read(self, key: str) -> Entry | None:
+        """Return the entry at `key`, or None."""
+        resp = self._call(
+            '/v3/kv/range', RangeRequest(key=_encode(key)), RangeResponse
+        )
+        return _entry(resp.kvs[0]) if resp.kvs else None
+
+    def read_prefix(self, prefix: str) -> Snapshot:
+        """Return all entries whose keys start with `prefix`."""
+        req = RangeRequest(key=_encode(prefix), range_end=_prefix_end(prefix))
+        resp = self._call('/v3/kv/range', req, RangeResponse)
+        return Snapshot(
+            tuple(_entry(kv) for kv in resp.kvs), int(resp.header.revision)
+        )
+
+    def write(self, writes: Sequence[GuardedWrite]) -> tuple[Verdict, ...]:
+        """Try each write on its own, in one call; verdicts in order."""
+        req = TxnRequest(
+            success=tuple(
+                RequestOp(request_txn=_nested_txn(write)) for write in writes
+            )
+        )
+        resp = self._call('/v3/kv/txn', req, TxnResponse)
+        revision = int(resp.header.revision)
+        return tuple(_verdict(op, revision) for op in resp.responses)
+
+    def grant_lease(self, ttl_s: int) -> StoreLease:
+        """Grant a lease of `ttl_s` seconds."""
+        deadline_ms = deadline_in(ttl_s * MS_PER_SECOND)
+        resp = self._call(
+            '/v3/lease/grant',
+            LeaseGrantRequest(TTL=str(ttl_s)),
+            LeaseGrantResponse,
+        )
+        return StoreLease(int(resp.ID), deadline_ms)
+
+    def keep_alive(self, lease: StoreLease) -> StoreLease | None:
+        """Renew the lease; None when it has already lapsed."""
+        sent_ms = deadline_in(0)
+        resp = self._call(
+            '/v3/lease/keepalive',
+            LeaseRequest(ID=str(lease.lease_id)),
+            LeaseKeepAliveResponse,
+        )
+        ttl_s = int(resp.result.TTL)
+        if ttl_s <= 0:
+            return None
+        return StoreLease(lease.lease_id, sent_ms + ttl_s * MS_PER_SECOND)
+
+    def revoke(self, lease: StoreLease) -> None:
+        """End the lease and delete the keys bound to it."""
+        self._call(
+            '/v3/lease/revoke',
+            LeaseRequest(ID=str(lease.lease_id)),
+            RangeResponse,
+        )
+
+    def watch(self, prefix: str, revision: int) -> Iterator[ChangeBatch]:
+        """Yield changes below `prefix` that are newer than `revision`."""
+        self._count()
+        req = WatchRequest(
+            create_request=WatchCreate(
+                key=_encode(prefix),
+                range_end=_prefix_end(prefix),
+                start_revision=str(revision + 1),
+            )
+        )
+        try:
+            for line in self._conn.stream(
+                '/v3/watch', msgspec.json.encode(req), WATCH_IDLE_TIMEOUT_S
+            ):
+                yield _batch(line)
+        except HttpUnreachableError as unreachable:
+            raise StoreUnreachableError(unreachable.text) from unreachable
+        except HttpSilentError as silent:
+            raise StoreAnswerLostError(silent.text) from silent
+
+    def calls_made(self) -> int:
+        """Return the number of calls sent so far, a watch counted as one."""
+        return self._calls
+
+    def _count(self) -> None:
+        with self._calls_lock:
+            self._calls += 1
+
+    def _call(
+        self, path: str, req: msgspec.Struct, resp_type: type[_Resp]
+    ) -> _Resp:
+        self._count()
+        try:
+            answer = self._conn.call(
+                'POST',
+                path,
+                deadline_in(CALL_TIMEOUT_MS),
+                msgspec.json.encode(req),
+            )
+        except HttpUnreachableError as unreachable:
+            raise StoreUnreachableError(unreachable.text) from unreachable
+        except HttpSilentError as silent:
+            raise StoreAnswerLostError(silent.text) from silent
+        if answer.status != _HTTP_OK:
+            raise StoreRefusedError(store_refused(path, answer.status))
+        return _decode(answer.body, resp_type)
+
+
+def connect_store(address: HttpAddress) -> Store:
+    """Return the store behind the gateway at `address`."""
+    return EtcdStore(address)
+
+
+def _decode(body: bytes, resp_type: type[_Resp]) -> _Resp:
+    try:
+        return msgspec.json.decode(body, type=resp_type)
+    except msgspec.DecodeError as exc:
+        raise StoreAnswerLostError(str(exc)) from exc
+
+
+def _encode(key: str) -> str:
+    return b64encode(key.encode()).decode()
+
+
+def _prefix_end(prefix: str) -> str:
+    """Return the first key after all keys that start with `prefix`."""
+    raw = bytearray(prefix.encode())
+    while raw and raw[-1] == _LAST_BYTE:
+        raw.pop()
+    raw[-1] += 1
+    return b64encode(bytes(raw)).decode()
+
+
+def _entry(kv: KeyValue) -> Entry:
+    return Entry(
+        b64decode(kv.key).decode(),
+        b64decode(kv.value),
+        int(kv.mod_revision),
+    )
+
+
+def _nested_txn(write: GuardedWrite) -> TxnRequest:
+    key = _encode(write.key)
+    guard = Compare(
+        key=key,
+        target=CompareTarget.MOD,
+        mod_revision=str(write.expected_revision),
+    )
+    puts = tuple(RequestOp(request_put=_put(put)) for put in write.puts)
+    deletes = tuple(
+        RequestOp(request_delete_range=DeleteRequest(key=_encode(deleted)))
+        for deleted in write.deletes
+    )
+    return TxnRequest(
+        compare=(guard,),
+        success=puts + deletes,
+        failure=(RequestOp(request_range=RangeRequest(key=key)),),
+    )
+
+
+def _put(put: Put) -> PutRequest:
+    return PutRequest(
+        key=_encode(put.key),
+        value=b64encode(put.body).decode(),
+        lease=str(put.lease_id),
+    )
+
+
+def _verdict(op: ResponseOp, revision: int) -> Verdict:
+    nested = op.response_txn
+    if nested.succeeded:
+        return Verdict(applied=True, revision=revision, current=None)
+    ranges = [found.response_range for found in nested.responses if found]
+    kvs = ranges[0].kvs if ranges and ranges[0] else ()
+    current = _entry(kvs[0]) if kvs else None
+    return Verdict(applied=False, revision=revision, current=current)
+
+
+def _batch(line: bytes) -> ChangeBatch:
+    resp = _decode(line, WatchEnvelope).result
+    if resp.canceled:
+        raise StoreRefusedError(store_refused('/v3/watch', _HTTP_OK))
+    changes = []
+    for event in resp.events:
+        kv = event.kv or EMPTY_KV
+        entry = None if event.type == _DELETE_EVENT else _entry(kv)
+        changes.append(
+            Change(b64decode(kv.key).decode(), entry, int(kv.mod_revision))
+        )
+    return ChangeBatch(tuple(changes), int(resp.header.revision))
--- /dev/null
+++ b/src/gentianpulley/http_conn.py
@@ -0,0 +1,160 @@
+"""HTTP requests by deadline, with failures sorted by what they prove.
+
+Adapters build on this module. It keeps apart requests that were never sent
+from requests whose answer was lost, because only the first prove that nothing
+happened on the other side.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from gentianpulley.deadline import has_passed, seconds_left
+from gentianpulley.errors import HttpSilentError, HttpUnreachableError
+from gentianpulley.messages import http_silent, http_unreachable
+
+CONNECT_TIMEOUT_S: Final = 1.0
+CHUNK_BYTES: Final = 65536
+_SHORTEST_TIMEOUT_S: Final = 0.001
+_JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAddress:
+    """Where an HTTP server listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as host:port."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer: the status and the body."""
+
+    status: int
+    body: bytes
+
+
+def parse_address(text: str) -> HttpAddress:
+    """Parse host:port; raises `ValueError` for anything else."""
+    host, colon, port = text.rpartition(':')
+    if not host or not colon:
+        raise ValueError(text)
+    return HttpAddress(host, int(port))
+
+
+class HttpConn:
+    """A pool of keep-alive connections to one server."""
+
+    def __init__(self, address: HttpAddress, max_conns: int) -> None:
+        """Open nothing yet; hold at most `max_conns` idle connections."""
+        self.address = address
+        self._pool = HTTPConnectionPool(
+            address.host, address.port, maxsize=max_conns, retries=False
+        )
+
+    def call(
+        self, method: str, path: str, deadline_ms: int, body: bytes = b''
+    ) -> HttpAnswer:
+        """Send one request and return its whole answer.
+
+        Raises `HttpUnreachableError` when no connection could be opened and
+        `HttpSilentError` when the answer did not arrive whole in time. Both
+        drop the idle connections too, since they may be dead as well.
+        """
+        try:
+            resp = self._send(method, path, seconds_left(deadline_ms), body)
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            self._pool.close()
+            raise HttpUnreachableError(
+                http_unreachable(str(self.address), exc)
+            ) from exc
+        except (HTTPError, OSError) as exc:
+            raise self._silent(exc) from exc
+        return HttpAnswer(resp.status, self._read(resp, deadline_ms))
+
+    def stream(
+        self, path: str, body: bytes, idle_timeout_s: float
+    ) -> Iterator[bytes]:
+        """Send one POST and yield its answer line by line.
+
+        Raises as `call` does, also when no byte arrives for
+        `idle_timeout_s` seconds.
+        """
+        try:
+            resp = self._send('POST', path, idle_timeout_s, body)
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            raise HttpUnreachableError(
+                http_unreachable(str(self.address), exc)
+            ) from exc
+        except (HTTPError, OSError) as exc:
+            raise self._silent(exc) from exc
+        try:
+            yield from _lines(resp)
+        except (HTTPError, OSError) as exc:
+            raise self._silent(exc) from exc
+        finally:
+            resp.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
+
+    def _send(
+        self, method: str, path: str, timeout_s: float, body: bytes
+    ) -> BaseHTTPResponse:
+        timeout = max(timeout_s, _SHORTEST_TIMEOUT_S)
+        return self._pool.urlopen(
+            method,
+            path,
+            body=body or None,
+            headers=dict(_JSON_HEADERS),
+            timeout=Timeout(
+                connect=min(CONNECT_TIMEOUT_S, timeout), read=timeout
+            ),
+            preload_content=False,
+        )
+
+    def _read(self, resp: BaseHTTPResponse, deadline_ms: int) -> bytes:
+        chunks = []
+        try:
+            for chunk in resp.stream(CHUNK_BYTES):
+                chunks.append(chunk)
+                if has_passed(deadline_ms):
+                    raise TimeoutError(deadline_ms)
+        except (HTTPError, OSError) as exc:
+            resp.close()
+            raise self._silent(exc) from exc
+        resp.release_conn()
+        return b''.join(chunks)
+
+    def _silent(self, exc: Exception) -> HttpSilentError:
+        self._pool.close()
+        self._pool = HTTPConnectionPool(
+            self.address.host,
+            self.address.port,
+            maxsize=self._pool.pool.maxsize if self._pool.pool else 1,
+            retries=False,
+        )
+        return HttpSilentError(http_silent(str(self.address), exc))
+
+
+def _lines(resp: BaseHTTPResponse) -> Iterator[bytes]:
+    pending = b''
+    while True:
+        chunk = resp.read1(CHUNK_BYTES)
+        if not chunk:
+            return
+        *whole, pending = (pending + chunk).split(b'\n')
+        yield from whole
--- /dev/null
+++ b/src/gentianpulley/http_front.py
@@ -0,0 +1,324 @@
+"""The HTTP front: callers, operators, health and metrics, on CherryPy.
+
+A request whose body is refused is answered with a numbered code like any
+other. Waiting requests occupy one server thread each.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import cherrypy
+import msgspec
+
+from gentianpulley.document import decode_document
+from gentianpulley.errors import GentianpulleyError, RequestRefusedError
+from gentianpulley.front_messages import (
+    CancelRequest,
+    RequestAnswer,
+    answer_of,
+    refusal_answer,
+)
+from gentianpulley.instance_view import InstanceView
+from gentianpulley.logs import EventLog
+from gentianpulley.messages import malformed_body
+from gentianpulley.request import parse_request
+from gentianpulley.request_desk import RequestDesk
+from gentianpulley.result_code import (
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
+    INTERNAL,
+    ResultCode,
+)
+from gentianpulley.settings import DaemonSettings, checked_address
+
+SHUTDOWN_TIMEOUT_S: Final = 5
+SOCKET_TIMEOUT_S: Final = 20
+SOCKET_BACKLOG: Final = 256
+DEFAULT_WAIT_MS: Final = 30_000
+_HTTP_OK: Final = 200
+_NOT_READY: Final = 503
+_JSON: Final = 'application/json'
+_TEXT: Final = 'text/plain; version=0.0.4'
+
+
+@dataclass(frozen=True, slots=True)
+class FrontParts:
+    """What the front serves."""
+
+    desk: RequestDesk
+    view: InstanceView
+    log: EventLog
+
+
+class RequestsResource:
+    """`/v1/requests`: submit, ask for the state of, and cancel a request."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Serve callers from the request desk."""
+        self._desk = parts.desk
+        self._log = parts.log
+
+    def POST(self, wait_ms: str = '') -> bytes:
+        """Submit a request and wait for its answer."""
+        return _guarded(self._log, lambda: self._submit(wait_ms))
+
+    def GET(self, request_key: str, wait_ms: str = '0') -> bytes:
+        """Return the state or the answer of a request."""
+        return _guarded(
+            self._log,
+            lambda: answer_of(
+                self._desk.status(request_key, _milliseconds(wait_ms))
+            ),
+        )
+
+    def DELETE(self, request_key: str) -> bytes:
+        """Cancel a request."""
+        return _guarded(
+            self._log,
+            lambda: answer_of(self._desk.cancel((request_key,))[0]),
+        )
+
+    def _submit(self, wait_ms: str) -> RequestAnswer:
+        req = parse_request(_body())
+        waited = _milliseconds(wait_ms) if wait_ms else DEFAULT_WAIT_MS
+        return answer_of(self._desk.submit(req, waited))
+
+
+class CancellationsResource:
+    """`/v1/cancellations`: cancel many requests in one call."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Serve callers from the request desk."""
+        self._desk = parts.desk
+        self._log = parts.log
+
+    def POST(self) -> bytes:
+        """Cancel all requests that the body names."""
+        try:
+            wanted = msgspec.json.decode(_body(), type=CancelRequest)
+            reports = self._desk.cancel(wanted.request_keys)
+        except msgspec.DecodeError as exc:
+            return _refuse(BAD_REQUEST, malformed_body(str(exc)))
+        except GentianpulleyError as refused:
+            return _refuse(refused.code, refused.text)
+        answers = tuple(answer_of(report) for report in reports)
+        return _send(_HTTP_OK, msgspec.json.encode(answers))
+
+
+class DocumentsResource:
+    """`/v1/documents`: documents pushed by the CLI besides the store."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Offer documents to the instance."""
+        self._view = parts.view
+
+    def POST(self) -> bytes:
+        """Offer a document and return the instance's status."""
+        try:
+            self._view.offer(decode_document(_body()))
+        except msgspec.DecodeError as exc:
+            return _refuse(BAD_REQUEST, malformed_body(str(exc)))
+        except RequestRefusedError as refused:
+            return _refuse(refused.code, refused.text)
+        return _send(_HTTP_OK, msgspec.json.encode(self._view.status()))
+
+
+class StatusResource:
+    """`/v1/status`: what the instance says of itself."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Report on the instance."""
+        self._view = parts.view
+
+    def GET(self) -> bytes:
+        """Return the status as JSON."""
+        return _send(_HTTP_OK, msgspec.json.encode(self._view.status()))
+
+
+class MeasurementsResource:
+    """`/v1/measurements`: histograms and counts for the burn report."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Export the instance's metrics."""
+        self._view = parts.view
+
+    def GET(self) -> bytes:
+        """Return the measurements as JSON."""
+        return _send(_HTTP_OK, msgspec.json.encode(self._view.measurements()))
+
+
+class MetricsResource:
+    """`/metrics`: the Prometheus text format."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Export the instance's metrics."""
+        self._view = parts.view
+
+    def GET(self) -> bytes:
+        """Return counters, gauges and quantiles."""
+        return _send(_HTTP_OK, self._view.metrics_text().encode(), _TEXT)
+
+
+class HealthResource:
+    """`/healthz`: the process is alive."""
+
+    exposed = True
+
+    def GET(self) -> bytes:
+        """Return 200 as long as the server answers."""
+        return _send(_HTTP_OK, b'ok\n', _TEXT)
+
+
+class ReadyResource:
+    """`/readyz`: the instance takes requests."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Ask the instance."""
+        self._view = parts.view
+
+    def GET(self) -> bytes:
+        """Return 200 when ready, 503 with the reason otherwise."""
+        reason = self._view.unready_reason()
+        status = _NOT_READY if reason else _HTTP_OK
+        text = reason or 'ready'
+        return _send(status, f'{text}\n'.encode(), _TEXT)
+
+
+class VersionOne:
+    """The resources below `/v1`."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Mount all resources."""
+        self.requests = RequestsResource(parts)
+        self.cancellations = CancellationsResource(parts)
+        self.documents = DocumentsResource(parts)
+        self.status = StatusResource(parts)
+        self.measurements = MeasurementsResource(parts)
+
+
+class FrontRoot:
+    """The root of the HTTP front."""
+
+    exposed = True
+
+    def __init__(self, parts: FrontParts) -> None:
+        """Mount all resources."""
+        self.v1 = VersionOne(parts)
+        self.metrics = MetricsResource(parts)
+        self.healthz = HealthResource()
+        self.readyz = ReadyResource(parts)
+
+
+class HttpFront:
+    """Runs the CherryPy server."""
+
+    def __init__(self, settings: DaemonSettings, parts: FrontParts) -> None:
+        """Configure the server without starting it."""
+        address = checked_address(settings.http)
+        cherrypy.config.update(
+            {
+                'environment': 'embedded',
+                'server.socket_host': address.host,
+                'server.socket_port': address.port,
+                'server.socket_queue_size': SOCKET_BACKLOG,
+                'server.thread_pool': settings.http_threads,
+                'server.max_request_body_size': settings.max_body_bytes,
+                'server.shutdown_timeout': SHUTDOWN_TIMEOUT_S,
+                'server.socket_timeout': SOCKET_TIMEOUT_S,
+                'engine.autoreload.on': False,
+                'log.screen': False,
+                'checker.on': False,
+            }
+        )
+        cherrypy.tree.mount(
+            FrontRoot(parts),
+            '/',
+            {
+                '/': {
+                    'request.dispatch': cherrypy.dispatch.MethodDispatcher(),
+                    'request.process_request_body': False,
+                    'error_page.default': _error_page,
+                }
+            },
+        )
+
+    def start(self) -> None:
+        """Listen and serve; raises `OSError` if the address is taken."""
+        cherrypy.engine.start()
+
+    def stop(self) -> None:
+        """Finish the requests in progress and stop listening."""
+        cherrypy.engine.exit()
+
+
+def _guarded(log: EventLog, serve: Callable[[], RequestAnswer]) -> bytes:
+    """Answer with a numbered code whatever happens."""
+    try:
+        answer = serve()
+    except GentianpulleyError as exc:
+        answer = refusal_answer(exc.code, exc.text)
+    except cherrypy.HTTPError:
+        raise
+    except Exception as fault:
+        log.internal_fault(repr(fault))
+        answer = refusal_answer(INTERNAL, INTERNAL.meaning)
+    return _send(answer.http_status(), msgspec.json.encode(answer))
+
+
+def _body() -> bytes:
+    """Read the request body; raises `RequestRefusedError` if too large."""
+    limit = cherrypy.config['server.max_request_body_size']
+    declared = cherrypy.request.headers.get('Content-Length', '0')
+    if not declared.isdecimal() or int(declared) > limit:
+        cherrypy.response.headers['Connection'] = 'close'
+        raise RequestRefusedError(BODY_TOO_LARGE, BODY_TOO_LARGE.meaning)
+    body: bytes = cherrypy.request.rfile.read(int(declared))
+    if len(body) != int(declared):
+        raise RequestRefusedError(BAD_REQUEST, malformed_body('truncated'))
+    return body
+
+
+def _milliseconds(text: str) -> int:
+    if not text.isdecimal():
+        raise RequestRefusedError(BAD_REQUEST, malformed_body('wait_ms'))
+    return int(text)
+
+
+def _refuse(code: ResultCode, text: str) -> bytes:
+    answer = refusal_answer(code, text)
+    return _send(code.http_status, msgspec.json.encode(answer))
+
+
+def _send(status: int, body: bytes, media_type: str = _JSON) -> bytes:
+    cherrypy.response.status = status
+    cherrypy.response.headers['Content-Type'] = media_type
+    return body
+
+
+def _error_page(
+    status: str, message: str, traceback: str, version: str
+) -> bytes:
+    """Answer errors of the server itself, such as an unknown path."""
+    number = int(status.split(maxsplit=1)[0])
+    code = BODY_TOO_LARGE if number == BODY_TOO_LARGE.http_status else None
+    if code is None:
+        code = BAD_REQUEST if number < INTERNAL.http_status else INTERNAL
+    cherrypy.response.headers['Content-Type'] = _JSON
+    return msgspec.json.encode(refusal_answer(code, f'{status}: {message}'))
--- /dev/null
+++ b/src/gentianpulley/instance_peer.py
@@ -0,0 +1,89 @@
+"""This instance, as its peers see it."""
+
+from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.document import Document, DocumentKind, DocumentShelf
+from gentianpulley.membership import Membership
+from gentianpulley.peer import Peer, PeerStatus
+from gentianpulley.quick_requests import QuickRequests
+from gentianpulley.start_gate import StartGate
+from gentianpulley.task import TaskOrder, TaskReport
+from gentianpulley.task_runner import TaskRunner
+from gentianpulley.worker_fleet import WorkerFleet
+
+
+class StatusSource:
+    """Puts together the heartbeat of this instance."""
+
+    def __init__(
+        self,
+        myself: MemberRecord,
+        shelf: DocumentShelf,
+        state: ControlState,
+        fleet: WorkerFleet,
+        gate: StartGate,
+    ) -> None:
+        """Report on the given parts."""
+        self._myself = myself
+        self._shelf = shelf
+        self._state = state
+        self._fleet = fleet
+        self._gate = gate
+
+    def read(self) -> PeerStatus:
+        """Return the status at this moment."""
+        return PeerStatus(
+            instance=self._myself.instance,
+            boot_id=self._myself.boot_id,
+            failure_domain=self._myself.failure_domain,
+            cfg_revision=self._shelf.revision(DocumentKind.CFG),
+            domains_revision=self._shelf.revision(DocumentKind.DOMAINS),
+            draining=self._gate.is_draining,
+            store_heard_ms=self._state.heard_ms,
+            headroom=self._fleet.headroom(),
+        )
+
+
+class InstancePeer(Peer):
+    """Answers peers, and the own coordinator, from this instance's parts."""
+
+    def __init__(
+        self,
+        runner: TaskRunner,
+        quick: QuickRequests,
+        membership: Membership,
+        shelf: DocumentShelf,
+        status: StatusSource,
+    ) -> None:
+        """Serve the given parts."""
+        self._runner = runner
+        self._quick = quick
+        self._membership = membership
+        self._shelf = shelf
+        self._status = status
+
+    def run(self, order: TaskOrder, wait_ms: int) -> TaskReport:
+        """Place and start a task; waits up to `wait_ms` for its answer."""
+        return self._runner.run(order, wait_ms)
+
+    def await_answer(
+        self, task_id: str, worker: str, wait_ms: int
+    ) -> TaskReport:
+        """Wait up to `wait_ms` for the end of a task on an owned worker."""
+        return self._runner.await_answer(task_id, worker, wait_ms)
+
+    def cancel(self, task_id: str, worker: str) -> TaskReport:
+        """Stop a task on an owned worker and report how it ended."""
+        return self._runner.cancel(task_id, worker)
+
+    def cancel_local(self, request_keys: tuple[str, ...]) -> tuple[str, ...]:
+        """Cancel requests without records; returns the keys it knew."""
+        return tuple(key for key in request_keys if self._quick.cancel(key))
+
+    def heartbeat(self, status: PeerStatus) -> PeerStatus:
+        """Exchange heartbeats."""
+        self._membership.note_heartbeat(status)
+        return self._status.read()
+
+    def fetch_document(self, kind: DocumentKind) -> Document | None:
+        """Return the document that this instance has in force."""
+        return self._shelf.document(kind)
--- /dev/null
+++ b/src/gentianpulley/instance_view.py
@@ -0,0 +1,128 @@
+"""What operators can see of an instance and say to it."""
+
+from gentianpulley.document import Document, DocumentShelf
+from gentianpulley.front_messages import (
+    InstanceStatus,
+    PeerSummary,
+    WorkerStatus,
+)
+from gentianpulley.instance_peer import StatusSource
+from gentianpulley.job_queue import JobQueue
+from gentianpulley.journal import Journal
+from gentianpulley.membership import Membership
+from gentianpulley.metrics import ClassMetrics, Metrics
+from gentianpulley.quick_requests import QuickRequests
+from gentianpulley.start_gate import Isolation, StartGate
+from gentianpulley.store import Store
+from gentianpulley.worker_fleet import WorkerFleet
+
+
+class InstanceView:
+    """Reads the parts of one instance; built once by the daemon."""
+
+    def __init__(
+        self,
+        shelf: DocumentShelf,
+        membership: Membership,
+        fleet: WorkerFleet,
+        gate: StartGate,
+        status: StatusSource,
+    ) -> None:
+        """Look at the given parts; `attach` names the rest."""
+        self._shelf = shelf
+        self._membership = membership
+        self._fleet = fleet
+        self._gate = gate
+        self._status = status
+
+    def attach(
+        self,
+        store: Store,
+        journal: Journal,
+        queue: JobQueue,
+        quick: QuickRequests,
+        metrics: Metrics,
+        isolation: Isolation,
+    ) -> None:
+        """Name the parts that count something."""
+        self._store = store
+        self._journal = journal
+        self._queue = queue
+        self._quick = quick
+        self._metrics = metrics
+        self._isolation = isolation
+
+    def offer(self, document: Document) -> None:
+        """Take a document that an operator pushed."""
+        self._shelf.offer(document)
+
+    def unready_reason(self) -> str:
+        """Return why the instance takes no requests; empty if it does."""
+        if self._gate.is_draining:
+            return 'draining'
+        if self._shelf.cfg is None:
+            return 'no cfg yet'
+        return ''
+
+    def status(self) -> InstanceStatus:
+        """Return the status at this moment."""
+        reason = self.unready_reason()
+        return InstanceStatus(
+            peer=self._status.read(),
+            ready=not reason,
+            unready_reason=reason,
+            domain_is_out=self._gate.domain_is_out(),
+            isolated_since_ms=self._isolation.since_ms(),
+            queued_jobs=self._queue.size(),
+            unsettled_writes=self._journal.unsettled(),
+            store_calls=self._store.calls_made(),
+            workers=self._workers(),
+            peers=self._peers(),
+        )
+
+    def measurements(self) -> tuple[ClassMetrics, ...]:
+        """Return histograms and counts for the burn report."""
+        return self._metrics.export()
+
+    def metrics_text(self) -> str:
+        """Return all metrics in the Prometheus text format."""
+        headroom = self._fleet.headroom()
+        return self._metrics.render(
+            {
+                'owned_workers': headroom.owned_workers,
+                'free_slots': headroom.free_slots,
+                'free_processors_milli': headroom.total.processors_milli,
+                'queued_jobs': self._queue.size(),
+                'requests_in_progress': self._quick.in_progress(),
+                'unsettled_writes': self._journal.unsettled(),
+                'store_calls_total': self._store.calls_made(),
+                'tasks_known': len(self._fleet.table.all_entries()),
+            }
+        )
+
+    def _workers(self) -> tuple[WorkerStatus, ...]:
+        return tuple(
+            WorkerStatus(
+                worker.name,
+                worker.epoch,
+                worker.is_open,
+                _running_count(self._fleet, worker.name),
+            )
+            for worker in self._fleet.owned()
+        )
+
+    def _peers(self) -> tuple[PeerSummary, ...]:
+        return tuple(
+            PeerSummary(
+                view.instance,
+                view.failure_domain,
+                view.is_heard,
+                view.has_lease,
+            )
+            for view in self._membership.peers()
+        )
+
+
+def _running_count(fleet: WorkerFleet, worker: str) -> int:
+    entries = fleet.table.on_worker(worker)
+    return sum(1 for entry in entries if not entry.ended.is_set())
--- /dev/null
+++ b/src/gentianpulley/membership.py
@@ -0,0 +1,194 @@
+"""Which entry instances there are and what can be asked of them.
+
+Three sources are put together, each of which may lag or be missing: leases in
+the store, the platform's instance list, and heartbeats between peers.
+"""
+
+import threading
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.deadline import deadline_in, has_passed
+from gentianpulley.http_conn import HttpAddress, parse_address
+from gentianpulley.instance_list import ListedInstance, Presence, Role
+from gentianpulley.peer import PeerStatus
+
+HEARD_FOR_MS: Final = 3000
+
+
+@dataclass(frozen=True, slots=True)
+class PeerView:
+    """One other entry instance, as seen from here.
+
+    `status` is its last heartbeat, which counts until `heard_until_ms`.
+    """
+
+    instance: str
+    failure_domain: str
+    http: HttpAddress
+    address: HttpAddress
+    has_lease: bool
+    is_leaving: bool
+    status: PeerStatus | None
+    heard_until_ms: int
+
+    @property
+    def is_heard(self) -> bool:
+        """Tell whether the peer answered a heartbeat lately."""
+        return not has_passed(self.heard_until_ms)
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether new work may be sent to the peer."""
+        status = self.status
+        if status is None or not self.is_heard or self.is_leaving:
+            return False
+        return not status.draining
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    status: PeerStatus
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Place:
+    name: str
+    failure_domain: str
+    http: HttpAddress
+    peer: HttpAddress
+
+
+class Membership:
+    """Puts the three sources together."""
+
+    def __init__(self, state: ControlState, myself: MemberRecord) -> None:
+        """Know nobody else yet."""
+        self._state = state
+        self._lock = threading.Lock()
+        self._listed: tuple[ListedInstance, ...] = ()
+        self._heard: dict[str, _Heard] = {}
+        self.myself = myself
+
+    def note_listed(self, listed: tuple[ListedInstance, ...]) -> None:
+        """Take a new reading of the instance list."""
+        with self._lock:
+            self._listed = listed
+
+    def note_heartbeat(self, status: PeerStatus) -> None:
+        """Take a heartbeat that a peer sent or answered."""
+        with self._lock:
+            self._heard[status.instance] = _Heard(
+                status, deadline_in(HEARD_FOR_MS)
+            )
+
+    def peers(self) -> tuple[PeerView, ...]:
+        """Return all other entry instances that any source knows."""
+        records = {record.instance: record for record in self._state.members()}
+        with self._lock:
+            listed = {
+                entry.name: entry
+                for entry in self._listed
+                if entry.role is Role.ENTRY
+            }
+            heard = dict(self._heard)
+        names = {*records, *listed}
+        names.discard(self.myself.instance)
+        views = (
+            _view(records.get(name), listed.get(name), heard.get(name))
+            for name in sorted(names)
+        )
+        return tuple(view for view in views if view is not None)
+
+    def peer(self, instance: str) -> PeerView | None:
+        """Return the peer with this instance name."""
+        for view in self.peers():
+            if view.instance == instance:
+                return view
+        return None
+
+    def owner_candidates(self) -> tuple[str, ...]:
+        """Return the member ids that may own workers of this domain."""
+        leaving = {view.instance for view in self.peers() if _is_going(view)}
+        return tuple(
+            record.member_id
+            for record in self._state.members()
+            if record.failure_domain == self.myself.failure_domain
+            and record.instance not in leaving
+        )
+
+    def workers(self, failure_domain: str) -> tuple[ListedInstance, ...]:
+        """Return the listed workers of a failure domain."""
+        with self._lock:
+            return tuple(
+                entry
+                for entry in self._listed
+                if entry.role is Role.WORKER
+                and entry.failure_domain == failure_domain
+            )
+
+    def lists_worker(self, name: str) -> bool:
+        """Tell whether the instance list has the worker."""
+        with self._lock:
+            return any(
+                entry.name == name
+                for entry in self._listed
+                if entry.role is Role.WORKER
+            )
+
+    def hears_other_domain(self) -> bool:
+        """Tell whether a peer of another failure domain is heard."""
+        return any(
+            view.is_heard
+            for view in self.peers()
+            if view.failure_domain != self.myself.failure_domain
+        )
+
+
+def instance_of(member_id: str) -> str:
+    """Return the instance name in a member id."""
+    return member_id.rpartition('.')[0]
+
+
+def _is_going(view: PeerView) -> bool:
+    draining = view.status is not None and view.status.draining
+    return view.is_leaving or (draining and view.is_heard)
+
+
+def _view(
+    record: MemberRecord | None,
+    listed: ListedInstance | None,
+    heard: _Heard | None,
+) -> PeerView | None:
+    """Put together what the sources say; None without any address."""
+    place = _place(record, listed)
+    if place is None:
+        return None
+    leaving = listed is not None and listed.presence is Presence.LEAVING
+    return PeerView(
+        instance=place.name,
+        failure_domain=place.failure_domain,
+        http=place.http,
+        address=place.peer,
+        has_lease=record is not None,
+        is_leaving=leaving,
+        status=heard.status if heard else None,
+        heard_until_ms=heard.until_ms if heard else 0,
+    )
+
+
+def _place(
+    record: MemberRecord | None, listed: ListedInstance | None
+) -> _Place | None:
+    if record is not None:
+        return _Place(
+            record.instance,
+            record.failure_domain,
+            parse_address(record.http),
+            parse_address(record.peer),
+        )
+    if listed is None or listed.peer is None:
+        return None
+    return _Place(listed.name, listed.failure_domain, listed.http, listed.peer)
--- /dev/null
+++ b/src/gentianpulley/messages.py
@@ -0,0 +1,261 @@
+"""All texts for people, behind functions named by what they say.
+
+Texts state what happened and, where a person can act, what to do. They carry
+no result codes; those travel beside the texts.
+"""
+
+from collections.abc import Iterable
+
+# Files, settings and cfg.
+
+
+def invalid_syntax(detail: str) -> str:
+    """Text for a file that is not JSON with comments."""
+    return f'invalid JSON: {detail}'
+
+
+def duplicate_key(name: str) -> str:
+    """Text for a key that stands twice in one object."""
+    return f'key "{name}" appears twice in one object'
+
+
+def not_an_object() -> str:
+    """Text for a value that should be a JSON object."""
+    return 'expected a JSON object'
+
+
+def missing_key(name: str) -> str:
+    """Text for a key that has no default and is missing."""
+    return f'missing key "{name}"'
+
+
+def unknown_key() -> str:
+    """Text for a key that nothing reads."""
+    return 'unknown key'
+
+
+def file_unreadable(path: str, exc: Exception) -> str:
+    """Text for a file that cannot be read."""
+    return f'cannot read {path}: {exc}'
+
+
+def settings_faults(listed: str) -> str:
+    """Text for settings with faults, one a line."""
+    return f'the settings have faults; nothing was started:\n{listed}'
+
+
+def cfg_faults(listed: str) -> str:
+    """Text for a cfg with faults, one a line."""
+    return f'the cfg has faults; nothing was changed:\n{listed}'
+
+
+def empty_folder(folder: str) -> str:
+    """Text for a cfg folder without files."""
+    return f'{folder} has no .json or .jsonc files'
+
+
+def bad_address(text: str) -> str:
+    """Text for an address that is not host:port."""
+    return f'"{text}" is not an address of the form host:port'
+
+
+def empty_name() -> str:
+    """Text for a name that is empty."""
+    return 'must not be empty'
+
+
+def not_positive() -> str:
+    """Text for a number that has to be positive."""
+    return 'must be greater than zero'
+
+
+def share_out_of_range() -> str:
+    """Text for a share outside of zero to one."""
+    return 'must lie between 0 and 1, both excluded'
+
+
+def resumable_and_urgent() -> str:
+    """Text for a class that is urgent and resumable."""
+    return 'a class cannot be both urgent and resumable'
+
+
+def dangling_name(name: str) -> str:
+    """Text for a rule that names something unknown."""
+    return f'"{name}" is not defined in the cfg'
+
+
+def both_allowed_and_denied(domains: Iterable[str]) -> str:
+    """Text for a rule that allows and denies the same domains."""
+    listed = ', '.join(domains)
+    return f'allows and denies the same failure domains: {listed}'
+
+
+def naive_time() -> str:
+    """Text for a time without a zone."""
+    return 'time needs an offset, such as 2027-01-01T00:00:00+00:00'
+
+
+def rule_never_starts() -> str:
+    """Text for a rule whose period is empty."""
+    return 'not_before is not earlier than not_after; nothing could start'
+
+
+def class_has_no_domain(work_class: str) -> str:
+    """Text for rules that together close every domain to a class."""
+    return (
+        f'together with other rules it leaves class "{work_class}" '
+        'no failure domain'
+    )
+
+
+# Callers' requests.
+
+
+def malformed_body(detail: str) -> str:
+    """Text for a body that cannot be read."""
+    return f'malformed request: {detail}'
+
+
+def bad_request_key() -> str:
+    """Text for an unusable request key."""
+    return (
+        'request_key must have 1 to 128 characters out of '
+        'letters, digits, ".", "_", ":" and "-"'
+    )
+
+
+def unknown_class(name: str) -> str:
+    """Text for a class that the cfg does not have."""
+    return f'the cfg has no class "{name}"'
+
+
+def unknown_team(name: str) -> str:
+    """Text for a team that the cfg does not have."""
+    return f'the cfg has no team "{name}"'
+
+
+def class_differs(name: str) -> str:
+    """Text for a declaration that contradicts the class."""
+    return f'"idempotent" differs from that of class "{name}"'
+
+
+def size_not_positive() -> str:
+    """Text for a declared size that makes no sense."""
+    return 'processors and memory must be positive, the rest not negative'
+
+
+def impossible_size() -> str:
+    """Text for a declared size that no worker has."""
+    return 'no known worker has the declared processors, memory and devices'
+
+
+def payload_too_large(limit_bytes: int) -> str:
+    """Text for a payload that cannot be recorded."""
+    return f'payloads of recorded work are limited to {limit_bytes} bytes'
+
+
+def deadline_in_past(deadline_ms: int) -> str:
+    """Text for a deadline that has passed."""
+    return f'deadline_ms {deadline_ms} has passed'
+
+
+def rule_forbids(name: str) -> str:
+    """Text for a rule that forbids a start."""
+    return f'rule "{name}" forbids it'
+
+
+def rule_holds(name: str) -> str:
+    """Text for a rule that makes a start wait."""
+    return f'rule "{name}" holds it'
+
+
+# Other processes.
+
+
+def http_unreachable(address: str, exc: Exception) -> str:
+    """Text for an HTTP server that cannot be reached."""
+    return f'cannot connect to {address}: {exc}'
+
+
+def http_silent(address: str, exc: Exception) -> str:
+    """Text for an HTTP answer that did not arrive whole."""
+    return f'no whole answer from {address}: {exc}'
+
+
+def store_refused(path: str, status: int) -> str:
+    """Text for a call that the store refused."""
+    return f'the store answered {path} with status {status}'
+
+
+def write_unsettled(key: str) -> str:
+    """Text for a write that was not settled in time."""
+    return f'the write of {key} was not settled in time'
+
+
+def damaged_record(key: str) -> str:
+    """Text for a record that cannot be read."""
+    return f'the record {key} cannot be read'
+
+
+def instance_list_refused(status: int) -> str:
+    """Text for an instance list that cannot be read."""
+    return f'the instance list answered with status {status}'
+
+
+def worker_refused(text: str) -> str:
+    """Text for a command that a worker refused."""
+    return f'the worker refused: {text}'
+
+
+def answer_damaged(task_id: str) -> str:
+    """Text for an answer that is not whole or not this task's."""
+    return f'the answer for task {task_id} is damaged or belongs to another'
+
+
+def peer_unreachable(address: str, exc: Exception) -> str:
+    """Text for a peer that cannot be reached."""
+    return f'cannot connect to peer {address}: {exc}'
+
+
+def peer_silent(address: str, exc: Exception) -> str:
+    """Text for a peer that did not answer."""
+    return f'no whole answer from peer {address}: {exc!r}'
+
+
+def peer_unknown(instance: str) -> str:
+    """Text for a peer that no source knows."""
+    return f'no address is known for instance "{instance}"'
+
+
+def malformed_peer_message(detail: str) -> str:
+    """Text for a peer message that makes no sense."""
+    return f'malformed peer message: {detail}'
+
+
+def illegal_transition(request_key: str, state: str) -> str:
+    """Text for a change that a job's state does not allow."""
+    return f'job {request_key} is {state}; the change is not allowed'
+
+
+# The daemon.
+
+
+def daemon_usage() -> str:
+    """Text for wrong arguments of the daemon."""
+    return 'usage: gentianpulleyd SETTINGS\n'
+
+
+def cannot_listen(exc: Exception) -> str:
+    """Text for a server address that cannot be used."""
+    return f'cannot listen: {exc}\n'
+
+
+# Operators.
+
+
+def change_conflict(revision: int) -> str:
+    """Text for a change that lost against another."""
+    return (
+        f'another change was accepted first; revision {revision} stands. '
+        'Look at it with "cfg diff", then push again'
+    )
--- /dev/null
+++ b/src/gentianpulley/metrics.py
@@ -0,0 +1,156 @@
+"""Counters and latency histograms of one instance.
+
+Histograms are kept by class of work, for the whole life of the process, and
+as counts of good and bad requests in one-minute slots, from which the burn
+report computes its windows.
+"""
+
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+from gentianpulley.deadline import MS_PER_SECOND, now_ms
+from gentianpulley.document import DocumentShelf
+from gentianpulley.result_code import Outcome, ResultCode
+
+LOWEST_US: Final = 1
+HIGHEST_US: Final = 3_600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+SLOT_MS: Final = 60 * MS_PER_SECOND
+SLOTS_KEPT: Final = 360
+_NS_PER_US: Final = 1000
+_QUANTILES: Final = (50.0, 99.0, 99.9)
+_PERCENT: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Timer:
+    """When a request arrived, on the monotonic clock in nanoseconds."""
+
+    started_ns: int
+
+    def elapsed_us(self) -> int:
+        """Return the microseconds since the start."""
+        return (time.monotonic_ns() - self.started_ns) // _NS_PER_US
+
+
+@dataclass(slots=True)
+class Slot:
+    """Requests of one class that ended in one minute."""
+
+    starts_ms: int
+    total: int = 0
+    bad: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ClassMetrics:
+    """What one instance exports of one class."""
+
+    work_class: str
+    histogram: str
+    slots: tuple[Slot, ...]
+
+
+class Metrics:
+    """Collects the measurements of one instance."""
+
+    def __init__(self, shelf: DocumentShelf) -> None:
+        """Judge requests by the objectives of the cfg in force."""
+        self._shelf = shelf
+        self._lock = threading.Lock()
+        self._codes: dict[tuple[str, int], int] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+        self._slots: dict[str, deque[Slot]] = {}
+
+    def start_timer(self) -> Timer:
+        """Return a timer that starts now."""
+        return Timer(time.monotonic_ns())
+
+    def observe(self, work_class: str, code: ResultCode, timer: Timer) -> None:
+        """Count a request that ended with `code`."""
+        elapsed_us = timer.elapsed_us()
+        with self._lock:
+            counted = (work_class, code.number)
+            self._codes[counted] = self._codes.get(counted, 0) + 1
+            histogram = self._histograms.setdefault(
+                work_class, _new_histogram()
+            )
+            histogram.record_value(max(LOWEST_US, elapsed_us))
+            slot = self._slot(work_class)
+            slot.total += 1
+            slot.bad += int(self._is_bad(work_class, code, elapsed_us))
+
+    def export(self) -> tuple[ClassMetrics, ...]:
+        """Return histograms and slots of all classes."""
+        with self._lock:
+            return tuple(
+                ClassMetrics(
+                    name,
+                    histogram.encode().decode(),
+                    tuple(self._slots.get(name, ())),
+                )
+                for name, histogram in self._histograms.items()
+            )
+
+    def render(self, gauges: dict[str, int]) -> str:
+        """Return everything in the Prometheus text format."""
+        lines = [
+            f'gentianpulley_{name} {amount}' for name, amount in gauges.items()
+        ]
+        with self._lock:
+            lines.extend(
+                _counter_line(name, number, count)
+                for (name, number), count in sorted(self._codes.items())
+            )
+            for work_class, histogram in sorted(self._histograms.items()):
+                lines.extend(_quantile_lines(work_class, histogram))
+        return '\n'.join((*lines, ''))
+
+    def _slot(self, work_class: str) -> Slot:
+        slots = self._slots.setdefault(work_class, deque(maxlen=SLOTS_KEPT))
+        starts_ms = now_ms() // SLOT_MS * SLOT_MS
+        if not slots or slots[-1].starts_ms != starts_ms:
+            slots.append(Slot(starts_ms))
+        return slots[-1]
+
+    def _is_bad(
+        self, work_class: str, code: ResultCode, elapsed_us: int
+    ) -> bool:
+        """Tell whether a request missed its class's objective.
+
+        Requests that callers sent wrong or cancelled do not count.
+        """
+        cfg = self._shelf.cfg
+        known = cfg.classes.get(work_class) if cfg else None
+        objective = known.objective if known else None
+        if code.outcome is not Outcome.DONE:
+            return True
+        if objective is None:
+            return False
+        return elapsed_us > objective.latency_ms * MS_PER_SECOND
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def _counter_line(work_class: str, number: int, count: int) -> str:
+    labels = f'class="{work_class}",code="{number}"'
+    return f'gentianpulley_requests_total{{{labels}}} {count}'
+
+
+def _quantile_lines(work_class: str, histogram: HdrHistogram) -> list[str]:
+    name = 'gentianpulley_latency_us'
+    label = f'class="{work_class}"'
+    count = histogram.get_total_count()
+    lines = [f'{name}_count{{{label}}} {count}']
+    for percentile in _QUANTILES:
+        quantile = percentile / _PERCENT
+        latency_us = histogram.get_value_at_percentile(percentile)
+        lines.append(f'{name}{{{label},quantile="{quantile}"}} {latency_us}')
+    return lines
--- /dev/null
+++ b/src/gentianpulley/peer_client.py
@@ -0,0 +1,175 @@
+"""Calls to another entry instance over thrift.
+
+A call owns one connection for its whole time. Waits are cut into slices, so
+a connection that stays silent for longer than the slice and a margin is dead:
+it is dropped together with all idle ones, and the caller asks again on a new
+one with the same task id.
+"""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+
+import msgspec
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import (
+    TBufferedTransport,
+    TTransportException,
+)
+
+from gentianpulley.deadline import deadline_in, has_passed
+from gentianpulley.document import Document, DocumentKind
+from gentianpulley.errors import PeerSilentError, PeerUnreachableError
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.messages import peer_silent, peer_unreachable
+from gentianpulley.peer import Peer, PeerStatus
+from gentianpulley.peer_codec import (
+    document_from_wire,
+    order_to_wire,
+    report_from_wire,
+    status_from_wire,
+    status_to_wire,
+)
+from gentianpulley.peer_gen.Peer import Client
+from gentianpulley.task import TaskOrder, TaskReport
+
+CONNECT_TIMEOUT_MS: Final = 1000
+CALL_TIMEOUT_MS: Final = 1500
+SILENCE_MARGIN_MS: Final = 3000
+IDLE_FOR_MS: Final = 20_000
+MAX_IDLE: Final = 8
+MAX_MESSAGE_BYTES: Final = 67_108_864
+BUFFER_BYTES: Final = 65536
+
+_Answer = TypeVar('_Answer')
+
+
+@dataclass(frozen=True, slots=True)
+class _Conn:
+    client: Any
+    socket: Any
+    transport: Any
+    idle_until_ms: int
+
+
+class ThriftPeer(Peer):
+    """One other entry instance behind its peer service."""
+
+    def __init__(self, address: HttpAddress) -> None:
+        """Open nothing yet."""
+        self.address = address
+        self._lock = threading.Lock()
+        self._idle: list[_Conn] = []
+
+    def run(self, order: TaskOrder, wait_ms: int) -> TaskReport:
+        """Place and start a task; waits up to `wait_ms` for its answer."""
+        wire = self._call(
+            lambda client: client.run(order_to_wire(order), wait_ms),
+            wait_ms + SILENCE_MARGIN_MS,
+        )
+        return report_from_wire(wire, order.task_id)
+
+    def await_answer(
+        self, task_id: str, worker: str, wait_ms: int
+    ) -> TaskReport:
+        """Wait up to `wait_ms` for the end of a task on an owned worker."""
+        wire = self._call(
+            lambda client: client.await_answer(task_id, worker, wait_ms),
+            wait_ms + SILENCE_MARGIN_MS,
+        )
+        return report_from_wire(wire, task_id)
+
+    def cancel(self, task_id: str, worker: str) -> TaskReport:
+        """Stop a task on an owned worker and report how it ended."""
+        wire = self._call(
+            lambda client: client.cancel(task_id, worker), SILENCE_MARGIN_MS
+        )
+        return report_from_wire(wire, task_id)
+
+    def cancel_local(self, request_keys: tuple[str, ...]) -> tuple[str, ...]:
+        """Cancel requests without records; returns the keys it knew."""
+        found = self._call(
+            lambda client: client.cancel_local(list(request_keys)),
+            SILENCE_MARGIN_MS,
+        )
+        return tuple(found)
+
+    def heartbeat(self, status: PeerStatus) -> PeerStatus:
+        """Exchange heartbeats."""
+        wire = self._call(
+            lambda client: client.heartbeat(status_to_wire(status)),
+            CALL_TIMEOUT_MS,
+        )
+        return status_from_wire(wire)
+
+    def fetch_document(self, kind: DocumentKind) -> Document | None:
+        """Return the document that the peer has in force."""
+        wire = self._call(
+            lambda client: client.fetch_document(kind.value),
+            CALL_TIMEOUT_MS,
+        )
+        try:
+            return document_from_wire(wire, kind)
+        except msgspec.DecodeError as exc:
+            raise PeerSilentError(peer_silent(str(self.address), exc)) from exc
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = self._idle
+            self._idle = []
+        for conn in idle:
+            conn.transport.close()
+
+    def _call(
+        self, method: Callable[[Any], _Answer], timeout_ms: int
+    ) -> _Answer:
+        conn = self._take()
+        conn.socket.setTimeout(timeout_ms)
+        try:
+            answer = method(conn.client)
+        except (TException, OSError) as exc:
+            conn.transport.close()
+            self.close()
+            raise PeerSilentError(peer_silent(str(self.address), exc)) from exc
+        self._give_back(conn)
+        return answer
+
+    def _take(self) -> _Conn:
+        with self._lock:
+            while self._idle:
+                conn = self._idle.pop()
+                if not has_passed(conn.idle_until_ms):
+                    return conn
+                conn.transport.close()
+        return self._open()
+
+    def _open(self) -> _Conn:
+        socket = TSocket(self.address.host, self.address.port)
+        socket.setTimeout(CONNECT_TIMEOUT_MS)
+        transport = TBufferedTransport(socket, BUFFER_BYTES)
+        protocol = TBinaryProtocolAccelerated(
+            transport,
+            string_length_limit=MAX_MESSAGE_BYTES,
+            container_length_limit=MAX_MESSAGE_BYTES,
+        )
+        try:
+            transport.open()
+        except (TTransportException, OSError) as exc:
+            raise PeerUnreachableError(
+                peer_unreachable(str(self.address), exc)
+            ) from exc
+        return _Conn(Client(protocol), socket, transport, 0)
+
+    def _give_back(self, conn: _Conn) -> None:
+        kept = _Conn(
+            conn.client, conn.socket, conn.transport, deadline_in(IDLE_FOR_MS)
+        )
+        with self._lock:
+            if len(self._idle) < MAX_IDLE:
+                self._idle.append(kept)
+                return
+        conn.transport.close()
--- /dev/null
+++ b/src/gentianpulley/peer_directory.py
@@ -0,0 +1,52 @@
+"""Connections to the other entry instances, by instance name."""
+
+import threading
+
+from gentianpulley.control_state import ControlState
+from gentianpulley.errors import PeerUnreachableError
+from gentianpulley.membership import Membership
+from gentianpulley.messages import peer_unknown
+from gentianpulley.peer import Peer
+from gentianpulley.peer_client import ThriftPeer
+
+
+class PeerDirectory:
+    """Finds the peer behind an instance name; the own instance included."""
+
+    def __init__(self, membership: Membership, state: ControlState) -> None:
+        """Know nobody yet; `attach_local` comes before the first call."""
+        self._membership = membership
+        self._state = state
+        self._lock = threading.Lock()
+        self._peers: dict[str, ThriftPeer] = {}
+        self._local: Peer | None = None
+
+    def attach_local(self, local: Peer) -> None:
+        """Name the peer that stands for this instance."""
+        self._local = local
+
+    def find(self, instance: str) -> Peer:
+        """Return the peer; raises `PeerUnreachableError` if unknown."""
+        if instance == self._membership.myself.instance and self._local:
+            return self._local
+        view = self._membership.peer(instance)
+        if view is None:
+            raise PeerUnreachableError(peer_unknown(instance))
+        with self._lock:
+            peer = self._peers.get(instance)
+            if peer is None or peer.address != view.address:
+                peer = ThriftPeer(view.address)
+                self._peers[instance] = peer
+        return peer
+
+    def others(self) -> dict[str, Peer]:
+        """Return all other instances that are heard, by name."""
+        return {
+            view.instance: self.find(view.instance)
+            for view in self._membership.peers()
+            if view.is_heard
+        }
+
+    def owner_of(self, worker: str) -> str:
+        """Return the member id that owns a worker, or an empty string."""
+        return self._state.owner_of(worker)
--- /dev/null
+++ b/src/gentianpulley/placement.py
@@ -0,0 +1,51 @@
+"""Chooses the worker for a task among those with room."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from gentianpulley.resources import Resources
+from gentianpulley.task import TaskOrder
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerView:
+    """What placement sees of a worker that has room for the task."""
+
+    name: str
+    rack: str
+    free: Resources
+    capacity: Resources
+    free_slots: int
+    neighbours: tuple[str, ...]
+
+
+class PlacementPolicy(ABC):
+    """Orders workers by preference."""
+
+    @abstractmethod
+    def rank(
+        self, order: TaskOrder, workers: Iterable[WorkerView]
+    ) -> tuple[str, ...]:
+        """Return the names of the workers, the best first."""
+
+
+class LeastLoadedPlacement(PlacementPolicy):
+    """Prefers the worker with the largest share of free processors."""
+
+    def rank(
+        self, order: TaskOrder, workers: Iterable[WorkerView]
+    ) -> tuple[str, ...]:
+        """Return the names of the workers, the least loaded first."""
+        ranked = sorted(workers, key=_load)
+        return tuple(worker.name for worker in ranked)
+
+
+def create_placement() -> PlacementPolicy:
+    """Return the policy that the daemon uses."""
+    return LeastLoadedPlacement()
+
+
+def _load(worker: WorkerView) -> float:
+    free = worker.free.processors_milli
+    return -free / max(1, worker.capacity.processors_milli)
--- /dev/null
+++ b/src/gentianpulley/recorded_requests.py
@@ -0,0 +1,224 @@
+"""Serves work that needs a job record: at most once, exclusive, resumable."""
+
+import time
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.background import Backoff
+from gentianpulley.cfg import SiteCfg
+from gentianpulley.deadline import deadline_in, has_passed, seconds_left
+from gentianpulley.errors import (
+    StoreAnswerLostError,
+    StoreError,
+    StoreUnreachableError,
+)
+from gentianpulley.job import (
+    Job,
+    JobState,
+    StoredJob,
+    new_job,
+    refusal_result,
+)
+from gentianpulley.job_queue import JobQueue
+from gentianpulley.job_store import JobStore
+from gentianpulley.logs import EventLog
+from gentianpulley.request import Request
+from gentianpulley.request_report import (
+    RequestReport,
+    plain_report,
+    report_of_job,
+    report_of_task,
+)
+from gentianpulley.result_code import (
+    ANSWER_GONE,
+    CANCELLED,
+    KEY_CONFLICT,
+    RECORD_UNSETTLED,
+    STORE_UNAVAILABLE,
+    UNKNOWN_KEY,
+    ResultCode,
+)
+from gentianpulley.ruling import Subject, keep_until_ms
+from gentianpulley.task import TaskPhase, TaskReport, running_report
+from gentianpulley.task_follower import TaskFollower
+
+CREATE_TIMEOUT_MS: Final = 2500
+POLL_FIRST_S: Final = 0.02
+POLL_LONGEST_S: Final = 0.5
+FETCH_TIMEOUT_MS: Final = 3000
+
+
+@dataclass(frozen=True, slots=True)
+class _Sighting:
+    """A report, and whether it is the last word on the request."""
+
+    report: RequestReport
+    is_final: bool
+    running: TaskReport | None = None
+
+
+class RecordedRequests:
+    """Accepts, follows and cancels requests that have records."""
+
+    def __init__(
+        self,
+        member_id: str,
+        jobs: JobStore,
+        queue: JobQueue,
+        follower: TaskFollower,
+        log: EventLog,
+    ) -> None:
+        """Coordinate new jobs as `member_id`."""
+        self._member_id = member_id
+        self._jobs = jobs
+        self._queue = queue
+        self._follower = follower
+        self._log = log
+
+    def submit(
+        self, req: Request, cfg: SiteCfg, wait_until_ms: int
+    ) -> RequestReport:
+        """Record a request, place it, and wait until `wait_until_ms`.
+
+        A second request with the same key and body joins the first; one with
+        another body is refused.
+        """
+        work_class = cfg.classes[req.work_class]
+        subject = Subject(req.work_class, req.data_tags)
+        job = new_job(
+            req, work_class, self._member_id, keep_until_ms(cfg, subject)
+        )
+        retry_until_ms = min(req.deadline_ms, deadline_in(CREATE_TIMEOUT_MS))
+        try:
+            created = self._jobs.create(job, req.payload, retry_until_ms)
+        except StoreUnreachableError as unreachable:
+            return plain_report(
+                req.request_key, STORE_UNAVAILABLE, unreachable.text
+            )
+        except StoreAnswerLostError as lost:
+            return plain_report(req.request_key, RECORD_UNSETTLED, lost.text)
+        except StoreError as exc:
+            return plain_report(req.request_key, STORE_UNAVAILABLE, exc.text)
+        if not created.is_new:
+            return self._join(created.stored, job, wait_until_ms)
+        queued = self._queue.add(created.stored, req.payload)
+        running = self._queue.dispatch(queued)
+        return self.follow(req.request_key, wait_until_ms, running)
+
+    def follow(
+        self,
+        request_key: str,
+        wait_until_ms: int,
+        running: TaskReport | None = None,
+    ) -> RequestReport:
+        """Return a request's report, waiting for its end if it may come.
+
+        `running` is a task's report if one is known; otherwise the record in
+        the store is read first.
+        """
+        backoff = Backoff(POLL_FIRST_S, POLL_LONGEST_S)
+        sighting = _first_sighting(request_key, running)
+        while True:
+            if sighting.running is not None:
+                sighting = self._follow_task(sighting.running, wait_until_ms)
+            if sighting.running is None and not sighting.is_final:
+                sighting = self._look_up(request_key)
+            if sighting.is_final or has_passed(wait_until_ms):
+                return sighting.report
+            delay_s = backoff.next_delay_s()
+            time.sleep(min(delay_s, seconds_left(wait_until_ms)))
+
+    def cancel(self, request_key: str) -> RequestReport:
+        """Cancel a request; the report says what it came to.
+
+        A queued job ends as not run. A running task is stopped; if it ends
+        first, its answer stands.
+        """
+        try:
+            stored = self._jobs.read(request_key)
+        except StoreError as exc:
+            return plain_report(request_key, RECORD_UNSETTLED, exc.text)
+        if stored is None:
+            return plain_report(request_key, UNKNOWN_KEY)
+        if stored.job.state is JobState.QUEUED:
+            return self._cancel_queued(stored)
+        placement = stored.job.placement
+        if stored.job.state is JobState.FINISHED or placement is None:
+            return report_of_job(stored.job)
+        task = self._follower.cancel(stored.job.task_id, placement.worker)
+        return report_of_task(request_key, task)
+
+    def _join(
+        self, stored: StoredJob, job: Job, wait_until_ms: int
+    ) -> RequestReport:
+        if stored.job.request_digest != job.request_digest:
+            return plain_report(job.request_key, KEY_CONFLICT)
+        return self.follow(job.request_key, wait_until_ms)
+
+    def _cancel_queued(self, stored: StoredJob) -> RequestReport:
+        request_key = stored.job.request_key
+        try:
+            finished = self._jobs.finish_now(
+                stored,
+                refusal_result(CANCELLED),
+                deadline_in(CREATE_TIMEOUT_MS),
+            )
+        except StoreError as exc:
+            return plain_report(request_key, RECORD_UNSETTLED, exc.text)
+        if finished is None:
+            return self.cancel(request_key)
+        self._queue.remove(request_key)
+        return report_of_job(finished.job)
+
+    def _follow_task(
+        self, running: TaskReport, wait_until_ms: int
+    ) -> _Sighting:
+        """Follow a task; anything but an answer sends back to the record."""
+        task = self._follower.follow(running, wait_until_ms)
+        request_key, _, _ = task.task_id.rpartition('#')
+        report = report_of_task(request_key, task)
+        if task.phase is TaskPhase.RUNNING:
+            return _Sighting(report, is_final=False, running=task)
+        return _Sighting(report, is_final=task.phase is TaskPhase.FINISHED)
+
+    def _look_up(self, request_key: str) -> _Sighting:
+        try:
+            stored = self._jobs.read(request_key)
+        except StoreError as exc:
+            return _open_sighting(request_key, RECORD_UNSETTLED, exc.text)
+        if stored is None:
+            return _Sighting(
+                plain_report(request_key, UNKNOWN_KEY), is_final=True
+            )
+        job = stored.job
+        report = report_of_job(job)
+        if report.code is ANSWER_GONE:
+            return _Sighting(self._fetch_answer(job, report), is_final=True)
+        if job.state is JobState.PLACED and job.placement is not None:
+            running = running_report(job.task_id, job.placement.worker)
+            return _Sighting(report, is_final=False, running=running)
+        return _Sighting(report, is_final=job.state is JobState.FINISHED)
+
+    def _fetch_answer(self, job: Job, gone: RequestReport) -> RequestReport:
+        """Fetch a large answer from the worker that still keeps it."""
+        running = running_report(job.task_id, gone.worker)
+        task = self._follower.follow(running, deadline_in(FETCH_TIMEOUT_MS))
+        intact = task.digest == gone.digest
+        if task.phase is TaskPhase.FINISHED and intact:
+            return report_of_task(job.request_key, task)
+        return gone
+
+
+def _first_sighting(request_key: str, running: TaskReport | None) -> _Sighting:
+    if running is None:
+        return _open_sighting(request_key, RECORD_UNSETTLED, '')
+    report = report_of_task(request_key, running)
+    if running.phase is TaskPhase.RUNNING:
+        return _Sighting(report, is_final=False, running=running)
+    return _Sighting(report, is_final=running.phase is TaskPhase.FINISHED)
+
+
+def _open_sighting(
+    request_key: str, code: ResultCode, detail: str
+) -> _Sighting:
+    return _Sighting(plain_report(request_key, code, detail), is_final=False)
--- /dev/null
+++ b/src/gentianpulley/request_desk.py
@@ -0,0 +1,129 @@
+"""Takes callers' requests and sends each down the path of its class."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.cfg import SiteCfg
+from gentianpulley.deadline import deadline_in
+from gentianpulley.document import DocumentShelf
+from gentianpulley.errors import PeerError, RequestRefusedError
+from gentianpulley.logs import EventLog
+from gentianpulley.metrics import Metrics
+from gentianpulley.peer_directory import PeerDirectory
+from gentianpulley.quick_requests import QuickRequests
+from gentianpulley.recorded_requests import RecordedRequests
+from gentianpulley.request import Request, check_request
+from gentianpulley.request_report import RequestReport, plain_report
+from gentianpulley.result_code import (
+    BAD_REQUEST,
+    DRAINING,
+    NOT_READY,
+    RULE_FORBIDS,
+    STOPPED,
+    Outcome,
+)
+from gentianpulley.ruling import Subject, Verdict, rule_anywhere
+from gentianpulley.start_gate import StartGate
+
+MAX_WAIT_MS: Final = 60_000
+MAX_KEYS_CANCELLED: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Desk:
+    """The parts that serve requests."""
+
+    quick: QuickRequests
+    recorded: RecordedRequests
+    directory: PeerDirectory
+
+
+class RequestDesk:
+    """Checks requests against the cfg in force and serves them."""
+
+    def __init__(
+        self,
+        shelf: DocumentShelf,
+        gate: StartGate,
+        desk: Desk,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        """Serve with the parts of `desk`."""
+        self._shelf = shelf
+        self._gate = gate
+        self._desk = desk
+        self._metrics = metrics
+        self._log = log
+
+    def submit(self, req: Request, wait_ms: int) -> RequestReport:
+        """Serve a request; waits up to `wait_ms` for work with a record.
+
+        Work without a record is waited for until its deadline. Raises
+        `RequestRefusedError` when the request fails its checks.
+        """
+        timer = self._metrics.start_timer()
+        cfg = self._require_cfg()
+        work_class = check_request(req, cfg)
+        ruling = rule_anywhere(cfg, Subject(req.work_class, req.data_tags))
+        if ruling.verdict is Verdict.FORBIDDEN:
+            raise RequestRefusedError(RULE_FORBIDS, ruling.reason)
+        self._log.request_accepted(req.request_key, req.work_class)
+        if work_class.needs_record():
+            wait_until_ms = min(req.deadline_ms, _wait_until(wait_ms))
+            report = self._desk.recorded.submit(req, cfg, wait_until_ms)
+        else:
+            report = self._desk.quick.serve(req)
+        self._log.request_answered(req.request_key, report.code)
+        if report.code.outcome is not Outcome.PENDING:
+            self._metrics.observe(req.work_class, report.code, timer)
+        return report
+
+    def status(self, request_key: str, wait_ms: int) -> RequestReport:
+        """Return a request's report, waiting up to `wait_ms` for its end."""
+        running = self._desk.quick.find(request_key)
+        if running is not None:
+            return self._desk.quick.join(running)
+        return self._desk.recorded.follow(request_key, _wait_until(wait_ms))
+
+    def cancel(
+        self, request_keys: tuple[str, ...]
+    ) -> tuple[RequestReport, ...]:
+        """Cancel requests, wherever they are; a report for each key.
+
+        Requests without records are asked for on all instances, in one call
+        to each whatever the number of keys.
+        """
+        if len(request_keys) > MAX_KEYS_CANCELLED:
+            raise RequestRefusedError(BAD_REQUEST, BAD_REQUEST.meaning)
+        stopped = self._cancel_quick(request_keys)
+        return tuple(
+            plain_report(key, STOPPED)
+            if key in stopped
+            else self._desk.recorded.cancel(key)
+            for key in request_keys
+        )
+
+    def _cancel_quick(self, request_keys: tuple[str, ...]) -> frozenset[str]:
+        found = {key for key in request_keys if self._desk.quick.cancel(key)}
+        left = tuple(key for key in request_keys if key not in found)
+        if not left:
+            return frozenset(found)
+        for name, peer in self._desk.directory.others().items():
+            try:
+                found.update(peer.cancel_local(left))
+            except PeerError as exc:
+                self._log.peer_trouble(name, exc.text)
+        return frozenset(found)
+
+    def _require_cfg(self) -> SiteCfg:
+        if self._gate.is_draining:
+            raise RequestRefusedError(DRAINING, DRAINING.meaning)
+        cfg = self._shelf.cfg
+        if cfg is None:
+            raise RequestRefusedError(NOT_READY, NOT_READY.meaning)
+        return cfg
+
+
+def _wait_until(wait_ms: int) -> int:
+    return deadline_in(min(wait_ms, MAX_WAIT_MS))
--- /dev/null
+++ b/src/gentianpulley/resources.py
@@ -0,0 +1,59 @@
+"""Resources that tasks need and workers offer."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of each resource.
+
+    `processors_milli` counts thousandths of a core, `memory_mib` mebibytes
+    and `accelerators` whole devices.
+    """
+
+    processors_milli: int
+    memory_mib: int
+    accelerators: int = 0
+
+    def fits_in(self, free: 'Resources') -> bool:
+        """Tell whether `free` covers this amount in every dimension."""
+        return (
+            self.processors_milli <= free.processors_milli
+            and self.memory_mib <= free.memory_mib
+            and self.accelerators <= free.accelerators
+        )
+
+    def plus(self, other: 'Resources') -> 'Resources':
+        """Return the sum with `other`."""
+        return Resources(
+            self.processors_milli + other.processors_milli,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Resources') -> 'Resources':
+        """Return the difference to `other`; dimensions may go negative."""
+        return Resources(
+            self.processors_milli - other.processors_milli,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def largest_of(self, other: 'Resources') -> 'Resources':
+        """Return the larger amount in each dimension."""
+        return Resources(
+            max(self.processors_milli, other.processors_milli),
+            max(self.memory_mib, other.memory_mib),
+            max(self.accelerators, other.accelerators),
+        )
+
+    def is_positive(self) -> bool:
+        """Tell whether the amount asks for something and nothing negative."""
+        return (
+            self.processors_milli > 0
+            and self.memory_mib > 0
+            and self.accelerators >= 0
+        )
+
+
+NOTHING = Resources(0, 0, 0)
--- /dev/null
+++ b/src/gentianpulley/retry_budget.py
@@ -0,0 +1,34 @@
+"""Bounds retries to a share of the requests that were served."""
+
+import threading
+from typing import Final
+
+RETRY_SHARE: Final = 0.1
+FLOOR_TOKENS: Final = 10.0
+CEILING_TOKENS: Final = 100.0
+
+
+class RetryBudget:
+    """A token bucket that requests fill and retries empty.
+
+    When many requests fail at once, retries stop well before they double the
+    load. Example: after 50 requests, 15 retries are allowed in a row.
+    """
+
+    def __init__(self) -> None:
+        """Start with a few tokens, so that a quiet site can retry."""
+        self._lock = threading.Lock()
+        self._tokens = FLOOR_TOKENS
+
+    def note_request(self) -> None:
+        """Earn a share of a retry."""
+        with self._lock:
+            self._tokens = min(CEILING_TOKENS, self._tokens + RETRY_SHARE)
+
+    def take(self) -> bool:
+        """Spend one retry; False if the budget is empty."""
+        with self._lock:
+            if self._tokens < 1:
+                return False
+            self._tokens -= 1
+            return True
--- /dev/null
+++ b/src/gentianpulley/routing.py
@@ -0,0 +1,130 @@
+"""Chooses the owner to send an order to."""
+
+import random
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.document import DocumentShelf
+from gentianpulley.membership import Membership, instance_of
+from gentianpulley.peer import Headroom
+from gentianpulley.peer_directory import PeerDirectory
+from gentianpulley.resources import Resources
+from gentianpulley.ruling import Subject, allowed_domains
+from gentianpulley.start_gate import StartGate
+from gentianpulley.worker_fleet import WorkerFleet
+
+SAMPLE_SIZE: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """An owner that may have room."""
+
+    instance: str
+    failure_domain: str
+    headroom: Headroom
+
+
+class RoutingPolicy(ABC):
+    """Chooses among routes that all may have room."""
+
+    @abstractmethod
+    def choose(self, routes: tuple[Route, ...], home: str) -> Route:
+        """Return the route to try; `home` is the own failure domain."""
+
+
+class TwoChoicesRouting(RoutingPolicy):
+    """Takes the roomier of two random routes, in the own domain if any.
+
+    Headroom from heartbeats is up to a second old. Choosing the roomiest of
+    all would send every instance's requests to the same owner meanwhile.
+    """
+
+    def choose(self, routes: tuple[Route, ...], home: str) -> Route:
+        """Return the route to try; `home` is the own failure domain."""
+        near = [route for route in routes if route.failure_domain == home]
+        pool = near or list(routes)
+        sample = random.sample(pool, min(SAMPLE_SIZE, len(pool)))
+        return max(sample, key=_free_processors)
+
+
+class Router:
+    """Knows which owners may start a task now."""
+
+    def __init__(
+        self,
+        shelf: DocumentShelf,
+        membership: Membership,
+        directory: PeerDirectory,
+        fleet: WorkerFleet,
+        gate: StartGate,
+    ) -> None:
+        """Route by the documents in force and the latest heartbeats."""
+        self._shelf = shelf
+        self._membership = membership
+        self._directory = directory
+        self._fleet = fleet
+        self._gate = gate
+        self._policy: RoutingPolicy = TwoChoicesRouting()
+
+    def pick(
+        self, subject: Subject, need: Resources, excluded: frozenset[str]
+    ) -> Route | None:
+        """Return an owner to try that is not excluded; None if none is."""
+        routes = tuple(
+            route
+            for route in self._routes(subject)
+            if route.instance not in excluded and _has_room(route, need)
+        )
+        if not routes:
+            return None
+        return self._policy.choose(routes, self._gate.failure_domain)
+
+    def owner_of(self, worker: str) -> str:
+        """Return the instance that owns a worker now, or an empty string."""
+        if self._fleet.find(worker) is not None:
+            return self._membership.myself.instance
+        return instance_of(self._directory.owner_of(worker))
+
+    def _routes(self, subject: Subject) -> tuple[Route, ...]:
+        cfg = self._shelf.cfg
+        if cfg is None:
+            return ()
+        allowed = set(allowed_domains(cfg, subject))
+        allowed.difference_update(self._shelf.domains.out)
+        return tuple(
+            route
+            for route in self._known_routes()
+            if route.failure_domain in allowed
+        )
+
+    def _known_routes(self) -> tuple[Route, ...]:
+        routes = []
+        if not self._gate.is_draining:
+            routes.append(
+                Route(
+                    self._membership.myself.instance,
+                    self._gate.failure_domain,
+                    self._fleet.headroom(),
+                )
+            )
+        for view in self._membership.peers():
+            if view.takes_work and view.status is not None:
+                routes.append(
+                    Route(
+                        view.instance,
+                        view.failure_domain,
+                        view.status.headroom,
+                    )
+                )
+        return tuple(routes)
+
+
+def _has_room(route: Route, need: Resources) -> bool:
+    headroom = route.headroom
+    return headroom.free_slots > 0 and need.fits_in(headroom.largest)
+
+
+def _free_processors(route: Route) -> int:
+    return route.headroom.total.processors_milli
--- /dev/null
+++ b/src/gentianpulley/start_gate.py
@@ -0,0 +1,123 @@
+"""The last check before a task starts in this failure domain."""
+
+import threading
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.cfg import SiteCfg
+from gentianpulley.control_state import ControlState
+from gentianpulley.deadline import deadline_in, has_passed, now_ms
+from gentianpulley.document import DocumentShelf
+from gentianpulley.membership import Membership
+from gentianpulley.result_code import (
+    DEADLINE_PASSED,
+    DOMAIN_OUT,
+    DRAINING,
+    HELD,
+    ISOLATED,
+    NOT_READY,
+    RULE_FORBIDS,
+    UNKNOWN_CLASS,
+    ResultCode,
+)
+from gentianpulley.ruling import Subject, Verdict, rule_on_start
+from gentianpulley.task import TaskOrder
+
+PROPAGATION_BOUND_MS: Final = 5000
+"""How long a failure domain taken out may still see a start."""
+
+ISOLATED_AFTER_MS: Final = 4000
+"""Silence of the store and of other domains that means isolation."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a start is refused."""
+
+    code: ResultCode
+    detail: str
+
+
+class Isolation:
+    """Tells whether this failure domain is cut off from everything.
+
+    It is when neither the store nor a peer of another failure domain was
+    heard lately. News of a domain taken out can then reach nobody here.
+    """
+
+    def __init__(self, state: ControlState, membership: Membership) -> None:
+        """Count from now, so that a new instance has time to connect."""
+        self._state = state
+        self._membership = membership
+        self._lock = threading.Lock()
+        self._contact_ms = now_ms()
+
+    def since_ms(self) -> int:
+        """Return since when the domain is isolated; zero if it is not."""
+        with self._lock:
+            if self._membership.hears_other_domain():
+                self._contact_ms = now_ms()
+            heard_ms = max(self._contact_ms, self._state.heard_ms)
+        if now_ms() - heard_ms < ISOLATED_AFTER_MS:
+            return 0
+        return heard_ms
+
+
+class StartGate:
+    """Refuses starts that the cfg, the operators or isolation rule out."""
+
+    def __init__(
+        self, shelf: DocumentShelf, isolation: Isolation, failure_domain: str
+    ) -> None:
+        """Guard the starts in `failure_domain`."""
+        self._shelf = shelf
+        self._isolation = isolation
+        self.failure_domain = failure_domain
+        self.is_draining = False
+
+    def domain_is_out(self) -> bool:
+        """Tell whether operators have taken this failure domain out."""
+        return self._shelf.domains.is_out(self.failure_domain)
+
+    def refusal(self, order: TaskOrder) -> Refusal | None:
+        """Return why the task may not start here now; None if it may."""
+        cfg = self._shelf.cfg
+        if cfg is None:
+            return _refuse(NOT_READY)
+        if self.is_draining:
+            return _refuse(DRAINING)
+        if has_passed(order.start_before_ms):
+            return _refuse(DEADLINE_PASSED)
+        if self.domain_is_out():
+            return _refuse(DOMAIN_OUT)
+        return self._refused_by_cfg(cfg, order)
+
+    def _refused_by_cfg(self, cfg: SiteCfg, order: TaskOrder) -> Refusal | None:
+        work_class = cfg.classes.get(order.work_class)
+        if work_class is None:
+            return _refuse(UNKNOWN_CLASS)
+        ruling = rule_on_start(
+            cfg,
+            Subject(order.work_class, order.data_tags),
+            self.failure_domain,
+        )
+        if ruling.verdict is Verdict.FORBIDDEN:
+            return Refusal(RULE_FORBIDS, ruling.reason)
+        if ruling.verdict is Verdict.HELD:
+            return Refusal(HELD, ruling.reason)
+        since_ms = self._isolation.since_ms()
+        if since_ms == 0:
+            return None
+        allowed_ms = cfg.limits.isolated_start_ms
+        if work_class.isolated_start and now_ms() < since_ms + allowed_ms:
+            return None
+        return _refuse(ISOLATED)
+
+
+def start_window(order: TaskOrder, window_ms: int) -> int:
+    """Return the deadline within which a worker may begin the task."""
+    return min(order.start_before_ms, deadline_in(window_ms))
+
+
+def _refuse(code: ResultCode) -> Refusal:
+    return Refusal(code, code.meaning)
--- /dev/null
+++ b/src/gentianpulley/store.py
@@ -0,0 +1,135 @@
+"""The interface to the platform's key-value service.
+
+Whatever has to be agreed or kept goes through this interface. Only an adapter
+knows the wire format.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+ABSENT: Final = 0
+"""Revision of a key that does not exist."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value and the revision of its last change."""
+
+    key: str
+    body: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All entries below a prefix at one revision of the store."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A value to be written, bound to a lease unless `lease_id` is zero."""
+
+    key: str
+    body: bytes
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class GuardedWrite:
+    """Writes that take effect together if `key` is at `expected_revision`.
+
+    `ABSENT` expects that the key does not exist.
+    """
+
+    key: str
+    expected_revision: int
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The answer to one guarded write.
+
+    `revision` is the store's revision at the write. `current` is the entry
+    that stood in the way when `applied` is false.
+    """
+
+    applied: bool
+    revision: int
+    current: Entry | None
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change seen by a watch; `entry` is None for a deletion."""
+
+    key: str
+    entry: Entry | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """Changes in the order of revisions; empty when the watch is idle."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLease:
+    """A granted lease; keys bound to it go when the deadline passes."""
+
+    lease_id: int
+    deadline_ms: int
+
+
+class Store(ABC):
+    """Compare-and-swap, leases and watches.
+
+    Every method raises `StoreUnreachableError` when nothing was sent,
+    `StoreRefusedError` when the store refused, and `StoreAnswerLostError`
+    when the effect is not known.
+    """
+
+    @abstractmethod
+    def read(self, key: str) -> Entry | None:
+        """Return the entry at `key`, or None."""
+
+    @abstractmethod
+    def read_prefix(self, prefix: str) -> Snapshot:
+        """Return all entries whose keys start with `prefix`."""
+
+    @abstractmethod
+    def write(self, writes: Sequence[GuardedWrite]) -> tuple[Verdict, ...]:
+        """Try each write on its own, in one call; verdicts in order."""
+
+    @abstractmethod
+    def grant_lease(self, ttl_s: int) -> StoreLease:
+        """Grant a lease of `ttl_s` seconds."""
+
+    @abstractmethod
+    def keep_alive(self, lease: StoreLease) -> StoreLease | None:
+        """Renew the lease; None when it has already lapsed."""
+
+    @abstractmethod
+    def revoke(self, lease: StoreLease) -> None:
+        """End the lease and delete the keys bound to it."""
+
+    @abstractmethod
+    def watch(self, prefix: str, revision: int) -> Iterator[ChangeBatch]:
+        """Yield changes below `prefix` that are newer than `revision`.
+
+        Yields an empty batch when the store reports progress without changes.
+        Ends with a `StoreError` when the connection breaks or goes silent.
+        """
+
+    @abstractmethod
+    def calls_made(self) -> int:
+        """Return the number of calls sent so far, a watch counted as one."""
--- /dev/null
+++ b/src/gentianpulley/succession.py
@@ -0,0 +1,134 @@
+"""Takes over the queued jobs of coordinators that are gone.
+
+Exactly one successor gets each job: the record moves by compare-and-swap.
+The same sweep finds records of this instance whose creation was not
+confirmed, and placed jobs whose workers are gone for good.
+"""
+
+from typing import Final
+
+from gentianpulley.background import BackgroundLoop
+from gentianpulley.control_state import ControlState
+from gentianpulley.deadline import deadline_in
+from gentianpulley.errors import StoreError
+from gentianpulley.job import JobState, StoredJob, refusal_result
+from gentianpulley.job_queue import JobQueue
+from gentianpulley.job_store import JobStore, QueueIndex
+from gentianpulley.logs import EventLog
+from gentianpulley.membership import Membership
+from gentianpulley.ownership import preferred_member
+from gentianpulley.result_code import OUTCOME_UNKNOWN
+
+SWEEP_INTERVAL_S: Final = 5.0
+ADOPT_TIMEOUT_MS: Final = 5000
+WORKER_GONE_AFTER_MS: Final = 60_000
+
+
+class Succession(BackgroundLoop):
+    """Sweeps the queue indexes for jobs that nobody coordinates."""
+
+    def __init__(
+        self,
+        state: ControlState,
+        membership: Membership,
+        jobs: JobStore,
+        queue: JobQueue,
+        log: EventLog,
+    ) -> None:
+        """Prepare the thread."""
+        super().__init__('succession', SWEEP_INTERVAL_S, log)
+        self._state = state
+        self._membership = membership
+        self._jobs = jobs
+        self._queue = queue
+        self._missing_until_ms: dict[str, int] = {}
+
+    def step(self) -> None:
+        """Sweep once."""
+        try:
+            self._sweep()
+        except StoreError as exc:
+            self.log.store_trouble(exc.text)
+
+    def _sweep(self) -> None:
+        members = tuple(record.member_id for record in self._state.members())
+        myself = self._membership.myself.member_id
+        if myself not in members:
+            return
+        for row in self._jobs.queue_index():
+            if row.coordinator == myself:
+                self._pick_up(row)
+            elif row.coordinator not in members:
+                if preferred_member(row.request_key, members) == myself:
+                    self._adopt(row)
+        self._settle_workers_gone(members)
+
+    def _pick_up(self, row: QueueIndex) -> None:
+        """Queue an own job that is not in the queue."""
+        if self._queue.find(row.request_key) is not None:
+            return
+        stored = self._read_queued(row)
+        if stored is not None:
+            payload = self._jobs.read_payload(row.request_key)
+            self._queue.add(stored, payload)
+
+    def _adopt(self, row: QueueIndex) -> None:
+        stored = self._read_queued(row)
+        if stored is None:
+            return
+        adopted = self._jobs.adopt(
+            stored,
+            self._membership.myself.member_id,
+            deadline_in(ADOPT_TIMEOUT_MS),
+        )
+        if adopted is None:
+            return
+        self.log.job_adopted(row.request_key, row.coordinator)
+        payload = self._jobs.read_payload(row.request_key)
+        self._queue.add(adopted, payload)
+        self._queue.wake()
+
+    def _read_queued(self, row: QueueIndex) -> StoredJob | None:
+        stored = self._jobs.read(row.request_key)
+        if stored is None or stored.job.state is not JobState.QUEUED:
+            return None
+        if stored.job.coordinator != row.coordinator:
+            return None
+        return stored
+
+    def _settle_workers_gone(self, members: tuple[str, ...]) -> None:
+        """Move on jobs placed on workers that left the instance list.
+
+        Workers stop tasks whose leases lapse, so after a long absence from
+        the list nothing runs there any more.
+        """
+        myself = self._membership.myself.member_id
+        missing = {
+            worker
+            for worker in self._jobs.placed_workers()
+            if not self._membership.lists_worker(worker)
+        }
+        for worker in tuple(self._missing_until_ms):
+            if worker not in missing:
+                self._missing_until_ms.pop(worker)
+        for gone in missing:
+            until_ms = self._missing_until_ms.setdefault(
+                gone, deadline_in(WORKER_GONE_AFTER_MS)
+            )
+            chosen = preferred_member(gone, members) == myself
+            if chosen and until_ms <= deadline_in(0):
+                self._settle_worker_gone(gone)
+
+    def _settle_worker_gone(self, worker: str) -> None:
+        myself = self._membership.myself.member_id
+        for stored in self._jobs.placed_on(worker):
+            if stored.job.may_run_again:
+                moved = stored.job.requeue(myself, '', evicted=False)
+                self._jobs.requeue(stored, moved, self._queue.add_requeued)
+            else:
+                ending = refusal_result(OUTCOME_UNKNOWN)
+                self._jobs.finish(stored, ending, _ignore)
+
+
+def _ignore(stored: StoredJob) -> None:
+    """Take no further step once a record is finished."""
--- /dev/null
+++ b/src/gentianpulley/task_ending.py
@@ -0,0 +1,212 @@
+"""Ends tasks: publishes their reports and moves their job records."""
+
+import threading
+from typing import Final
+
+from gentianpulley.errors import WorkerSilentError
+from gentianpulley.job import StoredJob, refusal_result, result_of
+from gentianpulley.job_store import JobStore, StoredListener
+from gentianpulley.logs import EventLog
+from gentianpulley.owned_worker import OwnedWorker
+from gentianpulley.result_code import (
+    CANCELLED,
+    OK,
+    OUTCOME_UNKNOWN,
+    STOPPED,
+    TASK_FAILED,
+    ResultCode,
+)
+from gentianpulley.task import (
+    TaskPhase,
+    TaskReport,
+    not_run_report,
+    running_report,
+)
+from gentianpulley.task_entry import TaskEntry, TaskTable
+from gentianpulley.worker import TaskState, TaskStatus
+
+ANSWER_STATES: Final = frozenset((TaskState.FINISHED, TaskState.FAILED))
+
+
+class TaskEnding:
+    """Ends each task once, whoever learns of its end first."""
+
+    def __init__(
+        self,
+        member_id: str,
+        table: TaskTable,
+        jobs: JobStore,
+        requeued: StoredListener,
+        log: EventLog,
+    ) -> None:
+        """Hand jobs that go back to their queue to `requeued`."""
+        self._member_id = member_id
+        self._table = table
+        self._jobs = jobs
+        self._requeued = requeued
+        self._log = log
+        self._lock = threading.Lock()
+
+    def take_status(
+        self, entry: TaskEntry, worker: OwnedWorker, status: TaskStatus
+    ) -> TaskReport:
+        """Bring an entry in line with what its worker says."""
+        if status.state is TaskState.RUNNING:
+            entry.report = running_report(entry.task_id, worker.name)
+        elif status.state in ANSWER_STATES:
+            self._answered(entry, worker, status)
+        elif status.checkpoint:
+            self.evicted(entry, worker, status.checkpoint)
+        else:
+            self.lost(entry, worker)
+        return entry.report
+
+    def refused(
+        self, entry: TaskEntry, worker: OwnedWorker, code: ResultCode
+    ) -> TaskReport:
+        """End a task that provably did not start."""
+        if self._begin(entry):
+            worker.release(entry.task_id)
+            self._requeue(entry, '', evicted=False)
+            report = not_run_report(entry.task_id, code)
+            self._publish(entry, worker, report)
+            self._table.remove(entry.task_id)
+        return entry.report
+
+    def cancelled(
+        self, entry: TaskEntry, worker: OwnedWorker, *, has_run: bool
+    ) -> TaskReport:
+        """End a task that a caller cancelled."""
+        if self._begin(entry):
+            code = STOPPED if has_run else CANCELLED
+            worker.release(entry.task_id)
+            if entry.stored is not None:
+                ending = refusal_result(code)
+                self._jobs.finish(entry.stored, ending, _ignore)
+            self._publish(entry, worker, _ended_report(entry, code))
+        return entry.report
+
+    def evicted(
+        self, entry: TaskEntry, worker: OwnedWorker, checkpoint: str
+    ) -> TaskReport:
+        """End a task that was checkpointed; its job goes on elsewhere."""
+        if self._begin(entry):
+            worker.release(entry.task_id)
+            self._requeue(entry, checkpoint, evicted=True)
+            self._publish(entry, worker, _lost_report(entry))
+        return entry.report
+
+    def lost(self, entry: TaskEntry, worker: OwnedWorker) -> TaskReport:
+        """End a task that started and can run no more, without an answer."""
+        if not self._begin(entry):
+            return entry.report
+        worker.release(entry.task_id)
+        stored = entry.stored
+        if stored is not None and not stored.job.may_run_again:
+            ending = refusal_result(OUTCOME_UNKNOWN)
+            self._jobs.finish(stored, ending, _ignore)
+            report = _ended_report(entry, OUTCOME_UNKNOWN)
+        else:
+            self._requeue(entry, '', evicted=False)
+            report = _lost_report(entry)
+        self._publish(entry, worker, report)
+        return report
+
+    def moved(self, entry: TaskEntry) -> None:
+        """Let go of a task whose worker has another owner now."""
+        if self._begin(entry):
+            entry.end(
+                TaskReport(
+                    entry.task_id,
+                    TaskPhase.MOVED,
+                    OUTCOME_UNKNOWN,
+                    worker=entry.worker,
+                )
+            )
+            self._table.remove(entry.task_id)
+
+    def withdraw(self, stored: StoredJob) -> None:
+        """Write back a job whose placement was recorded but not used."""
+        moved = stored.job.requeue(self._member_id, '', evicted=False)
+        self._jobs.requeue(stored, moved, self._requeued)
+
+    def _answered(
+        self, entry: TaskEntry, worker: OwnedWorker, status: TaskStatus
+    ) -> None:
+        if not self._begin(entry):
+            return
+        succeeded = status.state is TaskState.FINISHED
+        report = TaskReport(
+            task_id=entry.task_id,
+            phase=TaskPhase.FINISHED,
+            code=OK if succeeded else TASK_FAILED,
+            worker=worker.name,
+            answer=status.answer,
+            digest=status.digest,
+        )
+        worker.release(entry.task_id)
+        if entry.stored is not None:
+            self._jobs.finish(entry.stored, result_of(report), _ignore)
+        self._publish(entry, worker, report)
+
+    def _begin(self, entry: TaskEntry) -> bool:
+        with self._lock:
+            if entry.is_ending:
+                return False
+            entry.is_ending = True
+            return True
+
+    def _requeue(
+        self, entry: TaskEntry, checkpoint: str, *, evicted: bool
+    ) -> None:
+        stored = entry.stored
+        if stored is None:
+            return
+        moved = stored.job.requeue(self._member_id, checkpoint, evicted=evicted)
+        self._jobs.requeue(stored, moved, self._requeued)
+
+    def _publish(
+        self, entry: TaskEntry, worker: OwnedWorker, report: TaskReport
+    ) -> None:
+        self._log.task_ended(entry.task_id, worker.name, report.code)
+        entry.end(report)
+
+
+def report_of_stranger(
+    task_id: str, worker: str, status: TaskStatus
+) -> TaskReport:
+    """Report a task that its worker knows and this owner's table does not."""
+    if status.task_id != task_id:
+        raise WorkerSilentError(task_id)
+    if status.state is TaskState.RUNNING:
+        return running_report(task_id, worker)
+    if status.state not in ANSWER_STATES:
+        return TaskReport(
+            task_id, TaskPhase.LOST, OUTCOME_UNKNOWN, worker=worker
+        )
+    succeeded = status.state is TaskState.FINISHED
+    return TaskReport(
+        task_id=task_id,
+        phase=TaskPhase.FINISHED,
+        code=OK if succeeded else TASK_FAILED,
+        worker=worker,
+        answer=status.answer,
+        digest=status.digest,
+    )
+
+
+def _lost_report(entry: TaskEntry) -> TaskReport:
+    return TaskReport(
+        entry.task_id, TaskPhase.LOST, OUTCOME_UNKNOWN, worker=entry.worker
+    )
+
+
+def _ended_report(entry: TaskEntry, code: ResultCode) -> TaskReport:
+    phase = TaskPhase.NOT_RUN if code is CANCELLED else TaskPhase.UNKNOWN
+    return TaskReport(
+        entry.task_id, phase, code, code.meaning, worker=entry.worker
+    )
+
+
+def _ignore(stored: StoredJob) -> None:
+    """Take no further step once a record is finished."""
--- /dev/null
+++ b/src/gentianpulley/task_entry.py
@@ -0,0 +1,97 @@
+"""One task in the table of its owner."""
+
+import threading
+from dataclasses import dataclass, field
+from typing import Final
+
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
+from gentianpulley.job import StoredJob
+from gentianpulley.result_code import ACCEPTED
+from gentianpulley.task import TaskOrder, TaskPhase, TaskReport
+
+RETENTION_MS: Final = 60_000
+NEVER_MS: Final = 9_000_000_000_000_000
+
+
+@dataclass
+class TaskEntry:
+    """A task from its order to the end of its retention.
+
+    `stored` is the job record as placed, None for work without a record.
+    `window_ms` is the deadline after which the worker refuses the start;
+    `polling` is held by the one thread that asks the worker for the answer.
+    """
+
+    order: TaskOrder
+    report: TaskReport
+    worker: str = ''
+    stored: StoredJob | None = None
+    was_sent: bool = False
+    is_confirmed: bool = False
+    is_ending: bool = False
+    window_ms: int = 0
+    forget_after_ms: int = NEVER_MS
+    ended: threading.Event = field(default_factory=threading.Event)
+    polling: threading.Lock = field(default_factory=threading.Lock)
+    created_ms: int = field(default_factory=now_ms)
+
+    @property
+    def task_id(self) -> str:
+        """Return the id of the task."""
+        return self.order.task_id
+
+    def end(self, report: TaskReport) -> None:
+        """Publish the final report to all who wait."""
+        self.report = report
+        self.forget_after_ms = deadline_in(RETENTION_MS)
+        self.ended.set()
+
+    def wait(self, wait_ms: int) -> TaskReport:
+        """Wait for the end, up to `wait_ms`, and return the report."""
+        self.ended.wait(wait_ms / MS_PER_SECOND)
+        return self.report
+
+
+def new_entry(order: TaskOrder) -> TaskEntry:
+    """Return the entry of an order that was just received."""
+    report = TaskReport(order.task_id, TaskPhase.RUNNING, ACCEPTED)
+    return TaskEntry(order, report)
+
+
+class TaskTable:
+    """All tasks that this instance has on owned workers, by task id."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._lock = threading.Lock()
+        self._entries: dict[str, TaskEntry] = {}
+
+    def enter(self, entry: TaskEntry) -> tuple[TaskEntry, bool]:
+        """Add the entry unless its task is known; True if it was added."""
+        with self._lock:
+            known = self._entries.setdefault(entry.task_id, entry)
+        return known, known is entry
+
+    def find(self, task_id: str) -> TaskEntry | None:
+        """Return the entry of a task."""
+        with self._lock:
+            return self._entries.get(task_id)
+
+    def remove(self, task_id: str) -> None:
+        """Forget a task."""
+        with self._lock:
+            self._entries.pop(task_id, None)
+
+    def on_worker(self, worker: str) -> tuple[TaskEntry, ...]:
+        """Return the entries of one worker."""
+        with self._lock:
+            return tuple(
+                entry
+                for entry in self._entries.values()
+                if entry.worker == worker
+            )
+
+    def all_entries(self) -> tuple[TaskEntry, ...]:
+        """Return all entries."""
+        with self._lock:
+            return tuple(self._entries.values())
--- /dev/null
+++ b/src/gentianpulley/task_follower.py
@@ -0,0 +1,111 @@
+"""Follows one task on its owner until it ends, across changes of owner."""
+
+import random
+import time
+from dataclasses import replace
+from typing import Final
+
+from gentianpulley.deadline import MS_PER_SECOND, has_passed, ms_left
+from gentianpulley.errors import PeerError, PeerUnreachableError
+from gentianpulley.logs import EventLog
+from gentianpulley.peer_directory import PeerDirectory
+from gentianpulley.result_code import OUTCOME_UNKNOWN, PEER_UNREACHABLE
+from gentianpulley.routing import Route, Router
+from gentianpulley.task import (
+    TaskOrder,
+    TaskPhase,
+    TaskReport,
+    not_run_report,
+    running_report,
+)
+
+SLICE_MS: Final = 1000
+OWNER_RETRY_MS: Final = 150
+MAX_RUN_TRIES: Final = 3
+
+
+class TaskFollower:
+    """Sends orders to owners and waits for the answers."""
+
+    def __init__(
+        self, router: Router, directory: PeerDirectory, log: EventLog
+    ) -> None:
+        """Find owners through `router` and reach them by `directory`."""
+        self._router = router
+        self._directory = directory
+        self._log = log
+
+    def run_on(
+        self, route: Route, order: TaskOrder, wait_ms: int
+    ) -> TaskReport:
+        """Send an order to an owner.
+
+        A lost answer is settled by sending the same order again on a new
+        connection, which the owner recognizes by its task id. The phase is
+        `UNKNOWN` if the owner stays silent.
+        """
+        report = not_run_report(order.task_id, PEER_UNREACHABLE)
+        for _ in range(MAX_RUN_TRIES):
+            try:
+                report = self._directory.find(route.instance).run(
+                    order, wait_ms
+                )
+            except PeerUnreachableError as unreachable:
+                self._log.peer_trouble(route.instance, unreachable.text)
+                break
+            except PeerError as exc:
+                self._log.peer_trouble(route.instance, exc.text)
+                report = _unknown(order.task_id)
+            else:
+                break
+        self._log.task_routed(
+            order.request_key, order.incarnation, route.instance, report.code
+        )
+        return report
+
+    def follow(self, report: TaskReport, until_ms: int) -> TaskReport:
+        """Wait until a running task ends or `until_ms` passes.
+
+        Returns at once when the task was lost or did not run.
+        """
+        while report.phase is TaskPhase.RUNNING and not has_passed(until_ms):
+            report = self._await_slice(report, until_ms)
+        return report
+
+    def cancel(self, task_id: str, worker: str) -> TaskReport:
+        """Stop a task on the present owner of its worker."""
+        try:
+            return self._directory.find(self._router.owner_of(worker)).cancel(
+                task_id, worker
+            )
+        except PeerError as exc:
+            self._log.peer_trouble(worker, exc.text)
+            return running_report(task_id, worker)
+
+    def _await_slice(self, report: TaskReport, until_ms: int) -> TaskReport:
+        """Ask the worker's present owner once."""
+        owner = self._router.owner_of(report.worker)
+        try:
+            answer = self._directory.find(owner).await_answer(
+                report.task_id,
+                report.worker,
+                min(SLICE_MS, ms_left(until_ms)),
+            )
+        except PeerError as exc:
+            self._log.peer_trouble(owner, exc.text)
+            _pause()
+            return report
+        if answer.phase is TaskPhase.MOVED:
+            _pause()
+            return replace(report)
+        return answer
+
+
+def _unknown(task_id: str) -> TaskReport:
+    return TaskReport(
+        task_id, TaskPhase.UNKNOWN, OUTCOME_UNKNOWN, OUTCOME_UNKNOWN.meaning
+    )
+
+
+def _pause() -> None:
+    time.sleep(random.uniform(0, OWNER_RETRY_MS) / MS_PER_SECOND)
--- /dev/null
+++ b/src/gentianpulley/task_runner.py
@@ -0,0 +1,243 @@
+"""The owner's side of a task: admit, record, start, wait, cancel, evict."""
+
+from concurrent.futures import Future
+from typing import Final
+
+import msgspec
+
+from gentianpulley.deadline import ms_left
+from gentianpulley.errors import (
+    RequestRefusedError,
+    StoreError,
+    WorkerError,
+    WorkerRefusedError,
+    WorkerSilentError,
+    WorkerUnreachableError,
+)
+from gentianpulley.job import Job, Placement, StoredJob, decode_job
+from gentianpulley.job_store import JobStore, seconds_to_settle
+from gentianpulley.logs import EventLog
+from gentianpulley.owned_worker import OwnedWorker, lost_ownership
+from gentianpulley.result_code import (
+    BAD_REQUEST,
+    NO_ROOM,
+    OUTCOME_UNKNOWN,
+    RECORD_CHANGED,
+    STORE_UNAVAILABLE,
+    WORKER_REFUSED,
+)
+from gentianpulley.start_gate import StartGate, start_window
+from gentianpulley.store import Verdict
+from gentianpulley.task import (
+    TaskOrder,
+    TaskPhase,
+    TaskReport,
+    not_run_report,
+    running_report,
+)
+from gentianpulley.task_ending import TaskEnding, report_of_stranger
+from gentianpulley.task_entry import TaskEntry, TaskTable, new_entry
+from gentianpulley.worker import TaskState
+from gentianpulley.worker_fleet import WorkerFleet
+
+START_WINDOW_MS: Final = 2000
+RECORD_TIMEOUT_MS: Final = 2500
+
+
+class TaskRunner:
+    """Runs the tasks of this owner's workers.
+
+    A start goes through four steps, each of which can refuse it: the gate,
+    the ledger, the job record, and the gate again, because the record may
+    have taken a while. Only then is the command sent.
+    """
+
+    def __init__(
+        self,
+        member_id: str,
+        gate: StartGate,
+        fleet: WorkerFleet,
+        jobs: JobStore,
+        log: EventLog,
+    ) -> None:
+        """Use the fleet's table and its way of ending tasks."""
+        self._member_id = member_id
+        self._gate = gate
+        self._fleet = fleet
+        self._jobs = jobs
+        self._log = log
+        self._table: TaskTable = fleet.table
+        self._ending: TaskEnding = fleet.ending
+
+    def run(self, order: TaskOrder, wait_ms: int) -> TaskReport:
+        """Place and start a task; waits up to `wait_ms` for its answer."""
+        entry, is_new = self._table.enter(new_entry(order))
+        if not is_new:
+            return self._wait_on(entry, wait_ms)
+        try:
+            return self._place_and_start(entry, wait_ms)
+        except RequestRefusedError as exc:
+            entry.end(not_run_report(order.task_id, exc.code, exc.text))
+            self._table.remove(order.task_id)
+        return entry.report
+
+    def await_answer(
+        self, task_id: str, worker: str, wait_ms: int
+    ) -> TaskReport:
+        """Wait up to `wait_ms` for the end of a task."""
+        entry = self._table.find(task_id)
+        if entry is not None:
+            return self._wait_on(entry, wait_ms)
+        owned = self._fleet.find(worker)
+        if owned is None or not owned.is_open:
+            return TaskReport(
+                task_id, TaskPhase.MOVED, OUTCOME_UNKNOWN, worker=worker
+            )
+        try:
+            status = owned.conn.status(task_id, wait_ms)
+        except WorkerError as exc:
+            self._log.worker_trouble(worker, exc.text)
+            return running_report(task_id, worker)
+        return report_of_stranger(task_id, worker, status)
+
+    def cancel(self, task_id: str, worker: str) -> TaskReport:
+        """Stop a task and report how it ended."""
+        owned = self._fleet.find(worker)
+        entry = self._table.find(task_id)
+        if owned is None or entry is None:
+            return TaskReport(
+                task_id, TaskPhase.MOVED, OUTCOME_UNKNOWN, worker=worker
+            )
+        try:
+            status = owned.conn.stop(task_id, owned.epoch)
+        except WorkerError as exc:
+            self._log.worker_trouble(worker, exc.text)
+            return entry.report
+        if status.state in {TaskState.STOPPED, TaskState.ABSENT}:
+            has_run = status.state is TaskState.STOPPED
+            return self._ending.cancelled(entry, owned, has_run=has_run)
+        return self._ending.take_status(entry, owned, status)
+
+    def _place_and_start(self, entry: TaskEntry, wait_ms: int) -> TaskReport:
+        self._check_gate(entry.order)
+        worker = self._fleet.admit(entry)
+        if worker is None:
+            raise RequestRefusedError(NO_ROOM, NO_ROOM.meaning)
+        try:
+            self._record(entry, worker)
+        except RequestRefusedError:
+            worker.release(entry.task_id)
+            raise
+        refusal = self._gate.refusal(entry.order)
+        if refusal is not None:
+            return self._ending.refused(entry, worker, refusal.code)
+        return self._send(entry, worker, wait_ms)
+
+    def _check_gate(self, order: TaskOrder) -> None:
+        refusal = self._gate.refusal(order)
+        if refusal is not None:
+            raise RequestRefusedError(refusal.code, refusal.detail)
+
+    def _record(self, entry: TaskEntry, worker: OwnedWorker) -> None:
+        """Write the placement into the job record before the start."""
+        order = entry.order
+        if not order.record:
+            return
+        try:
+            queued = StoredJob(decode_job(order.record), order.record_revision)
+        except msgspec.DecodeError as exc:
+            raise RequestRefusedError(BAD_REQUEST, str(exc)) from exc
+        placement = Placement(
+            worker=worker.name,
+            boot_id=worker.boot_id,
+            failure_domain=self._gate.failure_domain,
+            owner=self._member_id,
+            epoch=worker.epoch,
+            start_before_ms=order.start_before_ms,
+        )
+        placed = queued.job.place(placement)
+        fut = self._jobs.place(queued, placement)
+        verdict = self._settled(fut, placed, order)
+        if not verdict.applied:
+            raise RequestRefusedError(RECORD_CHANGED, RECORD_CHANGED.meaning)
+        entry.stored = StoredJob(placed, verdict.revision)
+
+    def _settled(
+        self, fut: 'Future[Verdict]', placed: Job, order: TaskOrder
+    ) -> Verdict:
+        """Wait for the write; one that takes effect too late is undone."""
+        timeout_ms = min(RECORD_TIMEOUT_MS, ms_left(order.start_before_ms))
+        try:
+            return fut.result(seconds_to_settle(timeout_ms))
+        except TimeoutError as late:
+            fut.add_done_callback(
+                lambda done: self._undo_late_write(done, placed)
+            )
+            raise RequestRefusedError(
+                STORE_UNAVAILABLE, STORE_UNAVAILABLE.meaning
+            ) from late
+        except StoreError as exc:
+            raise RequestRefusedError(STORE_UNAVAILABLE, exc.text) from exc
+
+    def _undo_late_write(self, done: 'Future[Verdict]', placed: Job) -> None:
+        if done.exception() is None and done.result().applied:
+            self._ending.withdraw(StoredJob(placed, done.result().revision))
+
+    def _send(
+        self, entry: TaskEntry, worker: OwnedWorker, wait_ms: int
+    ) -> TaskReport:
+        entry.window_ms = start_window(entry.order, START_WINDOW_MS)
+        entry.was_sent = True
+        entry.report = running_report(entry.task_id, worker.name)
+        self._log.task_sent(entry.task_id, worker.name, worker.epoch)
+        try:
+            status = worker.start(entry, wait_ms)
+        except WorkerUnreachableError as unreachable:
+            self._log.worker_trouble(worker.name, unreachable.text)
+            worker.is_suspect = True
+            return self._ending.refused(entry, worker, WORKER_REFUSED)
+        except WorkerRefusedError as exc:
+            report = self._ending.refused(entry, worker, exc.code)
+            if lost_ownership(exc):
+                self._fleet.drop(worker.name)
+            return report
+        except WorkerSilentError as silent:
+            self._log.worker_trouble(worker.name, silent.text)
+            return self._send_again(entry, worker)
+        entry.is_confirmed = True
+        return self._ending.take_status(entry, worker, status)
+
+    def _send_again(self, entry: TaskEntry, worker: OwnedWorker) -> TaskReport:
+        """Settle a start without answer on a new connection.
+
+        The worker never starts a task id twice, so the same command is safe.
+        If this fails too, the worker's next task list settles the start.
+        """
+        try:
+            status = worker.start(entry, 0)
+        except WorkerRefusedError as exc:
+            if lost_ownership(exc):
+                self._fleet.drop(worker.name)
+                return entry.report
+            return self._ending.refused(entry, worker, exc.code)
+        except WorkerError as failed:
+            self._log.worker_trouble(worker.name, failed.text)
+            return entry.report
+        entry.is_confirmed = True
+        return self._ending.take_status(entry, worker, status)
+
+    def _wait_on(self, entry: TaskEntry, wait_ms: int) -> TaskReport:
+        """Wait for an entry; one thread at a time asks the worker."""
+        worker = self._fleet.find(entry.worker)
+        if entry.ended.is_set() or not entry.is_confirmed or worker is None:
+            return entry.wait(wait_ms)
+        if not entry.polling.acquire(blocking=False):
+            return entry.wait(wait_ms)
+        try:
+            status = worker.conn.status(entry.task_id, wait_ms)
+        except WorkerError as exc:
+            self._log.worker_trouble(worker.name, exc.text)
+            return entry.report
+        finally:
+            entry.polling.release()
+        return self._ending.take_status(entry, worker, status)
--- /dev/null
+++ b/src/gentianpulley/worker_fleet.py
@@ -0,0 +1,125 @@
+"""The workers that this instance owns, and admission to them."""
+
+import threading
+
+from gentianpulley.instance_list import ListedInstance, Presence
+from gentianpulley.logs import EventLog
+from gentianpulley.owned_worker import OwnedWorker
+from gentianpulley.peer import Headroom
+from gentianpulley.placement import PlacementPolicy, WorkerView
+from gentianpulley.resources import NOTHING, Resources
+from gentianpulley.task_ending import TaskEnding
+from gentianpulley.task_entry import TaskEntry, TaskTable
+from gentianpulley.worker import WorkerConnector
+
+
+class WorkerFleet:
+    """Owned workers by name; `table` and `ending` serve all of them."""
+
+    def __init__(
+        self,
+        connector: WorkerConnector,
+        policy: PlacementPolicy,
+        table: TaskTable,
+        ending: TaskEnding,
+        log: EventLog,
+    ) -> None:
+        """Own nothing yet."""
+        self.table = table
+        self.ending = ending
+        self._connector = connector
+        self._policy = policy
+        self._log = log
+        self._lock = threading.Lock()
+        self._workers: dict[str, OwnedWorker] = {}
+        self._leaving: frozenset[str] = frozenset()
+
+    def own(self, listed: ListedInstance, epoch: int) -> OwnedWorker:
+        """Add a worker under a new epoch; it admits nothing yet."""
+        conn = self._connector.connect(listed.http)
+        worker = OwnedWorker(listed.name, epoch, conn)
+        with self._lock:
+            self._workers[listed.name] = worker
+        return worker
+
+    def drop(self, name: str) -> None:
+        """Stop owning a worker and let go of its tasks."""
+        with self._lock:
+            worker = self._workers.pop(name, None)
+        if worker is None:
+            return
+        worker.close()
+        for entry in self.table.on_worker(name):
+            self.ending.moved(entry)
+        self._log.worker_released(name, worker.epoch)
+
+    def find(self, name: str) -> OwnedWorker | None:
+        """Return an owned worker."""
+        with self._lock:
+            return self._workers.get(name)
+
+    def owned(self) -> tuple[OwnedWorker, ...]:
+        """Return all owned workers."""
+        with self._lock:
+            return tuple(self._workers.values())
+
+    def note_listed(self, listed: tuple[ListedInstance, ...]) -> None:
+        """Admit nothing more to workers that the list says are leaving."""
+        self._leaving = frozenset(
+            worker.name
+            for worker in listed
+            if worker.presence is Presence.LEAVING
+        )
+
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether a worker is leaving."""
+        worker = self.find(name)
+        told = worker is not None and worker.is_leaving
+        return told or name in self._leaving
+
+    def admit(self, entry: TaskEntry) -> OwnedWorker | None:
+        """Reserve room on the best worker; None if no worker has any."""
+        views = [
+            view
+            for view in self._views()
+            if view.free_slots > 0 and entry.order.need.fits_in(view.free)
+        ]
+        for name in self._policy.rank(entry.order, views):
+            worker = self.find(name)
+            if worker is not None and worker.admit(entry.order):
+                entry.worker = name
+                return worker
+        return None
+
+    def headroom(self) -> Headroom:
+        """Return the free capacity of all owned workers."""
+        total = NOTHING
+        largest = NOTHING
+        free_slots = 0
+        views = self._views()
+        for view in views:
+            free = view.free.largest_of(NOTHING)
+            total = total.plus(free)
+            free_slots += view.free_slots
+            if view.free_slots and _is_roomier(free, largest):
+                largest = free
+        return Headroom(total, largest, free_slots, len(views))
+
+    def largest_capacity(self) -> Resources:
+        """Return the largest capacity of an owned worker per dimension."""
+        largest = NOTHING
+        for worker in self.owned():
+            largest = largest.largest_of(worker.capacity())
+        return largest
+
+    def _views(self) -> tuple[WorkerView, ...]:
+        views = (
+            worker.view()
+            for worker in self.owned()
+            if not self.is_leaving(worker.name)
+        )
+        return tuple(view for view in views if view is not None)
+
+
+def _is_roomier(free: Resources, largest: Resources) -> bool:
+    return free.processors_milli > largest.processors_milli
--- /dev/null
+++ b/src/gentianpulley/worker_keeper.py
@@ -0,0 +1,246 @@
+"""Keeps one owned worker: takes it over, renews leases, settles its tasks.
+
+One thread for each worker makes one call a round, whatever the number of its
+tasks: the renewal returns the worker's task list, against which the ledger
+and the task table are settled.
+"""
+
+from contextlib import ExitStack
+from typing import Final
+
+from gentianpulley.background import BackgroundLoop
+from gentianpulley.deadline import deadline_in, has_passed
+from gentianpulley.errors import (
+    StoreError,
+    WorkerError,
+    WorkerRefusedError,
+)
+from gentianpulley.job import StoredJob, order_of
+from gentianpulley.job_store import JobStore
+from gentianpulley.logs import EventLog
+from gentianpulley.owned_worker import OwnedWorker, lost_ownership
+from gentianpulley.result_code import WORKER_REFUSED
+from gentianpulley.start_gate import StartGate
+from gentianpulley.task import running_report
+from gentianpulley.task_entry import TaskEntry, new_entry
+from gentianpulley.task_ending import ANSWER_STATES
+from gentianpulley.worker import TaskList, TaskState
+from gentianpulley.worker_fleet import WorkerFleet
+
+RENEW_INTERVAL_S: Final = 1.0
+CLOCK_MARGIN_MS: Final = 500
+"""How far apart the clocks of an instance and a worker may be."""
+
+ANSWER_KEPT_MS: Final = 3_600_000
+LAPSE_MARGIN_MS: Final = 2000
+
+
+class WorkerKeeper(BackgroundLoop):
+    """The thread of one owned worker."""
+
+    def __init__(
+        self,
+        worker: OwnedWorker,
+        fleet: WorkerFleet,
+        jobs: JobStore,
+        gate: StartGate,
+        log: EventLog,
+    ) -> None:
+        """Prepare the thread."""
+        super().__init__(f'keeper-{worker.name}', RENEW_INTERVAL_S, log)
+        self.worker = worker
+        self._fleet = fleet
+        self._jobs = jobs
+        self._gate = gate
+        self._is_taken_over = False
+        self._are_jobs_adopted = False
+        self._forget_after_ms: dict[str, int] = {}
+
+    def step(self) -> None:
+        """Make one round; another owner's fence ends the thread."""
+        try:
+            self._make_round()
+        except WorkerRefusedError as refused:
+            self.log.worker_trouble(self.worker.name, refused.text)
+            if lost_ownership(refused):
+                self._fleet.drop(self.worker.name)
+                self.stop()
+        except WorkerError as exc:
+            self.log.worker_trouble(self.worker.name, exc.text)
+            self.worker.is_suspect = True
+            self._settle_lapsed()
+        except StoreError as failed:
+            self.log.store_trouble(failed.text)
+
+    def _make_round(self) -> None:
+        if not self._is_taken_over:
+            self._take_over()
+        listed = self.worker.renew(self._forgettable())
+        if listed.boot_id != self.worker.boot_id:
+            self._handle_reboot()
+            return
+        self._settle(listed)
+        if not self._are_jobs_adopted:
+            self._adopt_jobs(listed)
+        if self._gate.domain_is_out() or self._fleet.is_leaving(
+            self.worker.name
+        ):
+            self._evict_all()
+
+    def _take_over(self) -> None:
+        listed = self.worker.take_over()
+        self._is_taken_over = True
+        self.log.worker_owned(
+            self.worker.name, self.worker.epoch, len(listed.tasks)
+        )
+
+    def _adopt_jobs(self, listed: TaskList) -> None:
+        """Enter the jobs that a former owner placed on the worker.
+
+        The fence rules out that a former owner's start still arrives, so a
+        job that the worker does not list has not run in this boot.
+        """
+        states = {task.task_id: task.state for task in listed.tasks}
+        for stored in self._jobs.placed_on(self.worker.name):
+            entry = _adopted_entry(stored, self.worker.name)
+            known, is_new = self._fleet.table.enter(entry)
+            if is_new and known.task_id not in states:
+                self._settle_unlisted(entry, stored)
+        self._are_jobs_adopted = True
+
+    def _settle_unlisted(self, entry: TaskEntry, stored: StoredJob) -> None:
+        placement = stored.job.placement
+        same_boot = (
+            placement is not None and placement.boot_id == self.worker.boot_id
+        )
+        if same_boot:
+            self._fleet.ending.refused(entry, self.worker, WORKER_REFUSED)
+        else:
+            self._fleet.ending.lost(entry, self.worker)
+
+    def _settle(self, listed: TaskList) -> None:
+        entries = self._fleet.table.on_worker(self.worker.name)
+        known = frozenset(
+            entry.task_id for entry in entries if not entry.ended.is_set()
+        )
+        self.worker.settle_ledger(listed, known)
+        states = {task.task_id: task.state for task in listed.tasks}
+        for entry in entries:
+            if not entry.ended.is_set():
+                state = states.get(entry.task_id, TaskState.ABSENT)
+                self._settle_entry(entry, state)
+        self._schedule_strangers(listed, frozenset(states))
+
+    def _settle_entry(self, entry: TaskEntry, state: TaskState) -> None:
+        if state is TaskState.RUNNING:
+            entry.is_confirmed = True
+            entry.report = running_report(entry.task_id, self.worker.name)
+        elif state in ANSWER_STATES:
+            self._fetch_answer(entry)
+        elif state is TaskState.ABSENT:
+            self._settle_absent(entry)
+        else:
+            self._fetch_answer(entry)
+
+    def _settle_absent(self, entry: TaskEntry) -> None:
+        """Settle a task that the worker does not know.
+
+        Once its start window and the clock margin have passed, a start that
+        was sent can no longer take effect.
+        """
+        if not entry.was_sent:
+            return
+        if entry.is_confirmed:
+            self._fleet.ending.lost(entry, self.worker)
+        elif has_passed(entry.window_ms + CLOCK_MARGIN_MS):
+            self._fleet.ending.refused(entry, self.worker, WORKER_REFUSED)
+
+    def _fetch_answer(self, entry: TaskEntry) -> None:
+        """Fetch a final status unless a waiting thread is doing so."""
+        if not entry.polling.acquire(blocking=False):
+            return
+        with ExitStack() as stack:
+            stack.callback(entry.polling.release)
+            status = self.worker.conn.status(entry.task_id, 0)
+        self._fleet.ending.take_status(entry, self.worker, status)
+
+    def _evict_all(self) -> None:
+        """Checkpoint every resumable task, so that it goes on elsewhere."""
+        for entry in self._fleet.table.on_worker(self.worker.name):
+            stored = entry.stored
+            resumable = stored is not None and stored.job.resumable
+            if resumable and entry.is_confirmed and not entry.ended.is_set():
+                self._evict(entry, 'leaving')
+
+    def _evict(self, entry: TaskEntry, reason: str) -> None:
+        status = self.worker.conn.checkpoint(entry.task_id, self.worker.epoch)
+        if status.state is not TaskState.RUNNING:
+            self.log.task_evicted(entry.task_id, self.worker.name, reason)
+        self._fleet.ending.take_status(entry, self.worker, status)
+
+    def _handle_reboot(self) -> None:
+        """Take a worker over again that has lost its memory."""
+        self.worker.close()
+        for entry in self._fleet.table.on_worker(self.worker.name):
+            if entry.was_sent and not entry.ended.is_set():
+                self._fleet.ending.lost(entry, self.worker)
+        self._is_taken_over = False
+        self._are_jobs_adopted = False
+
+    def _settle_lapsed(self) -> None:
+        """Give up tasks whose leases have lapsed on a silent worker.
+
+        A worker stops tasks whose leases lapse, so what may run again does.
+        Work that must not stays unknown until the worker is heard again.
+        """
+        lapsed_ms = self.worker.lease_deadline_ms + LAPSE_MARGIN_MS
+        if not has_passed(lapsed_ms):
+            return
+        for entry in self._fleet.table.on_worker(self.worker.name):
+            if entry.was_sent and not entry.ended.is_set():
+                self._fleet.ending.lost(entry, self.worker)
+
+    def _forgettable(self) -> tuple[str, ...]:
+        """Return the ended tasks that the worker may forget now."""
+        for entry in self._fleet.table.on_worker(self.worker.name):
+            if has_passed(entry.forget_after_ms):
+                self._fleet.table.remove(entry.task_id)
+                kept = _kept_longer(entry)
+                self._forget_after_ms[entry.task_id] = kept
+        due = tuple(
+            task_id
+            for task_id, after_ms in self._forget_after_ms.items()
+            if has_passed(after_ms)
+        )
+        for task_id in due:
+            self._forget_after_ms.pop(task_id)
+        return due
+
+    def _schedule_strangers(
+        self, listed: TaskList, listed_ids: frozenset[str]
+    ) -> None:
+        """Forget, after a while, ended tasks that no entry stands for."""
+        for task in listed.tasks:
+            unknown = self._fleet.table.find(task.task_id) is None
+            if unknown and task.state.is_final():
+                self._forget_after_ms.setdefault(
+                    task.task_id, deadline_in(ANSWER_KEPT_MS)
+                )
+        for task_id in tuple(self._forget_after_ms):
+            if task_id not in listed_ids:
+                self._forget_after_ms.pop(task_id)
+
+
+def _kept_longer(entry: TaskEntry) -> int:
+    """Return until when the worker keeps the answer of an ended task."""
+    return 0 if entry.stored is None else deadline_in(ANSWER_KEPT_MS)
+
+
+def _adopted_entry(stored: StoredJob, worker: str) -> TaskEntry:
+    entry = new_entry(order_of(stored, b''))
+    entry.worker = worker
+    entry.stored = stored
+    entry.was_sent = True
+    entry.is_confirmed = True
+    entry.report = running_report(entry.task_id, worker)
+    return entry
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the workers, for tests and the demo."""
--- /dev/null
+++ b/standins/http_server.py
@@ -0,0 +1,92 @@
+"""A small HTTP server for the stand-ins, one thread for each connection."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Final
+from urllib.parse import parse_qsl, urlsplit
+
+OK: Final = 200
+NOT_FOUND: Final = 404
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP request."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """One HTTP answer; `lines` makes it a stream without an end."""
+
+    status: int
+    body: bytes = b''
+    lines: Iterator[bytes] | None = None
+
+
+class StandinServer(ThreadingHTTPServer):
+    """Passes every request to `serve`; subclasses implement it."""
+
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, host: str, port: int) -> None:
+        """Listen at once; port 0 takes a free one."""
+        super().__init__((host, port), _Handler)
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return int(self.server_address[1])
+
+    def serve(self, call: Call) -> Reply:
+        """Answer one request."""
+        raise NotImplementedError
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Ignore clients that hang up."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    wbufsize = -1
+    disable_nagle_algorithm = True
+    server: StandinServer
+
+    def do_GET(self) -> None:
+        self._answer()
+
+    def do_POST(self) -> None:
+        self._answer()
+
+    def log_message(self, *parts: object) -> None:
+        """Keep standard error free of access logs."""
+
+    def _answer(self) -> None:
+        length = int(self.headers.get('Content-Length') or 0)
+        body = self.rfile.read(length)
+        split = urlsplit(self.path)
+        query = dict(parse_qsl(split.query))
+        reply = self.server.serve(Call(self.command, split.path, query, body))
+        self.send_response(reply.status)
+        self.send_header('Content-Type', 'application/json')
+        if reply.lines is not None:
+            self._stream(reply.lines)
+            return
+        self.send_header('Content-Length', str(len(reply.body)))
+        self.end_headers()
+        self.wfile.write(reply.body)
+        self.wfile.flush()
+
+    def _stream(self, lines: Iterator[bytes]) -> None:
+        self.send_header('Transfer-Encoding', 'chunked')
+        self.end_headers()
+        self.wfile.flush()
+        for line in lines:
+            self.wfile.write(b'%x\r\n%s\r\n' % (len(line), line))
+            self.wfile.flush()
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,287 @@
+"""Starts a whole site as processes on loopback, for tests and the demo."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+from urllib3 import PoolManager, Timeout
+
+HOST: Final = '127.0.0.1'
+READY_TIMEOUT_S: Final = 15.0
+POLL_S: Final = 0.05
+HTTP_TIMEOUT_S: Final = 40.0
+STOP_TIMEOUT_S: Final = 20.0
+
+_Found = TypeVar('_Found')
+
+
+@dataclass
+class Process:
+    """One process of the site, with its output in files."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    output: Path
+    port: int
+    peer_port: int = 0
+
+    def kill(self) -> None:
+        """End the process without any warning."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def signal(self, signum: int) -> None:
+        """Send a signal if the process still runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signum)
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Return the JSON lines that the process has written."""
+        text = self.output.read_text()
+        whole = text[: text.rfind('\n') + 1]
+        return [
+            json.loads(line)
+            for line in whole.splitlines()
+            if line.startswith('{')
+        ]
+
+
+@dataclass
+class Site:
+    """A running site; `stop` ends every process that it started."""
+
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix='site-'))
+    )
+    processes: dict[str, Process] = field(default_factory=dict)
+    domains: dict[str, str] = field(default_factory=dict)
+    http: PoolManager = field(
+        default_factory=lambda: PoolManager(
+            maxsize=64, timeout=Timeout(HTTP_TIMEOUT_S), retries=False
+        )
+    )
+
+    def start_platform(self) -> Process:
+        """Start the platform stand-in and wait until it answers."""
+        port = free_port()
+        process = self._spawn(
+            'platform', ['-m', 'standins.platform', str(port)], port
+        )
+        wait_for(lambda: self.answers('platform', '/standin/calls'))
+        return process
+
+    def start_worker(self, name: str, domain: str, **offer: Any) -> Process:
+        """Start a worker stand-in and list it."""
+        port = free_port()
+        settings = {
+            'name': name,
+            'failure_domain': domain,
+            'rack': f'{domain}-rack-1',
+            'port': port,
+            **offer,
+        }
+        process = self._spawn(
+            name, ['-m', 'standins.worker', json.dumps(settings)], port
+        )
+        wait_for(lambda: self.answers(name, '/v1/worker'))
+        self.domains[name] = domain
+        self.list_instance(name, 'worker')
+        return process
+
+    def start_entry(self, name: str, domain: str, **extra: Any) -> Process:
+        """Start an entry instance and list it; does not wait for it."""
+        port = free_port()
+        peer_port = free_port()
+        platform = self._address('platform')
+        settings = {
+            'instance': name,
+            'failure_domain': domain,
+            'http': f'{HOST}:{port}',
+            'peer': f'{HOST}:{peer_port}',
+            'store': platform,
+            'instance_list': platform,
+            **extra,
+        }
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        process = self._spawn(
+            name, ['-m', 'gentianpulley.daemon', str(path)], port
+        )
+        process.peer_port = peer_port
+        self.domains[name] = domain
+        self.list_instance(name, 'entry')
+        return process
+
+    def list_instance(
+        self, name: str, role: str, *, leaving: bool = False
+    ) -> None:
+        """Put an instance on the instance list."""
+        process = self.processes[name]
+        ports = [{'name': 'http', 'port': process.port}]
+        if process.peer_port:
+            ports.append({'name': 'peer', 'port': process.peer_port})
+        endpoint = {
+            'addresses': [HOST],
+            'hostname': name,
+            'zone': self.domains[name],
+            'conditions': {
+                'ready': not leaving,
+                'serving': not leaving,
+                'terminating': leaving,
+            },
+        }
+        slice_ = {
+            'metadata': {'labels': {'app': role}},
+            'endpoints': [endpoint],
+            'ports': ports,
+        }
+        self.call('platform', 'POST', '/standin/instances', {name: slice_})
+
+    def unlist(self, name: str) -> None:
+        """Remove an instance from the instance list."""
+        self.call('platform', 'POST', '/standin/instances', {name: None})
+
+    def set_faults(self, **faults: Any) -> None:
+        """Make the store fail; without arguments it is well again."""
+        self.call('platform', 'POST', '/standin/faults', faults)
+
+    def cli_settings(self) -> Path:
+        """Write and return the settings of the CLI."""
+        platform = self._address('platform')
+        path = self.folder / 'cli.json'
+        path.write_text(
+            json.dumps({'store': platform, 'instance_list': platform})
+        )
+        return path
+
+    def run_cli(self, *words: str) -> subprocess.CompletedProcess[str]:
+        """Run the CLI and return its output and exit status."""
+        return subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'gentianpulley.cli',
+                *words,
+                '--settings',
+                str(self.cli_settings()),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=HTTP_TIMEOUT_S,
+            check=False,
+        )
+
+    def call(self, name: str, method: str, path: str, body: Any = None) -> Any:
+        """Call a process over HTTP and return the JSON of its answer."""
+        resp = self.http.request(
+            method,
+            self._url(name, path),
+            body=None if body is None else json.dumps(body).encode(),
+        )
+        return json.loads(resp.data)
+
+    def answers(self, name: str, path: str) -> bool:
+        """Tell whether a process answers a path with 200."""
+        try:
+            resp = self.http.request(
+                'GET', self._url(name, path), timeout=Timeout(1.0)
+            )
+        except Exception:
+            return False
+        return resp.status == 200
+
+    def wait_until_serving(self, owned_workers: int) -> None:
+        """Wait until all entries are ready and own that many workers."""
+        wait_for(lambda: self._owned() == owned_workers)
+
+    def record(self) -> list[dict[str, Any]]:
+        """Return what all workers recorded, in the order of time."""
+        lines = [
+            line
+            for process in self.processes.values()
+            for line in process.lines()
+            if 'event' in line and 'worker' in line
+        ]
+        return sorted(lines, key=lambda line: int(line['at_ms']))
+
+    def stop(self) -> None:
+        """End every process: entries gracefully, the rest at once."""
+        running = [
+            process
+            for process in self.processes.values()
+            if process.popen.poll() is None
+        ]
+        for process in running:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for ended in running:
+            ended.popen.wait()
+        self.http.clear()
+
+    def _address(self, name: str) -> str:
+        port = self.processes[name].port
+        return f'{HOST}:{port}'
+
+    def _url(self, name: str, path: str) -> str:
+        address = self._address(name)
+        return f'http://{address}{path}'
+
+    def _owned(self) -> int:
+        owned = 0
+        for name, process in self.processes.items():
+            is_entry = process.peer_port and process.popen.poll() is None
+            if is_entry and not self.answers(name, '/readyz'):
+                return -1
+            if is_entry:
+                status = self.call(name, 'GET', '/v1/status')
+                owned += status['peer']['headroom']['owned_workers']
+        return owned
+
+    def _spawn(self, name: str, words: list[str], port: int) -> Process:
+        output = self.folder / f'{name}.{time.time_ns()}.out'
+        errors = output.with_suffix('.err')
+        with output.open('wb') as out, errors.open('wb') as err:
+            popen = subprocess.Popen(
+                [sys.executable, *words],
+                stdout=out,
+                stderr=err,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, 'PYTHONPATH': str(_root())},
+            )
+        process = Process(name, popen, output, port)
+        self.processes[name] = process
+        return process
+
+
+def free_port() -> int:
+    """Return a port that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_for(
+    probe: Callable[[], _Found], timeout_s: float = READY_TIMEOUT_S
+) -> _Found:
+    """Return the first true result of `probe`; raises `TimeoutError`."""
+    until = time.monotonic() + timeout_s
+    while True:
+        found = probe()
+        if found:
+            return found
+        if time.monotonic() > until:
+            raise TimeoutError('condition was not met in time')
+        time.sleep(POLL_S)
+
+
+def _root() -> Path:
+    return Path(__file__).resolve().parent.parent
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gentianpulley."""
--- /dev/null
+++ b/tests/site_client.py
@@ -0,0 +1,102 @@
+"""Sends requests to a running site, for tests."""
+
+import json
+import time
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+from gentianpulley.cfg_folder import load_cfg_folder
+from gentianpulley.document_push import push_cfg
+from gentianpulley.etcd_store import connect_store
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.store import Store
+from standins.site import HOST, Site
+
+CFG_FOLDER: Final = Path(__file__).parent / 'cfg'
+DOMAINS: Final = ('leith', 'gorgie')
+IDEMPOTENT: Final = frozenset(('fit-preview', 'scaling-run'))
+
+
+@dataclass(frozen=True)
+class Ask:
+    """One request of a test."""
+
+    key: str
+    work_class: str = 'fit-preview'
+    task: dict[str, Any] = field(default_factory=dict)
+    processors_milli: int = 2000
+    memory_mib: int = 1000
+    accelerators: int = 0
+    deadline_ms: int = 20_000
+    data_tags: tuple[str, ...] = ()
+    team: str = 'clinic'
+
+    def body(self) -> dict[str, Any]:
+        """Return the request as the HTTP front takes it."""
+        payload = json.dumps(self.task).encode()
+        return {
+            'request_key': self.key,
+            'work_class': self.work_class,
+            'team': self.team,
+            'need': {
+                'processors_milli': self.processors_milli,
+                'memory_mib': self.memory_mib,
+                'accelerators': self.accelerators,
+            },
+            'deadline_ms': int(time.time() * 1000) + self.deadline_ms,
+            'idempotent': self.work_class in IDEMPOTENT,
+            'data_tags': self.data_tags,
+            'payload': b64encode(payload).decode(),
+        }
+
+
+def submit(site: Site, entry: str, ask: Ask, wait_ms: int = 20_000) -> Any:
+    """Submit a request at an entry instance and return its answer."""
+    path = f'/v1/requests?wait_ms={wait_ms}'
+    return site.call(entry, 'POST', path, ask.body())
+
+
+def status(site: Site, entry: str, key: str, wait_ms: int = 0) -> Any:
+    """Ask an entry instance for a request."""
+    return site.call(entry, 'GET', f'/v1/requests/{key}?wait_ms={wait_ms}')
+
+
+def answer_bytes(answer: Any) -> bytes:
+    """Return the decoded answer of a request."""
+    return b64decode(answer['answer'])
+
+
+def store_of(site: Site) -> Store:
+    """Return a connection to the site's store."""
+    return connect_store(HttpAddress(HOST, site.processes['platform'].port))
+
+
+def put_cfg(site: Site, folder: Path = CFG_FOLDER) -> int:
+    """Push a cfg folder and return its revision."""
+    cfg = load_cfg_folder(folder)
+    return push_cfg(store_of(site), cfg, None).revision
+
+
+def start_site(workers: int = 2, entries: int = 2, **offer: Any) -> Site:
+    """Start a site with that many workers and entries in each domain."""
+    site = Site()
+    site.start_platform()
+    put_cfg(site)
+    for domain in DOMAINS:
+        for number in range(workers):
+            site.start_worker(f'w-{domain}-{number}', domain, **offer)
+        for number in range(entries):
+            site.start_entry(f'e-{domain}-{number}', domain)
+    site.wait_until_serving(workers * len(DOMAINS))
+    return site
+
+
+def starts_of(site: Site, key: str) -> list[dict[str, Any]]:
+    """Return what the workers recorded of a request's starts."""
+    return [
+        line
+        for line in site.record()
+        if line['event'] == 'start' and line['task_id'].startswith(f'{key}#')
+    ]
