Add the command line, the burn report and a path measurement

Cause: operators and callers had no tool; the cost of the path was unknown. Found: the worker fake's bookkeeping and the owner's task table were walked in full at each renewal, so idle cost followed the number of past requests. Ruled out: heartbeats (1/s for each peer) as the cause of the idle share. Conclusion: active tasks are indexed by worker, ended ones leave in order.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,10 @@
 	$(BIN)/python -m pip install --quiet --editable '.[dev]'
 	touch $(READY)
 
+.PHONY: measure
+measure: setup
+	$(BIN)/python -m bench.path
+
 demo: setup
 	$(BIN)/python -m demo
 
@@ -19,7 +23,7 @@
 
 lint:
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 src standins tests demo
+	$(BIN)/flake8 src standins tests demo bench
 
 types:
 	$(BIN)/mypy
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of gentianpulley."""
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -44,6 +44,8 @@
   2: required ResourceNeed largest
   3: required i32 free_slots
   4: required i32 owned_workers
+  // The distinct capacities of the owned workers.
+  5: required list<ResourceNeed> shapes
 }
 
 struct Heartbeat {
--- /dev/null
+++ b/src/gentianpulley/cli_cfg.py
@@ -0,0 +1,136 @@
+"""Commands for the cfg folder: check, diff, push and status."""
+
+import difflib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from gentianpulley.cfg import encode_cfg
+from gentianpulley.cfg_folder import check_cfg_folder, load_cfg_folder
+from gentianpulley.checked_json import Fault
+from gentianpulley.cli_command import COMMON_OPTIONS, SiteCommand
+from gentianpulley.cli_rollout import await_in_force, rollout_of
+from gentianpulley.document import DocumentKind
+from gentianpulley.document_push import push_cfg, read_document
+from gentianpulley.messages import cfg_is_valid
+from gentianpulley.operator_site import OperatorSite
+from gentianpulley.result_code import (
+    CFG_INVALID,
+    NOT_IN_FORCE,
+    OK,
+    ResultCode,
+)
+
+FOLDER: Final = argument('folder', 'The folder of cfg files.')
+TIMEOUT: Final = option(
+    'timeout',
+    't',
+    'Seconds to wait until the change is in force everywhere.',
+    flag=False,
+    default='20',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """The outcome of a check."""
+
+    valid: bool
+    faults: tuple[Fault, ...]
+
+
+class CfgCheckCommand(Command):
+    """Checks a folder without a site."""
+
+    name = 'cfg check'
+    description = 'Check a cfg folder and list every fault.'
+    arguments = [FOLDER]
+    options = [COMMON_OPTIONS[1]]
+
+    def handle(self) -> int:
+        """Print each fault with file, line and reason."""
+        checked = check_cfg_folder(Path(self.argument('folder')))
+        report = CheckReport(not checked.faults, checked.faults)
+        if self.option('json'):
+            self.line(msgspec.json.encode(report).decode())
+        for fault in checked.faults:
+            self.line_error(str(fault))
+        if checked.faults:
+            return CFG_INVALID.exit_status
+        if not self.option('json'):
+            self.line(cfg_is_valid(len(checked.cfg.rules)))
+        return OK.exit_status
+
+
+class CfgDiffCommand(SiteCommand):
+    """Compares a folder with the accepted cfg."""
+
+    name = 'cfg diff'
+    description = 'Show what pushing a folder would change.'
+    arguments = [FOLDER]
+
+    def run_on(self, site: OperatorSite) -> ResultCode:
+        """Print a unified diff of the merged cfg."""
+        cfg = load_cfg_folder(Path(self.argument('folder')))
+        stored = read_document(site.store, DocumentKind.CFG)
+        lines = list(
+            difflib.unified_diff(
+                stored.body.splitlines(),
+                encode_cfg(cfg).decode().splitlines(),
+                f'revision {stored.revision}',
+                str(self.argument('folder')),
+                lineterm='',
+            )
+        )
+        self.emit(lines, *lines)
+        return OK
+
+
+class CfgPushCommand(SiteCommand):
+    """Makes a folder the accepted cfg."""
+
+    name = 'cfg push'
+    description = 'Check a folder and put it in force.'
+    arguments = [FOLDER]
+    options = [
+        *COMMON_OPTIONS,
+        TIMEOUT,
+        option(
+            'expect',
+            'e',
+            'Revision that must still stand, as printed by "cfg diff".',
+            flag=False,
+        ),
+    ]
+
+    def run_on(self, site: OperatorSite) -> ResultCode:
+        """Push, then wait until every instance has the revision."""
+        cfg = load_cfg_folder(Path(self.argument('folder')))
+        expected = self.option('expect')
+        document = push_cfg(
+            site.store, cfg, int(expected) if expected else None
+        )
+        site.push(document)
+        rollout = await_in_force(
+            site, DocumentKind.CFG, document.revision, self.option('timeout')
+        )
+        self.emit(rollout, *rollout.lines())
+        return OK if rollout.is_complete else NOT_IN_FORCE
+
+
+class CfgStatusCommand(SiteCommand):
+    """Shows which revision is in force where."""
+
+    name = 'cfg status'
+    description = 'Show the cfg revision in force on each instance.'
+
+    def run_on(self, site: OperatorSite) -> ResultCode:
+        """Compare every instance with the store."""
+        stored = read_document(site.store, DocumentKind.CFG)
+        rollout = rollout_of(DocumentKind.CFG, stored.revision, site.statuses())
+        self.emit(rollout, *rollout.lines())
+        return OK if rollout.is_complete else NOT_IN_FORCE
--- /dev/null
+++ b/src/gentianpulley/cli_report.py
@@ -0,0 +1,40 @@
+"""Commands that print reports."""
+
+from pathlib import Path
+
+from cleo.helpers import option
+
+from gentianpulley.burn_page import render_page
+from gentianpulley.burn_report import build_burn_report
+from gentianpulley.cli_command import COMMON_OPTIONS, SiteCommand
+from gentianpulley.cli_domain import stored_cfg
+from gentianpulley.messages import burn_header, burn_line, problem_line
+from gentianpulley.operator_site import OperatorSite
+from gentianpulley.result_code import OK, PARTIAL_REPORT, ResultCode
+
+
+class ReportBurnCommand(SiteCommand):
+    """Reports the burn of service-level objectives."""
+
+    name = 'report burn'
+    description = 'Report how fast error budgets burn, the worst first.'
+    options = [
+        *COMMON_OPTIONS,
+        option('html', None, 'Also write a page to this file.', flag=False),
+    ]
+
+    def run_on(self, site: OperatorSite) -> ResultCode:
+        """Merge the measurements of all instances and print them."""
+        report = build_burn_report(stored_cfg(site), site.measurements())
+        if self.option('html'):
+            Path(self.option('html')).write_text(render_page(report))
+        self.emit(
+            report,
+            burn_header(),
+            *(burn_line(row) for row in report.rows),
+            *(
+                problem_line(missing.instance, missing.problem)
+                for missing in report.unreachable
+            ),
+        )
+        return PARTIAL_REPORT if report.unreachable else OK
--- /dev/null
+++ b/src/gentianpulley/cli_rollout.py
@@ -0,0 +1,92 @@
+"""Follows a change until it is in force on every instance."""
+
+import time
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in, has_passed
+from gentianpulley.document import DocumentKind
+from gentianpulley.messages import (
+    in_force,
+    in_force_everywhere,
+    no_instances_seen,
+    not_in_force,
+)
+from gentianpulley.operator_site import OperatorSite, StatusReply
+
+POLL_S: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRevision:
+    """What one instance has in force; `problem` if it did not answer."""
+
+    instance: str
+    failure_domain: str
+    revision: int
+    problem: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """Where a revision is in force and where not yet."""
+
+    kind: DocumentKind
+    revision: int
+    in_force: tuple[InstanceRevision, ...]
+    not_yet: tuple[InstanceRevision, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every known instance has it in force."""
+        return bool(self.in_force) and not self.not_yet
+
+    def lines(self) -> tuple[str, ...]:
+        """Return the rollout for people."""
+        done = [in_force(row.instance, row.revision) for row in self.in_force]
+        late = [
+            not_in_force(row.instance, row.revision, row.problem)
+            for row in self.not_yet
+        ]
+        if self.is_complete:
+            late.append(in_force_everywhere(self.revision))
+        elif not self.not_yet:
+            late.append(no_instances_seen())
+        return (*done, *late)
+
+
+def rollout_of(
+    kind: DocumentKind, revision: int, replies: tuple[StatusReply, ...]
+) -> Rollout:
+    """Sort instances by whether they have at least `revision` in force."""
+    rows = [_row(kind, reply) for reply in replies]
+    return Rollout(
+        kind,
+        revision,
+        tuple(row for row in rows if row.revision >= revision),
+        tuple(row for row in rows if row.revision < revision),
+    )
+
+
+def await_in_force(
+    site: OperatorSite, kind: DocumentKind, revision: int, timeout_s: str
+) -> Rollout:
+    """Ask all instances until they have `revision` or time runs out."""
+    until_ms = deadline_in(int(float(timeout_s) * MS_PER_SECOND))
+    rollout = rollout_of(kind, revision, site.statuses())
+    while not rollout.is_complete and not has_passed(until_ms):
+        time.sleep(POLL_S)
+        rollout = rollout_of(kind, revision, site.statuses())
+    return rollout
+
+
+def _row(kind: DocumentKind, reply: StatusReply) -> InstanceRevision:
+    status = reply.status
+    if status is None:
+        return InstanceRevision(
+            reply.place.instance, reply.place.failure_domain, -1, reply.problem
+        )
+    peer = status.peer
+    is_cfg = kind is DocumentKind.CFG
+    revision = peer.cfg_revision if is_cfg else peer.domains_revision
+    return InstanceRevision(peer.instance, peer.failure_domain, revision)
--- a/src/gentianpulley/entry_instance.py
+++ b/src/gentianpulley/entry_instance.py
@@ -136,17 +136,19 @@
         self._state.add_listener(self._ownership.wake)
 
     def _build_coordinator(self) -> None:
-        router = Router(
+        self._router = Router(
             self._shelf,
             self._membership,
             self._directory,
             self._fleet,
             self._gate,
         )
-        follower = TaskFollower(router, self._directory, self._log)
-        self._quick = QuickRequests(self.myself.member_id, router, follower)
+        follower = TaskFollower(self._router, self._directory, self._log)
+        self._quick = QuickRequests(
+            self.myself.member_id, self._router, follower
+        )
         self._queue = JobQueue(
-            self._shelf, self._jobs, router, follower, self._log
+            self._shelf, self._jobs, self._router, follower, self._log
         )
         self._shelf.add_listener(self._queue.wake)
         self._recorded = RecordedRequests(
@@ -195,7 +197,7 @@
         desk = RequestDesk(
             self._shelf,
             self._gate,
-            Desk(self._quick, self._recorded, self._directory),
+            Desk(self._quick, self._recorded, self._router, self._directory),
             metrics,
             self._log,
         )
--- a/src/gentianpulley/instance_view.py
+++ b/src/gentianpulley/instance_view.py
@@ -96,7 +96,7 @@
                 'requests_in_progress': self._quick.in_progress(),
                 'unsettled_writes': self._journal.unsettled(),
                 'store_calls_total': self._store.calls_made(),
-                'tasks_known': len(self._fleet.table.all_entries()),
+                'tasks_known': self._fleet.table.size(),
             }
         )
 
@@ -124,5 +124,4 @@
 
 
 def _running_count(fleet: WorkerFleet, worker: str) -> int:
-    entries = fleet.table.on_worker(worker)
-    return sum(1 for entry in entries if not entry.ended.is_set())
+    return len(fleet.table.active_on(worker))
--- a/src/gentianpulley/messages.py
+++ b/src/gentianpulley/messages.py
@@ -5,6 +5,13 @@
 """
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from gentianpulley.burn_report import BurnRow
+    from gentianpulley.front_messages import InstanceStatus, RequestAnswer
+
+US_PER_MS: Final = 1000
 
 # Files, settings and cfg.
 
@@ -259,3 +266,103 @@
         f'another change was accepted first; revision {revision} stands. '
         'Look at it with "cfg diff", then push again'
     )
+
+
+def cfg_is_valid(rules: int) -> str:
+    """Text for a cfg without faults."""
+    return f'valid; {rules} rules'
+
+
+def in_force(instance: str, revision: int) -> str:
+    """Text for an instance that has a change in force."""
+    return f'{instance}: revision {revision} in force'
+
+
+def not_in_force(instance: str, revision: int, problem: str) -> str:
+    """Text for an instance that does not have a change in force yet."""
+    if problem:
+        return f'{instance}: NOT CONFIRMED, unreachable: {problem}'
+    return f'{instance}: NOT YET in force, still at revision {revision}'
+
+
+def in_force_everywhere(revision: int) -> str:
+    """Text for a change that is in force on all instances."""
+    return f'revision {revision} is in force on every listed instance'
+
+
+def no_instances_seen() -> str:
+    """Text for a site without any listed entry instance."""
+    return 'no entry instance is listed; nothing can be confirmed'
+
+
+def no_entries() -> str:
+    """Text for a site whose entry instances cannot be connected to."""
+    return 'no entry instance could be connected to; nothing was sent'
+
+
+def unexpected_answer(detail: str) -> str:
+    """Text for an answer of an instance that makes no sense."""
+    return f'the instance sent an unexpected answer: {detail}'
+
+
+def unknown_domain(name: str) -> str:
+    """Text for a failure domain that the cfg does not have."""
+    return f'the cfg has no failure domain "{name}"'
+
+
+def domain_line(name: str, region: str, *, is_out: bool) -> str:
+    """Text for one failure domain."""
+    state = 'OUT' if is_out else 'in'
+    return f'{name:20} {region:20} {state}'
+
+
+def not_a_number(name: str, text: str) -> str:
+    """Text for an option that has to be a number."""
+    return f'--{name} takes a whole number, not "{text}"'
+
+
+def problem_line(instance: str, problem: str) -> str:
+    """Text for an instance that could not be asked."""
+    return f'{instance}: UNREACHABLE: {problem}'
+
+
+def instance_line(status: 'InstanceStatus') -> str:
+    """Text for one instance."""
+    peer = status.peer
+    ready = 'ready' if status.ready else status.unready_reason
+    workers = len(status.workers)
+    tasks = sum(worker.tasks for worker in status.workers)
+    return (
+        f'{peer.instance:20} {peer.failure_domain:16} {ready:10} '
+        f'cfg {peer.cfg_revision} domains {peer.domains_revision} '
+        f'workers {workers} tasks {tasks} queued {status.queued_jobs}'
+    )
+
+
+def answer_line(answer: 'RequestAnswer') -> str:
+    """Text for the state or the end of a request."""
+    size = f', {answer.answer_length} bytes' if answer.answer_length else ''
+    return (
+        f'{answer.request_key}: {answer.outcome} '
+        f'{answer.code} {answer.name}{size}: {answer.text}'
+    )
+
+
+def burn_header() -> str:
+    """Text above the lines of the burn report."""
+    return (
+        f'{"class":20} {"domain":16} {"requests":>9} {"missed":>7} '
+        f'{"burn 5m":>8} {"burn 1h":>8} {"budget":>8} '
+        f'{"p50 ms":>8} {"p99 ms":>8} {"p99.9 ms":>9}'
+    )
+
+
+def burn_line(row: 'BurnRow') -> str:
+    """Text for one class in one failure domain."""
+    times = row.latencies
+    return (
+        f'{row.work_class:20} {row.failure_domain:16} {row.total:9} '
+        f'{row.bad:7} {row.short_burn:8.2f} {row.long_burn:8.2f} '
+        f'{row.budget_left:8.1%} {times.p50_us / US_PER_MS:8.1f} '
+        f'{times.p99_us / US_PER_MS:8.1f} {times.p999_us / US_PER_MS:9.1f}'
+    )
--- a/src/gentianpulley/owned_worker.py
+++ b/src/gentianpulley/owned_worker.py
@@ -3,7 +3,7 @@
 import threading
 from typing import Final
 
-from gentianpulley.deadline import deadline_in
+from gentianpulley.deadline import deadline_in, has_passed
 from gentianpulley.errors import WorkerRefusedError
 from gentianpulley.ledger import WorkerLedger
 from gentianpulley.placement import WorkerView
@@ -45,6 +45,7 @@
         self._ledger: WorkerLedger | None = None
         self._is_open = False
         self._classes: dict[str, str] = {}
+        self._forget_after_ms: dict[str, int] = {}
 
     @property
     def is_open(self) -> bool:
@@ -141,6 +142,23 @@
         self.is_leaving = listed.leaving
         return listed
 
+    def forget_later(self, task_id: str, after_ms: int) -> None:
+        """Let the worker forget an ended task after `after_ms`."""
+        with self._lock:
+            self._forget_after_ms.setdefault(task_id, after_ms)
+
+    def take_forgettable(self) -> tuple[str, ...]:
+        """Return the ended tasks that the worker may forget now."""
+        with self._lock:
+            due = tuple(
+                task_id
+                for task_id, after_ms in self._forget_after_ms.items()
+                if has_passed(after_ms)
+            )
+            for task_id in due:
+                self._forget_after_ms.pop(task_id)
+        return due
+
     def settle_ledger(self, listed: TaskList, known: frozenset[str]) -> None:
         """Bring the ledger in line with the worker's list.
 
--- a/src/gentianpulley/peer.py
+++ b/src/gentianpulley/peer.py
@@ -10,12 +10,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Headroom:
-    """Free capacity of one owner: summed, and at its roomiest worker."""
+    """Free capacity of one owner: summed, and at its roomiest worker.
+
+    `shapes` are the distinct capacities of its workers.
+    """
 
     total: Resources = NOTHING
     largest: Resources = NOTHING
     free_slots: int = 0
     owned_workers: int = 0
+    shapes: tuple[Resources, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gentianpulley/peer_codec.py
+++ b/src/gentianpulley/peer_codec.py
@@ -96,6 +96,7 @@
             largest=_need_to_wire(headroom.largest),
             free_slots=headroom.free_slots,
             owned_workers=headroom.owned_workers,
+            shapes=[_need_to_wire(shape) for shape in headroom.shapes],
         ),
     )
 
@@ -115,6 +116,9 @@
             largest=_need_from_wire(wire.headroom.largest),
             free_slots=wire.headroom.free_slots,
             owned_workers=wire.headroom.owned_workers,
+            shapes=tuple(
+                _need_from_wire(shape) for shape in wire.headroom.shapes
+            ),
         ),
     )
 
--- a/src/gentianpulley/peer_gen/Peer.py
+++ b/src/gentianpulley/peer_gen/Peer.py
@@ -971,10 +971,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.request_keys = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_keys.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_keys.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -991,8 +991,8 @@
         if self.request_keys is not None:
             oprot.writeFieldBegin('request_keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.request_keys))
-            for iter13 in self.request_keys:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter20 in self.request_keys:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1052,10 +1052,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.success.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.success.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1072,8 +1072,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRING, len(self.success))
-            for iter20 in self.success:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter27 in self.success:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/gentianpulley/peer_gen/ttypes.py
+++ b/src/gentianpulley/peer_gen/ttypes.py
@@ -522,6 +522,7 @@
      - largest
      - free_slots
      - owned_workers
+     - shapes
 
     """
 
@@ -530,14 +531,16 @@
         'largest',
         'free_slots',
         'owned_workers',
+        'shapes',
     )
 
 
-    def __init__(self, total=None, largest=None, free_slots=None, owned_workers=None,):
+    def __init__(self, total=None, largest=None, free_slots=None, owned_workers=None, shapes=None,):
         self.total = total
         self.largest = largest
         self.free_slots = free_slots
         self.owned_workers = owned_workers
+        self.shapes = shapes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -570,6 +573,17 @@
                     self.owned_workers = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.shapes = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = ResourceNeed()
+                        _elem12.read(iprot)
+                        self.shapes.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -596,6 +610,13 @@
             oprot.writeFieldBegin('owned_workers', TType.I32, 4)
             oprot.writeI32(self.owned_workers)
             oprot.writeFieldEnd()
+        if self.shapes is not None:
+            oprot.writeFieldBegin('shapes', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.shapes))
+            for iter13 in self.shapes:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -608,6 +629,8 @@
             raise TProtocolException(message='Required field free_slots is unset!')
         if self.owned_workers is None:
             raise TProtocolException(message='Required field owned_workers is unset!')
+        if self.shapes is None:
+            raise TProtocolException(message='Required field shapes is unset!')
         return
 
     def __repr__(self):
@@ -936,6 +959,7 @@
     (2, TType.STRUCT, 'largest', [ResourceNeed, None], None, ),  # 2
     (3, TType.I32, 'free_slots', None, None, ),  # 3
     (4, TType.I32, 'owned_workers', None, None, ),  # 4
+    (5, TType.LIST, 'shapes', (TType.STRUCT, [ResourceNeed, None], False), None, ),  # 5
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/src/gentianpulley/request_desk.py
+++ b/src/gentianpulley/request_desk.py
@@ -8,6 +8,7 @@
 from gentianpulley.document import DocumentShelf
 from gentianpulley.errors import PeerError, RequestRefusedError
 from gentianpulley.logs import EventLog
+from gentianpulley.messages import impossible_size
 from gentianpulley.metrics import Metrics
 from gentianpulley.peer_directory import PeerDirectory
 from gentianpulley.quick_requests import QuickRequests
@@ -17,11 +18,13 @@
 from gentianpulley.result_code import (
     BAD_REQUEST,
     DRAINING,
+    IMPOSSIBLE_SIZE,
     NOT_READY,
     RULE_FORBIDS,
     STOPPED,
     Outcome,
 )
+from gentianpulley.routing import Router
 from gentianpulley.ruling import Subject, Verdict, rule_anywhere
 from gentianpulley.start_gate import StartGate
 
@@ -35,6 +38,7 @@
 
     quick: QuickRequests
     recorded: RecordedRequests
+    router: Router
     directory: PeerDirectory
 
 
@@ -65,9 +69,7 @@
         timer = self._metrics.start_timer()
         cfg = self._require_cfg()
         work_class = check_request(req, cfg)
-        ruling = rule_anywhere(cfg, Subject(req.work_class, req.data_tags))
-        if ruling.verdict is Verdict.FORBIDDEN:
-            raise RequestRefusedError(RULE_FORBIDS, ruling.reason)
+        self._check_placeable(req, cfg)
         self._log.request_accepted(req.request_key, req.work_class)
         if work_class.needs_record():
             wait_until_ms = min(req.deadline_ms, _wait_until(wait_ms))
@@ -104,6 +106,15 @@
             for key in request_keys
         )
 
+    def _check_placeable(self, req: Request, cfg: SiteCfg) -> None:
+        """Refuse at once what could never start."""
+        subject = Subject(req.work_class, req.data_tags)
+        ruling = rule_anywhere(cfg, subject)
+        if ruling.verdict is Verdict.FORBIDDEN:
+            raise RequestRefusedError(RULE_FORBIDS, ruling.reason)
+        if not self._desk.router.could_ever_fit(subject, req.need):
+            raise RequestRefusedError(IMPOSSIBLE_SIZE, impossible_size())
+
     def _cancel_quick(self, request_keys: tuple[str, ...]) -> frozenset[str]:
         found = {key for key in request_keys if self._desk.quick.cancel(key)}
         left = tuple(key for key in request_keys if key not in found)
--- a/src/gentianpulley/routing.py
+++ b/src/gentianpulley/routing.py
@@ -81,6 +81,20 @@
             return None
         return self._policy.choose(routes, self._gate.failure_domain)
 
+    def could_ever_fit(self, subject: Subject, need: Resources) -> bool:
+        """Tell whether an idle worker would have room for such a task.
+
+        True also while an owner that might know better is not heard.
+        """
+        if any(not view.is_heard for view in self._membership.peers()):
+            return True
+        shapes = {
+            shape
+            for route in self._routes(subject)
+            for shape in route.headroom.shapes
+        }
+        return not shapes or any(need.fits_in(shape) for shape in shapes)
+
     def owner_of(self, worker: str) -> str:
         """Return the instance that owns a worker now, or an empty string."""
         if self._fleet.find(worker) is not None:
--- a/src/gentianpulley/task_ending.py
+++ b/src/gentianpulley/task_ending.py
@@ -3,6 +3,7 @@
 import threading
 from typing import Final
 
+from gentianpulley.deadline import deadline_in
 from gentianpulley.errors import WorkerSilentError
 from gentianpulley.job import StoredJob, refusal_result, result_of
 from gentianpulley.job_store import JobStore, StoredListener
@@ -25,6 +26,12 @@
 from gentianpulley.task_entry import TaskEntry, TaskTable
 from gentianpulley.worker import TaskState, TaskStatus
 
+ANSWER_KEPT_MS: Final = 3_600_000
+"""How long a worker keeps the answer of work with a record."""
+
+SHORT_ANSWER_KEPT_MS: Final = 5000
+"""How long a worker remembers other work: longer than a start window."""
+
 ANSWER_STATES: Final = frozenset((TaskState.FINISHED, TaskState.FAILED))
 
 
@@ -70,7 +77,7 @@
             self._requeue(entry, '', evicted=False)
             report = not_run_report(entry.task_id, code)
             self._publish(entry, worker, report)
-            self._table.remove(entry.task_id)
+            self._table.remove(entry)
         return entry.report
 
     def cancelled(
@@ -123,7 +130,7 @@
                     worker=entry.worker,
                 )
             )
-            self._table.remove(entry.task_id)
+            self._table.remove(entry)
 
     def withdraw(self, stored: StoredJob) -> None:
         """Write back a job whose placement was recorded but not used."""
@@ -169,7 +176,10 @@
         self, entry: TaskEntry, worker: OwnedWorker, report: TaskReport
     ) -> None:
         self._log.task_ended(entry.task_id, worker.name, report.code)
+        kept_ms = ANSWER_KEPT_MS if entry.stored else SHORT_ANSWER_KEPT_MS
+        worker.forget_later(entry.task_id, deadline_in(kept_ms))
         entry.end(report)
+        self._table.retire(entry)
 
 
 def report_of_stranger(
--- a/src/gentianpulley/task_entry.py
+++ b/src/gentianpulley/task_entry.py
@@ -1,15 +1,23 @@
 """One task in the table of its owner."""
 
 import threading
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Final
 
-from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
+from gentianpulley.deadline import (
+    MS_PER_SECOND,
+    deadline_in,
+    has_passed,
+    now_ms,
+)
 from gentianpulley.job import StoredJob
 from gentianpulley.result_code import ACCEPTED
 from gentianpulley.task import TaskOrder, TaskPhase, TaskReport
 
-RETENTION_MS: Final = 60_000
+RETENTION_MS: Final = 15_000
+"""How long an ended task's report can be asked for again."""
+
 NEVER_MS: Final = 9_000_000_000_000_000
 
 
@@ -59,12 +67,19 @@
 
 
 class TaskTable:
-    """All tasks that this instance has on owned workers, by task id."""
+    """All tasks that this instance has on owned workers.
+
+    Active tasks are found by worker, so that settling a worker costs no more
+    than its slots. Ended tasks stay for a while and then go in the order in
+    which they ended.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
         self._lock = threading.Lock()
         self._entries: dict[str, TaskEntry] = {}
+        self._active: dict[str, dict[str, TaskEntry]] = {}
+        self._ended: deque[TaskEntry] = deque()
 
     def enter(self, entry: TaskEntry) -> tuple[TaskEntry, bool]:
         """Add the entry unless its task is known; True if it was added."""
@@ -72,26 +87,43 @@
             known = self._entries.setdefault(entry.task_id, entry)
         return known, known is entry
 
+    def bind(self, entry: TaskEntry, worker: str) -> None:
+        """Note that the task was admitted to a worker."""
+        entry.worker = worker
+        with self._lock:
+            self._active.setdefault(worker, {})[entry.task_id] = entry
+
+    def retire(self, entry: TaskEntry) -> None:
+        """Note that the task has ended; its report stays for a while."""
+        with self._lock:
+            self._active.get(entry.worker, {}).pop(entry.task_id, None)
+            self._ended.append(entry)
+
+    def remove(self, entry: TaskEntry) -> None:
+        """Forget a task at once, so that its order may come again."""
+        with self._lock:
+            self._active.get(entry.worker, {}).pop(entry.task_id, None)
+            self._entries.pop(entry.task_id, None)
+
+    def sweep(self) -> None:
+        """Forget ended tasks whose retention is over."""
+        with self._lock:
+            while self._ended and has_passed(self._ended[0].forget_after_ms):
+                entry = self._ended.popleft()
+                if self._entries.get(entry.task_id) is entry:
+                    self._entries.pop(entry.task_id)
+
     def find(self, task_id: str) -> TaskEntry | None:
         """Return the entry of a task."""
         with self._lock:
             return self._entries.get(task_id)
 
-    def remove(self, task_id: str) -> None:
-        """Forget a task."""
+    def active_on(self, worker: str) -> tuple[TaskEntry, ...]:
+        """Return the tasks of a worker that have not ended."""
         with self._lock:
-            self._entries.pop(task_id, None)
+            return tuple(self._active.get(worker, {}).values())
 
-    def on_worker(self, worker: str) -> tuple[TaskEntry, ...]:
-        """Return the entries of one worker."""
-        with self._lock:
-            return tuple(
-                entry
-                for entry in self._entries.values()
-                if entry.worker == worker
-            )
-
-    def all_entries(self) -> tuple[TaskEntry, ...]:
-        """Return all entries."""
+    def size(self) -> int:
+        """Return the number of tasks, ended ones included."""
         with self._lock:
-            return tuple(self._entries.values())
+            return len(self._entries)
--- a/src/gentianpulley/task_runner.py
+++ b/src/gentianpulley/task_runner.py
@@ -78,7 +78,7 @@
             return self._place_and_start(entry, wait_ms)
         except RequestRefusedError as exc:
             entry.end(not_run_report(order.task_id, exc.code, exc.text))
-            self._table.remove(order.task_id)
+            self._table.remove(entry)
         return entry.report
 
     def await_answer(
--- a/src/gentianpulley/worker_fleet.py
+++ b/src/gentianpulley/worker_fleet.py
@@ -49,7 +49,7 @@
         if worker is None:
             return
         worker.close()
-        for entry in self.table.on_worker(name):
+        for entry in self.table.active_on(name):
             self.ending.moved(entry)
         self._log.worker_released(name, worker.epoch)
 
@@ -87,7 +87,7 @@
         for name in self._policy.rank(entry.order, views):
             worker = self.find(name)
             if worker is not None and worker.admit(entry.order):
-                entry.worker = name
+                self.table.bind(entry, name)
                 return worker
         return None
 
@@ -103,14 +103,8 @@
             free_slots += view.free_slots
             if view.free_slots and _is_roomier(free, largest):
                 largest = free
-        return Headroom(total, largest, free_slots, len(views))
-
-    def largest_capacity(self) -> Resources:
-        """Return the largest capacity of an owned worker per dimension."""
-        largest = NOTHING
-        for worker in self.owned():
-            largest = largest.largest_of(worker.capacity())
-        return largest
+        shapes = {seen.capacity for seen in views}
+        return Headroom(total, largest, free_slots, len(views), tuple(shapes))
 
     def _views(self) -> tuple[WorkerView, ...]:
         views = (
--- a/src/gentianpulley/worker_keeper.py
+++ b/src/gentianpulley/worker_keeper.py
@@ -23,7 +23,7 @@
 from gentianpulley.start_gate import StartGate
 from gentianpulley.task import running_report
 from gentianpulley.task_entry import TaskEntry, new_entry
-from gentianpulley.task_ending import ANSWER_STATES
+from gentianpulley.task_ending import ANSWER_KEPT_MS, ANSWER_STATES
 from gentianpulley.worker import TaskList, TaskState
 from gentianpulley.worker_fleet import WorkerFleet
 
@@ -31,7 +31,6 @@
 CLOCK_MARGIN_MS: Final = 500
 """How far apart the clocks of an instance and a worker may be."""
 
-ANSWER_KEPT_MS: Final = 3_600_000
 LAPSE_MARGIN_MS: Final = 2000
 
 
@@ -54,7 +53,6 @@
         self._gate = gate
         self._is_taken_over = False
         self._are_jobs_adopted = False
-        self._forget_after_ms: dict[str, int] = {}
 
     def step(self) -> None:
         """Make one round; another owner's fence ends the thread."""
@@ -75,7 +73,8 @@
     def _make_round(self) -> None:
         if not self._is_taken_over:
             self._take_over()
-        listed = self.worker.renew(self._forgettable())
+        listed = self.worker.renew(self.worker.take_forgettable())
+        self._fleet.table.sweep()
         if listed.boot_id != self.worker.boot_id:
             self._handle_reboot()
             return
@@ -103,8 +102,10 @@
         states = {task.task_id: task.state for task in listed.tasks}
         for stored in self._jobs.placed_on(self.worker.name):
             entry = _adopted_entry(stored, self.worker.name)
-            known, is_new = self._fleet.table.enter(entry)
-            if is_new and known.task_id not in states:
+            _, is_new = self._fleet.table.enter(entry)
+            if is_new:
+                self._fleet.table.bind(entry, self.worker.name)
+            if is_new and entry.task_id not in states:
                 self._settle_unlisted(entry, stored)
         self._are_jobs_adopted = True
 
@@ -119,17 +120,14 @@
             self._fleet.ending.lost(entry, self.worker)
 
     def _settle(self, listed: TaskList) -> None:
-        entries = self._fleet.table.on_worker(self.worker.name)
-        known = frozenset(
-            entry.task_id for entry in entries if not entry.ended.is_set()
-        )
+        entries = self._fleet.table.active_on(self.worker.name)
+        known = frozenset(entry.task_id for entry in entries)
         self.worker.settle_ledger(listed, known)
         states = {task.task_id: task.state for task in listed.tasks}
         for entry in entries:
-            if not entry.ended.is_set():
-                state = states.get(entry.task_id, TaskState.ABSENT)
-                self._settle_entry(entry, state)
-        self._schedule_strangers(listed, frozenset(states))
+            state = states.get(entry.task_id, TaskState.ABSENT)
+            self._settle_entry(entry, state)
+        self._schedule_strangers(listed)
 
     def _settle_entry(self, entry: TaskEntry, state: TaskState) -> None:
         if state is TaskState.RUNNING:
@@ -166,10 +164,10 @@
 
     def _evict_all(self) -> None:
         """Checkpoint every resumable task, so that it goes on elsewhere."""
-        for entry in self._fleet.table.on_worker(self.worker.name):
+        for entry in self._fleet.table.active_on(self.worker.name):
             stored = entry.stored
             resumable = stored is not None and stored.job.resumable
-            if resumable and entry.is_confirmed and not entry.ended.is_set():
+            if resumable and entry.is_confirmed:
                 self._evict(entry, 'leaving')
 
     def _evict(self, entry: TaskEntry, reason: str) -> None:
@@ -181,8 +179,8 @@
     def _handle_reboot(self) -> None:
         """Take a worker over again that has lost its memory."""
         self.worker.close()
-        for entry in self._fleet.table.on_worker(self.worker.name):
-            if entry.was_sent and not entry.ended.is_set():
+        for entry in self._fleet.table.active_on(self.worker.name):
+            if entry.was_sent:
                 self._fleet.ending.lost(entry, self.worker)
         self._is_taken_over = False
         self._are_jobs_adopted = False
@@ -196,49 +194,22 @@
         lapsed_ms = self.worker.lease_deadline_ms + LAPSE_MARGIN_MS
         if not has_passed(lapsed_ms):
             return
-        for entry in self._fleet.table.on_worker(self.worker.name):
-            if entry.was_sent and not entry.ended.is_set():
+        for entry in self._fleet.table.active_on(self.worker.name):
+            if entry.was_sent:
                 self._fleet.ending.lost(entry, self.worker)
 
-    def _forgettable(self) -> tuple[str, ...]:
-        """Return the ended tasks that the worker may forget now."""
-        for entry in self._fleet.table.on_worker(self.worker.name):
-            if has_passed(entry.forget_after_ms):
-                self._fleet.table.remove(entry.task_id)
-                kept = _kept_longer(entry)
-                self._forget_after_ms[entry.task_id] = kept
-        due = tuple(
-            task_id
-            for task_id, after_ms in self._forget_after_ms.items()
-            if has_passed(after_ms)
-        )
-        for task_id in due:
-            self._forget_after_ms.pop(task_id)
-        return due
-
-    def _schedule_strangers(
-        self, listed: TaskList, listed_ids: frozenset[str]
-    ) -> None:
+    def _schedule_strangers(self, listed: TaskList) -> None:
         """Forget, after a while, ended tasks that no entry stands for."""
         for task in listed.tasks:
-            unknown = self._fleet.table.find(task.task_id) is None
-            if unknown and task.state.is_final():
-                self._forget_after_ms.setdefault(
+            is_known = self._fleet.table.find(task.task_id) is not None
+            if task.state.is_final() and not is_known:
+                self.worker.forget_later(
                     task.task_id, deadline_in(ANSWER_KEPT_MS)
                 )
-        for task_id in tuple(self._forget_after_ms):
-            if task_id not in listed_ids:
-                self._forget_after_ms.pop(task_id)
-
-
-def _kept_longer(entry: TaskEntry) -> int:
-    """Return until when the worker keeps the answer of an ended task."""
-    return 0 if entry.stored is None else deadline_in(ANSWER_KEPT_MS)
 
 
 def _adopted_entry(stored: StoredJob, worker: str) -> TaskEntry:
     entry = new_entry(order_of(stored, b''))
-    entry.worker = worker
     entry.stored = stored
     entry.was_sent = True
     entry.is_confirmed = True
--- a/standins/site.py
+++ b/standins/site.py
@@ -157,7 +157,7 @@
     def cli_settings(self) -> Path:
         """Write and return the settings of the CLI."""
         platform = self._address('platform')
-        path = self.folder / 'cli.json'
+        path = self.folder / 'gentianpulley.jsonc'
         path.write_text(
             json.dumps({'store': platform, 'instance_list': platform})
         )
@@ -165,15 +165,15 @@
 
     def run_cli(self, *words: str) -> subprocess.CompletedProcess[str]:
         """Run the CLI and return its output and exit status."""
+        self.cli_settings()
         return subprocess.run(
             [
                 sys.executable,
                 '-m',
                 'gentianpulley.cli',
                 *words,
-                '--settings',
-                str(self.cli_settings()),
             ],
+            cwd=self.folder,
             capture_output=True,
             text=True,
             timeout=HTTP_TIMEOUT_S,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -41,7 +41,7 @@
 from standins.http_server import NOT_FOUND, OK, Call, Reply, StandinServer
 
 CONFLICT: Final = 409
-TICK_S: Final = 0.005
+SHORTEST_WAIT_S: Final = 0.0002
 MS: Final = 1000
 
 
@@ -92,6 +92,11 @@
         """Return how much of the run is done."""
         return self.done_ms + _now_ms() - self.started_ms
 
+    def due_in_ms(self) -> int:
+        """Return the milliseconds until the task ends or its lease does."""
+        ends_in_ms = self.spec.run_ms - self.progress_ms()
+        return min(ends_in_ms, self.lease_deadline_ms - _now_ms())
+
     def status(self) -> TaskStatus:
         """Return the status as the protocol has it."""
         digest = sha256(self.answer).hexdigest() if self.answer else ''
@@ -113,9 +118,10 @@
         super().__init__(settings.host, settings.port)
         self._settings = settings
         self._boot_id = secrets.token_hex(4)
-        self._lock = threading.RLock()
+        self._lock = threading.Condition(threading.RLock())
         self._epoch = 0
         self._tasks: dict[str, _Task] = {}
+        self._running: dict[str, _Task] = {}
         self._stopped_unseen: set[str] = set()
         self.leaving = False
         threading.Thread(target=self._run, daemon=True).start()
@@ -191,7 +197,7 @@
     def _renew(self, renewal: Renewal) -> TaskList:
         with self._lock:
             self._check_epoch(renewal.epoch)
-            for task in self._tasks.values():
+            for task in self._running.values():
                 task.lease_deadline_ms = renewal.lease_deadline_ms
             for task_id in renewal.forget:
                 known = self._tasks.get(task_id)
@@ -226,7 +232,10 @@
             raise _Refused(START_TOO_LATE, str(command.start_before_ms))
         task = _Task(command)
         self._tasks[command.task_id] = task
+        self._running[command.task_id] = task
         self._record('start', task)
+        self._advance(task)
+        self._lock.notify_all()
         return task
 
     def _status(self, task_id: str, wait_ms: int) -> TaskStatus:
@@ -252,14 +261,17 @@
 
     def _run(self) -> None:
         while True:
-            time.sleep(TICK_S)
             with self._lock:
                 self._advance_all()
+                self._lock.wait(self._next_event_s())
+
+    def _next_event_s(self) -> float:
+        due_ms = [task.due_in_ms() for task in self._running.values()]
+        return max(SHORTEST_WAIT_S, min(due_ms, default=MS) / MS)
 
     def _advance_all(self) -> None:
-        for task in tuple(self._tasks.values()):
-            if task.state is TaskState.RUNNING:
-                self._advance(task)
+        for task in tuple(self._running.values()):
+            self._advance(task)
 
     def _advance(self, task: _Task) -> None:
         if task.progress_ms() >= task.spec.run_ms:
@@ -271,17 +283,14 @@
 
     def _end(self, task: _Task, state: TaskState) -> None:
         task.state = state
+        self._running.pop(task.command.task_id, None)
         self._record(state.value, task)
         with task.over:
             task.over.notify_all()
 
     def _record(self, event: str, task: _Task) -> None:
         """Write one line of the append-only record."""
-        running = [
-            other.command.need
-            for other in self._tasks.values()
-            if other.state is TaskState.RUNNING
-        ]
+        running = [other.command.need for other in self._running.values()]
         line = {
             'at_ms': _now_ms(),
             'worker': self._settings.name,
