Look after workers of a failure domain that has no instance left

Cause: with the only entry instance of a domain killed, jobs placed on its workers stayed unsettled until the task leases lapsed (demo: 2 unknown, 1 pending in the Tuul site). Ruled out: starting tasks there from other domains, which would break the promise for domains that are out. What: instances of other domains become caretakers after 8 s without lease and heartbeat of the domain; they settle and evict, start nothing, and hand over when the domain has an instance again.

--- a/src/gentianpulley/control_state.py
+++ b/src/gentianpulley/control_state.py
@@ -84,6 +84,11 @@
         with self._lock:
             return self._owners.get(failure_domain, StoredOwnership())
 
+    def ownerships(self) -> dict[str, StoredOwnership]:
+        """Return the ownership records of all failure domains."""
+        with self._lock:
+            return dict(self._owners)
+
     def owner_of(self, worker: str) -> str:
         """Return the member id that owns a worker, or an empty string."""
         with self._lock:
--- a/src/gentianpulley/membership.py
+++ b/src/gentianpulley/membership.py
@@ -109,26 +109,35 @@
                 return view
         return None
 
-    def owner_candidates(self) -> tuple[str, ...]:
-        """Return the member ids that may own workers of this domain."""
+    def owner_candidates(self, failure_domain: str = '') -> tuple[str, ...]:
+        """Return the member ids that may own workers of a failure domain.
+
+        Without a domain, return those of the whole site.
+        """
         leaving = {view.instance for view in self.peers() if _is_going(view)}
         return tuple(
             record.member_id
             for record in self._state.members()
-            if record.failure_domain == self.myself.failure_domain
+            if record.failure_domain
+            == (failure_domain or record.failure_domain)
             and record.instance not in leaving
         )
 
-    def workers(self, failure_domain: str) -> tuple[ListedInstance, ...]:
-        """Return the listed workers of a failure domain."""
+    def all_workers(self) -> tuple[ListedInstance, ...]:
+        """Return all listed workers."""
         with self._lock:
             return tuple(
-                entry
-                for entry in self._listed
-                if entry.role is Role.WORKER
-                and entry.failure_domain == failure_domain
+                entry for entry in self._listed if entry.role is Role.WORKER
             )
 
+    def hears_domain(self, failure_domain: str) -> bool:
+        """Tell whether a peer of the failure domain is heard."""
+        return any(
+            view.is_heard
+            for view in self.peers()
+            if view.failure_domain == failure_domain
+        )
+
     def lists_worker(self, name: str) -> bool:
         """Tell whether the instance list has the worker."""
         with self._lock:
--- a/src/gentianpulley/owned_worker.py
+++ b/src/gentianpulley/owned_worker.py
@@ -32,8 +32,11 @@
     methods may be called from any thread.
     """
 
-    def __init__(self, name: str, epoch: int, conn: WorkerConn) -> None:
+    def __init__(
+        self, name: str, epoch: int, conn: WorkerConn, *, may_start: bool
+    ) -> None:
         """Own the worker on paper; `take_over` comes first."""
+        self.may_start = may_start
         self.name = name
         self.epoch = epoch
         self.conn = conn
@@ -50,7 +53,12 @@
     @property
     def is_open(self) -> bool:
         """Tell whether tasks may be admitted."""
-        return self._is_open and not self.is_suspect
+        return self._is_open and self.may_start and not self.is_suspect
+
+    @property
+    def is_taken_over(self) -> bool:
+        """Tell whether former owners are fenced out."""
+        return self._is_open
 
     @property
     def boot_id(self) -> str:
--- a/src/gentianpulley/ownership_keeper.py
+++ b/src/gentianpulley/ownership_keeper.py
@@ -6,6 +6,7 @@
 from gentianpulley.background import BackgroundLoop
 from gentianpulley.control_keys import owners_key
 from gentianpulley.control_state import ControlState, StoredOwnership
+from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.instance_list import ListedInstance
 from gentianpulley.job_store import JobStore
@@ -23,10 +24,18 @@
 from gentianpulley.worker_keeper import WorkerKeeper
 
 ROUND_INTERVAL_S: Final = 0.5
+ABANDONED_AFTER_MS: Final = 8000
+"""How long a failure domain has to be silent before others look after it."""
 
 
 class OwnershipKeeper(BackgroundLoop):
-    """Brings the ownership record and the owned workers in line."""
+    """Brings the ownership records and the owned workers in line.
+
+    An instance owns workers of its own failure domain. Where a domain has no
+    instance left, neither by lease nor by heartbeat, instances of other
+    domains become caretakers of its workers: they settle what runs there and
+    start nothing, and hand over as soon as the domain has an instance again.
+    """
 
     def __init__(
         self,
@@ -42,9 +51,11 @@
         self._state = state
         self._membership = membership
         self._fleet = fleet
+        self._home = membership.myself.failure_domain
         self._keepers: dict[str, WorkerKeeper] = {}
         self._is_draining = False
         self._round_lock = threading.Lock()
+        self._silent_since_ms: dict[str, int] = {}
 
     def attach(self, jobs: JobStore, gate: StartGate) -> None:
         """Name what the keepers of owned workers need."""
@@ -52,42 +63,42 @@
         self._gate = gate
 
     def step(self) -> None:
-        """Change the record if needed, then own what it says."""
+        """Change the records if needed, then own what they say."""
         with self._round_lock:
-            domain = self._membership.myself.failure_domain
-            listed = self._membership.workers(domain)
-            stored = self._state.ownership(domain)
-            if not self._is_draining:
-                self._change_record(stored, listed)
-            self._follow_record(self._state.ownership(domain), listed)
+            if self._is_draining:
+                return
+            listed = self._membership.all_workers()
+            domains = {worker.failure_domain for worker in listed}
+            for domain in sorted({self._home, *domains}):
+                in_domain = tuple(
+                    worker
+                    for worker in listed
+                    if worker.failure_domain == domain
+                )
+                self._change_record(domain, in_domain)
+            self._follow_records(listed)
 
     def release_all(self) -> None:
         """Hand all workers over; their tasks run on under new owners."""
         with self._round_lock:
             self._is_draining = True
-            self._release_record()
+            for domain, stored in self._state.ownerships().items():
+                self._release_record(domain, stored)
             for name in tuple(self._keepers):
                 self._drop(name)
 
-    def _release_record(self) -> None:
-        domain = self._membership.myself.failure_domain
+    def _release_record(self, domain: str, stored: StoredOwnership) -> None:
         myself = self._membership.myself.member_id
-        try:
-            entry = self._store.read(owners_key(domain))
-        except StoreError as exc:
-            self.log.store_trouble(exc.text)
-            return
-        if entry is None:
-            return
-        stored = self._state.ownership(domain)
         names = tuple(stored.ownership.owned_by(myself))
-        released = stored.ownership.release(names, myself)
-        self._write(StoredOwnership(released, stored.revision))
+        if names:
+            released = stored.ownership.release(names, myself)
+            self._write(domain, StoredOwnership(released, stored.revision))
 
     def _change_record(
-        self, stored: StoredOwnership, listed: tuple[ListedInstance, ...]
+        self, domain: str, listed: tuple[ListedInstance, ...]
     ) -> None:
-        plan = self._plan(stored.ownership, listed)
+        stored = self._state.ownership(domain)
+        plan = self._plan(domain, stored.ownership, listed)
         if not plan.claims and not plan.releases:
             return
         myself = self._membership.myself.member_id
@@ -95,31 +106,47 @@
             self._drop(name)
         changed = stored.ownership.release(plan.releases, myself)
         changed = changed.claim(plan.claims, myself)
-        self._write(StoredOwnership(changed, stored.revision))
+        self._write(domain, StoredOwnership(changed, stored.revision))
 
     def _plan(
-        self, ownership: Ownership, listed: tuple[ListedInstance, ...]
+        self,
+        domain: str,
+        ownership: Ownership,
+        listed: tuple[ListedInstance, ...],
     ) -> OwnershipPlan:
-        members = self._membership.owner_candidates()
+        """Return what to claim and release in a domain."""
+        members = self._membership.owner_candidates(domain)
         myself = self._membership.myself.member_id
-        if myself not in members:
-            return OwnershipPlan((), ())
         names = [worker.name for worker in listed]
+        if domain != self._home:
+            if self._is_abandoned(domain, members):
+                members = self._membership.owner_candidates()
+            elif not members:
+                return OwnershipPlan((), ())
+        if domain == self._home and myself not in members:
+            return OwnershipPlan((), ())
         return plan_changes(ownership, names, members, myself)
 
-    def _write(self, changed: StoredOwnership) -> None:
-        key = owners_key(self._membership.myself.failure_domain)
+    def _is_abandoned(self, domain: str, members: tuple[str, ...]) -> bool:
+        if members or self._membership.hears_domain(domain):
+            self._silent_since_ms.pop(domain, None)
+            return False
+        since_ms = self._silent_since_ms.setdefault(domain, now_ms())
+        return now_ms() - since_ms >= ABANDONED_AFTER_MS
+
+    def _write(self, domain: str, changed: StoredOwnership) -> None:
+        key = owners_key(domain)
         put = Put(key, encode_ownership(changed.ownership))
         try:
             self._store.write((GuardedWrite(key, changed.revision, (put,)),))
         except StoreError as exc:
             self.log.store_trouble(exc.text)
 
-    def _follow_record(
-        self, stored: StoredOwnership, listed: tuple[ListedInstance, ...]
-    ) -> None:
+    def _follow_records(self, listed: tuple[ListedInstance, ...]) -> None:
         myself = self._membership.myself.member_id
-        epochs = stored.ownership.owned_by(myself)
+        epochs: dict[str, int] = {}
+        for stored in self._state.ownerships().values():
+            epochs.update(stored.ownership.owned_by(myself))
         for name, keeper in tuple(self._keepers.items()):
             if epochs.get(name) != keeper.worker.epoch:
                 self._drop(name)
@@ -130,7 +157,8 @@
                 self._own(worker, epoch)
 
     def _own(self, listed: ListedInstance, epoch: int) -> None:
-        worker = self._fleet.own(listed, epoch)
+        may_start = listed.failure_domain == self._home
+        worker = self._fleet.own(listed, epoch, may_start=may_start)
         keeper = WorkerKeeper(
             worker, self._fleet, self._jobs, self._gate, self.log
         )
--- a/src/gentianpulley/task_runner.py
+++ b/src/gentianpulley/task_runner.py
@@ -89,7 +89,7 @@
         if entry is not None:
             return self._wait_on(entry, wait_ms)
         owned = self._fleet.find(worker)
-        if owned is None or not owned.is_open:
+        if owned is None or not owned.is_taken_over:
             return TaskReport(
                 task_id, TaskPhase.MOVED, OUTCOME_UNKNOWN, worker=worker
             )
--- a/src/gentianpulley/worker_fleet.py
+++ b/src/gentianpulley/worker_fleet.py
@@ -34,10 +34,15 @@
         self._workers: dict[str, OwnedWorker] = {}
         self._leaving: frozenset[str] = frozenset()
 
-    def own(self, listed: ListedInstance, epoch: int) -> OwnedWorker:
-        """Add a worker under a new epoch; it admits nothing yet."""
+    def own(
+        self, listed: ListedInstance, epoch: int, *, may_start: bool
+    ) -> OwnedWorker:
+        """Add a worker under a new epoch; it admits nothing yet.
+
+        Unless `may_start`, it never will: the owner is only a caretaker.
+        """
         conn = self._connector.connect(listed.http)
-        worker = OwnedWorker(listed.name, epoch, conn)
+        worker = OwnedWorker(listed.name, epoch, conn, may_start=may_start)
         with self._lock:
             self._workers[listed.name] = worker
         return worker
--- a/src/gentianpulley/worker_keeper.py
+++ b/src/gentianpulley/worker_keeper.py
@@ -81,11 +81,17 @@
         self._settle(listed)
         if not self._are_jobs_adopted:
             self._adopt_jobs(listed)
-        if self._gate.domain_is_out() or self._fleet.is_leaving(
-            self.worker.name
-        ):
+        if self._should_empty():
             self._evict_all()
 
+    def _should_empty(self) -> bool:
+        """Tell whether resumable work has to move off the worker."""
+        return (
+            self._gate.domain_is_out()
+            or not self.worker.may_start
+            or self._fleet.is_leaving(self.worker.name)
+        )
+
     def _take_over(self) -> None:
         listed = self.worker.take_over()
         self._is_taken_over = True
--- a/standins/site.py
+++ b/standins/site.py
@@ -189,6 +189,10 @@
         )
         return json.loads(resp.data)
 
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process has not ended."""
+        return self.processes[name].popen.poll() is None
+
     def answers(self, name: str, path: str) -> bool:
         """Tell whether a process answers a path with 200."""
         try:
