Share promise checks, wait for the store before serving, stop abandoned tasks

Cause: a new instance could hear a stale peer before the store and serve an older cfg; a quick task outlived its caller's deadline and held its room. What: a new instance serves once it has read the store, or 4 s after its start with what its peers have; a quick task is stopped when its deadline passes.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,7 +9,7 @@
 from contextlib import ExitStack
 
 from demo.load import Load
-from demo.promises import broken_promises
+from demo.checks import broken_promises
 from demo.sites import LASTWRIGHT, TUUL, DemoSite, start_demo_site
 from standins.site import Site
 
--- a/src/gentianpulley/control_state.py
+++ b/src/gentianpulley/control_state.py
@@ -60,6 +60,7 @@
         self._owners: dict[str, StoredOwnership] = {}
         self._listeners: list[ControlListener] = []
         self._heard_ms = 0
+        self.has_snapshot = False
 
     @property
     def heard_ms(self) -> int:
@@ -106,6 +107,7 @@
             self._owners.clear()
         for entry in snapshot.entries:
             self._apply(Change(entry.key, entry, entry.revision))
+        self.has_snapshot = True
         self._notify()
 
     def apply(self, changes: tuple[Change, ...]) -> None:
--- a/src/gentianpulley/instance_view.py
+++ b/src/gentianpulley/instance_view.py
@@ -60,7 +60,7 @@
         """Return why the instance takes no requests; empty if it does."""
         if self._gate.is_draining:
             return 'draining'
-        if self._shelf.cfg is None:
+        if not self._gate.is_informed():
             return 'no cfg yet'
         return ''
 
--- a/src/gentianpulley/quick_requests.py
+++ b/src/gentianpulley/quick_requests.py
@@ -153,9 +153,7 @@
         order = self._order(mine.req, incarnation)
         wait_ms = min(SLICE_MS, ms_left(mine.req.deadline_ms))
         task = self._follower.run_on(route, order, wait_ms)
-        mine.running = task if task.phase is TaskPhase.RUNNING else None
-        task = self._follower.follow(task, mine.req.deadline_ms)
-        mine.running = None
+        task = self._follow(mine, task)
         if task.phase is TaskPhase.FINISHED or task.code is STOPPED:
             return report_of_task(mine.req.request_key, task)
         mine.excluded.add(route.instance)
@@ -169,6 +167,18 @@
             mine.req.request_key, replace(task, code=OUTCOME_UNKNOWN)
         )
 
+    def _follow(self, mine: _InFlight, task: TaskReport) -> TaskReport:
+        """Wait for a running task; stop it when nobody waits any more."""
+        if task.phase is not TaskPhase.RUNNING:
+            return task
+        mine.running = task
+        if not mine.is_cancelled:
+            task = self._follower.follow(task, mine.req.deadline_ms)
+        mine.running = None
+        if task.phase is TaskPhase.RUNNING:
+            return self._follower.cancel(task.task_id, task.worker)
+        return task
+
     def _order(self, req: Request, incarnation: int) -> TaskOrder:
         attempt_key = f'{req.request_key}@{self._instance}'
         return TaskOrder(
--- a/src/gentianpulley/request_desk.py
+++ b/src/gentianpulley/request_desk.py
@@ -168,7 +168,7 @@
         if self._gate.is_draining:
             raise RequestRefusedError(DRAINING, DRAINING.meaning)
         cfg = self._shelf.cfg
-        if cfg is None:
+        if cfg is None or not self._gate.is_informed():
             raise RequestRefusedError(NOT_READY, NOT_READY.meaning)
         return cfg
 
--- a/src/gentianpulley/start_gate.py
+++ b/src/gentianpulley/start_gate.py
@@ -30,6 +30,10 @@
 """Silence of the store and of other domains that means isolation."""
 
 
+INFORMED_AFTER_MS: Final = 4000
+"""How long a new instance waits for the store before it trusts peers."""
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Why a start is refused."""
@@ -52,6 +56,10 @@
         self._lock = threading.Lock()
         self._contact_ms = now_ms()
 
+    def knows_store(self) -> bool:
+        """Tell whether the store was ever read."""
+        return self._state.has_snapshot
+
     def since_ms(self) -> int:
         """Return since when the domain is isolated; zero if it is not."""
         with self._lock:
@@ -74,6 +82,17 @@
         self._isolation = isolation
         self.failure_domain = failure_domain
         self.is_draining = False
+        self._informed_ms = deadline_in(INFORMED_AFTER_MS)
+
+    def is_informed(self) -> bool:
+        """Tell whether the newest documents have had time to arrive.
+
+        A new instance might hear a stale peer before the store. It waits for
+        the store, and without one, until its peers had time to answer.
+        """
+        if self._shelf.cfg is None:
+            return False
+        return self._isolation.knows_store() or has_passed(self._informed_ms)
 
     def domain_is_out(self) -> bool:
         """Tell whether operators have taken this failure domain out."""
@@ -82,7 +101,7 @@
     def refusal(self, order: TaskOrder) -> Refusal | None:
         """Return why the task may not start here now; None if it may."""
         cfg = self._shelf.cfg
-        if cfg is None:
+        if cfg is None or not self.is_informed():
             return _refuse(NOT_READY)
         if self.is_draining:
             return _refuse(DRAINING)
