Prove the promises under failure; fix what the proofs found

The list now settles only what came before it was asked for. Ruled out: the partition itself, the record's compare-and-swap, requeue by a caretaker. - A worker taken over again after a reboot lost the shares of starts on their way; the new ledger carries them over. - A replaced worker under the same name at another address was never reached; its owner now follows the instance list. Each proof names its guards; tests.prove_red switches them off from outside.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 
 format: setup
 	$(BIN)/ruff format .
+
+.PHONY: prove-red
+prove-red: setup
+	$(BIN)/python -m tests.prove_red
--- a/src/gentianpulley/http_worker.py
+++ b/src/gentianpulley/http_worker.py
@@ -66,6 +66,7 @@
 
     def __init__(self, address: HttpAddress) -> None:
         """Open nothing yet."""
+        self.address = address
         self._conn = HttpConn(address, MAX_CONNS)
 
     def describe(self) -> WorkerDescription:
--- a/src/gentianpulley/ledger.py
+++ b/src/gentianpulley/ledger.py
@@ -69,6 +69,12 @@
             if task.task_id not in self._rows:
                 self._enter(LedgerRow(task.task_id, task.need))
 
+    def carry_over(self, former: 'WorkerLedger') -> None:
+        """Enter the rows of a ledger that this one replaces."""
+        for task_id, row in former._rows.items():
+            if task_id not in self._rows:
+                self._enter(row)
+
     def release(self, task_id: str) -> None:
         """Remove a task that holds nothing any more; idempotent."""
         row = self._rows.pop(task_id, None)
--- a/src/gentianpulley/owned_worker.py
+++ b/src/gentianpulley/owned_worker.py
@@ -36,6 +36,7 @@
         self, name: str, epoch: int, conn: WorkerConn, *, may_start: bool
     ) -> None:
         """Own the worker on paper; `take_over` comes first."""
+        self.address = conn.address
         self.may_start = may_start
         self.name = name
         self.epoch = epoch
@@ -69,13 +70,16 @@
         """Fence out former owners and learn what runs; then admit tasks.
 
         Leases are renewed before the first admission, so that running tasks
-        survive the change of owner.
+        survive the change of owner. When a worker is taken over again, after
+        it lost its memory, starts that are on their way keep their shares.
         """
         description = self.conn.describe()
         listed = self.conn.fence(self.epoch)
         ledger = WorkerLedger(description)
         ledger.adopt(_running(listed))
         with self._lock:
+            if self._ledger is not None:
+                ledger.carry_over(self._ledger)
             self._description = description
             self._ledger = ledger
             self._classes = {
--- a/src/gentianpulley/ownership_keeper.py
+++ b/src/gentianpulley/ownership_keeper.py
@@ -143,18 +143,25 @@
             self.log.store_trouble(exc.text)
 
     def _follow_records(self, listed: tuple[ListedInstance, ...]) -> None:
+        epochs = self._epochs()
+        places = {worker.name: worker.http for worker in listed}
+        for name, keeper in tuple(self._keepers.items()):
+            worker = keeper.worker
+            has_moved = places.get(name, worker.address) != worker.address
+            if has_moved or epochs.get(name) != worker.epoch:
+                self._drop(name)
+        self._fleet.note_listed(listed)
+        for place in listed:
+            if place.name in epochs and place.name not in self._keepers:
+                self._own(place, epochs[place.name])
+
+    def _epochs(self) -> dict[str, int]:
+        """Return the workers that this instance owns by the records."""
         myself = self._membership.myself.member_id
         epochs: dict[str, int] = {}
         for stored in self._state.ownerships().values():
             epochs.update(stored.ownership.owned_by(myself))
-        for name, keeper in tuple(self._keepers.items()):
-            if epochs.get(name) != keeper.worker.epoch:
-                self._drop(name)
-        self._fleet.note_listed(listed)
-        for worker in listed:
-            epoch = epochs.get(worker.name)
-            if epoch is not None and worker.name not in self._keepers:
-                self._own(worker, epoch)
+        return epochs
 
     def _own(self, listed: ListedInstance, epoch: int) -> None:
         may_start = listed.failure_domain == self._home
--- a/src/gentianpulley/task_entry.py
+++ b/src/gentianpulley/task_entry.py
@@ -27,7 +27,8 @@
 
     `stored` is the job record as placed, None for work without a record.
     `window_ms` is the deadline after which the worker refuses the start;
-    `polling` is held by the one thread that asks the worker for the answer.
+    `confirmed_ms` is when the worker first said that it knows the task, zero
+    before. `polling` is held by the one thread that asks for the answer.
     """
 
     order: TaskOrder
@@ -35,7 +36,7 @@
     worker: str = ''
     stored: StoredJob | None = None
     was_sent: bool = False
-    is_confirmed: bool = False
+    confirmed_ms: int = 0
     is_ending: bool = False
     window_ms: int = 0
     forget_after_ms: int = NEVER_MS
@@ -48,6 +49,15 @@
         """Return the id of the task."""
         return self.order.task_id
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Tell whether the worker has said that it knows the task."""
+        return self.confirmed_ms > 0
+
+    def confirm(self) -> None:
+        """Note that the worker knows the task."""
+        self.confirmed_ms = self.confirmed_ms or now_ms()
+
     def end(self, report: TaskReport) -> None:
         """Publish the final report to all who wait."""
         self.report = report
--- a/src/gentianpulley/task_runner.py
+++ b/src/gentianpulley/task_runner.py
@@ -204,7 +204,7 @@
         except WorkerSilentError as silent:
             self._log.worker_trouble(worker.name, silent.text)
             return self._send_again(entry, worker)
-        entry.is_confirmed = True
+        entry.confirm()
         return self._ending.take_status(entry, worker, status)
 
     def _send_again(self, entry: TaskEntry, worker: OwnedWorker) -> TaskReport:
@@ -223,7 +223,7 @@
         except WorkerError as failed:
             self._log.worker_trouble(worker.name, failed.text)
             return entry.report
-        entry.is_confirmed = True
+        entry.confirm()
         return self._ending.take_status(entry, worker, status)
 
     def _wait_on(self, entry: TaskEntry, wait_ms: int) -> TaskReport:
--- a/src/gentianpulley/worker.py
+++ b/src/gentianpulley/worker.py
@@ -136,6 +136,8 @@
     the effect is not known.
     """
 
+    address: HttpAddress
+
     @abstractmethod
     def describe(self) -> WorkerDescription:
         """Return what the worker offers."""
--- a/src/gentianpulley/worker_keeper.py
+++ b/src/gentianpulley/worker_keeper.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
-from gentianpulley.deadline import deadline_in, has_passed
+from gentianpulley.deadline import deadline_in, has_passed, now_ms
 from gentianpulley.errors import (
     StoreError,
     WorkerError,
@@ -23,7 +23,7 @@
 from gentianpulley.start_gate import StartGate
 from gentianpulley.task import running_report
 from gentianpulley.task_entry import TaskEntry, new_entry
-from gentianpulley.task_ending import ANSWER_KEPT_MS, ANSWER_STATES
+from gentianpulley.task_ending import ANSWER_KEPT_MS
 from gentianpulley.worker import TaskList, TaskState
 from gentianpulley.worker_fleet import WorkerFleet
 
@@ -73,12 +73,13 @@
     def _make_round(self) -> None:
         if not self._is_taken_over:
             self._take_over()
+        asked_ms = now_ms()
         listed = self.worker.renew(self.worker.take_forgettable())
         self._fleet.table.sweep()
         if listed.boot_id != self.worker.boot_id:
             self._handle_reboot()
             return
-        self._settle(listed)
+        self._settle(listed, asked_ms)
         if not self._are_jobs_adopted:
             self._adopt_jobs(listed)
         if self._should_empty():
@@ -125,38 +126,40 @@
         else:
             self._fleet.ending.lost(entry, self.worker)
 
-    def _settle(self, listed: TaskList) -> None:
+    def _settle(self, listed: TaskList, asked_ms: int) -> None:
         entries = self._fleet.table.active_on(self.worker.name)
         known = frozenset(entry.task_id for entry in entries)
         self.worker.settle_ledger(listed, known)
         states = {task.task_id: task.state for task in listed.tasks}
         for entry in entries:
-            state = states.get(entry.task_id, TaskState.ABSENT)
-            self._settle_entry(entry, state)
+            state = states.get(entry.task_id)
+            if state is None:
+                self._settle_absent(entry, asked_ms)
+            else:
+                self._settle_listed(entry, state)
         self._schedule_strangers(listed)
 
-    def _settle_entry(self, entry: TaskEntry, state: TaskState) -> None:
+    def _settle_listed(self, entry: TaskEntry, state: TaskState) -> None:
         if state is TaskState.RUNNING:
-            entry.is_confirmed = True
+            entry.confirm()
             entry.report = running_report(entry.task_id, self.worker.name)
-        elif state in ANSWER_STATES:
-            self._fetch_answer(entry)
-        elif state is TaskState.ABSENT:
-            self._settle_absent(entry)
         else:
             self._fetch_answer(entry)
 
-    def _settle_absent(self, entry: TaskEntry) -> None:
-        """Settle a task that the worker does not know.
+    def _settle_absent(self, entry: TaskEntry, asked_ms: int) -> None:
+        """Settle a task that was not on the list asked for at `asked_ms`.
 
-        Once its start window and the clock margin have passed, a start that
-        was sent can no longer take effect.
+        The list may be older than the task's start, so only what had come
+        before the question counts: a task that was confirmed by then is
+        lost, and a start whose window and clock margin were over by then can
+        no longer take effect.
         """
         if not entry.was_sent:
             return
         if entry.is_confirmed:
-            self._fleet.ending.lost(entry, self.worker)
-        elif has_passed(entry.window_ms + CLOCK_MARGIN_MS):
+            if entry.confirmed_ms < asked_ms:
+                self._fleet.ending.lost(entry, self.worker)
+        elif entry.window_ms + CLOCK_MARGIN_MS < asked_ms:
             self._fleet.ending.refused(entry, self.worker, WORKER_REFUSED)
 
     def _fetch_answer(self, entry: TaskEntry) -> None:
@@ -218,6 +221,6 @@
     entry = new_entry(order_of(stored, b''))
     entry.stored = stored
     entry.was_sent = True
-    entry.is_confirmed = True
+    entry.confirm()
     entry.report = running_report(entry.task_id, worker)
     return entry
--- a/standins/site.py
+++ b/standins/site.py
@@ -48,13 +48,7 @@
 
     def lines(self) -> list[dict[str, Any]]:
         """Return the JSON lines that the process has written."""
-        text = self.output.read_text()
-        whole = text[: text.rfind('\n') + 1]
-        return [
-            json.loads(line)
-            for line in whole.splitlines()
-            if line.startswith('{')
-        ]
+        return read_lines(self.output)
 
 
 @dataclass
@@ -67,6 +61,7 @@
     processes: dict[str, Process] = field(default_factory=dict)
     domains: dict[str, str] = field(default_factory=dict)
     network: Network | None = None
+    daemon_module: str = 'gentianpulley.daemon'
     http: PoolManager = field(
         default_factory=lambda: PoolManager(
             maxsize=64, timeout=Timeout(HTTP_TIMEOUT_S), retries=False
@@ -116,9 +111,7 @@
         }
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
-        process = self._spawn(
-            name, ['-m', 'gentianpulley.daemon', str(path)], port
-        )
+        process = self._spawn(name, ['-m', self.daemon_module, str(path)], port)
         process.peer_port = peer_port
         self.domains[name] = domain
         self.list_instance(name, 'entry')
@@ -219,8 +212,8 @@
         """Return what all workers recorded, in the order of time."""
         lines = [
             line
-            for process in self.processes.values()
-            for line in process.lines()
+            for output in self.folder.glob('*.out')
+            for line in read_lines(output)
             if 'event' in line and 'worker' in line
         ]
         return sorted(lines, key=lambda line: int(line['at_ms']))
@@ -285,6 +278,15 @@
         return process
 
 
+def read_lines(output: Path) -> list[dict[str, Any]]:
+    """Return the whole JSON lines of a file that may be growing."""
+    text = output.read_text()
+    whole = text[: text.rfind('\n') + 1]
+    return [
+        json.loads(line) for line in whole.splitlines() if line.startswith('{')
+    ]
+
+
 def free_port() -> int:
     """Return a port that is free at the moment."""
     with socket.socket() as probe:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,10 @@
 """Settings that all tests share."""
 
+import pytest
 from hypothesis import HealthCheck, settings
 
+from tests.guards import switch_off_named
+
 # The same examples on every run, however slow the machine is.
 settings.register_profile(
     'same-every-time',
@@ -11,3 +14,11 @@
     suppress_health_check=(HealthCheck.too_slow,),
 )
 settings.load_profile('same-every-time')
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Register the marker of proofs and switch off a named guard."""
+    config.addinivalue_line(
+        'markers', 'proof(*guards): fails when any one guard is off'
+    )
+    switch_off_named()
--- /dev/null
+++ b/tests/guards.py
@@ -0,0 +1,211 @@
+"""Switches guards off, so that proofs can be seen to fail without them.
+
+The shipped code has no such switches: each function here replaces one method
+from the outside. Daemons of a test site are patched by `tests.guarded_daemon`.
+"""
+
+import os
+from collections.abc import Callable
+from typing import Any, Final
+
+from gentianpulley import etcd_store, http_worker
+from gentianpulley.document import DocumentShelf
+from gentianpulley.entry_instance import EntryInstance
+from gentianpulley.etcd_messages import TxnRequest
+from gentianpulley.heartbeats import PeerHeartbeat
+from gentianpulley.job_store import Creation, JobStore
+from gentianpulley.ledger import WorkerLedger
+from gentianpulley.owned_worker import OwnedWorker
+from gentianpulley.ownership_keeper import OwnershipKeeper
+from gentianpulley.result_code import WORKER_REFUSED
+from gentianpulley.start_gate import Isolation, StartGate
+from gentianpulley.succession import Succession
+from gentianpulley.task_runner import TaskRunner
+from gentianpulley.worker import TaskList
+from gentianpulley.worker_fleet import WorkerFleet
+from gentianpulley.worker_keeper import WorkerKeeper
+
+VARIABLE: Final = 'GENTIANPULLEY_TEST_GUARD_OFF'
+HUGE_EPOCH: Final = 1 << 40
+
+
+def replace(owner: Any, name: str, member: Any) -> None:
+    """Replace a member of a class or module."""
+    setattr(owner, name, member)
+
+
+def ledger_capacity() -> None:
+    """Take every worker for idle."""
+    replace(WorkerLedger, 'free', property(lambda ledger: ledger.capacity))
+
+
+def takeover_adoption() -> None:
+    """Forget at a take-over what runs on the worker."""
+    original = OwnedWorker.take_over
+
+    def take_over(worker: OwnedWorker) -> TaskList:
+        listed = original(worker)
+        for task in listed.tasks:
+            worker.release(task.task_id)
+        return listed
+
+    replace(OwnedWorker, 'take_over', take_over)
+    replace(WorkerLedger, 'adopt', lambda ledger, tasks: None)
+
+
+def unknown_keeps_share() -> None:
+    """Release the share of a start whose answer was lost."""
+    original = TaskRunner._send_again
+
+    def send_again(runner: Any, entry: Any, worker: Any) -> Any:
+        report = original(runner, entry, worker)
+        worker.release(entry.task_id)
+        return report
+
+    replace(TaskRunner, '_send_again', send_again)
+
+
+def silent_is_unknown() -> None:
+    """Take a start without an answer for one that was not sent."""
+    replace(
+        TaskRunner,
+        '_send_again',
+        lambda runner, entry, worker: runner._ending.refused(
+            entry, worker, WORKER_REFUSED
+        ),
+    )
+
+
+def create_cas() -> None:
+    """Take every record for a new one."""
+    original = JobStore.create
+
+    def create(jobs: JobStore, job: Any, payload: bytes, until: int) -> Any:
+        created = original(jobs, job, payload, until)
+        return Creation(created.stored, is_new=True)
+
+    replace(JobStore, 'create', create)
+    without_compare()
+
+
+def without_compare() -> None:
+    """Write without comparing revisions."""
+    original = etcd_store._nested_txn
+
+    def nested_txn(write: Any) -> TxnRequest:
+        txn = original(write)
+        return TxnRequest(success=txn.success)
+
+    replace(etcd_store, '_nested_txn', nested_txn)
+
+
+def adoption_reads_list() -> None:
+    """Take every adopted job for one that its worker does not list."""
+    original = WorkerKeeper._adopt_jobs
+
+    def adopt(keeper: Any, listed: TaskList) -> None:
+        original(keeper, TaskList(listed.boot_id, listed.epoch, ()))
+
+    replace(WorkerKeeper, '_adopt_jobs', adopt)
+
+
+def epoch_fence() -> None:
+    """Send every command under an epoch that no fence refuses."""
+    original = OwnedWorker.__init__
+
+    def init(worker: Any, name: str, epoch: int, *args: Any, **kw: Any) -> None:
+        original(worker, name, HUGE_EPOCH, *args, **kw)
+
+    replace(OwnedWorker, '__init__', init)
+
+
+def gate_domain() -> None:
+    """Start tasks whatever the state of the failure domain."""
+    replace(StartGate, 'domain_is_out', lambda gate: False)
+
+
+def gossip() -> None:
+    """Learn nothing from peers."""
+    replace(PeerHeartbeat, '_catch_up', lambda *_: None)
+
+
+def isolation() -> None:
+    """Never take the failure domain for cut off."""
+    replace(Isolation, 'since_ms', lambda _: 0)
+
+
+def answer_check() -> None:
+    """Pass every answer on."""
+    replace(http_worker, '_checked', lambda status, task_id: status)
+
+
+def leaving() -> None:
+    """Take no worker for leaving."""
+    replace(WorkerFleet, 'is_leaving', lambda fleet, name: False)
+
+
+def drain() -> None:
+    """Stop without waiting for callers."""
+    replace(EntryInstance, '_wait_until_quiet', lambda instance, until: None)
+
+
+def revision_order() -> None:
+    """Put every document in force."""
+    replace(DocumentShelf, 'revision', lambda shelf, kind: -1)
+
+
+def informed() -> None:
+    """Trust the first document that comes."""
+    replace(StartGate, 'is_informed', lambda gate: gate._shelf.cfg is not None)
+
+
+def caretakers() -> None:
+    """Leave workers of an abandoned failure domain alone."""
+    replace(OwnershipKeeper, '_is_abandoned', lambda *_: False)
+
+
+def succession() -> None:
+    """Leave the jobs of dead coordinators alone."""
+    replace(Succession, '_adopt', lambda *_: None)
+
+
+def stale_list() -> None:
+    """Take every list for newer than all starts."""
+    original = WorkerKeeper._settle_absent
+    replace(
+        WorkerKeeper,
+        '_settle_absent',
+        lambda keeper, entry, asked_ms: original(
+            keeper, entry, HUGE_EPOCH << 10
+        ),
+    )
+
+
+GUARDS: dict[str, Callable[[], None]] = {
+    'ledger-capacity': ledger_capacity,
+    'takeover-adoption': takeover_adoption,
+    'unknown-keeps-share': unknown_keeps_share,
+    'silent-is-unknown': silent_is_unknown,
+    'create-cas': create_cas,
+    'compare': without_compare,
+    'adoption-reads-list': adoption_reads_list,
+    'epoch-fence': epoch_fence,
+    'gate-domain': gate_domain,
+    'gossip': gossip,
+    'isolation': isolation,
+    'answer-check': answer_check,
+    'leaving': leaving,
+    'drain': drain,
+    'revision-order': revision_order,
+    'informed': informed,
+    'caretakers': caretakers,
+    'succession': succession,
+    'stale-list': stale_list,
+}
+
+
+def switch_off_named() -> None:
+    """Switch off the guard that the environment names, if any."""
+    name = os.environ.get(VARIABLE, '')
+    if name:
+        GUARDS[name]()
--- /dev/null
+++ b/tests/owner_bench.py
@@ -0,0 +1,124 @@
+"""An owner without its daemon: the real parts on a worker and a platform."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from gentianpulley.cfg import encode_cfg
+from gentianpulley.cfg_folder import load_cfg_folder
+from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.deadline import deadline_in
+from gentianpulley.document import Document, DocumentKind, DocumentShelf
+from gentianpulley.etcd_store import connect_store
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.http_worker import HttpWorkerConnector
+from gentianpulley.instance_list import ListedInstance, Presence, Role
+from gentianpulley.job import StoredJob
+from gentianpulley.job_store import JobStore
+from gentianpulley.journal import Journal
+from gentianpulley.logs import EventLog
+from gentianpulley.membership import Membership
+from gentianpulley.owned_worker import OwnedWorker
+from gentianpulley.placement import create_placement
+from gentianpulley.resources import Resources
+from gentianpulley.start_gate import Isolation, StartGate
+from gentianpulley.store import Store
+from gentianpulley.task import TaskOrder
+from gentianpulley.task_ending import TaskEnding
+from gentianpulley.task_entry import TaskTable
+from gentianpulley.task_runner import TaskRunner
+from gentianpulley.worker_fleet import WorkerFleet
+from gentianpulley.worker_keeper import WorkerKeeper
+from standins.platform import HOST, Platform
+from standins.worker import Worker, WorkerSettings
+
+CFG_FOLDER: Final = Path(__file__).parent / 'cfg'
+
+
+@dataclass
+class OwnerBench:
+    """One owner; `requeued` holds the jobs that went back to the queue."""
+
+    store: Store
+    journal: Journal
+    jobs: JobStore
+    fleet: WorkerFleet
+    gate: StartGate
+    runner: TaskRunner
+    requeued: list[StoredJob]
+
+    def own(self, port: int, epoch: int) -> OwnedWorker:
+        """Own the worker behind a port and take it over."""
+        worker = self.fleet.own(_listed(port), epoch, may_start=True)
+        worker.take_over()
+        return worker
+
+    def keeper(self, worker: OwnedWorker) -> WorkerKeeper:
+        """Return a keeper that is driven by calls of `step`."""
+        return WorkerKeeper(
+            worker, self.fleet, self.jobs, self.gate, EventLog()
+        )
+
+
+def build_owner(platform: Platform, name: str = 'owner') -> OwnerBench:
+    """Return an owner that keeps its records on a platform stand-in."""
+    log = EventLog()
+    myself = MemberRecord(name, 'boot', 'leith', 'h:1', 'h:2')
+    store = connect_store(HttpAddress(HOST, platform.port))
+    journal = Journal(store, log)
+    journal.start()
+    jobs = JobStore(store, journal, log)
+    requeued: list[StoredJob] = []
+    table = TaskTable()
+    ending = TaskEnding(myself.member_id, table, jobs, requeued.append, log)
+    fleet = WorkerFleet(
+        HttpWorkerConnector(), create_placement(), table, ending, log
+    )
+    gate = _gate(myself, log)
+    runner = TaskRunner(myself.member_id, gate, fleet, jobs, log)
+    return OwnerBench(store, journal, jobs, fleet, gate, runner, requeued)
+
+
+def start_worker(**offer: Any) -> Worker:
+    """Start a worker stand-in on a thread."""
+    server = Worker(WorkerSettings('worker-1', 'leith', 'rack-1', 0, **offer))
+    server.run_in_background()
+    return server
+
+
+def order(
+    task_id: str, processors_milli: int = 1000, payload: bytes = b'{}'
+) -> TaskOrder:
+    """Return an order for work without a record."""
+    return TaskOrder(
+        task_id=task_id,
+        request_key=task_id.partition('#')[0],
+        incarnation=1,
+        work_class='fit-preview',
+        team='clinic',
+        need=Resources(processors_milli, 100),
+        start_before_ms=deadline_in(10_000),
+        deadline_ms=deadline_in(10_000),
+        payload=payload,
+    )
+
+
+def _gate(myself: MemberRecord, log: EventLog) -> StartGate:
+    shelf = DocumentShelf(log)
+    body = encode_cfg(load_cfg_folder(CFG_FOLDER)).decode()
+    shelf.offer(Document(DocumentKind.CFG, 1, 'bench', body))
+    state = ControlState(shelf, log)
+    state.has_snapshot = True
+    isolation = Isolation(state, Membership(state, myself))
+    return StartGate(shelf, isolation, myself.failure_domain)
+
+
+def _listed(port: int) -> ListedInstance:
+    return ListedInstance(
+        name='worker-1',
+        role=Role.WORKER,
+        failure_domain='leith',
+        presence=Presence.LIVE,
+        http=HttpAddress(HOST, port),
+        peer=None,
+    )
--- /dev/null
+++ b/tests/proofs/test_answers.py
@@ -0,0 +1,110 @@
+"""Every caller gets the whole answer to its own request."""
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from hashlib import sha256
+
+import msgspec
+import pytest
+
+from gentianpulley.deadline import deadline_in
+from gentianpulley.errors import WorkerSilentError
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.http_worker import HttpWorkerConnector
+from gentianpulley.worker import TaskState, TaskStatus
+from standins.http_server import Call, Reply, StandinServer
+from standins.network import DomainView
+from standins.site import HOST, Site
+from tests.contracts.worker_contract import command
+from tests.site_client import Ask, answer_bytes, start_site, submit
+
+WHOLE = b'the whole answer'
+GOOD = TaskStatus(
+    'mine#1',
+    TaskState.FINISHED,
+    WHOLE,
+    sha256(WHOLE).hexdigest(),
+    len(WHOLE),
+)
+
+DAMAGED = {
+    'of another task': replace(GOOD, task_id='other#1'),
+    'cut short': replace(GOOD, answer=WHOLE[:5]),
+    'changed': replace(GOOD, answer=WHOLE.upper()),
+    'cut short with its length': replace(GOOD, answer=WHOLE[:5], length=5),
+}
+
+
+class _FixedWorker(StandinServer):
+    status = GOOD
+
+    def serve(self, call: Call) -> Reply:
+        """Answer everything with the status."""
+        return Reply(200, msgspec.json.encode(self.status))
+
+
+@pytest.fixture
+def fixed() -> Iterator[_FixedWorker]:
+    server = _FixedWorker(HOST, 0)
+    server.run_in_background()
+    yield server
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.mark.proof('answer-check')
+@pytest.mark.parametrize('name', DAMAGED)
+def test_damaged_answer_is_never_passed_on(
+    fixed: _FixedWorker, name: str
+) -> None:
+    conn = HttpWorkerConnector().connect(HttpAddress(HOST, fixed.port))
+    assert conn.status('mine#1', 0).answer == WHOLE
+    fixed.status = DAMAGED[name]
+    with pytest.raises(WorkerSilentError):
+        conn.status('mine#1', 0)
+    late = replace(command('mine#1'), start_before_ms=deadline_in(1000))
+    with pytest.raises(WorkerSilentError):
+        conn.start(late, 0)
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    running = start_site(workers=2, entries=1, partitioned=True)
+    yield running
+    running.stop()
+
+
+def silence_all(view: DomainView) -> None:
+    """Leave every open connection of a domain silent for good."""
+    for proxy in view.proxies.values():
+        proxy.silence_open()
+
+
+def test_silent_connections_cross_no_answers(site: Site) -> None:
+    """All open connections go silent under load; new ones work."""
+    asks = [
+        Ask(
+            f'p-{number}',
+            task={'run_ms': 50 + 10 * (number % 20), 'echo': f'e{number}'},
+            deadline_ms=15_000,
+        )
+        for number in range(60)
+    ]
+
+    def send(ask: Ask) -> bool:
+        entry = 'e-leith-0' if len(ask.key) % 2 else 'e-gorgie-0'
+        answer = submit(site, entry, ask)
+        body = answer_bytes(answer)
+        echo = ask.task['echo'].encode()
+        return body.startswith(ask.key.encode()) and echo + b':' in body
+
+    assert site.network is not None
+    with ThreadPoolExecutor(12) as pool:
+        futs = [pool.submit(send, ask) for ask in asks]
+        for _ in range(2):
+            time.sleep(0.4)
+            for view in site.network.views.values():
+                silence_all(view)
+        assert all(fut.result() for fut in futs)
--- /dev/null
+++ b/tests/proofs/test_capacity.py
@@ -0,0 +1,203 @@
+"""No instance is given more work than it can hold."""
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianpulley.ledger import WorkerLedger
+from gentianpulley.resources import NOTHING, Resources
+from gentianpulley.task import TaskPhase
+from gentianpulley.worker import TaskState, TaskSummary, WorkerDescription
+from gentianpulley.worker_keeper import WorkerKeeper
+from standins.promises import Capacity, false_reports, overcommitted
+from standins.site import Site, wait_for
+from standins.tcp_proxy import LinkState, TcpProxy
+from standins.worker import Worker
+from tests.owner_bench import OwnerBench, order
+from tests.site_client import Ask, start_site, starts_of, submit
+
+OTHERS = {
+    'e-leith-0': 'e-leith-1',
+    'e-leith-1': 'e-leith-0',
+    'e-gorgie-0': 'e-gorgie-1',
+    'e-gorgie-1': 'e-gorgie-0',
+}
+SMALL = Capacity(processors_milli=6000, memory_mib=6000)
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    running = start_site(
+        workers=1, entries=2, processors_milli=6000, memory_mib=6000
+    )
+    yield running
+    running.stop()
+
+
+def burst(site: Site, entry: str, count: int) -> dict[str, str]:
+    """Send many previews at once and return their outcomes."""
+    asks = [
+        Ask(
+            f'b-{entry}-{number}',
+            task={'run_ms': 150},
+            processors_milli=2500,
+            deadline_ms=6000,
+        )
+        for number in range(count)
+    ]
+    with ThreadPoolExecutor(count) as pool:
+        answers = list(pool.map(lambda ask: submit(site, entry, ask), asks))
+    return {answer['request_key']: answer['outcome'] for answer in answers}
+
+
+@pytest.mark.proof('ledger-capacity')
+def test_burst_never_overcommits(site: Site) -> None:
+    outcomes = burst(site, 'e-leith-0', 24)
+    assert not list(overcommitted(site.record(), SMALL))
+    assert not list(false_reports(site.record(), outcomes))
+    assert 'done' in outcomes.values()
+
+
+@pytest.mark.proof('takeover-adoption')
+def test_take_over_counts_what_runs(site: Site) -> None:
+    """The owner dies while its worker is full; the successor knows."""
+    fill = Ask('fill', 'scaling-run', {'run_ms': 30_000}, 5000, 5000)
+    submit(site, 'e-leith-0', fill, wait_ms=0)
+    wait_for(lambda: starts_of(site, 'fill'))
+    worker = starts_of(site, 'fill')[0]['worker']
+    owner = owner_of(site, worker)
+    other = OTHERS[owner]
+    site.processes[owner].kill()
+    wait_for(lambda: owner_of(site, worker) == other, 20)
+    burst(site, other, 6)
+    assert not list(overcommitted(site.record(), SMALL))
+
+
+def owner_of(site: Site, worker: str) -> str:
+    """Return the entry that owns a worker, or nothing."""
+    for name in site.processes:
+        if name.startswith('e-') and site.is_running(name):
+            status = site.call(name, 'GET', '/v1/status')
+            owned = {row['name'] for row in status['workers'] if row['is_open']}
+            if worker in owned:
+                return name
+    return ''
+
+
+@pytest.mark.proof('unknown-keeps-share')
+def test_unknown_start_keeps_its_share(
+    bench: OwnerBench, worker: Worker, link: TcpProxy
+) -> None:
+    """A start whose answer is lost holds its room until the list tells."""
+    owned = bench.own(link.port, 1)
+    keeper = bench.keeper(owned)
+    link.switch(LinkState.ONE_WAY)
+    payload = b'{"run_ms": 60000}'
+    lost = bench.runner.run(order('lost#1', 3000, payload), 10)
+    assert lost.phase is TaskPhase.RUNNING
+    link.switch(LinkState.UP)
+    assert bench.runner.run(order('next#1', 3000), 10).phase is (
+        TaskPhase.NOT_RUN
+    )
+    keeper.step()
+    assert owned.view() is not None
+    listed = owned.renew(())
+    assert [task.task_id for task in listed.tasks] == ['lost#1']
+    assert bench.runner.run(order('fits#1', 1000), 500).phase is (
+        TaskPhase.FINISHED
+    )
+
+
+@pytest.mark.proof('silent-is-unknown')
+def test_lost_start_answer_is_never_not_run(
+    bench: OwnerBench, worker: Worker, link: TcpProxy
+) -> None:
+    """Not run is said only of what truly was not run."""
+    keeper = bench.keeper(bench.own(link.port, 1))
+    link.switch(LinkState.ONE_WAY)
+    sent = order('lost#1', payload=b'{"run_ms": 3500}')
+    report = bench.runner.run(sent, 10)
+    assert report.phase is TaskPhase.RUNNING
+    link.switch(LinkState.UP)
+    wait_for(lambda: _stepped(keeper, bench, sent.task_id), 8)
+    report = bench.runner.await_answer('lost#1', 'worker-1', 5000)
+    assert report.phase is TaskPhase.FINISHED
+
+
+def test_start_that_never_arrived_is_proved_not_run(
+    bench: OwnerBench, worker: Worker, link: TcpProxy
+) -> None:
+    keeper = bench.keeper(bench.own(link.port, 1))
+    link.switch(LinkState.SILENT)
+    bench.runner.run(order('gone#1', 3000), 10)
+    link.switch(LinkState.UP)
+    keeper.step()
+    assert bench.runner.run(order('next#1', 3000), 10).phase is (
+        TaskPhase.NOT_RUN
+    )
+    time.sleep(2.6)
+    keeper.step()
+    assert bench.runner.run(order('later#1', 3000), 500).phase is (
+        TaskPhase.FINISHED
+    )
+    assert bench.fleet.table.find('gone#1') is None
+
+
+def _stepped(keeper: WorkerKeeper, bench: OwnerBench, task_id: str) -> bool:
+    keeper.step()
+    entry = bench.fleet.table.find(task_id)
+    return entry is not None and entry.is_confirmed
+
+
+NEED = st.builds(
+    Resources,
+    st.integers(1, 5),
+    st.integers(1, 5),
+    st.integers(0, 2),
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('admit', 'adopt', 'release')),
+        st.integers(0, 6),
+        NEED,
+    ),
+    max_size=40,
+)
+
+
+@given(STEPS)
+def test_ledger_admits_only_what_fits(
+    steps: list[tuple[str, int, Resources]],
+) -> None:
+    """Whatever the order of steps, an admission never overfills."""
+    capacity = Resources(10, 10, 3)
+    ledger = WorkerLedger(
+        WorkerDescription('w', 'b', 'd', 'r', capacity, 4, 64)
+    )
+    rows: dict[str, Resources] = {}
+    for action, number, need in steps:
+        task_id = f't{number}'
+        if action == 'release':
+            ledger.release(task_id)
+            rows.pop(task_id, None)
+        elif action == 'adopt':
+            task = TaskSummary(task_id, TaskState.RUNNING, 'c', need)
+            ledger.adopt((task,))
+            rows.setdefault(task_id, need)
+        elif ledger.admit(task_id, need) and task_id not in rows:
+            rows[task_id] = need
+            used = _sum(rows)
+            assert used.fits_in(capacity)
+            assert len(rows) <= 4
+        assert ledger.free == capacity.minus(_sum(rows))
+
+
+def _sum(rows: dict[str, Resources]) -> Resources:
+    total = NOTHING
+    for need in rows.values():
+        total = total.plus(need)
+    return total
--- /dev/null
+++ b/tests/proofs/test_once.py
@@ -0,0 +1,276 @@
+"""Nothing that must run once runs twice, whoever dies, freezes or races."""
+
+import signal
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from gentianpulley.deadline import deadline_in
+from gentianpulley.job import (
+    Placement,
+    StoredJob,
+    new_job,
+    order_of,
+    refusal_result,
+)
+from gentianpulley.cfg import WorkClass
+from gentianpulley.job_store import JobStore
+from gentianpulley.request import Request
+from gentianpulley.resources import Resources
+from gentianpulley.result_code import OK
+from gentianpulley.task import TaskOrder, TaskPhase
+from gentianpulley.worker import Renewal, TaskList
+from standins.platform import Platform
+from standins.promises import (
+    false_reports,
+    incarnations_twice,
+    overlapping,
+    started_twice,
+)
+from standins.site import Site, wait_for
+from standins.worker import Worker
+from tests.owner_bench import OwnerBench, build_owner, order
+from tests.site_client import Ask, start_site, starts_of, status, submit
+
+ENTRIES = ('e-leith-0', 'e-leith-1', 'e-gorgie-0', 'e-gorgie-1')
+BUILD = WorkClass(urgent=False, idempotent=False)
+RUN = WorkClass(urgent=False, idempotent=True, resumable=True)
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    running = start_site(workers=1, entries=2)
+    yield running
+    running.stop()
+
+
+def new_stored(bench: OwnerBench, key: str, work_class: WorkClass) -> StoredJob:
+    """Write the record of a new job and return it."""
+    req = Request(
+        request_key=key,
+        work_class='last-build',
+        team='clinic',
+        need=Resources(1000, 100),
+        deadline_ms=deadline_in(20_000),
+        idempotent=work_class.idempotent,
+        payload=b'{"run_ms": 300}',
+    )
+    job = new_job(req, work_class, 'dead.boot', deadline_in(60_000))
+    return bench.jobs.create(job, req.payload, deadline_in(2000)).stored
+
+
+def recorded_order(stored: StoredJob) -> TaskOrder:
+    """Return the order for a queued job."""
+    return order_of(stored, b'{"run_ms": 300}')
+
+
+def places_of(site: Site) -> set[str]:
+    """Return the entries that own a worker on which something runs."""
+    return {
+        name
+        for name in ENTRIES
+        if site.is_running(name)
+        for row in site.call(name, 'GET', '/v1/status')['workers']
+        if row['tasks']
+    }
+
+
+def check_record(site: Site) -> None:
+    """Hold the workers' record against what must never happen."""
+    record = site.record()
+    assert not list(started_twice(record, ['last-build']))
+    assert not list(overlapping(record, ['last-build', 'scaling-run']))
+    assert not list(incarnations_twice(record))
+
+
+@pytest.mark.proof('create-cas')
+def test_same_key_at_every_entry_runs_once(site: Site) -> None:
+    ask = Ask('all', 'last-build', {'run_ms': 600})
+    with ThreadPoolExecutor(len(ENTRIES)) as pool:
+        answers = list(
+            pool.map(lambda entry: submit(site, entry, ask), ENTRIES)
+        )
+    assert {answer['answer'] for answer in answers} == {answers[0]['answer']}
+    check_record(site)
+
+
+@pytest.mark.proof('adoption-reads-list')
+def test_killed_owner_is_succeeded_without_a_second_start(
+    site: Site,
+) -> None:
+    submit(site, 'e-gorgie-0', Ask('b', 'last-build', {'run_ms': 12_000}), 0)
+    wait_for(lambda: places_of(site))
+    time.sleep(1)
+    for owner in places_of(site):
+        site.processes[owner].kill()
+    alive = [name for name in ENTRIES if site.is_running(name)]
+    answer = status(site, alive[0], 'b', wait_ms=25_000)
+    assert answer['outcome'] == 'done'
+    check_record(site)
+
+
+@pytest.mark.proof('succession')
+def test_killed_coordinator_is_succeeded(site: Site) -> None:
+    """A queued job outlives the instance that accepted it."""
+    fill = [
+        Ask(f'fill-{number}', 'scaling-run', {'run_ms': 4000}, 60_000, 1000)
+        for number in range(2)
+    ]
+    for ask in fill:
+        submit(site, 'e-leith-0', ask, 0)
+    wait_for(lambda: len(site.record()) == 2)
+    queued = Ask('queued', 'last-build', {'run_ms': 100}, 60_000, 1000)
+    answer = submit(site, 'e-gorgie-1', queued, 0)
+    assert answer['outcome'] == 'pending'
+    site.processes['e-gorgie-1'].kill()
+    answer = status(site, 'e-leith-0', 'queued', wait_ms=25_000)
+    assert answer['outcome'] == 'done'
+    check_record(site)
+
+
+def test_frozen_instance_comes_back_harmless(site: Site) -> None:
+    """An instance freezes past its lease with work on its way, and returns."""
+    asks = [
+        Ask(f'{work_class}-{number}', work_class, {'run_ms': 2500})
+        for number in range(3)
+        for work_class in ('last-build', 'scaling-run')
+    ]
+    for ask in asks:
+        submit(site, 'e-leith-0', ask, 0)
+    site.processes['e-leith-0'].signal(signal.SIGSTOP)
+    time.sleep(9)
+    site.processes['e-leith-0'].signal(signal.SIGCONT)
+    outcomes: dict[str, Any] = {}
+    for ask in asks:
+        answer = status(site, 'e-gorgie-0', ask.key, wait_ms=20_000)
+        outcomes[ask.key] = answer['outcome']
+    assert set(outcomes.values()) == {'done'}
+    check_record(site)
+    assert not list(false_reports(site.record(), outcomes))
+
+
+def test_killed_worker_leaves_no_double_run(site: Site) -> None:
+    """A build's worker dies: unknown, never again. A run starts anew."""
+    submit(site, 'e-leith-0', Ask('b', 'last-build', {'run_ms': 3000}), 0)
+    submit(site, 'e-leith-0', Ask('r', 'scaling-run', {'run_ms': 3000}), 0)
+    wait_for(lambda: starts_of(site, 'b') and starts_of(site, 'r'))
+    used = {starts_of(site, key)[0]['worker'] for key in ('b', 'r')}
+    for worker in used:
+        site.processes[worker].kill()
+        site.start_worker(worker, site.domains[worker])
+    run = status(site, 'e-gorgie-0', 'r', wait_ms=20_000)
+    build = status(site, 'e-gorgie-0', 'b', wait_ms=10_000)
+    assert run['outcome'] == 'done'
+    assert build['outcome'] == 'unknown'
+    assert len(starts_of(site, 'b')) <= 1
+
+
+@pytest.mark.proof('epoch-fence')
+def test_paused_owner_cannot_start_after_a_fence(
+    platform: Platform, bench: OwnerBench, worker: Worker
+) -> None:
+    """The owner passes every check, pauses, and sends too late."""
+    successor = build_owner(platform, 'successor')
+    bench.own(worker.port, 1)
+    successor.own(worker.port, 2)
+    report = bench.runner.run(order('late#1'), 100)
+    assert report.phase is TaskPhase.NOT_RUN
+    assert bench.fleet.find('worker-1') is None
+    assert successor.runner.run(order('new#1'), 500).code is OK
+
+
+@pytest.mark.proof('compare')
+def test_two_successors_adopt_a_job_once(
+    platform: Platform, bench: OwnerBench
+) -> None:
+    stored = new_stored(bench, 'orphan', RUN)
+    others = [build_owner(platform, f'o{number}').jobs for number in range(4)]
+
+    def adopt(jobs: JobStore) -> StoredJob | None:
+        return jobs.adopt(stored, f'{id(jobs)}.boot', deadline_in(5000))
+
+    with ThreadPoolExecutor(4) as pool:
+        adopted = list(pool.map(adopt, others))
+    assert sum(job is not None for job in adopted) == 1
+
+
+@pytest.mark.proof('compare')
+def test_two_owners_place_a_job_once(
+    platform: Platform, bench: OwnerBench, worker: Worker
+) -> None:
+    """Two owners get the same order; one of them may start it."""
+    stored = new_stored(bench, 'both', BUILD)
+    other = build_owner(platform, 'other')
+    bench.own(worker.port, 1)
+    placement = Placement('w-2', 'b', 'leith', 'other.boot', 1, 0)
+    verdict = other.jobs.place(stored, placement).result()
+    assert verdict.applied
+    report = bench.runner.run(recorded_order(stored), 500)
+    assert report.phase is TaskPhase.NOT_RUN
+
+
+@pytest.mark.proof('compare')
+def test_finished_job_never_comes_back(
+    platform: Platform, bench: OwnerBench, worker: Worker
+) -> None:
+    """A job cancelled by one instance is not started by another."""
+    stored = new_stored(bench, 'gone', BUILD)
+    ended = bench.jobs.finish_now(stored, refusal_result(OK), deadline_in(2000))
+    assert ended is not None
+    bench.own(worker.port, 1)
+    report = bench.runner.run(recorded_order(stored), 500)
+    assert report.phase is TaskPhase.NOT_RUN
+    assert bench.jobs.adopt(stored, 'x.y', deadline_in(2000)) is None
+
+
+@pytest.mark.proof('compare')
+def test_evicted_job_is_queued_again_once(
+    platform: Platform, bench: OwnerBench, worker: Worker
+) -> None:
+    """Checkpoint and requeue, then a second owner that knows less."""
+    stored = new_stored(bench, 'evicted', RUN)
+    owned = bench.own(worker.port, 1)
+    bench.runner.run(recorded_order(stored), 0)
+    entry = bench.fleet.table.find('evicted#1')
+    assert entry is not None
+    assert entry.stored is not None
+    status_of = owned.conn.checkpoint('evicted#1', owned.epoch)
+    other = build_owner(platform, 'other')
+    for name, each in (('one.boot', bench), ('two.boot', other)):
+        moved = entry.stored.job.requeue(
+            name, status_of.checkpoint, evicted=True
+        )
+        each.jobs.requeue(entry.stored, moved, each.requeued.append)
+    time.sleep(0.5)
+    queued = (*bench.requeued, *other.requeued)
+    assert len(queued) == 1
+    assert queued[0].job.incarnation == 2
+    assert queued[0].job.checkpoint == status_of.checkpoint
+
+
+@pytest.mark.proof('stale-list')
+def test_start_during_a_renewal_is_not_taken_for_lost(
+    bench: OwnerBench, worker: Worker
+) -> None:
+    """The worker's list is older than a start that was confirmed meanwhile."""
+    keeper = bench.keeper(bench.own(worker.port, 1))
+    keeper.step()
+    owned = bench.fleet.find('worker-1')
+    assert owned is not None
+    stored = new_stored(bench, 'raced', RUN)
+    renew = owned.conn.renew
+
+    def renew_then_start(renewal: Renewal) -> TaskList:
+        listed = renew(renewal)
+        bench.runner.run(recorded_order(stored), 0)
+        return listed
+
+    setattr(owned.conn, 'renew', renew_then_start)
+    keeper.step()
+    assert not bench.requeued
+    entry = bench.fleet.table.find('raced#1')
+    assert entry is not None
+    assert not entry.ended.is_set()
--- a/tests/site_client.py
+++ b/tests/site_client.py
@@ -16,6 +16,7 @@
 from standins.site import HOST, Site
 
 CFG_FOLDER: Final = Path(__file__).parent / 'cfg'
+DAEMON: Final = 'tests.guarded_daemon'
 DOMAINS: Final = ('leith', 'gorgie')
 IDEMPOTENT: Final = frozenset(('fit-preview', 'scaling-run'))
 
@@ -89,7 +90,7 @@
 ) -> Site:
     """Start a site with that many workers and entries in each domain."""
     network = Network(DOMAINS) if partitioned else None
-    site = Site(network=network)
+    site = Site(network=network, daemon_module=DAEMON)
     site.start_platform()
     put_cfg(site)
     for domain in DOMAINS:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -77,6 +77,7 @@
     assert any('store_calls_total' in line for line in lines)
 
 
+@pytest.mark.proof('drain')
 def test_planned_stop_cuts_off_no_request(site: Site) -> None:
     """SIGTERM under load: every request sent before it is answered whole."""
     work = [
