Keep cancelled jobs cancelled and owned workers' jobs in place

A task stopped without a checkpoint now counts as cancelled. - A worker missing on the instance list for a minute, or with the list never read, had its jobs queued again although its owner kept their leases. Only workers without a live owner are settled now.

--- a/src/gentianpulley/membership.py
+++ b/src/gentianpulley/membership.py
@@ -69,6 +69,7 @@
         self._state = state
         self._lock = threading.Lock()
         self._listed: tuple[ListedInstance, ...] = ()
+        self._has_list = False
         self._heard: dict[str, _Heard] = {}
         self.myself = myself
 
@@ -76,6 +77,7 @@
         """Take a new reading of the instance list."""
         with self._lock:
             self._listed = listed
+            self._has_list = True
 
     def note_heartbeat(self, status: PeerStatus) -> None:
         """Take a heartbeat that a peer sent or answered."""
@@ -139,9 +141,12 @@
         )
 
     def lists_worker(self, name: str) -> bool:
-        """Tell whether the instance list has the worker."""
+        """Tell whether the instance list has the worker.
+
+        True also before the list was ever read.
+        """
         with self._lock:
-            return any(
+            return not self._has_list or any(
                 entry.name == name
                 for entry in self._listed
                 if entry.role is Role.WORKER
--- a/src/gentianpulley/recorded_requests.py
+++ b/src/gentianpulley/recorded_requests.py
@@ -36,6 +36,7 @@
     RECORD_UNSETTLED,
     STORE_UNAVAILABLE,
     UNKNOWN_KEY,
+    Outcome,
     ResultCode,
 )
 from gentianpulley.ruling import Subject, keep_until_ms
@@ -152,7 +153,22 @@
         if stored.job.state is JobState.FINISHED or placement is None:
             return report_of_job(stored.job)
         task = self._follower.cancel(stored.job.task_id, placement.worker)
-        return report_of_task(request_key, task)
+        return self._recorded_end(request_key, task)
+
+    def _recorded_end(
+        self, request_key: str, task: TaskReport
+    ) -> RequestReport:
+        """Wait until a task's end stands in its record, for a while.
+
+        Whoever asks after the canceller was answered then hears the same.
+        """
+        report = report_of_task(request_key, task)
+        if task.phase is TaskPhase.RUNNING:
+            return report
+        recorded = self.follow(request_key, deadline_in(CREATE_TIMEOUT_MS))
+        if recorded.code.outcome is Outcome.PENDING:
+            return report
+        return recorded
 
     def _is_over(self, wait_until_ms: int) -> bool:
         return self._is_closing or has_passed(wait_until_ms)
--- a/src/gentianpulley/succession.py
+++ b/src/gentianpulley/succession.py
@@ -110,14 +110,16 @@
     def _settle_workers_gone(self, members: tuple[str, ...]) -> None:
         """Move on jobs placed on workers that left the instance list.
 
-        Workers stop tasks whose leases lapse, so after a long absence from
-        the list nothing runs there any more.
+        Without a live owner nobody renews the leases there, and workers stop
+        tasks whose leases lapse. A worker that has an owner is the owner's to
+        settle, whatever the list says: the list may be wrong.
         """
         myself = self._membership.myself.member_id
         missing = {
             worker
             for worker in self._jobs.placed_workers()
             if not self._membership.lists_worker(worker)
+            and self._state.owner_of(worker) not in members
         }
         for worker in tuple(self._missing_until_ms):
             if worker not in missing:
--- a/src/gentianpulley/task_ending.py
+++ b/src/gentianpulley/task_ending.py
@@ -64,6 +64,8 @@
             self._answered(entry, worker, status)
         elif status.checkpoint:
             self.evicted(entry, worker, status.checkpoint)
+        elif status.state is TaskState.STOPPED:
+            self.cancelled(entry, worker, has_run=True)
         else:
             self.lost(entry, worker)
         return entry.report
--- a/src/gentianpulley/task_runner.py
+++ b/src/gentianpulley/task_runner.py
@@ -101,21 +101,26 @@
         return report_of_stranger(task_id, worker, status)
 
     def cancel(self, task_id: str, worker: str) -> TaskReport:
-        """Stop a task and report how it ended."""
+        """Stop a task and report how it ended.
+
+        A task that is still on its way to its worker is reported as running;
+        the caller may ask again.
+        """
         owned = self._fleet.find(worker)
         entry = self._table.find(task_id)
         if owned is None or entry is None:
             return TaskReport(
                 task_id, TaskPhase.MOVED, OUTCOME_UNKNOWN, worker=worker
             )
+        if not entry.was_sent:
+            return entry.report
         try:
             status = owned.conn.stop(task_id, owned.epoch)
         except WorkerError as exc:
             self._log.worker_trouble(worker, exc.text)
             return entry.report
-        if status.state in {TaskState.STOPPED, TaskState.ABSENT}:
-            has_run = status.state is TaskState.STOPPED
-            return self._ending.cancelled(entry, owned, has_run=has_run)
+        if status.state is TaskState.ABSENT:
+            return self._ending.cancelled(entry, owned, has_run=False)
         return self._ending.take_status(entry, owned, status)
 
     def _place_and_start(self, entry: TaskEntry, wait_ms: int) -> TaskReport:
--- a/src/gentianpulley/worker.py
+++ b/src/gentianpulley/worker.py
@@ -14,7 +14,11 @@
 
 
 class TaskState(enum.StrEnum):
-    """What a worker says about a task."""
+    """What a worker says about a task.
+
+    `STOPPED` is said only of tasks that an owner had stopped: with a
+    checkpoint to go on elsewhere, without one because it was cancelled.
+    """
 
     RUNNING = 'running'
     FINISHED = 'finished'
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -20,6 +20,7 @@
 from gentianpulley.result_code import WORKER_REFUSED
 from gentianpulley.start_gate import Isolation, StartGate
 from gentianpulley.succession import Succession
+from gentianpulley.task_ending import TaskEnding
 from gentianpulley.task_runner import TaskRunner
 from gentianpulley.worker import TaskList
 from gentianpulley.worker_fleet import WorkerFleet
@@ -181,6 +182,15 @@
     )
 
 
+def stopped_is_cancelled() -> None:
+    """Take a stopped task for one that was lost."""
+    replace(
+        TaskEnding,
+        'cancelled',
+        lambda ending, entry, worker, has_run: ending.lost(entry, worker),
+    )
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     'ledger-capacity': ledger_capacity,
     'takeover-adoption': takeover_adoption,
@@ -201,6 +211,7 @@
     'caretakers': caretakers,
     'succession': succession,
     'stale-list': stale_list,
+    'stopped-is-cancelled': stopped_is_cancelled,
 }
 
 
--- a/tests/proofs/test_once.py
+++ b/tests/proofs/test_once.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -13,6 +14,7 @@
 from gentianpulley.deadline import deadline_in
 from gentianpulley.document import DocumentShelf
 from gentianpulley.job import (
+    JobState,
     Placement,
     StoredJob,
     new_job,
@@ -35,6 +37,7 @@
     started_twice,
 )
 from standins.site import Site, wait_for
+from standins.tcp_proxy import LinkState, TcpProxy
 from standins.worker import Worker
 from tests.owner_bench import OwnerBench, build_owner, order
 from tests.site_client import Ask, start_site, starts_of, status, submit
@@ -301,3 +304,26 @@
     assert bench.jobs.read('expired') is None
     assert bench.jobs.read('kept') is not None
     assert bench.jobs.read('open') is not None
+
+
+@pytest.mark.proof('stopped-is-cancelled')
+def test_cancelled_run_never_comes_back(
+    bench: OwnerBench, worker: Worker, link: TcpProxy
+) -> None:
+    """The answer to the cancellation is lost; the list tells later."""
+    keeper = bench.keeper(bench.own(link.port, 1))
+    keeper.step()
+    stored = new_stored(bench, 'cancelled', RUN)
+    slow = replace(recorded_order(stored), payload=b'{"run_ms": 60000}')
+    bench.runner.run(slow, 0)
+    link.switch(LinkState.ONE_WAY)
+    bench.runner.cancel('cancelled#1', 'worker-1')
+    link.switch(LinkState.UP)
+    keeper.step()
+    wait_for(lambda: _has_ended(bench, 'cancelled'), 5)
+    assert not bench.requeued
+
+
+def _has_ended(bench: OwnerBench, key: str) -> bool:
+    stored = bench.jobs.read(key)
+    return stored is not None and stored.job.state is not JobState.PLACED
--- /dev/null
+++ b/tests/proofs/test_succession.py
@@ -0,0 +1,93 @@
+"""Jobs on workers that are gone, and on workers that only seem to be."""
+
+import msgspec
+import pytest
+
+from gentianpulley.cfg import WorkClass
+from gentianpulley.control_keys import member_key, owners_key
+from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.deadline import deadline_in
+from gentianpulley.document import DocumentShelf
+from gentianpulley.job import JobState, Placement, StoredJob, new_job
+from gentianpulley.job_queue import JobQueue
+from gentianpulley.logs import EventLog
+from gentianpulley.membership import Membership
+from gentianpulley.ownership import Ownership, encode_ownership
+from gentianpulley.request import Request
+from gentianpulley.resources import Resources
+from gentianpulley.store import Change, Entry
+from gentianpulley.succession import Succession
+from tests.owner_bench import OwnerBench
+
+CONSTANT = 'gentianpulley.succession.WORKER_GONE_AFTER_MS'
+MYSELF = MemberRecord('e', 'boot', 'leith', 'h:1', 'h:2')
+RUN = WorkClass(urgent=False, idempotent=True, resumable=True)
+
+
+class _Queue(JobQueue):
+    """Takes requeued jobs and does nothing with them."""
+
+    def __init__(self) -> None:
+        """Need no parts."""
+
+    def add_requeued(self, stored: StoredJob) -> None:
+        """Take a job."""
+
+
+def placed_job(bench: OwnerBench, worker: str) -> None:
+    """Record a job that is placed on a worker."""
+    req = Request('k', 'c', 't', Resources(1, 1), deadline_in(60_000), True)
+    job = new_job(req, RUN, MYSELF.member_id, deadline_in(60_000))
+    stored = bench.jobs.create(job, b'', deadline_in(2000)).stored
+    placement = Placement(worker, 'b', 'leith', 'e.boot', 1, 0)
+    bench.jobs.place(stored, placement).result()
+
+
+def state_with_owner(owner: str) -> ControlState:
+    """Return a state with one member and an owner of the worker."""
+    log = EventLog()
+    state = ControlState(DocumentShelf(log), log)
+    owners = encode_ownership(Ownership().claim(['w-9'], owner))
+    records = {
+        member_key('e'): msgspec.json.encode(MYSELF),
+        owners_key('leith'): owners,
+    }
+    state.apply(
+        tuple(
+            Change(key, Entry(key, body, 1), 1) for key, body in records.items()
+        )
+    )
+    return state
+
+
+@pytest.mark.parametrize(
+    ('owner', 'is_list_read', 'expected'),
+    (
+        ('e.boot', True, JobState.PLACED),
+        ('dead.boot', False, JobState.PLACED),
+        ('dead.boot', True, JobState.QUEUED),
+    ),
+    ids=('owner is alive', 'list never read', 'owner is gone'),
+)
+def test_unlisted_worker_is_settled_only_without_an_owner(
+    bench: OwnerBench,
+    monkeypatch: pytest.MonkeyPatch,
+    owner: str,
+    is_list_read: bool,
+    expected: JobState,
+) -> None:
+    monkeypatch.setattr(CONSTANT, -1)
+    placed_job(bench, 'w-9')
+    state = state_with_owner(owner)
+    membership = Membership(state, MYSELF)
+    if is_list_read:
+        membership.note_listed(())
+    queue = _Queue()
+    Succession(state, membership, bench.jobs, queue, EventLog()).step()
+    deadline = deadline_in(1500)
+    stored = bench.jobs.read('k')
+    while stored and stored.job.state is not expected:
+        assert deadline_in(0) < deadline
+        stored = bench.jobs.read('k')
+    assert stored is not None
+    assert stored.job.state is expected
