Remove code that nothing calls

Cause: reading as a newcomer: pruning of ownership rows, a queue read, a capacity accessor and a creation time had no callers. Conclusion: no change of behaviour; lint, types and the in-process proofs pass.

--- a/src/gentianpulley/job_store.py
+++ b/src/gentianpulley/job_store.py
@@ -20,7 +20,6 @@
     placed_key,
     placed_prefix,
     queue_key,
-    queue_prefix,
 )
 from gentianpulley.deadline import MS_PER_SECOND
 from gentianpulley.errors import StoreRefusedError
@@ -193,12 +192,6 @@
             if placed is not None and _is_on(placed.job, worker)
         )
 
-    def queued_of(self, coordinator: str) -> tuple[str, ...]:
-        """Return the request keys in a coordinator's queue index."""
-        prefix = queue_prefix(coordinator)
-        found = self._store.read_prefix(prefix)
-        return tuple(entry.key.removeprefix(prefix) for entry in found.entries)
-
     def queue_index(self) -> tuple[QueueIndex, ...]:
         """Return the queue indexes of all coordinators."""
         found = self._store.read_prefix(QUEUES_PREFIX)
--- a/src/gentianpulley/owned_worker.py
+++ b/src/gentianpulley/owned_worker.py
@@ -7,7 +7,6 @@
 from gentianpulley.errors import WorkerRefusedError
 from gentianpulley.ledger import WorkerLedger
 from gentianpulley.placement import WorkerView
-from gentianpulley.resources import NOTHING, Resources
 from gentianpulley.result_code import STALE_EPOCH
 from gentianpulley.task import TaskOrder
 from gentianpulley.task_entry import TaskEntry
@@ -126,10 +125,6 @@
                 neighbours=tuple(self._classes.values()),
             )
 
-    def capacity(self) -> Resources:
-        """Return the worker's capacity; nothing before the take-over."""
-        return self._description.capacity if self._description else NOTHING
-
     def start(self, entry: TaskEntry, wait_ms: int) -> TaskStatus:
         """Send the start command of an admitted task."""
         order = entry.order
--- a/src/gentianpulley/ownership.py
+++ b/src/gentianpulley/ownership.py
@@ -27,8 +27,7 @@
 class Ownership:
     """The assignments of one failure domain.
 
-    `last_epoch` only grows, also when a worker leaves and its row goes, so
-    that no epoch is ever used twice.
+    `last_epoch` only grows, so that no epoch is ever used twice.
     """
 
     workers: Mapping[str, Assignment] = field(default_factory=dict)
@@ -65,16 +64,6 @@
                 rows[worker] = replace(row, owner=NO_OWNER)
         return Ownership(rows, self.last_epoch)
 
-    def prune(self, workers: Iterable[str]) -> 'Ownership':
-        """Drop the rows of workers that no longer exist."""
-        gone = set(workers)
-        rows = {
-            worker: row
-            for worker, row in self.workers.items()
-            if worker not in gone
-        }
-        return Ownership(rows, self.last_epoch)
-
 
 @dataclass(frozen=True, slots=True)
 class OwnershipPlan:
--- a/src/gentianpulley/task_entry.py
+++ b/src/gentianpulley/task_entry.py
@@ -42,7 +42,6 @@
     forget_after_ms: int = NEVER_MS
     ended: threading.Event = field(default_factory=threading.Event)
     polling: threading.Lock = field(default_factory=threading.Lock)
-    created_ms: int = field(default_factory=now_ms)
 
     @property
     def task_id(self) -> str:
