--- /dev/null
+++ b/src/gentianpulley/cluster/job_book.py
@@ -0,0 +1,292 @@
+"""Jobs in the store: where they stand and how they are written.
+
+Entry instances create a job and its cancellation; the leader writes records
+of what became of it. All writes of the leader are guarded by its key, so that
+a former leader cannot write any more, and by the record's own revision, so
+that a write whose answer was lost cannot undo a newer one.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+from urllib.parse import quote
+
+import msgspec
+
+from gentianpulley.deadline import now_ms
+from gentianpulley.errors import StoreError
+from gentianpulley.jobs.job import Job, JobState, create_job
+from gentianpulley.jobs.record import (
+    JobRecord,
+    decode_record,
+    encode_record,
+    record_of,
+    restore,
+)
+from gentianpulley.jobs.spec import JobSpec, decode_job, encode_job
+from gentianpulley.logs import EventLog
+from gentianpulley.store import (
+    ABSENT,
+    Commit,
+    Entry,
+    Guard,
+    Put,
+    Store,
+    Transaction,
+)
+
+ROOT: Final = 'gp/'
+JOB_PREFIX: Final = 'gp/job/'
+RECORD_PREFIX: Final = 'gp/record/'
+WAITING_PREFIX: Final = 'gp/waiting/'
+LEADER_KEY: Final = 'gp/leader'
+ROSTER_KEY: Final = 'gp/roster'
+_CANCEL_SUFFIX: Final = '/cancel'
+
+JOBS_IN_TRANSACTION: Final = 10
+"""A job takes a guard, a put and a delete; the store allows 32 entries."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobEvent:
+    """A job or its cancellation as it appears in the store."""
+
+    job_id: str
+    spec: JobSpec | None
+
+
+@dataclass(frozen=True, slots=True)
+class JobView:
+    """What callers may ask of a job."""
+
+    state: JobState
+
+
+class DeposedError(StoreError):
+    """Another instance leads; nothing was written."""
+
+
+class JobDesk:
+    """What every entry instance does with jobs in the store."""
+
+    def __init__(self, store: Store, log: EventLog) -> None:
+        """Use one store."""
+        self._store = store
+        self._log = log
+
+    def create(self, spec: JobSpec) -> bool:
+        """Store a job; returns False if its id was already there."""
+        key = job_key(spec.job_id)
+        txn = Transaction(
+            (Guard(key, ABSENT),),
+            (
+                Put(key, encode_job(spec)),
+                Put(waiting_key(spec.policy.queue, spec.job_id), b''),
+            ),
+        )
+        return self._store.commit(txn).applied
+
+    def view(self, job_id: str) -> JobView | None:
+        """Return a job's state, or None if there is no such job."""
+        entry = self._store.read(record_key(job_id))
+        if entry is not None:
+            record = self._record(entry)
+            if record is not None:
+                return JobView(record.state)
+        if self._store.read(job_key(job_id)) is None:
+            return None
+        return JobView(JobState.QUEUED)
+
+    def cancel(self, job_id: str) -> JobView | None:
+        """Store a cancellation; returns the state before, None if unknown."""
+        view = self.view(job_id)
+        if view is None or view.state.is_final:
+            return view
+        key = cancel_key(job_id)
+        self._store.commit(Transaction((Guard(key, ABSENT),), (Put(key, b''),)))
+        return view
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return len(self._store.read_prefix(waiting_key(queue, '')).entries)
+
+    def _record(self, entry: Entry) -> JobRecord | None:
+        try:
+            return decode_record(entry.body)
+        except msgspec.DecodeError as exc:
+            self._log.document_damaged(entry.key, str(exc))
+        return None
+
+
+class JobBook:
+    """What the leader reads and writes under its token."""
+
+    def __init__(self, store: Store, leader: Guard, log: EventLog) -> None:
+        """Guard every write with the leader's key."""
+        self._store = store
+        self._leader = leader
+        self._log = log
+        self._revisions: dict[str, int] = {}
+        self._ended: dict[str, tuple[int, str]] = {}
+
+    def load(self) -> tuple[list[Job], int]:
+        """Return all jobs that go on, and the revision to watch from."""
+        records = self._load_records()
+        snapshot = self._store.read_prefix(JOB_PREFIX)
+        jobs: dict[str, Job] = {}
+        for entry in snapshot.entries:
+            event = self.event_of(entry)
+            if event is None:
+                continue
+            if event.spec is None:
+                _cancel(jobs.get(event.job_id))
+                continue
+            job = _loaded(event.spec, records.get(event.job_id))
+            if job is not None:
+                jobs[event.job_id] = job
+        return list(jobs.values()), snapshot.revision
+
+    def event_of(self, entry: Entry) -> JobEvent | None:
+        """Decode an entry below the jobs' prefix; None if it is damaged."""
+        name = entry.key.removeprefix(JOB_PREFIX)
+        if name.endswith(_CANCEL_SUFFIX):
+            return JobEvent(name.removesuffix(_CANCEL_SUFFIX), None)
+        try:
+            return JobEvent(name, decode_job(entry.body))
+        except msgspec.DecodeError as exc:
+            self._log.document_damaged(entry.key, str(exc))
+        return None
+
+    def has_ended(self, job_id: str) -> bool:
+        """Tell whether a final record of a job is known."""
+        return job_id in self._ended
+
+    def save(self, jobs: list[Job]) -> None:
+        """Write the jobs' records; raises `DeposedError` or `StoreError`."""
+        for batch in _batches(jobs):
+            self._save_batch(batch)
+
+    def save_roster(self, worker_ids: frozenset[str]) -> None:
+        """Write the ids of all workers that may be sent orders."""
+        body = msgspec.json.encode(sorted(worker_ids))
+        self._commit(Transaction((self._leader,), (Put(ROSTER_KEY, body),)))
+
+    def load_roster(self) -> frozenset[str]:
+        """Return the ids that earlier leaders may have sent orders to."""
+        entry = self._store.read(ROSTER_KEY)
+        if entry is None:
+            return frozenset()
+        return frozenset(msgspec.json.decode(entry.body, type=list[str]))
+
+    def forget_ended(self, before_ms: int) -> int:
+        """Delete jobs that ended before a time; returns how many."""
+        old = [
+            job_id
+            for job_id, (ended_ms, _) in self._ended.items()
+            if ended_ms < before_ms
+        ]
+        for job_id in old[:JOBS_IN_TRANSACTION]:
+            queue = self._ended[job_id][1]
+            keys = (
+                job_key(job_id),
+                cancel_key(job_id),
+                record_key(job_id),
+                waiting_key(queue, job_id),
+            )
+            self._commit(Transaction((self._leader,), deletes=keys))
+            self._ended.pop(job_id)
+        return len(old)
+
+    def _load_records(self) -> dict[str, JobRecord]:
+        records = {}
+        for entry in self._store.read_prefix(RECORD_PREFIX).entries:
+            job_id = entry.key.removeprefix(RECORD_PREFIX)
+            self._revisions[job_id] = entry.revision
+            try:
+                record = decode_record(entry.body)
+            except msgspec.DecodeError as exc:
+                self._log.document_damaged(entry.key, str(exc))
+                continue
+            records[job_id] = record
+            if record.state.is_final:
+                self._ended[job_id] = (record.ended_ms, record.queue)
+        return records
+
+    def _save_batch(self, batch: list[Job]) -> None:
+        saved_ms = now_ms()
+        guards = [self._leader]
+        puts = []
+        deletes = []
+        for job in batch:
+            job_id = job.spec.job_id
+            key = record_key(job_id)
+            guards.append(Guard(key, self._revisions.get(job_id, ABSENT)))
+            puts.append(Put(key, encode_record(record_of(job, saved_ms))))
+            if job.has_begun or job.state.is_final:
+                deletes.append(waiting_key(job.spec.policy.queue, job_id))
+        txn = Transaction(tuple(guards), tuple(puts), tuple(deletes))
+        commit = self._commit(txn)
+        for job in batch:
+            self._note_saved(job, commit.revision, saved_ms)
+
+    def _note_saved(self, job: Job, revision: int, saved_ms: int) -> None:
+        job_id = job.spec.job_id
+        self._revisions[job_id] = revision
+        if job.state.is_final:
+            self._ended[job_id] = (saved_ms, job.spec.policy.queue)
+        age_ms = saved_ms - job.spec.submitted_ms
+        self._log.job_state(job_id, job.state.value, age_ms)
+
+    def _commit(self, txn: Transaction) -> Commit:
+        commit = self._store.commit(txn)
+        if commit.applied:
+            return commit
+        current = {entry.key: entry.revision for entry in commit.current}
+        if current.get(self._leader.key) != self._leader.revision:
+            raise DeposedError('the leader key has changed')
+        for guard in txn.guards:
+            if guard.key.startswith(RECORD_PREFIX):
+                # Only this leader writes records, so a newer revision is an
+                # earlier write of its own whose answer was lost.
+                job_id = guard.key.removeprefix(RECORD_PREFIX)
+                self._revisions[job_id] = current.get(guard.key, ABSENT)
+        raise StoreError('a record has another revision; it is written again')
+
+
+def job_key(job_id: str) -> str:
+    """Return where a submitted job stands."""
+    return f'{JOB_PREFIX}{job_id}'
+
+
+def cancel_key(job_id: str) -> str:
+    """Return where a job's cancellation stands."""
+    return f'{JOB_PREFIX}{job_id}{_CANCEL_SUFFIX}'
+
+
+def record_key(job_id: str) -> str:
+    """Return where the leader's record of a job stands."""
+    return f'{RECORD_PREFIX}{job_id}'
+
+
+def waiting_key(queue: str, job_id: str) -> str:
+    """Return the mark of a job that has not begun."""
+    return f'{WAITING_PREFIX}{quote(queue, safe="")}/{job_id}'
+
+
+def _batches(jobs: list[Job]) -> Iterator[list[Job]]:
+    for start in range(0, len(jobs), JOBS_IN_TRANSACTION):
+        yield jobs[start : start + JOBS_IN_TRANSACTION]
+
+
+def _loaded(spec: JobSpec, record: JobRecord | None) -> Job | None:
+    if record is not None and record.state.is_final:
+        return None
+    job = create_job(spec, is_inherited=True)
+    if record is not None:
+        restore(job, record)
+    return job
+
+
+def _cancel(job: Job | None) -> None:
+    if job is not None:
+        job.cancel()
--- /dev/null
+++ b/src/gentianpulley/cluster/link.py
@@ -0,0 +1,199 @@
+"""The interface to a worker, and what is said over it.
+
+A worker runs tasks under one lease that covers all of them. Its clock is its
+own: times in these values are milliseconds on that clock where a name ends in
+`worker_ms`.
+"""
+
+import enum
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from gentianpulley.jobs.spec import TaskId
+from gentianpulley.resources import NOTHING, Resources
+
+
+class EndCause(enum.Enum):
+    """How a run ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LAPSED = 'lapsed'
+    BROKEN = 'broken'
+    ALONE = 'alone'
+
+
+class StartVerdict(enum.Enum):
+    """What became of a start order; only ACCEPTED and LOST can run."""
+
+    ACCEPTED = enum.auto()
+    FENCED = enum.auto()
+    OUTDATED = enum.auto()
+    TOO_LATE = enum.auto()
+    NO_ROOM = enum.auto()
+    NO_TICKET = enum.auto()
+    UNHEALTHY = enum.auto()
+    INVALID = enum.auto()
+    GONE = enum.auto()
+    NOT_SENT = enum.auto()
+    LOST = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerFacts:
+    """What a worker's registration says of it.
+
+    `labels` are its kind and its rack. `cold_ms` is how much longer it is
+    slow after its start. `born_ms` tells two lives under one id apart.
+    `leaves_ms` is the least time left while it drains.
+    """
+
+    worker_id: str
+    service: str
+    address: str
+    failure_domain: str
+    capacity: Resources = NOTHING
+    labels: frozenset[str] = frozenset()
+    is_draining: bool = False
+    cold_ms: int = 0
+    born_ms: int = 0
+    leaves_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RunKey:
+    """One run of one task."""
+
+    task_id: TaskId
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunningRow:
+    """A run that a worker lists as present.
+
+    `percent` is the share at which it is let work. `gauge` is rough: the
+    latency tail in ms for an endless task, else the processors in use.
+    """
+
+    key: RunKey
+    checkpoint: str
+    percent: int
+    gauge: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRow:
+    """A run that a worker lists as ended, numbered within its life."""
+
+    number: int
+    key: RunKey
+    cause: EndCause
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """What a worker says of all its runs."""
+
+    clock_worker_ms: int
+    born_ms: int = 0
+    running: tuple[RunningRow, ...] = ()
+    ended: tuple[EndedRow, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LookOrder:
+    """Renews the lease, acknowledges ends and asks for the lists.
+
+    A `lease_worker_ms` of zero leaves the lease as it is. The answer waits at
+    most `wait_ms` for an end.
+    """
+
+    token: int
+    acked_number: int
+    lease_worker_ms: int
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """Starts one run."""
+
+    worker_id: str
+    key: RunKey
+    payload: str
+    checkpoint: str
+    ticket: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """Stops one run, or bars it if it has not arrived yet."""
+
+    worker_id: str
+    key: RunKey
+
+
+@dataclass(frozen=True, slots=True)
+class PaceOrder:
+    """Lets a run work at `percent` of its speed."""
+
+    worker_id: str
+    key: RunKey
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """Under which token and lease an order is sent."""
+
+    token: int
+    lease_worker_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartReply:
+    """The worker's answer to a start; its clock is zero if it said none."""
+
+    verdict: StartVerdict
+    clock_worker_ms: int = 0
+    detail: str = field(default='')
+
+
+class WorkerLink(ABC):
+    """Connections to one life of one worker.
+
+    `look`, `stop` and `pace` raise `WorkerUnreachableError` when nothing was
+    sent, `WorkerSilentError` when the effect is not known, and
+    `WorkerFencedError` or `WorkerGoneError` as the worker answers.
+    """
+
+    @abstractmethod
+    def look(self, order: LookOrder) -> Listing:
+        """Renew, acknowledge and list."""
+
+    @abstractmethod
+    def start(self, order: StartOrder, sent: Sent) -> StartReply:
+        """Start a run; raises nothing, failures are verdicts."""
+
+    @abstractmethod
+    def stop(self, order: StopOrder, sent: Sent) -> None:
+        """Stop or bar a run; returns once the worker has answered."""
+
+    @abstractmethod
+    def pace(self, order: PaceOrder, sent: Sent) -> None:
+        """Change the share at which a run works."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close all connections."""
+
+
+class WorkerLinks(ABC):
+    """Opens links; an adapter knows the wire format."""
+
+    @abstractmethod
+    def connect(self, facts: WorkerFacts) -> WorkerLink:
+        """Return a link to one life of a worker."""
--- /dev/null
+++ b/src/gentianpulley/cluster/office.py
@@ -0,0 +1,226 @@
+"""What a leader's threads share: the scheduler under its lock, and tenure.
+
+Sessions with workers report here what they saw, and the office passes the
+scheduler's orders on to them.
+"""
+
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from typing import Final
+
+from gentianpulley.cluster.link import (
+    Listing,
+    LookOrder,
+    PaceOrder,
+    Sent,
+    StartOrder,
+    StartReply,
+    StopOrder,
+)
+from gentianpulley.cluster.scheduler import Order, Reign, Scheduler
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.deadline import now_ms
+from gentianpulley.jobs.job import Job
+from gentianpulley.logs import EventLog
+
+_PERCENT: Final = 100
+
+
+class OrderSink(ABC):
+    """Takes the orders for one worker."""
+
+    @abstractmethod
+    def send(self, order: Order) -> None:
+        """Queue an order."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Send nothing more."""
+
+
+class Tenure:
+    """Until when this instance may act as the leader.
+
+    The deadline moves with each renewal of the leader's key that was answered,
+    counted from when it was sent.
+    """
+
+    def __init__(self, until_ms: int) -> None:
+        """Hold the office until a deadline."""
+        self._until_ms = until_ms
+        self._resigned = threading.Event()
+        self.reason = ''
+
+    def extend(self, until_ms: int) -> None:
+        """Move the deadline."""
+        self._until_ms = until_ms
+
+    def resign(self, reason: str) -> None:
+        """End the tenure for good."""
+        if not self._resigned.is_set():
+            self.reason = reason
+            self._resigned.set()
+
+    def is_over(self) -> bool:
+        """Tell whether the tenure has ended for good."""
+        return self._resigned.is_set()
+
+    def may_act(self, at_ms: int) -> bool:
+        """Tell whether orders may be sent at a time."""
+        return at_ms < self._until_ms and not self._resigned.is_set()
+
+
+class Office:
+    """Guards the scheduler and routes its orders."""
+
+    def __init__(
+        self, scheduler: Scheduler, tenure: Tenure, log: EventLog
+    ) -> None:
+        """Serve one reign."""
+        self.log = log
+        self.tenure = tenure
+        self.lock = threading.Lock()
+        self.scheduler = scheduler
+        self.work_came = threading.Event()
+        self.ends_came = threading.Event()
+        self._sinks: dict[str, OrderSink] = {}
+
+    @property
+    def reign(self) -> Reign:
+        """Return the reign that the office serves."""
+        return self.scheduler.reign
+
+    @property
+    def look_ms(self) -> int:
+        """Return how long a look waits for an end."""
+        return self.reign.timing.look_ms
+
+    def attach(self, worker_id: str, sink: OrderSink) -> None:
+        """Send a worker's orders to a session; the former one is closed."""
+        former = self._sinks.get(worker_id)
+        self._sinks[worker_id] = sink
+        if former is not None:
+            former.close()
+
+    def detach(self, worker_id: str) -> None:
+        """Close the session of a worker that is no longer known."""
+        former = self._sinks.pop(worker_id, None)
+        if former is not None:
+            former.close()
+
+    def attached(self) -> frozenset[str]:
+        """Return the ids of all workers with a session."""
+        return frozenset(self._sinks)
+
+    def close(self) -> None:
+        """Close all sessions."""
+        for worker_id in tuple(self._sinks):
+            self.detach(worker_id)
+
+    def dispatch(self, orders: Iterable[Order]) -> None:
+        """Pass orders to the sessions; a worker without one is gone."""
+        for order in orders:
+            sink = self._sinks.get(order.worker_id)
+            if sink is not None:
+                sink.send(order)
+
+    # What sessions ask and report.
+
+    def may_act(self, at_ms: int) -> bool:
+        """Tell whether orders may be sent at a time."""
+        return self.tenure.may_act(at_ms)
+
+    def resign(self, reason: str) -> None:
+        """Stop leading: another instance has used a higher token."""
+        self.tenure.resign(reason)
+        self.work_came.set()
+        self.ends_came.set()
+
+    def look_order(self, worker: Worker, wait_ms: int) -> LookOrder:
+        """Return the next look at a worker."""
+        with self.lock:
+            return self.scheduler.look_order(worker, wait_ms)
+
+    def sent(self, worker: Worker) -> Sent:
+        """Return the token and the lease for an order that is sent now."""
+        with self.lock:
+            return Sent(self.reign.token, self.scheduler.lease_for(worker))
+
+    def listed(self, worker: Worker, listing: Listing, sent_ms: int) -> None:
+        """Report a worker's lists."""
+        with self.lock:
+            orders = self.scheduler.note_listing(
+                worker, listing, sent_ms, now_ms()
+            )
+        self.dispatch(orders)
+        if listing.ended:
+            self.ends_came.set()
+        self.work_came.set()
+
+    def life_over(self, worker: Worker) -> None:
+        """Report that the worker's life has ended."""
+        with self.lock:
+            if self.scheduler.workers.get(worker.worker_id) is worker:
+                self.scheduler.drop_life(worker.worker_id, now_ms())
+        self.work_came.set()
+
+    def wants_start(self, order: StartOrder) -> bool:
+        """Ask whether a start has still to be sent."""
+        with self.lock:
+            return self.scheduler.wants_start(order)
+
+    def wants_stop(self, order: StopOrder) -> bool:
+        """Ask whether a stop has still to be sent."""
+        with self.lock:
+            return self.scheduler.wants_stop(order)
+
+    def started(self, order: StartOrder, reply: StartReply) -> None:
+        """Report the answer to a start."""
+        with self.lock:
+            self.scheduler.note_start(order, reply, now_ms())
+        self.work_came.set()
+
+    def stopped(self, order: StopOrder) -> None:
+        """Report that a stop was answered."""
+        with self.lock:
+            self.scheduler.note_stop(order, now_ms())
+
+    def paced(self, order: PaceOrder) -> None:
+        """Report that a change of pace was answered."""
+        with self.lock:
+            self.scheduler.note_pace(order)
+
+    # What the leader's own threads do.
+
+    def add_job(self, job: Job) -> None:
+        """Take up a job."""
+        with self.lock:
+            self.scheduler.add_job(job)
+        self.work_came.set()
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job."""
+        with self.lock:
+            orders = self.scheduler.cancel(job_id)
+        self.dispatch(orders)
+        self.ends_came.set()
+
+    def plan(self) -> None:
+        """Place what can be placed and send the starts."""
+        at_ms = now_ms()
+        if not self.may_act(at_ms):
+            return
+        with self.lock:
+            self.scheduler.note_lapses(at_ms)
+            orders = self.scheduler.plan(at_ms)
+            loads = [_load_percent(self.scheduler, order) for order in orders]
+        for order, load in zip(orders, loads, strict=True):
+            self.log.run_ordered(order.key, order.worker_id, load)
+        self.dispatch(orders)
+
+
+def _load_percent(scheduler: Scheduler, order: StartOrder) -> int:
+    worker = scheduler.workers[order.worker_id]
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    return _PERCENT * worker.processors // capacity
--- /dev/null
+++ b/src/gentianpulley/cluster/submissions.py
@@ -0,0 +1,130 @@
+"""What an entry instance answers to callers of queues.
+
+A job is accepted once it is stored, never before. Each answer says truly
+whether the job was stored: a refusal means that this request left nothing
+behind; when the store's answer was lost, the caller is told to ask again.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from gentianpulley.cluster.job_book import JobDesk, JobView
+from gentianpulley.deadline import has_passed, ms_left
+from gentianpulley.errors import StoreAnswerLostError, StoreError
+from gentianpulley.background import Backoff
+from gentianpulley.jobs.spec import JobSpec
+from gentianpulley.logs import EventLog
+import threading
+
+RETRY_AFTER_S: Final = (1, 3)
+"""Range of the seconds after which a refused caller may return, spread so
+that callers do not come back together."""
+
+FIRST_RETRY_S: Final = 0.03
+LONGEST_RETRY_S: Final = 0.4
+
+
+class Reception(Enum):
+    """What became of a caller's request."""
+
+    OK = 'ok'
+    UNKNOWN_JOB = 'unknown job'
+    REFUSED = 'refused'
+    UNCERTAIN = 'uncertain'
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """The answer to a caller; `retry_after_s` is 0 if not to return."""
+
+    reception: Reception
+    view: JobView | None = None
+    waiting: int = 0
+    retry_after_s: int = 0
+
+
+class Submissions:
+    """Serves callers from the store, within their deadlines."""
+
+    def __init__(self, desk: JobDesk, log: EventLog) -> None:
+        """Use one desk."""
+        self._desk = desk
+        self._log = log
+
+    def submit(
+        self, spec: JobSpec, cfg_version: int, deadline_ms: int
+    ) -> Received:
+        """Store a job; retried while the store may yet answer in time."""
+        is_uncertain = False
+        backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
+        while True:
+            try:
+                self._desk.create(spec)
+            except StoreAnswerLostError:
+                is_uncertain = True
+            except StoreError as exc:
+                if not is_uncertain:
+                    return self._refuse(spec.job_id, exc.text)
+            else:
+                self._log.job_stored(
+                    spec.job_id, spec.policy.queue, cfg_version
+                )
+                return Received(Reception.OK)
+            if has_passed(deadline_ms):
+                self._log.job_refused(spec.job_id, 0, 'answer lost')
+                return Received(Reception.UNCERTAIN)
+            _pause(backoff, deadline_ms)
+
+    def view(self, job_id: str) -> Received:
+        """Return a job's state."""
+        try:
+            view = self._desk.view(job_id)
+        except StoreError as exc:
+            self._log.store_trouble(exc.text)
+            return _later()
+        if view is None:
+            return Received(Reception.UNKNOWN_JOB)
+        return Received(Reception.OK, view)
+
+    def cancel(self, job_id: str, deadline_ms: int) -> Received:
+        """Cancel a job; storing the mark twice does no harm."""
+        backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
+        while True:
+            try:
+                view = self._desk.cancel(job_id)
+            except StoreError as exc:
+                self._log.store_trouble(exc.text)
+            else:
+                if view is None:
+                    return Received(Reception.UNKNOWN_JOB)
+                self._log.job_cancelled(job_id)
+                return Received(Reception.OK, view)
+            if has_passed(deadline_ms):
+                return _later()
+            _pause(backoff, deadline_ms)
+
+    def count_waiting(self, queue: str) -> Received:
+        """Return how many jobs of a queue have not begun."""
+        try:
+            waiting = self._desk.count_waiting(queue)
+        except StoreError as exc:
+            self._log.store_trouble(exc.text)
+            return _later()
+        return Received(Reception.OK, waiting=waiting)
+
+    def _refuse(self, job_id: str, reason: str) -> Received:
+        self._log.job_refused(job_id, 503, reason)
+        return _later()
+
+
+def _later() -> Received:
+    return Received(
+        Reception.REFUSED, retry_after_s=random.randint(*RETRY_AFTER_S)
+    )
+
+
+def _pause(backoff: Backoff, deadline_ms: int) -> None:
+    delay_s = min(backoff.next_delay_s(), ms_left(deadline_ms) / 1000)
+    threading.Event().wait(delay_s)
--- /dev/null
+++ b/src/gentianpulley/cluster/timing.py
@@ -0,0 +1,103 @@
+"""Lease arithmetic: how long a lease is given, and when it is surely over.
+
+All lengths follow from the bounds in the settings. A worker measures its
+lease on its own steady clock, which may be slow by `CLOCK_DRIFT`.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+CLOCK_DRIFT: Final = 0.02
+"""Largest share by which a worker's clock is slow; the platform's promise."""
+
+PROOF_SLACK_MS: Final = 100
+"""Added before a lease counts as over: rounding of clocks on both sides."""
+
+LEADER_TTL_S: Final = 2
+"""Lease of the leader's key. Two missed renewals and a slow answer of the
+store fit in; the store takes no less than a second."""
+
+RENEWALS_IN_TTL: Final = 4
+"""Renewals of the leader's key within its lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Lengths in milliseconds.
+
+    `lease_ms` is what each order gives a worker. `tenure_ms` is how long a
+    leader gives orders after the last renewal that it sent and that was
+    answered. `gang_wait_ms` bounds how long a gang's first task waits.
+    """
+
+    lease_ms: int
+    tenure_ms: int
+    stop_ms: int
+    look_ms: int
+
+    @property
+    def handover_ms(self) -> int:
+        """Return after how long a former leader's leases are all over.
+
+        Its last order is sent at the end of its tenure and gives one more
+        lease, measured on a clock that may be slow.
+        """
+        lasting = (self.tenure_ms + self.lease_ms) / (1 - CLOCK_DRIFT)
+        return int(lasting) + PROOF_SLACK_MS
+
+
+def create_timing(
+    max_lease_ms: int, contact_ms: int, stop_ms: int, look_ms: int
+) -> Timing:
+    """Derive the lengths from the site's bounds.
+
+    A lease has to outlast the time in which a dead leader is replaced, which
+    is the lease of its key and as much again to load and to fence; more would
+    only delay the restart of what ran on a lost worker.
+    """
+    replaced_ms = 2 * LEADER_TTL_S * 1000
+    lease_ms = min(max_lease_ms, max(replaced_ms, contact_ms) + look_ms)
+    return Timing(
+        lease_ms=lease_ms,
+        tenure_ms=max(contact_ms, replaced_ms),
+        stop_ms=stop_ms,
+        look_ms=look_ms,
+    )
+
+
+@dataclass(slots=True)
+class WorkerClock:
+    """What is known of a worker's clock and of the lease it was given.
+
+    `lease_worker_ms` is the latest lease ever sent, answered or not.
+    """
+
+    seen_worker_ms: int = 0
+    seen_at_ms: int = 0
+    lease_worker_ms: int = 0
+
+    def note(self, clock_worker_ms: int, received_ms: int) -> None:
+        """Note a time that the worker told; older answers change nothing."""
+        if clock_worker_ms >= self.seen_worker_ms:
+            self.seen_worker_ms = clock_worker_ms
+            self.seen_at_ms = received_ms
+
+    def next_lease(self, lease_ms: int) -> int:
+        """Return the deadline of a lease, on the worker's clock.
+
+        It counts from the last time that the worker told, so that orders
+        without an answer prolong nothing.
+        """
+        if not self.seen_at_ms:
+            return 0
+        ahead = self.seen_worker_ms + lease_ms
+        self.lease_worker_ms = max(self.lease_worker_ms, ahead)
+        return ahead
+
+    def has_lapsed(self, now_ms: int) -> bool:
+        """Tell whether every lease that was given is surely over."""
+        if not self.seen_at_ms:
+            return False
+        elapsed = (now_ms - self.seen_at_ms) * (1 - CLOCK_DRIFT)
+        earliest = self.seen_worker_ms + elapsed
+        return earliest > self.lease_worker_ms + PROOF_SLACK_MS
--- /dev/null
+++ b/src/gentianpulley/cluster/worker.py
@@ -0,0 +1,163 @@
+"""One life of a worker as the leader sees it: room, runs, lease and trust."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.cluster.link import RunKey, WorkerFacts
+from gentianpulley.cluster.timing import WorkerClock
+from gentianpulley.jobs.spec import StepSpec, TaskId
+
+FULL_PERCENT: Final = 100
+
+QUARANTINE_AFTER: Final = 2
+"""Failures in a row, without a run that ended as done, that make a worker
+suspect. One failure is usual: callers' tasks fail by themselves."""
+
+QUARANTINE_MS: Final = 4000
+"""How long a suspect worker gets nothing before it is tried again; about as
+long as such a fault lasts on the sites' days."""
+
+
+@dataclass(slots=True)
+class Charge:
+    """What one run holds of its worker until its end is certain.
+
+    `settled_ms` is when the worker answered the start or listed the run, and
+    `barred_ms` when it answered a stop; zero means not yet. `is_stopping` says
+    that a stop was ordered. `sent_ms` is when the start was ordered.
+    """
+
+    key: RunKey
+    spec: StepSpec
+    sent_ms: int
+    settled_ms: int = 0
+    barred_ms: int = 0
+    is_stopping: bool = False
+    percent: int = FULL_PERCENT
+    wanted_percent: int = FULL_PERCENT
+    gauge: int = 0
+    gauge_ms: int = 0
+
+    @property
+    def processors_milli(self) -> int:
+        """Return what counts against the worker's processors."""
+        if self.spec.fills_spare:
+            return 0
+        return self.spec.resources.processors_milli
+
+
+class Worker:
+    """Ledger and condition of one life of a worker.
+
+    `is_fenced` says that this leader's token was answered with a list, so
+    that nothing of an earlier leader can start there any more. `is_listed`
+    says that the worker stands in the directory.
+    """
+
+    def __init__(self, facts: WorkerFacts, now_ms: int) -> None:
+        """Know nothing of what runs there."""
+        self.facts = facts
+        self.clock = WorkerClock()
+        self.charges: dict[RunKey, Charge] = {}
+        self.is_fenced = False
+        self.is_listed = True
+        self.unlisted_ms = 0
+        self.heard_ms = now_ms
+        self.seen_number = 0
+        self.acked_number = 0
+        self.cold_until_ms = now_ms + facts.cold_ms
+        self.quarantined_until_ms = 0
+        self.failures_in_row = 0
+        self.ended_done = 0
+        self.processors = 0
+        self.memory = 0
+        self.accelerators = 0
+        self.filling = 0
+        self.endless = 0
+        self.foreign: set[RunKey] = set()
+        self.unsaved_ends: deque[tuple[int, int]] = deque()
+
+    @property
+    def worker_id(self) -> str:
+        """Return the worker's id."""
+        return self.facts.worker_id
+
+    def accepts(self, now_ms: int) -> bool:
+        """Tell whether new runs may be sent there."""
+        return (
+            self.is_fenced
+            and self.is_listed
+            and not self.facts.is_draining
+            and not self.foreign
+            and now_ms >= self.quarantined_until_ms
+        )
+
+    def has_room(self, spec: StepSpec) -> bool:
+        """Tell whether one more task of a step fits the declared room."""
+        room = self.facts.capacity
+        need = spec.resources
+        processors = 0 if spec.fills_spare else need.processors_milli
+        return (
+            self.processors + processors <= room.processors_milli
+            and self.memory + need.memory_mib <= room.memory_mib
+            and self.accelerators + need.accelerators <= room.accelerators
+        )
+
+    def could_ever_run(self, spec: StepSpec) -> bool:
+        """Tell whether one task of a step fits the empty worker."""
+        if spec.required_label not in {'', *self.facts.labels}:
+            return False
+        return spec.resources.fits_in(self.facts.capacity)
+
+    def charge(self, key: RunKey, spec: StepSpec, now_ms: int) -> Charge:
+        """Reserve what a run needs; a known run keeps its charge."""
+        known = self.charges.get(key)
+        if known is not None:
+            return known
+        added = Charge(key, spec, now_ms)
+        self.charges[key] = added
+        self._book(added, 1)
+        return added
+
+    def release(self, key: RunKey) -> Charge | None:
+        """Give back what a run held, once it cannot run any more."""
+        released = self.charges.pop(key, None)
+        if released is not None:
+            self._book(released, -1)
+        return released
+
+    def runs_of(self, task_id: TaskId) -> list[Charge]:
+        """Return the charges of a task's runs."""
+        return [
+            charge
+            for key, charge in self.charges.items()
+            if key.task_id == task_id
+        ]
+
+    def note_done(self) -> None:
+        """Note a run that ended as done: the worker works."""
+        self.ended_done += 1
+        self.failures_in_row = 0
+        self.quarantined_until_ms = 0
+
+    def note_failed(self, now_ms: int) -> None:
+        """Note a failed run; several in a row make the worker suspect."""
+        self.failures_in_row += 1
+        if self.failures_in_row >= QUARANTINE_AFTER:
+            self.quarantined_until_ms = now_ms + QUARANTINE_MS
+
+    def _book(self, charge: Charge, sign: int) -> None:
+        need = charge.spec.resources
+        self.processors += sign * charge.processors_milli
+        self.memory += sign * need.memory_mib
+        self.accelerators += sign * need.accelerators
+        if charge.spec.fills_spare:
+            self.filling += sign * need.processors_milli
+        if charge.spec.is_endless:
+            self.endless += sign * need.processors_milli
+
+
+def create_worker(facts: WorkerFacts, now_ms: int) -> Worker:
+    """Return a worker that is not fenced yet."""
+    return Worker(facts, now_ms)
--- /dev/null
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -0,0 +1,165 @@
+"""Threads that speak with one worker: one looks, one sends orders.
+
+Both ask the reign before each call whether this instance still leads.
+"""
+
+import queue
+import threading
+from typing import Final
+
+from gentianpulley.cluster.link import (
+    PaceOrder,
+    Sent,
+    StartOrder,
+    StartVerdict,
+    StopOrder,
+    WorkerLink,
+)
+from gentianpulley.cluster.office import Office, OrderSink
+from gentianpulley.cluster.scheduler import Order
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.deadline import now_ms
+from gentianpulley.errors import (
+    WorkerError,
+    WorkerFencedError,
+    WorkerGoneError,
+)
+
+RETRY_PAUSE_S: Final = 0.15
+"""Pause after a call that failed; a worker that answers does so in
+milliseconds."""
+
+SHORTEST_LOOK_GAP_S: Final = 0.03
+"""Pause between looks, so that ends that come together share one look."""
+
+
+class WorkerSession(OrderSink):
+    """Keeps the lease of one life of a worker and carries its orders."""
+
+    def __init__(
+        self, office: Office, worker: Worker, link: WorkerLink
+    ) -> None:
+        """Prepare both threads."""
+        self.worker = worker
+        self._office = office
+        self._link = link
+        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._closed = threading.Event()
+        self._threads = [
+            threading.Thread(target=target, name=name, daemon=True)
+            for target, name in (
+                (self._look_loop, f'look-{worker.worker_id}'),
+                (self._order_loop, f'order-{worker.worker_id}'),
+            )
+        ]
+
+    def start(self) -> None:
+        """Start both threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Let both threads end after their current calls."""
+        self._closed.set()
+        self._orders.put(None)
+
+    def send(self, order: Order) -> None:
+        """Queue an order."""
+        self._orders.put(order)
+
+    def _look_loop(self) -> None:
+        wait_ms = 0
+        while not self._closed.is_set():
+            if self._look(wait_ms):
+                wait_ms = self._office.look_ms
+                self._closed.wait(SHORTEST_LOOK_GAP_S)
+            else:
+                self._closed.wait(RETRY_PAUSE_S)
+        self._link.close()
+
+    def _look(self, wait_ms: int) -> bool:
+        """Look once; returns whether the worker answered."""
+        sent_ms = now_ms()
+        if not self._office.may_act(sent_ms):
+            return False
+        first = not self.worker.is_fenced
+        order = self._office.look_order(self.worker, 0 if first else wait_ms)
+        try:
+            listing = self._link.look(order)
+        except WorkerFencedError as exc:
+            self._office.resign(exc.text)
+            return False
+        except WorkerGoneError:
+            self._office.life_over(self.worker)
+            self._closed.set()
+            return False
+        except WorkerError as exc:
+            self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+            return False
+        self._office.listed(self.worker, listing, sent_ms)
+        return True
+
+    def _order_loop(self) -> None:
+        while not self._closed.is_set():
+            order = self._orders.get()
+            if order is None:
+                continue
+            if not self._office.may_act(now_ms()):
+                self._closed.wait(RETRY_PAUSE_S)
+                self._orders.put(order)
+            elif isinstance(order, StartOrder):
+                self._send_start(order)
+            elif isinstance(order, StopOrder):
+                self._send_stop(order)
+            else:
+                self._send_pace(order)
+
+    def _send_start(self, order: StartOrder) -> None:
+        if not self._office.wants_start(order):
+            return
+        reply = self._link.start(order, self._sent())
+        if reply.verdict is StartVerdict.FENCED:
+            self._office.resign('a start was fenced off')
+            return
+        self._office.started(order, reply)
+        if reply.verdict is StartVerdict.LOST:
+            # The same run again: the worker answers alike if it has it.
+            self._closed.wait(RETRY_PAUSE_S)
+            self._orders.put(order)
+
+    def _send_stop(self, order: StopOrder) -> None:
+        if not self._office.wants_stop(order):
+            return
+        try:
+            self._link.stop(order, self._sent())
+        except WorkerFencedError as exc:
+            self._office.resign(exc.text)
+        except WorkerError as exc:
+            self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+            self._closed.wait(RETRY_PAUSE_S)
+            self._orders.put(order)
+        else:
+            self._office.stopped(order)
+
+    def _send_pace(self, order: PaceOrder) -> None:
+        try:
+            self._link.pace(order, self._sent())
+        except WorkerFencedError as exc:
+            self._office.resign(exc.text)
+        except WorkerError as exc:
+            # The next look shows the old pace, which asks for it again.
+            self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+        else:
+            self._office.paced(order)
+
+    def _sent(self) -> Sent:
+        return self._office.sent(self.worker)
+
+
+def open_session(
+    office: Office, worker: Worker, link: WorkerLink
+) -> WorkerSession:
+    """Return a session whose threads run."""
+    session = WorkerSession(office, worker, link)
+    session.start()
+    return session
--- a/src/gentianpulley/errors.py
+++ b/src/gentianpulley/errors.py
@@ -67,6 +67,10 @@
     """The store answered with an error; the call had no effect."""
 
 
+class StoreCompactedError(StoreRefusedError):
+    """The store no longer has the history that a watch asked for."""
+
+
 class InstanceListError(GentianpulleyError):
     """The instance list could not be read."""
 
@@ -92,6 +96,14 @@
         self.code = code
 
 
+class WorkerFencedError(WorkerError):
+    """The worker has seen a higher fencing token; it did nothing."""
+
+
+class WorkerGoneError(WorkerError):
+    """Another life of the worker answered; the one that was meant is over."""
+
+
 class PeerError(GentianpulleyError):
     """A call to another entry instance that did not succeed."""
 
--- a/src/gentianpulley/etcd_messages.py
+++ b/src/gentianpulley/etcd_messages.py
@@ -115,6 +115,14 @@
     responses: tuple[ResponseOp, ...] = ()
 
 
+class FlatTxnResponse(msgspec.Struct, frozen=True):
+    """Answer to a transaction without nested ones."""
+
+    header: Header = Header()
+    succeeded: bool = False
+    responses: tuple[ReadResponseOp, ...] = ()
+
+
 class LeaseGrantRequest(msgspec.Struct, frozen=True):
     """Asks for a lease of `TTL` seconds; the server picks the id."""
 
--- a/src/gentianpulley/etcd_store.py
+++ b/src/gentianpulley/etcd_store.py
@@ -25,6 +25,7 @@
     Compare,
     CompareTarget,
     DeleteRequest,
+    FlatTxnResponse,
     KeyValue,
     LeaseGrantRequest,
     LeaseGrantResponse,
@@ -46,12 +47,14 @@
 from gentianpulley.store import (
     Change,
     ChangeBatch,
+    Commit,
     Entry,
     GuardedWrite,
     Put,
     Snapshot,
     Store,
     StoreLease,
+    Transaction,
     Verdict,
 )
 
@@ -102,6 +105,40 @@
         revision = int(resp.header.revision)
         return tuple(_verdict(op, revision) for op in resp.responses)
 
+    def commit(self, txn: Transaction) -> Commit:
+        """Apply all writes of a transaction, or none."""
+        req = TxnRequest(
+            compare=tuple(
+                Compare(
+                    key=_encode(guard.key),
+                    target=CompareTarget.MOD,
+                    mod_revision=str(guard.revision),
+                )
+                for guard in txn.guards
+            ),
+            success=(
+                *(RequestOp(request_put=_put(put)) for put in txn.puts),
+                *(
+                    RequestOp(
+                        request_delete_range=DeleteRequest(key=_encode(key))
+                    )
+                    for key in txn.deletes
+                ),
+            ),
+            failure=tuple(
+                RequestOp(request_range=RangeRequest(key=_encode(guard.key)))
+                for guard in txn.guards
+            ),
+        )
+        resp = self._call('/v3/kv/txn', req, FlatTxnResponse)
+        current = tuple(
+            _entry(kv)
+            for found in resp.responses
+            if found.response_range is not None
+            for kv in found.response_range.kvs
+        )
+        return Commit(resp.succeeded, int(resp.header.revision), current)
+
     def grant_lease(self, ttl_s: int) -> StoreLease:
         """Grant a lease of `ttl_s` seconds."""
         deadline_ms = deadline_in(ttl_s * MS_PER_SECOND)
--- a/src/gentianpulley/http_conn.py
+++ b/src/gentianpulley/http_conn.py
@@ -23,6 +23,7 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 CHUNK_BYTES: Final = 65536
 _SHORTEST_TIMEOUT_S: Final = 0.001
+Headers = tuple[tuple[str, str], ...]
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
@@ -65,7 +66,12 @@
         )
 
     def call(
-        self, method: str, path: str, deadline_ms: int, body: bytes = b''
+        self,
+        method: str,
+        path: str,
+        deadline_ms: int,
+        body: bytes = b'',
+        headers: Headers = (),
     ) -> HttpAnswer:
         """Send one request and return its whole answer.
 
@@ -74,7 +80,9 @@
         drop the idle connections too, since they may be dead as well.
         """
         try:
-            resp = self._send(method, path, seconds_left(deadline_ms), body)
+            resp = self._send(
+                method, path, seconds_left(deadline_ms), body, headers
+            )
         except (NewConnectionError, ConnectTimeoutError) as exc:
             self._pool.close()
             raise HttpUnreachableError(
@@ -112,14 +120,19 @@
         self._pool.close()
 
     def _send(
-        self, method: str, path: str, timeout_s: float, body: bytes
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes,
+        headers: Headers = (),
     ) -> BaseHTTPResponse:
         timeout = max(timeout_s, _SHORTEST_TIMEOUT_S)
         return self._pool.urlopen(
             method,
             path,
             body=body or None,
-            headers=dict(_JSON_HEADERS),
+            headers=dict((*_JSON_HEADERS, *headers)),
             timeout=Timeout(
                 connect=min(CONNECT_TIMEOUT_S, timeout), read=timeout
             ),
--- /dev/null
+++ b/src/gentianpulley/jobs/job.py
@@ -0,0 +1,245 @@
+"""The job aggregate: which tasks wait, run or are done, and what comes next.
+
+A task moves between waiting, placed and done. Only the scheduler moves it,
+and only along the methods here; nothing in this module does input or output.
+"""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+
+from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
+
+
+class JobState(enum.StrEnum):
+    """What callers are told of a job."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the job has come to its end."""
+        return self not in {JobState.QUEUED, JobState.RUNNING}
+
+
+class TaskPhase(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = enum.auto()
+    PLACED = enum.auto()
+    DONE = enum.auto()
+
+
+@dataclass(slots=True)
+class Task:
+    """One task: its phase, the run that was ordered last, and its history.
+
+    `run` is the number of the latest run and `worker_id` where it was sent;
+    `failed_run` is the latest run that was counted in `failures`.
+    `avoid` names workers on which a run failed. An unconfirmed task was
+    accepted under an earlier leader and may still run on a worker that this
+    leader has not listed.
+    """
+
+    task_id: TaskId
+    phase: TaskPhase = TaskPhase.WAITING
+    failures: int = 0
+    failed_run: int = 0
+    checkpoint: str = ''
+    run: int = 0
+    worker_id: str = ''
+    avoid: set[str] = field(default_factory=set)
+    is_unconfirmed: bool = False
+
+
+class StepRun:
+    """One step of one occurrence of a job."""
+
+    def __init__(self, job: 'Job', occurrence: int, number: int) -> None:
+        """Let all tasks wait."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec: StepSpec = job.spec.steps[number]
+        self.tasks = [
+            Task(
+                TaskId(job.spec.job_id, occurrence, number, index),
+                is_unconfirmed=job.is_inherited,
+            )
+            for index in range(self.spec.task_count)
+        ]
+        self.waiting = set(range(self.spec.task_count))
+        self.done_count = 0
+        self.per_worker: dict[str, int] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task has ended as done."""
+        return self.done_count == len(self.tasks)
+
+    def place(self, task: Task, worker_id: str, run: int) -> None:
+        """Note that a run was ordered, or found, on a worker."""
+        index = task.task_id.ordinal
+        if task.phase is TaskPhase.PLACED:
+            self._leave(task)
+        self.waiting.discard(index)
+        task.phase = TaskPhase.PLACED
+        task.run = max(task.run, run)
+        task.worker_id = worker_id
+        task.is_unconfirmed = False
+        self.per_worker[worker_id] = self.per_worker.get(worker_id, 0) + 1
+        self.job.note_begun()
+
+    def give_back(self, task: Task) -> None:
+        """Let a task wait again after a run that is certainly over."""
+        if task.phase is TaskPhase.PLACED:
+            self._leave(task)
+            task.phase = TaskPhase.WAITING
+            self.waiting.add(task.task_id.ordinal)
+
+    def finish(self, task: Task) -> None:
+        """Note that a run ended as done; a gang's end counts for all."""
+        ended = self.tasks if self.spec.is_gang else [task]
+        for each in ended:
+            if each.phase is TaskPhase.DONE:
+                continue
+            if each.phase is TaskPhase.PLACED:
+                self._leave(each)
+            self.waiting.discard(each.task_id.ordinal)
+            each.phase = TaskPhase.DONE
+            self.done_count += 1
+        self.job.is_changed = True
+        self.job.refresh_state()
+
+    def _leave(self, task: Task) -> None:
+        left = self.per_worker.get(task.worker_id, 0) - 1
+        if left > 0:
+            self.per_worker[task.worker_id] = left
+        else:
+            self.per_worker.pop(task.worker_id, None)
+
+
+class Job:
+    """One job and the state of all its opened occurrences.
+
+    `is_changed` asks for a write of the job's record, `has_begun` says that a
+    task was started at some time.
+    """
+
+    def __init__(self, spec: JobSpec, *, is_inherited: bool = False) -> None:
+        """Open the first occurrence; an inherited job was known before."""
+        self.spec = spec
+        self.state = JobState.QUEUED
+        self.is_inherited = is_inherited
+        self.is_changed = False
+        self.has_begun = False
+        self.steps: dict[tuple[int, int], StepRun] = {}
+        self._opened = 0
+        self.open_until(0)
+
+    def open_until(self, now_ms: int) -> None:
+        """Open every occurrence that is due soon."""
+        schedule = self.spec.schedule
+        while self._opened < schedule.rounds:
+            due = schedule.due_ms(self._opened)
+            if self._opened and due > now_ms + schedule.interval_ms:
+                break
+            self.open_occurrence(self._opened)
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Make the tasks of all occurrences up to this one."""
+        while self._opened <= occurrence:
+            for number in range(len(self.spec.steps)):
+                place = (self._opened, number)
+                self.steps[place] = StepRun(self, self._opened, number)
+            self._opened += 1
+
+    def step_of(self, task_id: TaskId) -> StepRun | None:
+        """Return the step of a task, or None if the job has no such task."""
+        if not 0 <= task_id.occurrence < self.spec.schedule.rounds:
+            return None
+        self.open_occurrence(task_id.occurrence)
+        step = self.steps.get((task_id.occurrence, task_id.step))
+        if step is None or not 0 <= task_id.ordinal < len(step.tasks):
+            return None
+        return step
+
+    def startable_steps(self, now_ms: int) -> Iterator[StepRun]:
+        """Yield the steps with waiting tasks whose turn has come."""
+        for step in self.steps.values():
+            if step.waiting and self._may_start(step, now_ms):
+                yield step
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Return when the next occurrence is due, zero if none is left."""
+        schedule = self.spec.schedule
+        for occurrence in range(schedule.rounds):
+            if schedule.due_ms(occurrence) > now_ms:
+                return schedule.due_ms(occurrence)
+        return 0
+
+    def note_failure(
+        self, step: StepRun, task: Task, run: int, worker_id: str
+    ) -> None:
+        """Count a failed run once; the job fails after the last attempt.
+
+        A worker lists an end again until it is acknowledged, to the next
+        leader too.
+        """
+        if run <= task.failed_run:
+            return
+        task.failed_run = run
+        task.failures += 1
+        task.avoid.add(worker_id)
+        self.is_changed = True
+        if step.spec.is_endless or self.state.is_final:
+            return
+        failures = task.failures
+        if step.spec.is_gang:
+            failures = sum(member.failures for member in step.tasks)
+        if failures >= self.spec.policy.max_attempts:
+            self.state = JobState.FAILED
+
+    def note_begun(self) -> None:
+        """Note that a task was started."""
+        if not self.has_begun:
+            self.has_begun = True
+            self.is_changed = True
+            self.refresh_state()
+
+    def cancel(self) -> None:
+        """End the job unless it has already ended."""
+        if not self.state.is_final:
+            self.state = JobState.CANCELLED
+            self.is_changed = True
+
+    def refresh_state(self) -> None:
+        """Derive the state from the tasks; a final state stands."""
+        if self.state.is_final:
+            return
+        all_opened = self._opened == self.spec.schedule.rounds
+        if all_opened and all(step.is_done for step in self.steps.values()):
+            self.state = JobState.COMPLETED
+            self.is_changed = True
+        elif self.has_begun and self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
+    def _may_start(self, step: StepRun, now_ms: int) -> bool:
+        if self.state.is_final:
+            return False
+        if self.spec.schedule.due_ms(step.occurrence) > now_ms:
+            return False
+        return all(
+            self.steps[(step.occurrence, before)].is_done
+            for before in step.spec.after
+        )
+
+
+def create_job(spec: JobSpec, *, is_inherited: bool) -> Job:
+    """Return a job whose tasks all wait."""
+    return Job(spec, is_inherited=is_inherited)
--- /dev/null
+++ b/src/gentianpulley/jobs/spec.py
@@ -0,0 +1,149 @@
+"""What a caller asks for: a job of steps, each of equal tasks.
+
+The values are frozen; `gentianpulley.jobs.job` holds what has become of them.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Final, NamedTuple
+
+import msgspec
+
+from gentianpulley.resources import Resources
+
+NO_LIMIT: Final = 0
+MAX_STEPS: Final = 64
+MAX_TASKS_IN_STEP: Final = 10_000
+
+
+class TaskId(NamedTuple):
+    """One task: the job, its occurrence, the step and the place there."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    ordinal: int
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """Equal tasks that may run once the steps in `after` are done.
+
+    `estimated_ms` is the caller's guess of a task's run time. `data_rack` is
+    where the data lies, `max_per_worker` bounds the tasks of the step on one
+    worker (`NO_LIMIT`: any number). `fills_spare` marks tasks whose processors
+    do not count against a worker; they live on what the others leave.
+    `is_endless` tasks run until the job is cancelled and serve their own
+    users, whose latency tail has to stay under `tail_target_ms`; at most
+    `may_miss` of them may be away through actions of the scheduler.
+    """
+
+    task_count: int
+    resources: Resources
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    is_gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    max_per_worker: int = NO_LIMIT
+    may_copy: bool = False
+    checkpoints: bool = False
+    is_endless: bool = False
+    fills_spare: bool = False
+    image: str = ''
+    tail_target_ms: int = 0
+    may_miss: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """When the steps of a job run: once, or `occurrences` times."""
+
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    occurrences: int = 0
+
+    @property
+    def rounds(self) -> int:
+        """Return how often the steps run; a job without times runs once."""
+        return max(1, self.occurrences)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start, in Unix milliseconds."""
+        if not self.occurrences:
+            return 0
+        return self.first_due_ms + occurrence * self.interval_ms
+
+
+@dataclass(frozen=True, slots=True)
+class QueuePolicy:
+    """What the cfg in force at the submission said of the job's queue.
+
+    `priority` 0 goes first. A job is on time within `stretch` times its
+    longest chain of work plus `target_latency_ms`.
+    """
+
+    queue: str
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_latency_ms: int
+    needs_tickets: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """One accepted job."""
+
+    job_id: str
+    payload: str
+    policy: QueuePolicy
+    steps: tuple[StepSpec, ...]
+    submitted_ms: int
+    schedule: Schedule = Schedule()
+
+    def is_endless(self) -> bool:
+        """Tell whether the job runs until it is cancelled."""
+        return any(step.is_endless for step in self.steps)
+
+    def longest_chain_ms(self) -> int:
+        """Return the estimated run time of the longest chain of steps."""
+        ends: list[int] = []
+        for step in self.steps:
+            starts = max((ends[before] for before in step.after), default=0)
+            ends.append(starts + step.estimated_ms)
+        return max(ends, default=0)
+
+    def objective_ms(self) -> int:
+        """Return until when the job is on time, in Unix milliseconds."""
+        work_ms = self.policy.stretch * self.longest_chain_ms()
+        return int(self.submitted_ms + work_ms + self.policy.target_latency_ms)
+
+    def with_policy(self, policy: QueuePolicy) -> 'JobSpec':
+        """Return the job under another policy of its queue."""
+        return replace(self, policy=policy)
+
+
+def step_fault(steps: tuple[StepSpec, ...]) -> str:
+    """Return why the steps cannot make a job, or an empty text."""
+    if not 0 < len(steps) <= MAX_STEPS:
+        return f'a job has 1 to {MAX_STEPS} steps'
+    for number, step in enumerate(steps):
+        if not 0 < step.task_count <= MAX_TASKS_IN_STEP:
+            return f'step {number}: 1 to {MAX_TASKS_IN_STEP} tasks'
+        if any(not 0 <= before < number for before in step.after):
+            return f'step {number}: comes after a step that is not earlier'
+        if min(step.resources.as_tuple()) < 0:
+            return f'step {number}: negative resources'
+    return ''
+
+
+def encode_job(spec: JobSpec) -> bytes:
+    """Return a job as it is kept in the store."""
+    return msgspec.json.encode(spec)
+
+
+def decode_job(body: bytes) -> JobSpec:
+    """Read a kept job; raises `msgspec.DecodeError` for anything else."""
+    return msgspec.json.decode(body, type=JobSpec)
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -7,12 +7,15 @@
 
 import logging
 import sys
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import eliot
 
 from gentianpulley.result_code import ResultCode
 
+if TYPE_CHECKING:
+    from gentianpulley.cluster.link import RunKey
+
 _PREFIX: Final = 'gentianpulley:'
 
 
@@ -71,6 +74,64 @@
         """A call to a worker failed."""
         _write('worker_trouble', worker=worker, detail=detail)
 
+    def job_stored(self, job_id: str, queue: str, cfg_version: int) -> None:
+        """A job was accepted under a version of the cfg."""
+        _write('job_stored', job_id=job_id, queue=queue, cfg=cfg_version)
+
+    def job_refused(self, job_id: str, status: int, reason: str) -> None:
+        """A submission was answered without storing a job."""
+        _write('job_refused', job_id=job_id, status=status, reason=reason)
+
+    def job_cancelled(self, job_id: str) -> None:
+        """A caller's cancelling was stored."""
+        _write('job_cancelled', job_id=job_id)
+
+    def job_state(self, job_id: str, state: str, waited_ms: int) -> None:
+        """A job's record was written; `waited_ms` is its age."""
+        _write('job_state', job_id=job_id, state=state, age_ms=waited_ms)
+
+    def run_ordered(
+        self, key: 'RunKey', worker: str, load_percent: int
+    ) -> None:
+        """A task was placed; the load is the worker's reserved share."""
+        _write_run('run_ordered', key, worker, load_percent=load_percent)
+
+    def run_ended(self, key: 'RunKey', worker: str, cause: str) -> None:
+        """A worker listed the end of a run."""
+        _write_run('run_ended', key, worker, cause=cause)
+
+    def run_adopted(self, key: 'RunKey', worker: str) -> None:
+        """A run of an earlier leader goes on under this one."""
+        _write_run('run_adopted', key, worker)
+
+    def run_unknown(self, key: 'RunKey', worker: str) -> None:
+        """A worker lists a run of no known job; it is stopped."""
+        _write_run('run_unknown', key, worker)
+
+    def run_returned(self, key: 'RunKey', worker: str, reason: str) -> None:
+        """A run is surely not on the worker any more."""
+        _write_run('run_returned', key, worker, reason=reason)
+
+    def start_refused(self, key: 'RunKey', worker: str, verdict: str) -> None:
+        """A worker did not start a run."""
+        _write_run('start_refused', key, worker, verdict=verdict)
+
+    def worker_reborn(self, worker: str) -> None:
+        """A worker started anew; what ran on it before is over."""
+        _write('worker_reborn', worker=worker)
+
+    def leader_state(self, state: str, token: int, detail: str = '') -> None:
+        """This instance began or ended to lead."""
+        _write('leader_state', state=state, token=token, detail=detail)
+
+    def cfg_in_force(self, version: int, queues: int) -> None:
+        """A newer cfg is in force."""
+        _write('cfg_in_force', version=version, queues=queues)
+
+    def dependency(self, name: str, state: str, detail: str = '') -> None:
+        """A dependency was lost or regained."""
+        _write('dependency', name=name, state=state, detail=detail)
+
     def peer_trouble(self, peer: str, detail: str) -> None:
         """A call to a peer failed."""
         _write('peer_trouble', peer=peer, detail=detail)
@@ -100,6 +161,21 @@
         _write('internal_fault', detail=detail)
 
 
+def _write_run(
+    event: str, key: 'RunKey', worker: str, **fields: str | int
+) -> None:
+    """Write an event of one run, with the ids that lead to its job."""
+    task = key.task_id
+    _write(
+        event,
+        job_id=task.job_id,
+        task=f'{task.occurrence}.{task.step}.{task.ordinal}',
+        run=key.run,
+        worker=worker,
+        **fields,
+    )
+
+
 def start_log(instance: str, failure_domain: str) -> EventLog:
     """Write events to standard output, marked with the instance."""
     # The library logs each failed connection, which has an event of its own.
--- a/src/gentianpulley/messages.py
+++ b/src/gentianpulley/messages.py
@@ -16,6 +16,16 @@
 # Files, settings and cfg.
 
 
+def bad_setting(name: str, told: str) -> str:
+    """Text for a setting that is missing or cannot be used."""
+    return f'setting "{name}" is missing or not usable: "{told}"'
+
+
+def worker_answered(status: int, detail: str) -> str:
+    """Text for a worker's answer that is not a success."""
+    return f'the worker answered {status}: {detail}'
+
+
 def invalid_syntax(detail: str) -> str:
     """Text for a file that is not JSON with comments."""
     return f'invalid JSON: {detail}'
--- /dev/null
+++ b/src/gentianpulley/platform/daemon.py
@@ -0,0 +1,154 @@
+"""The daemon on the platform: settings from its file, then serve."""
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+from types import FrameType
+from typing import Final
+
+from cheroot.wsgi import Server
+
+from gentianpulley.cluster.campaign import Campaign
+from gentianpulley.cluster.job_book import JobDesk
+from gentianpulley.cluster.leader import LeaderParts
+from gentianpulley.cluster.queues import QueueTable
+from gentianpulley.cluster.submissions import Submissions
+from gentianpulley.cluster.timing import create_timing
+from gentianpulley.deadline import now_ms
+from gentianpulley.errors import SettingsError
+from gentianpulley.logs import EventLog, start_log
+from gentianpulley.platform.directory import create_directory
+from gentianpulley.platform.ingress import (
+    FRONT_THREADS,
+    READY_THREADS,
+    Ingress,
+    Readiness,
+    Stopping,
+    create_server,
+)
+from gentianpulley.platform.kv_store import connect_kv_store
+from gentianpulley.platform.node_file import (
+    NodeSettings,
+    load_node_settings,
+)
+from gentianpulley.platform.operator_watch import OperatorWatch
+from gentianpulley.platform.worker_link import HttpWorkerLinks
+
+SETTINGS_VARIABLE: Final = 'GENTIANPULLEY_NODE_FILE'
+
+LOOK_MS: Final = 1000
+"""How long a look at a worker waits for an end: reports of harm must come
+well within the bound of some seconds, and each look is priced."""
+
+CLOSING_SHARE: Final = 0.6
+"""Share of the grace after which the front closes; the balancer has then
+taken the instance out, which needs two seconds."""
+
+
+class Node:
+    """One entry instance on the platform."""
+
+    def __init__(self, settings: NodeSettings, log: EventLog) -> None:
+        """Build all parts; connect nowhere yet."""
+        self._settings = settings
+        self._log = log
+        self._stopping = Stopping()
+        bounds = settings.bounds
+        store = connect_kv_store(settings.store)
+        self._table = QueueTable(log)
+        parts = LeaderParts(
+            store=store,
+            directory=create_directory(store, log),
+            links=HttpWorkerLinks(),
+            timing=create_timing(
+                bounds.max_lease_ms,
+                bounds.contact_ms,
+                bounds.stop_ms,
+                LOOK_MS,
+            ),
+            status_ms=bounds.status_ms,
+            log=log,
+        )
+        self._campaign = Campaign(settings.instance, parts, log)
+        self._watch = OperatorWatch(
+            store, self._table, self._campaign.close_domains, log
+        )
+        submissions = Submissions(JobDesk(store, log), log)
+        ingress = Ingress(self._table, submissions, self._stopping, log)
+        self._front = create_server(settings.front, ingress, FRONT_THREADS)
+        self._ready = create_server(
+            settings.ready, Readiness(self.is_ready), READY_THREADS
+        )
+
+    def start(self) -> None:
+        """Listen and serve; raises `OSError` if an address is taken."""
+        for server in (self._front, self._ready):
+            server.prepare()
+            thread = threading.Thread(
+                target=_serve, args=(server, self._log), daemon=True
+            )
+            thread.start()
+        self._watch.start()
+        self._campaign.start()
+        self._log.process_state('started')
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections are welcome.
+
+        Jobs are stored before they are accepted, so an instance without the
+        store can serve nothing that others cannot serve better.
+        """
+        if self._stopping.is_set or self._table.cfg is None:
+            return False
+        silent_ms = now_ms() - self._watch.heard_ms
+        return silent_ms < self._settings.bounds.contact_ms
+
+    def shut_down(self) -> None:
+        """Hand the leadership over, answer what comes, then close."""
+        started_ms = now_ms()
+        self._log.process_state('draining')
+        self._stopping.is_set = True
+        self._campaign.hand_over()
+        grace_ms = self._settings.bounds.grace_ms
+        closing_ms = started_ms + int(grace_ms * CLOSING_SHARE)
+        threading.Event().wait(max(0, closing_ms - now_ms()) / 1000)
+        self._front.stop()
+        self._ready.stop()
+        self._log.process_state('stopped')
+
+
+def main() -> None:
+    """Run the daemon and exit with its status."""
+    sys.exit(run_node())
+
+
+def run_node() -> int:
+    """Serve until SIGTERM; returns the exit status."""
+    stop = threading.Event()
+
+    def receive(signum: int, frame: FrameType | None) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, receive)
+    signal.signal(signal.SIGINT, receive)
+    signal.signal(signal.SIGHUP, lambda signum, frame: None)
+    try:
+        settings = load_node_settings(Path(os.environ[SETTINGS_VARIABLE]))
+    except (SettingsError, KeyError) as exc:
+        sys.stderr.write(f'{exc}\n')
+        return SettingsError.code.exit_status
+    log = start_log(settings.instance, settings.failure_domain)
+    node = Node(settings, log)
+    node.start()
+    stop.wait()
+    node.shut_down()
+    return 0
+
+
+def _serve(server: Server, log: EventLog) -> None:
+    try:
+        server.serve()
+    except Exception as fault:
+        log.internal_fault(repr(fault))
--- /dev/null
+++ b/src/gentianpulley/platform/ingress.py
@@ -0,0 +1,269 @@
+"""Serves callers of queues, and the platform's question for readiness.
+
+The application speaks WSGI; cheroot, the server within CherryPy, runs it with
+a pool of threads and keep-alive connections.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+from cheroot.wsgi import Server
+
+from gentianpulley.cluster.queues import QueueRule, QueueTable
+from gentianpulley.cluster.submissions import (
+    Received,
+    Reception,
+    Submissions,
+)
+from gentianpulley.deadline import deadline_in, now_ms
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.jobs.spec import (
+    JobSpec,
+    Schedule,
+    StepSpec,
+    step_fault,
+)
+from gentianpulley.logs import EventLog
+from gentianpulley.platform.wire import JOB_DECODER, WireJob, WireStep
+from gentianpulley.resources import Resources
+
+FRONT_THREADS: Final = 12
+"""Requests served at a time by one instance: each waits for a call to the
+store of some ms, and an instance gets some tens of requests a second."""
+
+READY_THREADS: Final = 2
+"""Only the platform's balancer asks."""
+
+ANSWER_MARGIN: Final = 0.8
+"""Share of a caller's deadline within which it is answered."""
+
+DEFAULT_WAIT_MS: Final = 3000
+"""How long a caller is taken to wait if it does not say."""
+
+SOCKET_BACKLOG: Final = 128
+SOCKET_TIMEOUT_S: Final = 15
+MAX_HEADER_BYTES: Final = 65_536
+
+_JOB_ID_DIGITS: Final = 16
+_HEX_DIGITS: Final = frozenset('0123456789abcdefABCDEF')
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP answer."""
+
+    status: str
+    body: bytes = b'{}'
+    retry_after_s: int = 0
+
+
+OK: Final = '200 OK'
+BAD_REQUEST: Final = '400 Bad Request'
+NOT_FOUND: Final = '404 Not Found'
+BAD_METHOD: Final = '405 Method Not Allowed'
+GONE: Final = '410 Gone'
+TOO_LARGE: Final = '413 Content Too Large'
+FAULT: Final = '500 Internal Server Error'
+UNAVAILABLE: Final = '503 Service Unavailable'
+NO_ANSWER: Final = '504 Gateway Timeout'
+
+_STATUS_OF: Final = {
+    Reception.OK: OK,
+    Reception.UNKNOWN_JOB: GONE,
+    Reception.REFUSED: UNAVAILABLE,
+    Reception.UNCERTAIN: NO_ANSWER,
+}
+
+
+class Stopping:
+    """Whether the process is stopping; connections are then closed."""
+
+    def __init__(self) -> None:
+        """Serve on."""
+        self.is_set = False
+
+
+class Ingress:
+    """The WSGI application for callers."""
+
+    def __init__(
+        self,
+        table: QueueTable,
+        submissions: Submissions,
+        stopping: Stopping,
+        log: EventLog,
+    ) -> None:
+        """Serve the queues of a table."""
+        self._table = table
+        self._submissions = submissions
+        self._stopping = stopping
+        self._log = log
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request, whatever happens."""
+        try:
+            answer = self._answer(environ)
+        except Exception as fault:
+            self._log.internal_fault(repr(fault))
+            answer = Answer(FAULT)
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(answer.body))),
+        ]
+        if answer.retry_after_s:
+            headers.append(('Retry-After', str(answer.retry_after_s)))
+        if self._stopping.is_set:
+            headers.append(('Connection', 'close'))
+        start_response(answer.status, headers)
+        return [answer.body]
+
+    def _answer(self, environ: Environ) -> Answer:
+        cfg = self._table.cfg
+        if cfg is None:
+            return Answer(UNAVAILABLE, retry_after_s=1)
+        path = environ.get('PATH_INFO', '')
+        rule = self._table.find(environ.get('HTTP_HOST', ''), path)
+        if rule is None:
+            return Answer(NOT_FOUND)
+        job_id = path[len(rule.address.prefix) :]
+        method = environ['REQUEST_METHOD']
+        if not job_id and method == 'GET':
+            return _waiting(self._submissions.count_waiting(rule.policy.queue))
+        if not _is_job_id(job_id):
+            return Answer(NOT_FOUND)
+        if method == 'GET':
+            return _state(self._submissions.view(job_id))
+        if method == 'DELETE':
+            deadline_ms = _deadline_ms(environ, rule)
+            return _plain(self._submissions.cancel(job_id, deadline_ms))
+        if method == 'POST':
+            return self._submit(environ, rule, job_id, cfg.version)
+        return Answer(BAD_METHOD)
+
+    def _submit(
+        self, environ: Environ, rule: QueueRule, job_id: str, version: int
+    ) -> Answer:
+        deadline_ms = _deadline_ms(environ, rule)
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        cfg = self._table.cfg
+        if cfg is not None and length > cfg.max_body_bytes:
+            return Answer(TOO_LARGE)
+        try:
+            wire = JOB_DECODER.decode(environ['wsgi.input'].read(length))
+            spec = job_spec(job_id, wire, rule)
+        except (msgspec.DecodeError, ValueError) as exc:
+            self._log.job_refused(job_id, 400, str(exc))
+            return Answer(BAD_REQUEST)
+        return _plain(self._submissions.submit(spec, version, deadline_ms))
+
+
+class Readiness:
+    """The WSGI application for the balancer: 200 while ready."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        """Ask a function at each request."""
+        self._is_ready = is_ready
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        status = OK if self._is_ready() else UNAVAILABLE
+        start_response(status, [('Content-Length', '0')])
+        return [b'']
+
+
+def create_server(
+    address: HttpAddress, application: object, threads: int
+) -> Server:
+    """Return an HTTP server that is not started."""
+    server = Server(
+        (address.host, address.port),
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=SOCKET_BACKLOG,
+        timeout=SOCKET_TIMEOUT_S,
+        accepted_queue_size=SOCKET_BACKLOG,
+        accepted_queue_timeout=SOCKET_TIMEOUT_S,
+    )
+    server.max_request_header_size = MAX_HEADER_BYTES
+    return server
+
+
+def job_spec(job_id: str, wire: WireJob, rule: QueueRule) -> JobSpec:
+    """Return the job of a submission; raises `ValueError` with the fault."""
+    steps = tuple(map(_step, wire.steps))
+    fault = step_fault(steps)
+    if fault:
+        raise ValueError(fault)
+    return JobSpec(
+        job_id=job_id,
+        payload=wire.payload,
+        policy=rule.policy,
+        steps=steps,
+        submitted_ms=now_ms(),
+        schedule=Schedule(
+            wire.first_due_ms, wire.interval_ms, wire.occurrences
+        ),
+    )
+
+
+def _step(wire: WireStep) -> StepSpec:
+    return StepSpec(
+        task_count=wire.count,
+        resources=Resources(wire.cpu, wire.mem_mb, wire.gpus),
+        estimated_ms=wire.estimated_ms,
+        after=wire.after,
+        is_gang=wire.is_gang,
+        same_rack=wire.same_rack,
+        required_label=wire.required_label,
+        data_rack=wire.data_rack,
+        max_per_worker=wire.max_per_worker,
+        may_copy=wire.may_copy,
+        checkpoints=wire.checkpoints,
+        is_endless=wire.is_endless,
+        fills_spare=wire.fills_spare,
+        image=wire.image,
+        tail_target_ms=int(wire.tail_target_ms),
+        may_miss=wire.may_miss,
+    )
+
+
+def _is_job_id(text: str) -> bool:
+    return len(text) == _JOB_ID_DIGITS and set(text) <= _HEX_DIGITS
+
+
+def _deadline_ms(environ: Environ, rule: QueueRule) -> int:
+    told = environ.get('HTTP_X_DEADLINE_MS', '')
+    wait_ms = int(told) if told.isdecimal() else DEFAULT_WAIT_MS
+    if rule.timeout_ms:
+        wait_ms = min(wait_ms, rule.timeout_ms)
+    return deadline_in(int(wait_ms * ANSWER_MARGIN))
+
+
+def _plain(received: Received) -> Answer:
+    return Answer(
+        _STATUS_OF[received.reception],
+        retry_after_s=received.retry_after_s,
+    )
+
+
+def _state(received: Received) -> Answer:
+    if received.view is None:
+        return _plain(received)
+    state = received.view.state.value
+    return Answer(OK, msgspec.json.encode({'state': state}))
+
+
+def _waiting(received: Received) -> Answer:
+    if received.reception is not Reception.OK:
+        return _plain(received)
+    return Answer(OK, msgspec.json.encode({'waiting': received.waiting}))
--- /dev/null
+++ b/src/gentianpulley/platform/kv_store.py
@@ -0,0 +1,226 @@
+"""Adapter of the store to the platform's key-value service.
+
+Calls are HTTP with JSON bodies; values travel as base64. A call that was
+refused had no effect; one without an answer may take effect seconds later if
+its conditions still hold.
+"""
+
+import threading
+from base64 import b64decode, b64encode
+from collections.abc import Iterator, Sequence
+from typing import Final, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in
+from gentianpulley.errors import (
+    HttpSilentError,
+    HttpUnreachableError,
+    StoreAnswerLostError,
+    StoreCompactedError,
+    StoreRefusedError,
+    StoreUnreachableError,
+)
+from gentianpulley.http_conn import HttpAddress, HttpAnswer, HttpConn
+from gentianpulley.messages import store_refused
+from gentianpulley.platform.wire import (
+    WireCommit,
+    WireEvents,
+    WireGuard,
+    WireItem,
+    WireLease,
+    WireLeaseRequest,
+    WirePut,
+    WireRange,
+    WireTransaction,
+)
+from gentianpulley.store import (
+    Change,
+    ChangeBatch,
+    Commit,
+    Entry,
+    Guard,
+    GuardedWrite,
+    Snapshot,
+    Store,
+    StoreLease,
+    Transaction,
+    Verdict,
+)
+
+CALL_TIMEOUT_MS: Final = 1000
+"""The store answers in milliseconds; when it is slow, in a quarter second."""
+
+WATCH_WAIT_MS: Final = 1800
+"""How long a watch waits: a silent connection must be noticed, and the cfg be
+read again, within the site's bound on a cfg."""
+
+WATCH_SLACK_MS: Final = 500
+"""How much later than its wait a watch is answered at the latest."""
+
+MAX_CONNS: Final = 8
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_GONE: Final = 410
+_CONFLICT: Final = 412
+_Message = TypeVar('_Message')
+
+
+class KvStore(Store):
+    """The platform's store."""
+
+    def __init__(self, address: HttpAddress) -> None:
+        """Connect at the first call."""
+        self._conn = HttpConn(address, MAX_CONNS)
+        self._calls = 0
+        self._lock = threading.Lock()
+
+    def read(self, key: str) -> Entry | None:
+        """Return the entry at `key`, or None."""
+        answer = self._call('GET', f'kv-key?key={quote(key, safe="")}')
+        if answer.status == _NOT_FOUND:
+            return None
+        return _entry(_decoded(answer, WireItem))
+
+    def read_prefix(self, prefix: str) -> Snapshot:
+        """Return all entries whose keys start with `prefix`.
+
+        The revision is that of the first page: a watch from there shows again
+        what changed between the pages.
+        """
+        pages: list[WireRange] = []
+        path = f'kv-range?prefix={quote(prefix, safe="")}'
+        after = ''
+        while not pages or pages[-1].is_truncated:
+            page = _decoded(self._call('GET', f'{path}{after}'), WireRange)
+            pages.append(page)
+            if not page.items:
+                break
+            after = f'&after={quote(page.items[-1].key, safe="")}'
+        entries = [_entry(found) for page in pages for found in page.items]
+        return Snapshot(tuple(entries), pages[0].store_revision)
+
+    def write(self, writes: Sequence[GuardedWrite]) -> tuple[Verdict, ...]:
+        """Try each write on its own, one call each."""
+        verdicts = []
+        for each in writes:
+            guard = Guard(each.key, each.expected_revision)
+            commit = self.commit(Transaction((guard,), each.puts, each.deletes))
+            current = commit.current[0] if commit.current else None
+            verdicts.append(Verdict(commit.applied, commit.revision, current))
+        return tuple(verdicts)
+
+    def commit(self, txn: Transaction) -> Commit:
+        """Apply all writes of a transaction, or none."""
+        wire = WireTransaction(
+            tuple(WireGuard(each.key, each.revision) for each in txn.guards),
+            tuple(
+                WirePut(each.key, _encoded(each.body), each.lease_id)
+                for each in txn.puts
+            ),
+            txn.deletes,
+        )
+        answer = self._call('POST', 'kv-txn', msgspec.json.encode(wire))
+        if answer.status == _NOT_FOUND:
+            raise StoreRefusedError(store_refused('kv-txn', answer.status))
+        commit = _decoded(answer, WireCommit)
+        current = tuple(
+            _entry(found) for found in commit.items if found.revision
+        )
+        return Commit(answer.status == _OK, commit.revision, current)
+
+    def grant_lease(self, ttl_s: int) -> StoreLease:
+        """Grant a lease of `ttl_s` seconds."""
+        ttl_ms = ttl_s * MS_PER_SECOND
+        deadline_ms = deadline_in(ttl_ms)
+        body = msgspec.json.encode(WireLeaseRequest(ttl_ms))
+        lease = _decoded(self._call('POST', 'kv-lease', body), WireLease)
+        return StoreLease(lease.lease, deadline_ms)
+
+    def keep_alive(self, lease: StoreLease) -> StoreLease | None:
+        """Renew the lease; None when it has already lapsed."""
+        sent_ms = deadline_in(0)
+        answer = self._call('POST', f'kv-keep/{lease.lease_id}')
+        if answer.status == _NOT_FOUND:
+            return None
+        renewed = _decoded(answer, WireLease)
+        return StoreLease(lease.lease_id, sent_ms + renewed.ttl_ms)
+
+    def revoke(self, lease: StoreLease) -> None:
+        """End the lease and delete the keys bound to it."""
+        self._call('DELETE', f'kv-lease-end/{lease.lease_id}')
+
+    def watch(self, prefix: str, revision: int) -> Iterator[ChangeBatch]:
+        """Yield changes below `prefix` that are newer than `revision`.
+
+        Raises `StoreCompactedError` when that history is gone.
+        """
+        path = f'kv-watch?prefix={quote(prefix, safe="")}'
+        after = revision
+        while True:
+            answer = self._call(
+                'GET',
+                f'{path}&after={after}&wait_ms={WATCH_WAIT_MS}',
+                timeout_ms=WATCH_WAIT_MS + WATCH_SLACK_MS,
+            )
+            if answer.status == _GONE:
+                raise StoreCompactedError(store_refused(prefix, _GONE))
+            batch = _decoded(answer, WireEvents)
+            after = max(after, batch.store_revision)
+            yield ChangeBatch(tuple(map(_change, batch.events)), after)
+
+    def calls_made(self) -> int:
+        """Return the number of calls sent so far."""
+        return self._calls
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> HttpAnswer:
+        with self._lock:
+            self._calls += 1
+        try:
+            answer = self._conn.call(
+                method, f'/gentianpulley/{path}', deadline_in(timeout_ms), body
+            )
+        except HttpUnreachableError as exc:
+            raise StoreUnreachableError(exc.text) from exc
+        except HttpSilentError as exc:
+            raise StoreAnswerLostError(exc.text) from exc
+        if answer.status not in {_OK, _NOT_FOUND, _GONE, _CONFLICT}:
+            raise StoreRefusedError(store_refused(path, answer.status))
+        return answer
+
+
+def connect_kv_store(address: HttpAddress) -> KvStore:
+    """Return the platform's store at an address."""
+    return KvStore(address)
+
+
+def _decoded(answer: HttpAnswer, message: type[_Message]) -> _Message:
+    try:
+        return msgspec.json.decode(answer.body, type=message)
+    except msgspec.DecodeError as exc:
+        raise StoreAnswerLostError(str(exc)) from exc
+
+
+def _encoded(body: bytes) -> str:
+    return b64encode(body).decode()
+
+
+def _entry(found: WireItem) -> Entry:
+    try:
+        body = b64decode(found.value, validate=True)
+    except ValueError as exc:
+        raise StoreAnswerLostError(str(exc)) from exc
+    return Entry(found.key, body, found.revision)
+
+
+def _change(event: WireItem) -> Change:
+    entry = None if event.is_removed else _entry(event)
+    return Change(event.key, entry, event.revision)
--- /dev/null
+++ b/src/gentianpulley/platform/node_file.py
@@ -0,0 +1,104 @@
+"""Settings of a process on the platform: lines of the form a.b=value."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from gentianpulley.errors import SettingsError
+from gentianpulley.http_conn import HttpAddress, parse_address
+from gentianpulley.messages import bad_setting, file_unreadable
+
+
+@dataclass(frozen=True, slots=True)
+class SiteBounds:
+    """Bounds that the site promises or asks for, in milliseconds."""
+
+    contact_ms: int
+    grace_ms: int
+    max_lease_ms: int
+    stop_ms: int
+    harm_ms: int
+    status_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a process is told at its start.
+
+    `instance` and `failure_domain` name it; `front`, `ready` and `store` are
+    addresses.
+    """
+
+    instance: str
+    failure_domain: str
+    front: HttpAddress
+    ready: HttpAddress
+    store: HttpAddress
+    bounds: SiteBounds
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read the settings; raises `SettingsError` naming the faulty line."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(file_unreadable(str(path), exc)) from exc
+    return parse_node_settings(text)
+
+
+def parse_node_settings(text: str) -> NodeSettings:
+    """Read settings; unknown names are left out."""
+    values = _values(text)
+    return NodeSettings(
+        instance=_text(values, 'node'),
+        failure_domain=_text(values, 'zone'),
+        front=_address(values, 'listen.front'),
+        ready=_address(values, 'listen.ready'),
+        store=_address(values, 'platform.addr'),
+        bounds=SiteBounds(
+            contact_ms=_number(values, 'bounds.contact_ms'),
+            grace_ms=int(_number(values, 'bounds.grace_s', 1000)),
+            # What runs holds a lease of at most this; not a time to hold back.
+            max_lease_ms=_number(values, 'bounds.max_hold_ms'),
+            stop_ms=_number(values, 'bounds.stop_ms'),
+            harm_ms=_number(values, 'bounds.harm_ms', default='4000'),
+            status_ms=_number(values, 'bounds.status_s', 1000),
+        ),
+    )
+
+
+def _values(text: str) -> dict[str, str]:
+    values = {}
+    for line in text.splitlines():
+        name, equals, told = line.partition('=')
+        if equals and not line.lstrip().startswith('#'):
+            values[name.strip()] = told.strip()
+    return values
+
+
+def _text(values: Mapping[str, str], name: str) -> str:
+    told = values.get(name, '')
+    if not told:
+        raise SettingsError(bad_setting(name, told))
+    return told
+
+
+def _address(values: Mapping[str, str], name: str) -> HttpAddress:
+    told = _text(values, name)
+    try:
+        return parse_address(told)
+    except ValueError as exc:
+        raise SettingsError(bad_setting(name, told)) from exc
+
+
+def _number(
+    values: Mapping[str, str], name: str, factor: int = 1, default: str = ''
+) -> int:
+    told = values.get(name, default)
+    try:
+        number = float(told)
+    except ValueError as exc:
+        raise SettingsError(bad_setting(name, told)) from exc
+    if number <= 0:
+        raise SettingsError(bad_setting(name, told))
+    return int(number * factor)
--- a/src/gentianpulley/resources.py
+++ b/src/gentianpulley/resources.py
@@ -47,6 +47,10 @@
             max(self.accelerators, other.accelerators),
         )
 
+    def as_tuple(self) -> tuple[int, int, int]:
+        """Return processors, memory and accelerators in this order."""
+        return self.processors_milli, self.memory_mib, self.accelerators
+
     def is_positive(self) -> bool:
         """Tell whether the amount asks for something and nothing negative."""
         return (
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -52,6 +52,36 @@
     deletes: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Guard:
+    """A condition of a transaction: `key` is at `revision`."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Transaction:
+    """Writes that take effect together if all guards hold."""
+
+    guards: tuple[Guard, ...]
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """The answer to a transaction.
+
+    `revision` is that of the change if it was applied. Otherwise `current`
+    holds the entries of the guarded keys that exist.
+    """
+
+    applied: bool
+    revision: int
+    current: tuple[Entry, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """The answer to one guarded write.
@@ -110,6 +140,10 @@
     def write(self, writes: Sequence[GuardedWrite]) -> tuple[Verdict, ...]:
         """Try each write on its own, in one call; verdicts in order."""
 
+    @abstractmethod
+    def commit(self, txn: Transaction) -> Commit:
+        """Apply all writes of a transaction, or none."""
+
     @abstractmethod
     def grant_lease(self, ttl_s: int) -> StoreLease:
         """Grant a lease of `ttl_s` seconds."""
