--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -40,7 +40,7 @@
     """One task: its phase, the run that was ordered last, and its history.
 
     `run` is the number of the latest run and `worker_id` where it was sent;
-    `failed_run` is the latest run that was counted in `failures`.
+    `failed_runs` are the runs that were counted as failed.
     `avoid` names workers on which a run failed. An unconfirmed task was
     accepted under an earlier leader and may still run on a worker that this
     leader has not listed.
@@ -48,14 +48,18 @@
 
     task_id: TaskId
     phase: TaskPhase = TaskPhase.WAITING
-    failures: int = 0
-    failed_run: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ''
     run: int = 0
     worker_id: str = ''
     avoid: set[str] = field(default_factory=set)
     is_unconfirmed: bool = False
 
+    @property
+    def failures(self) -> int:
+        """Return how many runs have failed."""
+        return len(self.failed_runs)
+
 
 class StepRun:
     """One step of one occurrence of a job."""
@@ -191,13 +195,15 @@
         A worker lists an end again until it is acknowledged, to the next
         leader too.
         """
-        if run <= task.failed_run:
+        if step.spec.is_endless:
+            task.avoid.add(worker_id)
             return
-        task.failed_run = run
-        task.failures += 1
+        if run in task.failed_runs:
+            return
+        task.failed_runs.add(run)
         task.avoid.add(worker_id)
         self.is_changed = True
-        if step.spec.is_endless or self.state.is_final:
+        if self.state.is_final:
             return
         failures = task.failures
         if step.spec.is_gang:
--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -25,13 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskTrace:
-    """What is known of a task that is not done: failures and checkpoint."""
+    """What is known of a task that is not done: failed runs and checkpoint."""
 
     occurrence: int
     step: int
     index: int
-    failures: int
-    failed_run: int
+    failed_runs: tuple[int, ...]
     checkpoint: str
 
 
@@ -103,14 +102,13 @@
             task.task_id.occurrence,
             task.task_id.step,
             task.task_id.ordinal,
-            task.failures,
-            task.failed_run,
+            tuple(task.failed_runs),
             task.checkpoint,
         )
         for step in job.steps.values()
         for task in step.tasks
         if task.phase is not TaskPhase.DONE
-        and (task.failures or task.checkpoint)
+        and (task.failed_runs or task.checkpoint)
     ]
 
 
@@ -126,6 +124,5 @@
     step = job.step_of(task_id)
     if step is not None:
         task = step.tasks[trace.index]
-        task.failures = trace.failures
-        task.failed_run = trace.failed_run
+        task.failed_runs = set(trace.failed_runs)
         task.checkpoint = trace.checkpoint
--- /dev/null
+++ b/tests/scheduling/site.py
@@ -0,0 +1,155 @@
+"""A scheduler on a table of workers, driven by hand, without sockets."""
+
+from dataclasses import dataclass, field
+
+from gentianpulley.cluster.link import (
+    EndCause,
+    EndedRow,
+    Listing,
+    RunKey,
+    RunningRow,
+    StartOrder,
+    StartReply,
+    StartVerdict,
+    WorkerFacts,
+)
+from gentianpulley.cluster.scheduler import (
+    Order,
+    Reign,
+    Scheduler,
+    create_scheduler,
+)
+from gentianpulley.cluster.timing import create_timing
+from gentianpulley.jobs.job import Job, Task, create_job
+from gentianpulley.jobs.spec import (
+    JobSpec,
+    QueuePolicy,
+    Schedule,
+    StepSpec,
+    TaskId,
+)
+from gentianpulley.logs import EventLog
+from gentianpulley.resources import Resources
+
+SERVICE = 'fitting'
+START_MS = 1_000_000
+TIMING = create_timing(
+    max_lease_ms=6000, contact_ms=3000, stop_ms=900, look_ms=1000
+)
+
+
+def facts(worker_id: str, **changes: object) -> WorkerFacts:
+    """Return a worker of 64 cores and 256 GB."""
+    known: dict[str, object] = {
+        'worker_id': worker_id,
+        'service': SERVICE,
+        'address': f'10.0.0.{len(worker_id)}:80',
+        'failure_domain': 'a',
+        'capacity': Resources(64_000, 256_000, 0),
+        'labels': frozenset(('kind', 'r1')),
+        'born_ms': 1,
+    }
+    return WorkerFacts(**{**known, **changes})  # type: ignore[arg-type]
+
+
+def step(count: int = 1, **changes: object) -> StepSpec:
+    """Return a step of tasks of 8 cores."""
+    known: dict[str, object] = {
+        'task_count': count,
+        'resources': Resources(8000, 1000, 0),
+        'estimated_ms': 1000,
+    }
+    return StepSpec(**{**known, **changes})  # type: ignore[arg-type]
+
+
+def job(
+    *steps: StepSpec,
+    job_id: str = 'a' * 16,
+    priority: int = 0,
+    max_attempts: int = 3,
+    schedule: Schedule = Schedule(),
+    submitted_ms: int = START_MS,
+    inherited: bool = False,
+) -> Job:
+    """Return a job of a queue on the usual service."""
+    policy = QueuePolicy('queue', SERVICE, priority, max_attempts, 2, 1000)
+    spec = JobSpec(job_id, 'payload', policy, steps, submitted_ms, schedule)
+    return create_job(spec, is_inherited=inherited)
+
+
+@dataclass
+class HandSite:
+    """A scheduler whose workers list what the test tells them to."""
+
+    scheduler: Scheduler
+    at_ms: int = START_MS
+    ends: dict[str, int] = field(default_factory=dict)
+
+    def add_worker(self, worker_id: str, **changes: object) -> None:
+        """Register a worker and let it answer a first look with no runs."""
+        self.scheduler.update_worker(facts(worker_id, **changes), self.at_ms)
+        self.list_runs(worker_id)
+
+    def list_runs(
+        self,
+        worker_id: str,
+        running: tuple[RunningRow, ...] = (),
+        ended: tuple[EndedRow, ...] = (),
+        sent_ms: int = 0,
+    ) -> list[Order]:
+        """Let a worker list runs; its clock follows the site's."""
+        worker = self.scheduler.workers[worker_id]
+        listing = Listing(self.at_ms, worker.facts.born_ms, running, ended)
+        sent = sent_ms or self.at_ms
+        worker.clock.note(self.at_ms, self.at_ms)
+        self.scheduler.look_order(worker, 0)
+        return self.scheduler.note_listing(worker, listing, sent, self.at_ms)
+
+    def end(
+        self,
+        worker_id: str,
+        key: RunKey,
+        cause: EndCause = EndCause.DONE,
+        checkpoint: str = '',
+    ) -> list[Order]:
+        """Let a worker list the end of one run."""
+        number = self.ends.get(worker_id, 0) + 1
+        self.ends[worker_id] = number
+        row = EndedRow(number, key, cause, checkpoint)
+        running = tuple(
+            RunningRow(other, '', 100, 0)
+            for other in self.scheduler.workers[worker_id].charges
+            if other != key
+        )
+        return self.list_runs(worker_id, running, (row,))
+
+    def plan(self) -> list[StartOrder]:
+        """Place what can be placed now."""
+        return self.scheduler.plan(self.at_ms)
+
+    def start_all(self) -> list[StartOrder]:
+        """Place what can be placed, and let every start be accepted."""
+        orders = self.plan()
+        for order in orders:
+            self.answer(order, StartVerdict.ACCEPTED)
+        return orders
+
+    def answer(self, order: StartOrder, verdict: StartVerdict) -> None:
+        """Answer a start."""
+        reply = StartReply(verdict, self.at_ms)
+        self.scheduler.note_start(order, reply, self.at_ms)
+
+    def task(self, task_id: TaskId) -> Task:
+        """Return a task of a known job."""
+        found = self.scheduler.jobs[task_id.job_id].step_of(task_id)
+        assert found is not None
+        return found.tasks[task_id.ordinal]
+
+
+def hand_site(*worker_ids: str, roster: frozenset[str] = frozenset()) -> HandSite:
+    """Return a site with listed workers under a leader with token 7."""
+    reign = Reign(7, START_MS, roster, TIMING)
+    site = HandSite(create_scheduler(reign, EventLog()))
+    for worker_id in worker_ids:
+        site.add_worker(worker_id)
+    return site
