Read the listed percent as progress; learn harm by pair of images

Change: pace is what this leader told; harm is estimated by pair of images (recursive least squares, ruled out: normalized gradient steps, which had not converged after 20 s of recorded looks); filling tasks go where no serving task is expected over 0.55 of its target; serving images are packed together.

--- /dev/null
+++ b/src/gentianpulley/cluster/harm.py
@@ -0,0 +1,166 @@
+"""Learns how much each image of filling tasks harms each serving image.
+
+Answers the pattern of harm that differs by pair and shows only in late, rough
+figures. For each serving image, the logarithm of the latency tail is taken as
+a base plus, for each filling image, a coefficient times the share of the
+worker's processors that it uses. Coefficients are estimated by recursive
+least squares with a prior, one small system for each serving image.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+PRIOR_HARM: Final = 3.0
+"""Coefficient of an unknown pair: a task on a sixth of the worker raises the
+tail by half, so that unknown pairs are tried one at a time."""
+
+PRIOR_VARIANCE: Final = 6.0
+"""Coefficients of pairs lie between none and about eight."""
+
+PRIOR_BASE_MS: Final = 15.0
+BASE_VARIANCE: Final = 0.5
+
+NOISE_VARIANCE: Final = 0.6
+"""Variance of the logarithm of a reported tail: load and rough figures."""
+
+DRIFT_VARIANCE: Final = 0.001
+"""Added for each sample, as harm changes within seconds."""
+
+MAX_VARIANCE: Final = 8.0
+
+Shares = Mapping[str, float]
+"""Share of a worker's processors used, by image of the filling tasks."""
+
+_BASE: Final = 0
+_Row = list[float]
+
+
+@dataclass(slots=True)
+class _Estimate:
+    """One serving image: coefficients and their covariance."""
+
+    names: dict[str, int] = field(default_factory=dict)
+    means: _Row = field(default_factory=list)
+    covariance: list[_Row] = field(default_factory=list)
+
+    def position(self, image: str) -> int:
+        """Return the place of a filling image; a new one gets the prior."""
+        place = self.names.get(image)
+        if place is None:
+            place = len(self.means)
+            self.names[image] = place
+            self._grow(PRIOR_HARM, PRIOR_VARIANCE)
+        return place
+
+    def _grow(self, mean: float, variance: float) -> None:
+        self.means.append(mean)
+        for row in self.covariance:
+            row.append(0)
+        size = len(self.means)
+        self.covariance.append([0.0] * size)
+        self.covariance[-1][-1] = variance
+
+
+@dataclass(frozen=True, slots=True)
+class KnownPair:
+    """One coefficient as it is handed to the next leader."""
+
+    serving: str
+    filling: str
+    harm: float
+
+
+class HarmModel:
+    """What is known of all pairs of images."""
+
+    def __init__(self) -> None:
+        """Know nothing but the prior."""
+        self._estimates: dict[str, _Estimate] = {}
+
+    def note(self, serving: str, tail_ms: float, shares: Shares) -> None:
+        """Learn from one report of a serving task beside filling ones."""
+        if tail_ms <= 0:
+            return
+        estimate = self._estimate(serving)
+        features = [(_BASE, 1.0)]
+        features.extend(
+            (estimate.position(image), share)
+            for image, share in shares.items()
+            if share > 0
+        )
+        _update(estimate, features, math.log(tail_ms))
+
+    def predict(self, serving: str, shares: Shares) -> float:
+        """Return the logarithm of the expected tail in milliseconds."""
+        estimate = self._estimate(serving)
+        expected = estimate.means[_BASE]
+        return expected + sum(
+            share * self.harm(serving, image) for image, share in shares.items()
+        )
+
+    def harm(self, serving: str, filling: str) -> float:
+        """Return a pair's coefficient, never below zero."""
+        estimate = self._estimate(serving)
+        place = estimate.names.get(filling)
+        if place is None:
+            return PRIOR_HARM
+        return max(0, estimate.means[place])
+
+    def export(self) -> bytes:
+        """Return the coefficients for the next leader."""
+        known = [
+            KnownPair(serving, filling, round(estimate.means[place], 2))
+            for serving, estimate in self._estimates.items()
+            for filling, place in estimate.names.items()
+        ]
+        return msgspec.json.encode(known)
+
+    def load(self, body: bytes) -> None:
+        """Take over coefficients; raises `msgspec.DecodeError`."""
+        for pair in msgspec.json.decode(body, type=list[KnownPair]):
+            estimate = self._estimate(pair.serving)
+            place = estimate.position(pair.filling)
+            estimate.means[place] = pair.harm
+            estimate.covariance[place][place] = PRIOR_VARIANCE / 4
+
+    def _estimate(self, serving: str) -> _Estimate:
+        estimate = self._estimates.get(serving)
+        if estimate is None:
+            estimate = _Estimate(
+                names={'': _BASE},
+                means=[math.log(PRIOR_BASE_MS)],
+                covariance=[[BASE_VARIANCE]],
+            )
+            self._estimates[serving] = estimate
+        return estimate
+
+
+def create_harm_model() -> HarmModel:
+    """Return a model that knows only the prior."""
+    return HarmModel()
+
+
+def _update(
+    estimate: _Estimate, features: list[tuple[int, float]], seen: float
+) -> None:
+    """Take one observation into the estimate (a Kalman update)."""
+    spread = [
+        sum(row[place] * amount for place, amount in features)
+        for row in estimate.covariance
+    ]
+    expected = sum(estimate.means[place] * amount for place, amount in features)
+    variance = NOISE_VARIANCE + sum(
+        spread[place] * amount for place, amount in features
+    )
+    error = (seen - expected) / variance
+    for place, amount in enumerate(spread):
+        estimate.means[place] += amount * error
+        row = estimate.covariance[place]
+        factor = amount / variance
+        for other, spread_there in enumerate(spread):
+            row[other] -= factor * spread_there
+        row[place] = min(row[place] + DRIFT_VARIANCE, MAX_VARIANCE)
--- a/src/gentianpulley/cluster/link.py
+++ b/src/gentianpulley/cluster/link.py
@@ -73,13 +73,14 @@
 class RunningRow:
     """A run that a worker lists as present.
 
-    `percent` is the share at which it is let work. `gauge` is rough: the
-    latency tail in ms for an endless task, else the processors in use.
+    `progress_percent` is how far it has come; an endless task is at work at
+    100. `gauge` is rough: the latency tail in ms for a serving task, else the
+    processors in use, in thousandths.
     """
 
     key: RunKey
     checkpoint: str
-    percent: int
+    progress_percent: int
     gauge: int
 
 
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -1,66 +1,175 @@
-"""Slows down filling tasks where a serving task's latency tail suffers.
+"""Slows down filling tasks where serving tasks would miss their targets.
 
-Answers the pattern of harm that differs by pair of images and shifts with
-load: cut fast when a tail nears its target, give back slowly, never above
-what was seen to be harmless a moment ago.
+Answers the pattern in which a harmful neighbour arrives, or a serving task's
+load rises, on a worker that was quiet: the fastest paces that keep every
+expected tail under its target are computed anew at each look. Harming a
+serving task costs many times what a filling task earns meanwhile.
 """
 
+import math
 from typing import Final
 
-from gentianpulley.cluster.link import PaceOrder
+from gentianpulley.cluster.harm import HarmModel
+from gentianpulley.cluster.link import PaceOrder, RunKey
 from gentianpulley.cluster.worker import FULL_PERCENT, Charge, Worker
 
-PRESSED_SHARE: Final = 0.8
-"""Tail as a share of its target above which filling tasks are slowed."""
+TARGET_SHARE: Final = 0.65
+"""Expected tail as a share of its target that is allowed: the figures are
+rough and half a second late."""
 
-CALM_SHARE: Final = 0.55
-"""Tail as a share of its target below which they are sped up again."""
+PLACING_SHARE: Final = 0.55
+"""The same for a task that is not placed yet, which leaves room for load."""
 
-CUT_FACTOR: Final = 0.5
-"""Each look with a pressed tail halves the pace: the reports are late by half
-a second and the site allows a few seconds in all."""
+BIAS_WEIGHT: Final = 0.35
+"""Weight of the newest report in a serving task's deviation from the model."""
 
-STEP_UP_PERCENT: Final = 15
-"""Pace given back for each calm look."""
+MAX_BIAS: Final = 1.5
+"""Bound on that deviation, in units of the logarithm."""
 
-LOWEST_PERCENT: Final = 5
-"""Below this a filling task stands still."""
+SETTLED_MS: Final = 600
+"""Age from which a filling task shows in reports, which lag half a second."""
 
+SAMPLE_GAP_MS: Final = 400
+"""Shortest time between two samples of one worker: reports cover as much."""
 
-def pace_orders(worker: Worker) -> list[PaceOrder]:
-    """Return the changes of pace that the last look asks for."""
-    serving, filling = _sorted_charges(worker)
+SMALLEST_CHANGE: Final = 8
+"""Smaller changes of pace, in percent, are not worth an order."""
+
+STILL_PERCENT: Final = 8
+"""Below this pace a filling task stands still."""
+
+
+def learn(worker: Worker, model: HarmModel, now_ms: int) -> None:
+    """Learn from a worker's newest reports."""
+    if now_ms < worker.sampled_ms + SAMPLE_GAP_MS:
+        return
+    worker.sampled_ms = now_ms
+    shares = _used_shares(worker, now_ms)
+    for charge in worker.charges.values():
+        if _is_serving(charge) and charge.gauge_ms == now_ms:
+            _learn_one(charge, model, shares)
+
+
+def pace_orders(worker: Worker, model: HarmModel) -> list[PaceOrder]:
+    """Return the changes of pace that the expected tails ask for."""
+    filling = [
+        charge
+        for charge in worker.charges.values()
+        if charge.spec.fills_spare and charge.settled_ms
+    ]
     if not filling:
         return []
-    pressure = max((_pressure(charge) for charge in serving), default=0)
+    paces = {charge.key: 1.0 for charge in filling}
+    for serving in worker.charges.values():
+        if _is_serving(serving):
+            _slow_down(worker, model, serving, filling, paces)
     orders = []
     for charge in filling:
-        wanted = _next_percent(charge.wanted_percent, pressure)
+        wanted = _rounded(paces[charge.key])
         charge.wanted_percent = wanted
-        if wanted != charge.percent:
+        if _is_worth_an_order(charge.percent, wanted):
             orders.append(PaceOrder(worker.worker_id, charge.key, wanted))
     return orders
 
 
-def _sorted_charges(worker: Worker) -> tuple[list[Charge], list[Charge]]:
-    serving = []
-    filling = []
+def excess_after(
+    worker: Worker, model: HarmModel, image: str, processors: int
+) -> float:
+    """Return by how much a further filling task would exceed what is allowed.
+
+    The largest excess over all serving tasks there, as a logarithm; negative
+    values are room that is left.
+    """
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    worst = -math.inf
+    placed = _placed_shares(worker)
+    placed[image] = placed.get(image, 0) + processors / capacity
+    for charge in worker.charges.values():
+        if _is_serving(charge):
+            allowed = math.log(PLACING_SHARE * charge.spec.tail_target_ms)
+            expected = model.predict(charge.spec.image, placed) + charge.bias
+            worst = max(worst, expected - allowed)
+    return worst
+
+
+def _learn_one(
+    charge: Charge, model: HarmModel, shares: dict[str, float]
+) -> None:
+    image = charge.spec.image
+    if charge.gauge <= 0:
+        return
+    deviation = math.log(charge.gauge) - model.predict(image, shares)
+    model.note(image, charge.gauge, shares)
+    mixed = charge.bias + BIAS_WEIGHT * (deviation - charge.bias)
+    charge.bias = max(-MAX_BIAS, min(MAX_BIAS, mixed))
+
+
+def _slow_down(
+    worker: Worker,
+    model: HarmModel,
+    serving: Charge,
+    filling: list[Charge],
+    paces: dict[RunKey, float],
+) -> None:
+    """Lower the most harmful paces until the serving task is safe."""
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    image = serving.spec.image
+    harms = {
+        charge.key: model.harm(image, charge.spec.image)
+        * charge.spec.resources.processors_milli
+        / capacity
+        for charge in filling
+    }
+    allowed = math.log(TARGET_SHARE * serving.spec.tail_target_ms)
+    expected = model.predict(image, {}) + serving.bias
+    expected += sum(harms[key] * paces[key] for key in harms)
+    excess = expected - allowed
+    for key in sorted(harms, key=harms.__getitem__, reverse=True):
+        if excess <= 0:
+            break
+        given = harms[key] * paces[key]
+        if given <= 0:
+            continue
+        cut = min(given, excess)
+        paces[key] *= 1 - cut / given
+        excess -= cut
+
+
+def _is_serving(charge: Charge) -> bool:
+    return charge.spec.tail_target_ms > 0 and charge.gauge_ms > 0
+
+
+def _used_shares(worker: Worker, now_ms: int) -> dict[str, float]:
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    shares: dict[str, float] = {}
+    for charge in worker.charges.values():
+        is_seen = now_ms - charge.sent_ms > SETTLED_MS
+        if charge.spec.fills_spare and is_seen:
+            image = charge.spec.image
+            shares[image] = shares.get(image, 0) + charge.gauge / capacity
+    return shares
+
+
+def _placed_shares(worker: Worker) -> dict[str, float]:
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    shares: dict[str, float] = {}
     for charge in worker.charges.values():
-        if charge.spec.fills_spare and charge.settled_ms:
-            filling.append(charge)
-        elif charge.spec.tail_target_ms and charge.gauge_ms:
-            serving.append(charge)
-    return serving, filling
+        if charge.spec.fills_spare:
+            image = charge.spec.image
+            need = charge.spec.resources.processors_milli
+            used = need * charge.wanted_percent / FULL_PERCENT
+            shares[image] = shares.get(image, 0) + used / capacity
+    return shares
 
 
-def _pressure(charge: Charge) -> float:
-    return charge.gauge / charge.spec.tail_target_ms
+def _rounded(pace: float) -> int:
+    percent = round(pace * FULL_PERCENT)
+    return percent if percent >= STILL_PERCENT else 0
 
 
-def _next_percent(percent: int, pressure: float) -> int:
-    if pressure > PRESSED_SHARE:
-        cut = int(percent * CUT_FACTOR)
-        return cut if cut >= LOWEST_PERCENT else 0
-    if pressure < CALM_SHARE:
-        return min(FULL_PERCENT, percent + STEP_UP_PERCENT)
-    return percent
+def _is_worth_an_order(percent: int, wanted: int) -> bool:
+    if percent == wanted:
+        return False
+    if wanted in {0, FULL_PERCENT}:
+        return True
+    return abs(wanted - percent) >= SMALLEST_CHANGE
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass
 from typing import Final
 
+from gentianpulley.cluster.harm import HarmModel
+from gentianpulley.cluster.pacing import excess_after
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
-from gentianpulley.jobs.spec import NO_LIMIT
+from gentianpulley.jobs.spec import NO_LIMIT, StepSpec
 
 ENDLESS_USE: Final = 0.6
 """Expected share of its processors that an endless task uses: their load
@@ -26,16 +28,22 @@
 COLD_COST: Final = 1.0
 """Cost of a worker that has just started and is still slow."""
 
+STRANGER_COST: Final = 0.3
+"""Cost of each other image that serves on the worker."""
+
+NEVER: Final = float('inf')
+
 SUSPECT_COST: Final = 0.5
 """Cost of each failure in a row."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlacingView:
-    """What bears on placing besides the workers: closed failure domains."""
+    """What bears on placing besides the workers themselves."""
 
     closed_domains: frozenset[str]
     now_ms: int
+    harm: HarmModel
 
 
 def candidates(
@@ -93,13 +101,42 @@
     worker: Worker, step: StepRun, task: Task, view: PlacingView
 ) -> float:
     spec = step.spec
-    capacity = max(1, worker.facts.capacity.processors_milli)
-    busy = capacity - spare_milli(worker) + worker.filling
-    cost = busy / capacity + worker.failures_in_row * SUSPECT_COST
+    cost = worker.failures_in_row * SUSPECT_COST
     if spec.data_rack and spec.data_rack not in worker.facts.labels:
         cost += FAR_COST
     if worker.worker_id in task.avoid:
         cost += FAILED_COST
     if view.now_ms < worker.cold_until_ms:
         cost += COLD_COST
-    return cost
+    if spec.is_endless:
+        return cost + _endless_cost(worker, spec)
+    if spec.fills_spare:
+        return cost + _filling_cost(worker, spec, view)
+    return cost + _load(worker)
+
+
+def _load(worker: Worker) -> float:
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    return (capacity - spare_milli(worker) + worker.filling) / capacity
+
+
+def _endless_cost(worker: Worker, spec: StepSpec) -> float:
+    """Pack serving tasks of one image together.
+
+    That leaves workers to filling tasks, and lets each image of these find
+    serving tasks that it does not harm.
+    """
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    free = 1 - worker.processors / capacity
+    images = worker.serving_images()
+    strangers = len(images - {spec.image})
+    return free + strangers * STRANGER_COST
+
+
+def _filling_cost(worker: Worker, spec: StepSpec, view: PlacingView) -> float:
+    """Keep away from serving tasks that the image is expected to harm."""
+    need = spec.resources.processors_milli
+    excess = excess_after(worker, view.harm, spec.image, need)
+    if excess > 0:
+        return NEVER
+    return _load(worker)
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from gentianpulley.cluster.harm import create_harm_model
 from gentianpulley.cluster.link import (
     EndCause,
     EndedRow,
@@ -27,14 +28,18 @@
     WorkerFacts,
 )
 from gentianpulley.cluster.ordering import in_order
-from gentianpulley.cluster.pacing import pace_orders
+from gentianpulley.cluster.pacing import learn, pace_orders
 from gentianpulley.cluster.placing import (
     PlacingView,
     candidates,
     choose_worker,
 )
 from gentianpulley.cluster.timing import Timing
-from gentianpulley.cluster.worker import Worker, create_worker
+from gentianpulley.cluster.worker import (
+    UNKNOWN_PERCENT,
+    Worker,
+    create_worker,
+)
 from gentianpulley.jobs.job import Job, StepRun, Task, TaskPhase
 from gentianpulley.jobs.spec import TaskId
 from gentianpulley.logs import EventLog
@@ -76,6 +81,7 @@
         self.workers: dict[str, Worker] = {}
         self.closed_domains: frozenset[str] = frozenset()
         self.change_number = 0
+        self.harm = create_harm_model()
         self._log = log
         self._unsettled = set(reign.roster)
         self._live: dict[str, Job] = {}
@@ -185,7 +191,8 @@
         if worker.clock.lease_worker_ms:
             worker.is_fenced = True
             self._unsettled.discard(worker.worker_id)
-        orders.extend(pace_orders(worker))
+        learn(worker, self.harm, now_ms)
+        orders.extend(pace_orders(worker, self.harm))
         return orders
 
     def note_lapses(self, now_ms: int) -> None:
@@ -255,7 +262,7 @@
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
-        view = PlacingView(self.closed_domains, now_ms)
+        view = PlacingView(self.closed_domains, now_ms, self.harm)
         handover_over = self.is_handover_over(now_ms)
         orders: list[StartOrder] = []
         for step in in_order(self._startable(now_ms)):
@@ -365,7 +372,7 @@
         charge.settled_ms = charge.settled_ms or now_ms
         charge.gauge = row.gauge
         charge.gauge_ms = now_ms
-        charge.percent = row.percent
+        charge.progress_percent = row.progress_percent
         job = self.jobs.get(row.key.task_id.job_id)
         step = job.step_of(row.key.task_id) if job else None
         if step is not None and row.checkpoint:
@@ -386,8 +393,7 @@
             return [stop]
         charge = worker.charge(row.key, step.spec, now_ms)
         charge.settled_ms = now_ms
-        charge.percent = row.percent
-        charge.wanted_percent = row.percent
+        charge.percent = UNKNOWN_PERCENT
         task = step.tasks[task_id.ordinal]
         is_wanted = not job.state.is_final and task.phase is TaskPhase.WAITING
         if is_wanted and row.key.run >= task.run:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -9,6 +9,7 @@
 from gentianpulley.jobs.spec import StepSpec, TaskId
 
 FULL_PERCENT: Final = 100
+UNKNOWN_PERCENT: Final = -1
 
 QUARANTINE_AFTER: Final = 2
 """Failures in a row, without a run that ended as done, that make a worker
@@ -26,6 +27,9 @@
     `settled_ms` is when the worker answered the start or listed the run, and
     `barred_ms` when it answered a stop; zero means not yet. `is_stopping` says
     that a stop was ordered. `sent_ms` is when the start was ordered.
+    `percent` is the pace that the worker was last told, `UNKNOWN_PERCENT` if
+    somebody else told it. `bias` is how far a serving task's tail lies from
+    what is expected of its image, as a logarithm.
     """
 
     key: RunKey
@@ -34,10 +38,12 @@
     settled_ms: int = 0
     barred_ms: int = 0
     is_stopping: bool = False
+    progress_percent: int = 0
     percent: int = FULL_PERCENT
     wanted_percent: int = FULL_PERCENT
     gauge: int = 0
     gauge_ms: int = 0
+    bias: float = 0
 
     @property
     def processors_milli(self) -> int:
@@ -75,6 +81,7 @@
         self.accelerators = 0
         self.filling = 0
         self.endless = 0
+        self.sampled_ms = 0
         self.foreign: set[RunKey] = set()
         self.unsaved_ends: deque[tuple[int, int]] = deque()
 
@@ -83,6 +90,14 @@
         """Return the worker's id."""
         return self.facts.worker_id
 
+    def serving_images(self) -> set[str]:
+        """Return the images of the endless tasks on the worker."""
+        return {
+            charge.spec.image
+            for charge in self.charges.values()
+            if charge.spec.is_endless
+        }
+
     def accepts(self, now_ms: int) -> bool:
         """Tell whether new runs may be sent there."""
         return (
--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -153,8 +153,11 @@
 
 
 class WireLists(Struct, frozen=True):
-    """A worker's answer: rows of [task, run, checkpoint, percent, gauge] and
-    of [number, task, run, how, checkpoint]."""
+    """A worker's answer: rows of [task, run, checkpoint, progress, gauge] and
+    of [number, task, run, how, checkpoint].
+
+    The pages call the progress "percent", as they do the pace; a worker does
+    not list the pace."""
 
     clock_ms: int = 0
     born_ms: int = field(name='born', default=0)
--- a/src/gentianpulley/platform/worker_link.py
+++ b/src/gentianpulley/platform/worker_link.py
@@ -59,9 +59,8 @@
 _MISDIRECTED: Final = 421
 _FENCE: Final = 'fence'
 _EXPECTED_LIFE: Final = 'X-Target-Instance'
-_PERCENT_CELL: Final = 3
+_PROGRESS_CELL: Final = 3
 _GAUGE_CELL: Final = 4
-_FULL_PERCENT: Final = 100
 
 _REASONS: Final = {
     _FENCE: StartVerdict.FENCED,
@@ -206,12 +205,12 @@
 
 
 def _running_row(row: tuple[Any, ...]) -> RunningRow:
-    percent = row[_PERCENT_CELL] if len(row) > _PERCENT_CELL else None
+    progress = row[_PROGRESS_CELL] if len(row) > _PROGRESS_CELL else None
     gauge = row[_GAUGE_CELL] if len(row) > _GAUGE_CELL else None
     return RunningRow(
         RunKey(parse_task_name(row[0]), int(row[1])),
         str(row[2] or ''),
-        _FULL_PERCENT if percent is None else int(percent),
+        int(progress or 0),
         int(gauge or 0),
     )
 
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -146,7 +146,9 @@
         return found.tasks[task_id.ordinal]
 
 
-def hand_site(*worker_ids: str, roster: frozenset[str] = frozenset()) -> HandSite:
+def hand_site(
+    *worker_ids: str, roster: frozenset[str] = frozenset()
+) -> HandSite:
     """Return a site with listed workers under a leader with token 7."""
     reign = Reign(7, START_MS, roster, TIMING)
     site = HandSite(create_scheduler(reign, EventLog()))
--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -60,7 +60,7 @@
     site = hand_site('w1', 'w2')
     site.scheduler.add_job(successor)
     site.end('w1', order.key, EndCause.FAILED)
-    assert successor.state is not JobState.FAILED
+    assert site.task(TASK).failures == 2
     (last,) = site.start_all()
     site.end(last.worker_id, last.key, EndCause.FAILED)
     assert successor.state is JobState.FAILED
--- /dev/null
+++ b/tests/scheduling/test_sharing.py
@@ -0,0 +1,99 @@
+"""Filling tasks keep clear of the serving tasks that they harm."""
+
+import pytest
+
+from gentianpulley.cluster.harm import create_harm_model
+from gentianpulley.cluster.link import PaceOrder, RunKey, RunningRow
+from gentianpulley.jobs.spec import StepSpec
+from gentianpulley.resources import Resources
+from tests.scheduling.site import HandSite, hand_site, job, step
+
+SERVING = step(
+    image='serves', is_endless=True, tail_target_ms=50, estimated_ms=0
+)
+
+
+def _filling(image: str, count: int = 1) -> StepSpec:
+    return step(
+        count, image=image, fills_spare=True, resources=Resources(9000, 1000)
+    )
+
+
+def _teach(site: HandSite, image: str, tail_ms: float) -> None:
+    """Show many reports of a tail beside a filling image."""
+    for _ in range(40):
+        site.scheduler.harm.note('serves', 10, {})
+        site.scheduler.harm.note('serves', tail_ms, {image: 0.15})
+
+
+def test_the_listed_percent_is_progress_and_asks_for_no_pace() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(_filling('calm')))
+    (order,) = site.start_all()
+    for progress in (10, 40, 90):
+        site.at_ms += 1000
+        row = RunningRow(order.key, '', progress, 9000)
+        assert not site.list_runs('w1', (row,))
+
+
+@pytest.mark.parametrize(('tail_ms', 'worker_id'), [(11, 'w1'), (90, 'w2')])
+def test_a_harmful_image_goes_elsewhere(tail_ms: float, worker_id: str) -> None:
+    """`w1` serves; `w2` is full of reserved work and so the dearer one."""
+    site = hand_site('w1')
+    site.scheduler.add_job(job(SERVING, job_id='1' * 16))
+    (serving,) = site.start_all()
+    site.list_runs('w1', (RunningRow(serving.key, '', 100, 10),))
+    site.add_worker('w2')
+    busy = step(resources=Resources(40_000, 1000), required_label='w2')
+    site.scheduler.workers['w2'].charge(
+        RunKey(serving.key.task_id, 99), busy, site.at_ms
+    )
+    _teach(site, 'fill', tail_ms)
+    site.scheduler.add_job(job(_filling('fill'), job_id='2' * 16))
+    (placed,) = site.plan()
+    assert placed.worker_id == worker_id
+
+
+def test_a_harmful_neighbour_is_slowed_at_the_next_look() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(_filling('fill'), job_id='2' * 16))
+    (fill,) = site.start_all()
+    site.scheduler.add_job(job(SERVING, job_id='1' * 16))
+    (serving,) = site.start_all()
+    _teach(site, 'fill', 200)
+    site.at_ms += 1000
+    rows = (
+        RunningRow(fill.key, '', 50, 9000),
+        RunningRow(serving.key, '', 100, 150),
+    )
+    site.list_runs('w1', rows)
+    site.at_ms += 1000
+    orders = site.list_runs('w1', rows)
+    paces = [each for each in orders if isinstance(each, PaceOrder)]
+    assert paces
+    assert paces[0].key == fill.key
+    assert paces[0].percent < 60
+
+
+@pytest.mark.parametrize(
+    ('tail_ms', 'low', 'high'), [(10, 0, 1), (25, 4, 8), (60, 8, 14)]
+)
+def test_the_model_tells_harmful_pairs_apart(
+    tail_ms: float, low: float, high: float
+) -> None:
+    model = create_harm_model()
+    for _ in range(60):
+        model.note('serves', 10, {})
+        model.note('serves', tail_ms, {'fill': 0.15})
+    assert low <= model.harm('serves', 'fill') <= high
+
+
+def test_the_model_is_handed_on() -> None:
+    model = create_harm_model()
+    for _ in range(60):
+        model.note('serves', 60, {'fill': 0.15})
+    successor = create_harm_model()
+    successor.load(model.export())
+    assert successor.harm('serves', 'fill') == pytest.approx(
+        model.harm('serves', 'fill'), abs=0.01
+    )
