Work out placing costs once for a step; learn from a few tasks a sample

Change: one pass for a step, a heap after that; a shape that found no room is not tried again in the same plan; the model learns from at most four tasks a sample.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -24,7 +24,7 @@
 from gentianpulley.logs import EventLog
 from gentianpulley.store import ChangeBatch, Guard, Store
 
-PLAN_GAP_S: Final = 0.01
+PLAN_GAP_S: Final = 0.015
 """Shortest time between two plans, so that ends that come together share
 one."""
 
--- a/src/gentianpulley/cluster/ordering.py
+++ b/src/gentianpulley/cluster/ordering.py
@@ -28,27 +28,24 @@
 
 def prospect(step: StepRun, now_ms: int) -> Prospect:
     """Return what the job of a step comes to if the step starts now."""
-    spec = step.job.spec
-    if spec.is_endless():
+    if step.spec.is_endless:
         return Prospect.ON_TIME
-    ends_ms = now_ms + spec.remaining_chain_ms(step.number)
-    objective_ms = spec.objective_ms(step.occurrence)
-    if ends_ms <= objective_ms:
+    ends_ms = now_ms + step.chain_ms
+    if ends_ms <= step.objective_ms:
         return Prospect.ON_TIME
-    begun_ms = spec.begins_ms(step.occurrence)
-    last_ms = begun_ms + LATE_FACTOR * (objective_ms - begun_ms)
+    allowed_ms = step.objective_ms - step.begins_ms
+    last_ms = step.begins_ms + LATE_FACTOR * allowed_ms
     return Prospect.LATE if ends_ms <= last_ms else Prospect.USELESS
 
 
 def sort_key(step: StepRun, now_ms: int) -> SortKey:
     """Return the place of a step among the waiting ones; smaller is first."""
-    spec = step.job.spec
     return (
-        spec.policy.priority,
+        step.job.spec.policy.priority,
         step.spec.is_endless,
         prospect(step, now_ms),
         not step.spec.after,
-        spec.objective_ms(step.occurrence),
+        step.objective_ms,
     )
 
 
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import random
 from typing import Final
 
 from gentianpulley.cluster.harm import HarmModel
@@ -32,6 +33,10 @@
 SAMPLE_GAP_MS: Final = 400
 """Shortest time between two samples of one worker: reports cover as much."""
 
+LEARNED: Final = 4
+"""Serving tasks of a sample from which the model learns; each costs some ten
+microseconds for each image squared."""
+
 SMALLEST_CHANGE: Final = 8
 """Smaller changes of pace, in percent, are not worth an order."""
 
@@ -39,15 +44,27 @@
 """Below this pace a filling task stands still."""
 
 
-def learn(worker: Worker, model: HarmModel, now_ms: int) -> None:
-    """Learn from a worker's newest reports."""
+def learn(worker: Worker, model: HarmModel, now_ms: int) -> bool:
+    """Learn from a worker's newest reports; returns whether it was time to.
+
+    The model learns from a few tasks of each sample, in turn.
+    """
     if now_ms < worker.sampled_ms + SAMPLE_GAP_MS:
-        return
+        return False
     worker.sampled_ms = now_ms
     shares = _used_shares(worker, now_ms)
-    for charge in worker.charges.values():
-        if _is_serving(charge) and charge.gauge_ms == now_ms:
-            _learn_one(charge, model, shares)
+    serving = [
+        charge
+        for charge in worker.charges.values()
+        if _is_serving(charge)
+        and charge.gauge_ms == now_ms
+        and charge.gauge > 0
+    ]
+    for charge in serving:
+        _note_bias(charge, model, shares)
+    for charge in random.sample(serving, min(LEARNED, len(serving))):
+        model.note(charge.spec.image, charge.gauge, shares)
+    return True
 
 
 def pace_orders(worker: Worker, model: HarmModel) -> list[PaceOrder]:
@@ -81,25 +98,29 @@
     values are room that is left.
     """
     capacity = max(1, worker.facts.capacity.processors_milli)
-    worst = -math.inf
+    serving = [
+        charge for charge in worker.charges.values() if _is_serving(charge)
+    ]
+    if not serving:
+        return -math.inf
     placed = _placed_shares(worker)
     placed[image] = placed.get(image, 0) + processors / capacity
-    for charge in worker.charges.values():
-        if _is_serving(charge):
-            allowed = math.log(PLACING_SHARE * charge.spec.tail_target_ms)
-            expected = model.predict(charge.spec.image, placed) + charge.bias
-            worst = max(worst, expected - allowed)
+    expected: dict[str, float] = {}
+    worst = -math.inf
+    for charge in serving:
+        name = charge.spec.image
+        if name not in expected:
+            expected[name] = model.predict(name, placed)
+        allowed = math.log(PLACING_SHARE * charge.spec.tail_target_ms)
+        worst = max(worst, expected[name] + charge.bias - allowed)
     return worst
 
 
-def _learn_one(
+def _note_bias(
     charge: Charge, model: HarmModel, shares: dict[str, float]
 ) -> None:
-    image = charge.spec.image
-    if charge.gauge <= 0:
-        return
-    deviation = math.log(charge.gauge) - model.predict(image, shares)
-    model.note(image, charge.gauge, shares)
+    expected = model.predict(charge.spec.image, shares)
+    deviation = math.log(charge.gauge) - expected
     mixed = charge.bias + BIAS_WEIGHT * (deviation - charge.bias)
     charge.bias = max(-MAX_BIAS, min(MAX_BIAS, mixed))
 
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -5,15 +5,17 @@
 processors go where the others are expected to leave some.
 """
 
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.pacing import excess_after
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.jobs.spec import NO_LIMIT, StepSpec
+from gentianpulley.resources import Resources
 
 ENDLESS_USE: Final = 0.6
 """Expected share of its processors that an endless task uses: their load
@@ -22,9 +24,6 @@
 FAR_COST: Final = 2.0
 """Cost of a worker off the data's rack, in full loads of a worker."""
 
-FAILED_COST: Final = 4.0
-"""Cost of a worker on which the task has failed before."""
-
 COLD_COST: Final = 1.0
 """Cost of a worker that has just started and is still slow."""
 
@@ -46,6 +45,30 @@
     harm: HarmModel
 
 
+class Shape(NamedTuple):
+    """What makes two steps equally hard to place."""
+
+    service: str
+    label: str
+    data_rack: str
+    image: str
+    resources: Resources
+    fills_spare: bool
+
+
+def shape_of(step: StepRun) -> Shape:
+    """Return the shape of a step's tasks."""
+    spec = step.spec
+    return Shape(
+        step.job.spec.policy.service,
+        spec.required_label,
+        spec.data_rack,
+        spec.image,
+        spec.resources,
+        spec.fills_spare,
+    )
+
+
 def candidates(
     workers: Iterable[Worker], step: StepRun, view: PlacingView
 ) -> list[Worker]:
@@ -62,19 +85,56 @@
     ]
 
 
-def choose_worker(
-    allowed: list[Worker], step: StepRun, task: Task, view: PlacingView
-) -> Worker | None:
-    """Return the cheapest worker with room, or None."""
-    best: Worker | None = None
-    best_cost = float('inf')
-    for worker in allowed:
-        if not _has_room(worker, step):
-            continue
-        cost = _cost(worker, step, task, view)
-        if cost < best_cost:
-            best, best_cost = worker, cost
-    return best
+class Choice:
+    """The workers for the equal tasks of one step, cheapest first.
+
+    Costs are worked out once for the step, and again only for a worker that
+    was given a task, so that a wide step costs little more than a narrow one.
+    """
+
+    def __init__(
+        self, allowed: list[Worker], step: StepRun, view: PlacingView
+    ) -> None:
+        """Work out the costs of all allowed workers."""
+        self._step = step
+        self._view = view
+        self._heap: list[tuple[float, int, Worker]] = []
+        self._taken: tuple[float, int, Worker] | None = None
+        for place, worker in enumerate(allowed):
+            self._push(place, worker)
+
+    def take(self, task: Task) -> Worker | None:
+        """Return the cheapest worker for a task, or None.
+
+        The worker has to be charged before `give_back` returns it.
+        """
+        passed = []
+        found = None
+        while self._heap:
+            entry = heapq.heappop(self._heap)
+            passed.append(entry)
+            if entry[2].worker_id not in task.avoid:
+                found = entry
+                break
+        if found is None and passed:
+            found = passed[0]
+        self._taken = found
+        for entry in passed:
+            if entry is not found:
+                heapq.heappush(self._heap, entry)
+        return found[2] if found else None
+
+    def give_back(self) -> None:
+        """Offer the worker taken last again, at its new cost."""
+        if self._taken is not None:
+            self._push(self._taken[1], self._taken[2])
+
+    def _push(self, place: int, worker: Worker) -> None:
+        if not _has_room(worker, self._step):
+            return
+        cost = _cost(worker, self._step, self._view)
+        if cost < NEVER:
+            heapq.heappush(self._heap, (cost, place, worker))
 
 
 def spare_milli(worker: Worker) -> float:
@@ -97,15 +157,11 @@
     return not worker.filling or worker.filling + need <= spare_milli(worker)
 
 
-def _cost(
-    worker: Worker, step: StepRun, task: Task, view: PlacingView
-) -> float:
+def _cost(worker: Worker, step: StepRun, view: PlacingView) -> float:
     spec = step.spec
     cost = worker.failures_in_row * SUSPECT_COST
     if spec.data_rack and spec.data_rack not in worker.facts.labels:
         cost += FAR_COST
-    if worker.worker_id in task.avoid:
-        cost += FAILED_COST
     if view.now_ms < worker.cold_until_ms:
         cost += COLD_COST
     if spec.is_endless:
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -32,7 +32,9 @@
 from gentianpulley.cluster.placing import (
     PlacingView,
     candidates,
-    choose_worker,
+    Choice,
+    Shape,
+    shape_of,
 )
 from gentianpulley.cluster.timing import Timing
 from gentianpulley.cluster.worker import (
@@ -191,8 +193,8 @@
         if worker.clock.lease_worker_ms:
             worker.is_fenced = True
             self._unsettled.discard(worker.worker_id)
-        learn(worker, self.harm, now_ms)
-        orders.extend(pace_orders(worker, self.harm))
+        if learn(worker, self.harm, now_ms):
+            orders.extend(pace_orders(worker, self.harm))
         return orders
 
     def note_lapses(self, now_ms: int) -> None:
@@ -265,9 +267,15 @@
         view = PlacingView(self.closed_domains, now_ms, self.harm)
         handover_over = self.is_handover_over(now_ms)
         orders: list[StartOrder] = []
+        full: set[Shape] = set()
         for step in in_order(self._startable(now_ms), now_ms):
-            if handover_over or not step.job.is_inherited:
+            shape = shape_of(step)
+            is_free = handover_over or not step.job.is_inherited
+            if is_free and shape not in full:
                 orders.extend(self._place_step(step, view))
+                if step.waiting and not step.spec.max_per_worker:
+                    # A later step of this shape would find no room either.
+                    full.add(shape)
         return orders
 
     def _startable(self, now_ms: int) -> list[StepRun]:
@@ -284,14 +292,16 @@
         allowed = candidates(self.workers.values(), step, view)
         if step.spec.is_gang:
             return self._place_gang(step, allowed, view)
+        choice = Choice(allowed, step, view)
         orders = []
         for index in sorted(step.waiting):
             task = step.tasks[index]
-            worker = choose_worker(allowed, step, task, view)
+            worker = choice.take(task)
             if worker is None:
                 break
             run = max(self._first_run, task.run + 1)
             orders.append(self._order_start(worker, step, task, run, view))
+            choice.give_back()
         return orders
 
     def _place_gang(
@@ -302,9 +312,10 @@
             return []
         checkpoint = max(task.checkpoint for task in step.tasks)
         run = max(task.run for task in step.tasks) + 1
+        choice = Choice(allowed, step, view)
         orders: list[StartOrder] = []
         for task in step.tasks:
-            worker = choose_worker(allowed, step, task, view)
+            worker = choice.take(task)
             if worker is None:
                 self._undo(step, orders)
                 return []
@@ -314,6 +325,7 @@
                     worker, step, task, max(self._first_run, run), view
                 )
             )
+            choice.give_back()
         return orders
 
     def _undo(self, step: StepRun, orders: Iterable[StartOrder]) -> None:
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -62,7 +62,12 @@
 
 
 class StepRun:
-    """One step of one occurrence of a job."""
+    """One step of one occurrence of a job.
+
+    `chain_ms` is the longest estimated chain of work that begins here. The
+    occurrence's time counts from `begins_ms`; it is on time until
+    `objective_ms`.
+    """
 
     def __init__(self, job: 'Job', occurrence: int, number: int) -> None:
         """Let all tasks wait."""
@@ -80,6 +85,9 @@
         self.waiting = set(range(self.spec.task_count))
         self.done_count = 0
         self.per_worker: dict[str, int] = {}
+        self.chain_ms = job.spec.remaining_chain_ms(number)
+        self.begins_ms = job.spec.begins_ms(occurrence)
+        self.objective_ms = job.spec.objective_ms(occurrence)
 
     @property
     def is_done(self) -> bool:
