--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -65,6 +65,8 @@
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
 _CONFLICT: Final = 412
+_TOO_MANY: Final = 429
+_UNAVAILABLE: Final = 503
 _Message = TypeVar('_Message')
 
 
@@ -192,6 +194,9 @@
             raise StoreUnreachableError(exc.text) from exc
         except HttpSilentError as exc:
             raise StoreAnswerLostError(exc.text) from exc
+        if answer.status in {_TOO_MANY, _UNAVAILABLE}:
+            # The store says so before it takes a call up.
+            raise StoreUnreachableError(store_refused(path, answer.status))
         if answer.status not in {_OK, _NOT_FOUND, _GONE, _CONFLICT}:
             raise StoreRefusedError(store_refused(path, answer.status))
         return answer
--- /dev/null
+++ b/standins/grid_store.py
@@ -0,0 +1,236 @@
+"""A stand-in of the users' platform store, over loopback.
+
+It speaks the published protocol: items, ranges in pages, watches, conditional
+transactions and leases. `faults` makes it fail in the ways of the real one:
+`down` refuses every call, `lose_answers` and `drop_requests` do so for the
+next N writes after and before carrying them out, `late` carries out the next
+N writes `LATE_S` after their callers gave up, `silent_watches` answers no
+watch, and `compacted` answers every watch with 410.
+"""
+
+import json
+import threading
+import time
+from base64 import b64encode
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from standins.http_server import NOT_FOUND, OK, Call, Reply, StandinServer
+
+HOST: Final = '127.0.0.1'
+PAGE: Final = 50
+HANG_S: Final = 5.0
+LATE_S: Final = 1.5
+MS: Final = 1000
+GONE: Final = 410
+CONFLICT: Final = 412
+UNAVAILABLE: Final = 503
+PREFIX: Final = '/gentianpulley/kv-'
+
+Json = dict[str, Any]
+
+
+@dataclass
+class _Lease:
+    ttl_ms: int
+    deadline_s: float
+    keys: set[str] = field(default_factory=set)
+
+
+class GridStore(StandinServer):
+    """Serves one store; all state is in memory."""
+
+    def __init__(self, host: str = HOST, port: int = 0) -> None:
+        """Start with an empty store."""
+        super().__init__(host, port)
+        self.faults: Json = {}
+        self.calls = 0
+        self._changed = threading.Condition()
+        self._revision = 1
+        self._items: dict[str, Json] = {}
+        self._history: list[Json] = []
+        self._leases: dict[int, _Lease] = {}
+        self._last_lease = 0
+
+    def serve(self, call: Call) -> Reply:
+        """Answer one request."""
+        name = call.path.removeprefix(PREFIX)
+        self.calls += 1
+        if self.faults.get('down'):
+            return Reply(UNAVAILABLE)
+        verb, _, ending = name.partition('/')
+        if verb == 'watch':
+            return self._watch(call.query)
+        if verb == 'txn':
+            return self._faulty_txn(json.loads(call.body))
+        with self._changed:
+            self._expire()
+            if verb == 'key':
+                return self._key(call.query['key'])
+            if verb == 'range':
+                return _reply(self._range(call.query))
+            return self._lease_call(verb, ending, call)
+
+    def put(self, key: str, document: object) -> int:
+        """Write a document as an operator or a worker does."""
+        value = document
+        if not isinstance(document, bytes):
+            value = json.dumps(document).encode()
+        with self._changed:
+            self._revision += 1
+            self._put(key, b64encode(value).decode(), 0)  # type: ignore[arg-type]
+            self._changed.notify_all()
+            return self._revision
+
+    def remove(self, key: str) -> None:
+        """Delete a key as an operator or a worker does."""
+        with self._changed:
+            self._revision += 1
+            self._delete(key)
+            self._changed.notify_all()
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys below a prefix."""
+        with self._changed:
+            return [key for key in self._items if key.startswith(prefix)]
+
+    def _key(self, key: str) -> Reply:
+        found = self._items.get(key)
+        if found is None:
+            return _reply({'current_rev': self._revision}, NOT_FOUND)
+        return _reply({**found, 'current_rev': self._revision})
+
+    def _range(self, query: dict[str, str]) -> Json:
+        after = query.get('after', '')
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(query['prefix']) and key > after
+        )
+        return {
+            'items': [self._items[key] for key in keys[:PAGE]],
+            'truncated': len(keys) > PAGE,
+            'current_rev': self._revision,
+        }
+
+    def _watch(self, query: dict[str, str]) -> Reply:
+        after = int(query['after'])
+        deadline_s = time.monotonic() + int(query['wait_ms']) / MS
+        while self.faults.get('silent_watches'):
+            time.sleep(0.05)
+        if self.faults.get('compacted'):
+            return _reply({}, GONE)
+        with self._changed:
+            while True:
+                self._expire()
+                events = [
+                    event
+                    for event in self._history
+                    if event['revision'] > after
+                    and event['key'].startswith(query['prefix'])
+                ]
+                left_s = deadline_s - time.monotonic()
+                if events or left_s <= 0:
+                    return _reply(
+                        {'events': events, 'current_rev': self._revision}
+                    )
+                self._changed.wait(min(left_s, 0.1))
+
+    def _faulty_txn(self, req: Json) -> Reply:
+        if self._takes('drop_requests'):
+            time.sleep(HANG_S)
+        if self._takes('late'):
+            threading.Timer(LATE_S, self._txn, (req,)).start()
+            time.sleep(HANG_S)
+        reply = self._txn(req)
+        if self._takes('lose_answers'):
+            time.sleep(HANG_S)
+        return reply
+
+    def _txn(self, req: Json) -> Reply:
+        with self._changed:
+            self._expire()
+            guards = req.get('expected_rev', [])
+            if not all(self._holds(guard) for guard in guards):
+                current = [
+                    self._items.get(
+                        guard['key'], {'key': guard['key'], 'revision': 0}
+                    )
+                    for guard in guards
+                ]
+                return _reply({'items': current}, CONFLICT)
+            self._revision += 1
+            for put in req.get('puts', []):
+                lease = put.get('lease', 0)
+                if lease and lease not in self._leases:
+                    return _reply({}, NOT_FOUND)
+                self._put(put['key'], put['value'], lease)
+            for key in req.get('deletes', []):
+                self._delete(key)
+            self._changed.notify_all()
+            return _reply({'revision': self._revision})
+
+    def _holds(self, guard: Json) -> bool:
+        found = self._items.get(guard['key'])
+        return (found['revision'] if found else 0) == guard['revision']
+
+    def _put(self, key: str, value: str, lease: int) -> None:
+        former = self._items.get(key)
+        made = former['create_revision'] if former else self._revision
+        item = {
+            'key': key,
+            'value': value,
+            'revision': self._revision,
+            'create_revision': made,
+            'lease': lease,
+        }
+        self._items[key] = item
+        self._history.append(item)
+        if lease:
+            self._leases[lease].keys.add(key)
+
+    def _delete(self, key: str) -> None:
+        if self._items.pop(key, None) is not None:
+            self._history.append(
+                {'key': key, 'revision': self._revision, 'removed': True}
+            )
+
+    def _lease_call(self, verb: str, ending: str, call: Call) -> Reply:
+        if verb == 'lease':
+            self._last_lease += 1
+            ttl_ms = json.loads(call.body)['ttl_ms']
+            ends_s = time.monotonic() + ttl_ms / MS
+            self._leases[self._last_lease] = _Lease(ttl_ms, ends_s)
+            return _reply({'lease': self._last_lease, 'ttl_ms': ttl_ms})
+        lease = self._leases.get(int(ending))
+        if lease is None:
+            return _reply({}, NOT_FOUND)
+        if verb == 'keep':
+            lease.deadline_s = time.monotonic() + lease.ttl_ms / MS
+        else:
+            self._end_lease(int(ending))
+        return _reply({'ttl_ms': lease.ttl_ms})
+
+    def _expire(self) -> None:
+        for number, lease in tuple(self._leases.items()):
+            if lease.deadline_s <= time.monotonic():
+                self._end_lease(number)
+
+    def _end_lease(self, number: int) -> None:
+        lease = self._leases.pop(number)
+        if lease.keys:
+            self._revision += 1
+        for key in sorted(lease.keys):
+            self._delete(key)
+        self._changed.notify_all()
+
+    def _takes(self, fault: str) -> bool:
+        with self._changed:
+            left = int(self.faults.get(fault, 0))
+            if left > 0:
+                self.faults[fault] = left - 1
+            return left > 0
+
+
+def _reply(answer: Json, status: int = OK) -> Reply:
+    return Reply(status, json.dumps(answer).encode())
--- /dev/null
+++ b/standins/grid_worker.py
@@ -0,0 +1,216 @@
+"""A stand-in of a worker of the users' platform, over loopback.
+
+It keeps the published rules of runs: fencing tokens, rising run numbers, one
+lease for all, numbered ends that are listed until acknowledged. A task's
+payload says how it goes: `{"ms": 200}` ends as done after 200 ms, and
+`{"ms": 50, "fail": 1}` fails. `faults`: `lose_orders` carries out the next N
+orders without an answer, `late_orders` carries them out `LATE_S` later,
+`silent` answers nothing.
+"""
+
+import json
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any, Final
+
+from standins.grid_store import GridStore
+from standins.http_server import OK, Call, Reply, StandinServer
+
+HOST: Final = '127.0.0.1'
+HANG_S: Final = 2.0
+LATE_S: Final = 1.2
+TICK_S: Final = 0.01
+STOP_S: Final = 0.05
+MS: Final = 1000
+CONFLICT: Final = 409
+BAD_REQUEST: Final = 400
+MISDIRECTED: Final = 421
+
+Json = dict[str, Any]
+
+
+@dataclass
+class _Run:
+    task: str
+    run: int
+    work: Json
+    ends_s: float
+    stops_s: float = 0
+    percent: int = 100
+
+
+class GridWorker(StandinServer):
+    """One worker; `started` records every run that ever began."""
+
+    def __init__(
+        self, store: GridStore, worker_id: str, zone: str = 'a', **facts: Any
+    ) -> None:
+        """Listen and register."""
+        super().__init__(HOST, 0)
+        self.worker_id = worker_id
+        self.faults: Json = {}
+        self.started: list[tuple[str, int]] = []
+        self.overlaps = 0
+        self.done: list[str] = []
+        self._store = store
+        self._facts = {'service': 'fitting', 'zone': zone, **facts}
+        self._lock = threading.Condition()
+        self._born_s = time.monotonic()
+        self._born_ms = int(time.time() * MS)
+        self._token = 0
+        self._lease_ms = 0
+        self._runs: dict[str, _Run] = {}
+        self._barred: dict[str, int] = {}
+        self._ended: list[list[Any]] = []
+        self._count = 0
+        threading.Thread(target=self._work, daemon=True).start()
+        self.register('ready')
+
+    def register(self, state: str) -> None:
+        """Write the registration with a state."""
+        entry = {
+            'addr': f'{HOST}:{self.port}',
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold_left_ms': 0,
+            'capacity': {'cpu': 64_000, 'mem_mb': 256_000, 'gpus': 0},
+            'labels': ['kind', 'r1'],
+            'born': self._born_ms,
+            **self._facts,
+        }
+        self._store.put(f'servers/{self.worker_id}', entry)
+
+    def crash(self) -> None:
+        """Forget everything and start a new life at the same address."""
+        with self._lock:
+            self._runs.clear()
+            self._barred.clear()
+            self._ended.clear()
+            self._count = 0
+            self._token = 0
+            self._lease_ms = 0
+            self._born_s = time.monotonic()
+            self._born_ms += 1 + int((time.time() * MS) % 1000)
+        self.register('ready')
+
+    def running(self) -> list[str]:
+        """Return the tasks that run now."""
+        with self._lock:
+            return sorted(self._runs)
+
+    def serve(self, call: Call) -> Reply:
+        """Answer one order."""
+        while self.faults.get('silent'):
+            time.sleep(0.05)
+        expected = call.headers.get('X-Target-Instance', self.worker_id)
+        if expected != self.worker_id:
+            return self._reply({}, MISDIRECTED)
+        try:
+            order = json.loads(call.body)
+        except ValueError:
+            return self._reply({}, BAD_REQUEST)
+        verb = call.path.rsplit('/', maxsplit=1)[-1]
+        if verb != 'hold' and self._takes('late_orders'):
+            threading.Timer(LATE_S, self._carry_out, (verb, order)).start()
+            time.sleep(HANG_S)
+        reply = self._carry_out(verb, order)
+        if verb != 'hold' and self._takes('lose_orders'):
+            time.sleep(HANG_S)
+        return reply
+
+    def _carry_out(self, verb: str, order: Json) -> Reply:
+        with self._lock:
+            token = order.get('fence_token', 0)
+            if token < self._token:
+                return self._reply({'reason': 'fence'}, CONFLICT)
+            self._token = token
+            if verb == 'hold':
+                return self._hold(order)
+            if verb == 'run-start':
+                return self._start(order)
+            if verb == 'run-stop':
+                return self._stop(order)
+            run = self._runs.get(order['task'])
+            if run is not None and run.run == order['run']:
+                run.percent = order['percent']
+            return self._reply({})
+
+    def _start(self, order: Json) -> Reply:
+        task, number = order['task'], order['run']
+        known = self._runs.get(task)
+        if order['deadline_ms'] <= self._clock():
+            return self._reply({'reason': 'late'}, CONFLICT)
+        self._lease_ms = max(self._lease_ms, order['deadline_ms'])
+        if known is not None and known.run == number:
+            return self._reply({})
+        if known is not None or number <= self._barred.get(task, 0):
+            return self._reply({'reason': 'old'}, CONFLICT)
+        work = json.loads(order['task_spec'] or '{}')
+        ends_s = time.monotonic() + work.get('ms', 100) / MS
+        self._runs[task] = _Run(task, number, work, ends_s)
+        self.started.append((task, number))
+        return self._reply({})
+
+    def _stop(self, order: Json) -> Reply:
+        run = self._runs.get(order['task'])
+        if run is not None and run.run <= order['run']:
+            run.stops_s = run.stops_s or time.monotonic() + STOP_S
+        barred = self._barred.get(order['task'], 0)
+        self._barred[order['task']] = max(barred, order['run'])
+        return self._reply({})
+
+    def _hold(self, order: Json) -> Reply:
+        self._lease_ms = max(self._lease_ms, order.get('deadline_ms', 0))
+        acked = order.get('acked_upto', 0)
+        self._ended = [row for row in self._ended if row[0] > acked]
+        ends_s = time.monotonic() + order.get('wait_ms', 0) / MS
+        while not self._ended and time.monotonic() < ends_s:
+            self._lock.wait(TICK_S)
+        running = [
+            [run.task, run.run, '', 100, 10] for run in self._runs.values()
+        ]
+        return self._reply({'running': running, 'ended': self._ended})
+
+    def _work(self) -> None:
+        while True:
+            time.sleep(TICK_S)
+            with self._lock:
+                self._end_due()
+
+    def _end_due(self) -> None:
+        now_s = time.monotonic()
+        lapsed = self._clock() > self._lease_ms
+        for run in tuple(self._runs.values()):
+            if lapsed:
+                self._end(run, 'lapsed')
+            elif run.stops_s and now_s >= run.stops_s:
+                self._end(run, 'stopped')
+            elif now_s >= run.ends_s:
+                how = 'failed' if run.work.get('fail') else 'done'
+                self._end(run, how)
+
+    def _end(self, run: _Run, how: str) -> None:
+        del self._runs[run.task]
+        self._barred[run.task] = max(self._barred.get(run.task, 0), run.run)
+        self._count += 1
+        if how == 'done':
+            self.done.append(run.task)
+        saved = f'saved-{run.run}' if run.work.get('saves') else ''
+        self._ended.append([self._count, run.task, run.run, how, saved])
+        self._lock.notify_all()
+
+    def _clock(self) -> int:
+        return int((time.monotonic() - self._born_s) * MS) + 1
+
+    def _takes(self, fault: str) -> bool:
+        with self._lock:
+            left = int(self.faults.get(fault, 0))
+            if left > 0:
+                self.faults[fault] = left - 1
+            return left > 0
+
+    def _reply(self, answer: Json, status: int = OK) -> Reply:
+        told = {'clock_ms': self._clock(), 'born': self._born_ms, **answer}
+        return Reply(status, json.dumps(told).encode())
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Final
 from urllib.parse import parse_qsl, urlsplit
@@ -19,6 +19,7 @@
     path: str
     query: dict[str, str]
     body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,9 @@
     def do_POST(self) -> None:
         self._answer()
 
+    def do_DELETE(self) -> None:
+        self._answer()
+
     def log_message(self, *parts: object) -> None:
         """Keep standard error free of access logs."""
 
@@ -77,7 +81,9 @@
         body = self.rfile.read(length)
         split = urlsplit(self.path)
         query = dict(parse_qsl(split.query))
-        reply = self.server.serve(Call(self.command, split.path, query, body))
+        headers = dict(self.headers.items())
+        call = Call(self.command, split.path, query, body, headers)
+        reply = self.server.serve(call)
         self.send_response(reply.status)
         self.send_header('Content-Type', 'application/json')
         if reply.lines is not None:
--- a/tests/contracts/store_contract.py
+++ b/tests/contracts/store_contract.py
@@ -14,9 +14,11 @@
 from gentianpulley.store import (
     ABSENT,
     Change,
+    Guard,
     GuardedWrite,
     Put,
     Store,
+    Transaction,
     Verdict,
 )
 
@@ -92,6 +94,38 @@
         assert store.write((write,))[0].applied
         assert store.read('/index/a') is None
 
+    @pytest.mark.parametrize(
+        ('guards', 'applied'),
+        (
+            ((('/a', 0), ('/none', ABSENT)), True),
+            ((('/a', -1), ('/none', ABSENT)), False),
+            ((('/a', 0), ('/none', 5)), False),
+        ),
+        ids=('all hold', 'first fails', 'second fails'),
+    )
+    def test_transaction_needs_all_guards(
+        self,
+        store: Store,
+        guards: tuple[tuple[str, int], ...],
+        applied: bool,
+    ) -> None:
+        revision = put_one(store, '/a', b'one', ABSENT).revision
+        offsets = {'/a': revision, '/none': 0}
+        commit = store.commit(
+            Transaction(
+                tuple(
+                    Guard(key, offsets[key] + offset) for key, offset in guards
+                ),
+                (Put('/a', b'two'), Put('/b', b'new')),
+            )
+        )
+        assert commit.applied is applied
+        assert (store.read('/b') is not None) is applied
+        entry = store.read('/a')
+        assert entry is not None
+        assert (entry.body == b'two') is applied
+        assert applied or commit.current == (entry,)
+
     def test_prefix_reads_only_its_keys(self, store: Store) -> None:
         for key in ('/p/a', '/p/b', '/q/a'):
             put_one(store, key, b'', ABSENT)
--- /dev/null
+++ b/tests/contracts/test_kv_store.py
@@ -0,0 +1,90 @@
+"""The adapter to the platform's store, under the contract of the store."""
+
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from gentianpulley.errors import (
+    StoreAnswerLostError,
+    StoreCompactedError,
+    StoreError,
+)
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.platform.kv_store import connect_kv_store
+from gentianpulley.store import ABSENT, Guard, Put, Store, Transaction
+from standins.grid_store import HOST, PAGE, GridStore
+from standins.http_server import Reply
+from standins.site import free_port
+from tests.contracts.store_contract import StoreContract
+
+
+@pytest.fixture
+def server() -> Iterator[GridStore]:
+    """Return a stand-in of the platform's store."""
+    served = GridStore()
+    served.run_in_background()
+    yield served
+    served.shutdown()
+    served.server_close()
+
+
+class TestKvStore(StoreContract):
+    """The adapter against the stand-in."""
+
+    @pytest.fixture
+    def store(self, server: GridStore) -> Store:
+        """Return an empty store."""
+        return connect_kv_store(HttpAddress(HOST, server.port))
+
+    @pytest.fixture
+    def broken(self, server: GridStore) -> Callable[[str], Store]:
+        """Return a factory of stores with the named fault."""
+
+        def build(fault: str) -> Store:
+            if fault == 'unreachable':
+                return connect_kv_store(HttpAddress(HOST, free_port()))
+            server.faults = {fault: 1}
+            return connect_kv_store(HttpAddress(HOST, server.port))
+
+        return build
+
+    def test_a_long_range_is_read_in_pages(
+        self, store: Store, server: GridStore
+    ) -> None:
+        count = 2 * PAGE + 1
+        for number in range(count):
+            server.put(f'many/{number:04}', {})
+        found = store.read_prefix('many/')
+        assert len({entry.key for entry in found.entries}) == count
+
+    def test_dropped_history_is_told_apart(
+        self, store: Store, server: GridStore
+    ) -> None:
+        server.faults = {'compacted': 1}
+        with pytest.raises(StoreCompactedError):
+            next(store.watch('a/', 1))
+
+    def test_a_late_write_does_not_pass_a_newer_one(
+        self, store: Store, server: GridStore
+    ) -> None:
+        server.faults = {'late': 1}
+        late = Transaction((Guard('k', ABSENT),), (Put('k', b'late'),))
+        with pytest.raises(StoreAnswerLostError):
+            store.commit(late)
+        newer = Transaction((Guard('k', ABSENT),), (Put('k', b'newer'),))
+        assert store.commit(newer).applied
+        for batch in store.watch('k', 0):
+            assert [c.entry.body for c in batch.changes if c.entry] == [
+                b'newer'
+            ]
+            break
+
+    @pytest.mark.parametrize('status', [400, 403, 500])
+    def test_strange_answers_are_errors(
+        self, store: Store, status: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(
+            GridStore, 'serve', lambda self, call: Reply(status, b'{"x":')
+        )
+        with pytest.raises(StoreError, match=str(status)):
+            store.read('k')
