Test the path of a job through nodes, store and workers

33 cases over loopback with the stand-ins: order of steps, one id at two nodes, bad requests, cancelling, counts, attempts, lost and late orders, a successor, reborn, silent and draining workers, evacuation, cfg versions, foreign entries, store down, lost answers, broken watches.

--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -18,6 +18,7 @@
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import SettingsError
+from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog, start_log
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.ingress import (
@@ -82,6 +83,16 @@
             settings.ready, Readiness(self.is_ready), READY_THREADS
         )
 
+    @property
+    def front(self) -> HttpAddress:
+        """Return where callers connect."""
+        return self._settings.front
+
+    @property
+    def is_leading(self) -> bool:
+        """Tell whether this instance leads now."""
+        return self._campaign.is_leading
+
     def start(self) -> None:
         """Listen and serve; raises `OSError` if an address is taken."""
         for server in (self._front, self._ready):
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,148 @@
+"""A small site on loopback: one store, workers and nodes in this process."""
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from typing import Any
+
+from gentianpulley.logs import EventLog
+from gentianpulley.platform.daemon import Node
+from gentianpulley.platform.node_file import parse_node_settings
+from standins.grid_store import HOST, GridStore
+from standins.grid_worker import GridWorker
+from standins.site import free_port
+
+ROUTES = (
+    ('r-quick', 'fit.example', '/quick/', 0, 2),
+    ('r-batch', 'fit.example', '/batch/', 2, 3),
+)
+
+
+def node_file(instance: str, store_port: int) -> str:
+    """Return the settings of a node with free ports."""
+    return '\n'.join(
+        (
+            f'node={instance}',
+            'zone=a',
+            f'listen.front={HOST}:{free_port()}',
+            f'listen.ready={HOST}:{free_port()}',
+            f'platform.addr={HOST}:{store_port}',
+            'bounds.contact_ms=3000',
+            'bounds.grace_s=1',
+            'bounds.max_hold_ms=6000',
+            'bounds.stop_ms=900',
+            'bounds.harm_ms=4000',
+            'bounds.status_s=120',
+            'something.new=1',
+        )
+    )
+
+
+def cfg_document(version: int, routes: Any = ROUTES) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': name,
+                'host': host,
+                'prefix': prefix,
+                'service': 'fitting',
+                'priority': priority,
+                'max_attempts': attempts,
+                'stretch': 2,
+                'target_latency_ms': 1000,
+                'timeout_ms': 3000,
+            }
+            for name, host, prefix, priority, attempts in routes
+        ],
+        'services': [{'name': 'fitting'}],
+        'limits': {'max_body_bytes': 10_000},
+    }
+
+
+@dataclass
+class Site:
+    """The parts, and calls to them."""
+
+    store: GridStore
+    workers: dict[str, GridWorker] = field(default_factory=dict)
+    nodes: list[Node] = field(default_factory=list)
+
+    def add_worker(self, worker_id: str, **facts: Any) -> GridWorker:
+        """Start a worker."""
+        worker = GridWorker(self.store, worker_id, **facts)
+        worker.run_in_background()
+        self.workers[worker_id] = worker
+        return worker
+
+    def add_node(self) -> Node:
+        """Start a node and wait until it is ready."""
+        text = node_file(f'n{len(self.nodes)}', self.store.port)
+        node = Node(parse_node_settings(text), EventLog())
+        node.start()
+        self.nodes.append(node)
+        wait_until(node.is_ready)
+        return node
+
+    def close(self) -> None:
+        """Stop everything."""
+        for node in self.nodes:
+            node.shut_down()
+        servers: list[GridStore | GridWorker] = [self.store]
+        servers.extend(self.workers.values())
+        for server in servers:
+            server.faults = {}
+            server.shutdown()
+            server.server_close()
+
+
+def call(
+    node: Node,
+    method: str,
+    path: str,
+    body: object = None,
+    host: str = 'fit.example',
+) -> tuple[int, dict[str, Any]]:
+    """Send one request to a node's front; returns status and answer."""
+    address = node.front
+    conn = HTTPConnection(address.host, address.port, timeout=5)
+    encoded = body if isinstance(body, bytes) else json.dumps(body)
+    conn.request(
+        method,
+        path,
+        encoded if body is not None else None,
+        {'Host': host, 'X-Deadline-Ms': '3000'},
+    )
+    resp = conn.getresponse()
+    answer = resp.read()
+    conn.close()
+    return resp.status, json.loads(answer or b'{}')
+
+
+def job_body(*steps: dict[str, Any], **work: Any) -> dict[str, Any]:
+    """Return a submission; `work` tells the stand-in how its tasks go."""
+    return {
+        'task_spec': json.dumps(work),
+        'phases': [
+            {'count': 1, 'cpu': 4000, 'mem_mb': 100, **step}
+            for step in steps or ({},)
+        ],
+    }
+
+
+def wait_until(
+    holds: Callable[[], object], seconds: float = 10, what: str = ''
+) -> None:
+    """Wait until a condition holds; fails the test otherwise."""
+    deadline_s = time.monotonic() + seconds
+    while not holds():
+        assert time.monotonic() < deadline_s, f'not in time: {what or holds}'
+        time.sleep(0.02)
+
+
+def state_of(node: Node, path: str) -> str:
+    """Return the state that a node shows of a job."""
+    return str(call(node, 'GET', path)[1].get('state', ''))
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,253 @@
+"""The path of a job through nodes, store and workers, with their failures."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from standins.grid_store import GridStore
+from tests.platform_site import (
+    ROUTES,
+    Site,
+    call,
+    cfg_document,
+    job_body,
+    state_of,
+    wait_until,
+)
+
+JOB = '/batch/00000000000000a1'
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    """Return a site of two workers and two nodes."""
+    store = GridStore()
+    store.run_in_background()
+    store.put('op/config', cfg_document(3))
+    running = Site(store)
+    for worker_id in ('w1', 'w2'):
+        running.add_worker(worker_id)
+    for _ in range(2):
+        running.add_node()
+    yield running
+    running.close()
+
+
+def _completes(site: Site, path: str = JOB, seconds: float = 12) -> None:
+    wait_until(
+        lambda: state_of(site.nodes[1], path) == 'completed',
+        seconds,
+        f'{path} completed',
+    )
+
+
+def _done(site: Site) -> list[str]:
+    return [task for each in site.workers.values() for task in each.done]
+
+
+def test_steps_run_in_order_and_the_job_completes(site: Site) -> None:
+    steps = ({'count': 3}, {'count': 2, 'after': [0]})
+    assert call(site.nodes[0], 'POST', JOB, job_body(*steps, ms=50))[0] == 200
+    _completes(site)
+    order = _done(site)
+    assert len(order) == len(set(order)) == 5
+    first = [task for task in order if task.split('.')[2] == '0']
+    assert len(first) == 3
+
+
+def test_one_id_at_two_nodes_is_one_job(site: Site) -> None:
+    body = job_body(ms=50)
+    answers = [call(node, 'POST', JOB, body)[0] for node in site.nodes * 2]
+    assert answers == [200] * 4
+    _completes(site)
+    assert len(_done(site)) == 1
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'status'),
+    [
+        ('GET', '/batch/00000000000000ff', None, 410),
+        ('DELETE', '/batch/00000000000000ff', None, 410),
+        ('POST', '/unknown/00000000000000ff', {}, 404),
+        ('POST', '/batch/no-id', {}, 404),
+        ('PUT', '/batch/00000000000000ff', {}, 405),
+        ('POST', '/batch/00000000000000ff', {}, 400),
+        ('POST', '/batch/00000000000000ff', b'{"phases"', 400),
+        ('POST', '/batch/00000000000000ff', {'phases': []}, 400),
+        ('POST', '/batch/00000000000000ff', {'phases': [{'count': 0}]}, 400),
+        (
+            'POST',
+            '/batch/00000000000000ff',
+            {'phases': [{'count': 1, 'after': [0]}]},
+            400,
+        ),
+        (
+            'POST',
+            '/batch/00000000000000ff',
+            {'phases': [{'count': 1, 'cpu': 'many'}]},
+            400,
+        ),
+        ('POST', '/batch/00000000000000ff', b'x' * 10_001, 413),
+    ],
+)
+def test_requests_that_cannot_be_served(
+    site: Site, method: str, path: str, body: object, status: int
+) -> None:
+    assert call(site.nodes[0], method, path, body)[0] == status
+
+
+def test_a_cancelled_job_is_stopped_everywhere(site: Site) -> None:
+    path = '/batch/00000000000000a2'
+    steps = {'count': 4, 'long_running': True}
+    assert call(site.nodes[0], 'POST', path, job_body(steps, ms=60_000))
+    wait_until(
+        lambda: sum(len(w.running()) for w in site.workers.values()) == 4
+    )
+    assert call(site.nodes[1], 'DELETE', path)[0] == 200
+    wait_until(lambda: not any(w.running() for w in site.workers.values()))
+    wait_until(lambda: state_of(site.nodes[0], path) == 'cancelled')
+
+
+def test_waiting_counts_jobs_that_have_not_begun(site: Site) -> None:
+    big = {'cpu': 64_000}
+    for number in range(4):
+        path = f'/quick/000000000000000{number}'
+        call(site.nodes[0], 'POST', path, job_body(big, ms=3000))
+    wait_until(
+        lambda: call(site.nodes[1], 'GET', '/quick/')[1] == {'waiting': 2}
+    )
+    most = max(len(worker.running()) for worker in site.workers.values())
+    assert most == 1
+
+
+def test_failed_tasks_are_tried_until_the_last_attempt(site: Site) -> None:
+    path = '/quick/00000000000000b1'
+    call(site.nodes[0], 'POST', path, job_body(ms=20, fail=1))
+    wait_until(lambda: state_of(site.nodes[0], path) == 'failed')
+    runs = [run for worker in site.workers.values() for run in worker.started]
+    assert len(runs) == 2
+
+
+@pytest.mark.parametrize('fault', ['lose_orders', 'late_orders'])
+def test_an_order_without_an_answer_runs_once(site: Site, fault: str) -> None:
+    for worker in site.workers.values():
+        worker.faults = {fault: 1}
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 4}, ms=100))
+    _completes(site)
+    time.sleep(1.5)
+    assert len(_done(site)) == len(set(_done(site))) == 4
+
+
+def test_the_successor_adopts_what_runs(site: Site) -> None:
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 4}, ms=2500))
+    wait_until(
+        lambda: sum(len(w.running()) for w in site.workers.values()) == 4
+    )
+    leading = [node for node in site.nodes if node.is_leading]
+    assert len(leading) == 1
+    other = site.nodes[1] if leading[0] is site.nodes[0] else site.nodes[0]
+    site.nodes.remove(leading[0])
+    leading[0].shut_down()
+    wait_until(lambda: other.is_leading)
+    wait_until(lambda: state_of(other, JOB) == 'completed')
+    assert sum(len(w.started) for w in site.workers.values()) == 4
+
+
+def test_a_reborn_worker_has_lost_its_runs(site: Site) -> None:
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 6}, ms=1500))
+    wait_until(lambda: site.workers['w1'].running())
+    site.workers['w1'].crash()
+    _completes(site)
+    assert len(set(_done(site))) == 6
+
+
+def test_a_silent_worker_is_replaced_after_its_lease(site: Site) -> None:
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 6}, ms=800))
+    wait_until(lambda: site.workers['w1'].running())
+    site.workers['w1'].faults = {'silent': 1}
+    _completes(site, seconds=20)
+
+
+def test_a_draining_worker_gets_nothing_more(site: Site) -> None:
+    site.workers['w1'].register('draining')
+    time.sleep(0.5)
+    begun = len(site.workers['w1'].started)
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 6}, ms=50))
+    _completes(site)
+    assert len(site.workers['w1'].started) == begun
+
+
+def test_an_evacuated_domain_gets_nothing_until_it_is_back(
+    site: Site,
+) -> None:
+    site.add_worker('w3', zone='b')
+    site.store.put('op/evacuate/a', {})
+    time.sleep(0.5)
+    begun = sum(len(site.workers[name].started) for name in ('w1', 'w2'))
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 6}, ms=50))
+    _completes(site)
+    assert len(site.workers['w3'].started) == 6
+    site.store.remove('op/evacuate/a')
+    time.sleep(0.5)
+    path = '/batch/00000000000000c1'
+    call(site.nodes[0], 'POST', path, job_body({'count': 6}, ms=50))
+    _completes(site, path)
+    after = sum(len(site.workers[name].started) for name in ('w1', 'w2'))
+    assert after > begun
+
+
+def test_a_newer_cfg_is_in_force_and_an_older_one_is_not(site: Site) -> None:
+    added = ('r-new', 'fit.example', '/new/', 1, 2)
+    site.store.put('op/config', cfg_document(9, (*ROUTES, added)))
+    wait_until(lambda: call(site.nodes[0], 'GET', '/new/')[0] == 200, 2)
+    site.store.put('op/config', cfg_document(5, ROUTES))
+    time.sleep(0.5)
+    assert call(site.nodes[0], 'GET', '/new/')[0] == 200
+    site.store.put('op/config', cfg_document(10, (added,)))
+    wait_until(lambda: call(site.nodes[0], 'GET', '/batch/')[0] == 404, 2)
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [
+        b'not json',
+        {'service': 'fitting'},
+        {'service': 7, 'addr': 'x', 'zone': 'a', 'state': 'ready'},
+        {
+            'service': 'fitting',
+            'addr': '127.0.0.1:1',
+            'zone': 'a',
+            'state': 'dancing',
+        },
+    ],
+)
+def test_entries_of_other_writers_are_no_workers(
+    site: Site, entry: object
+) -> None:
+    site.store.put('servers/strange', entry)
+    call(site.nodes[0], 'POST', JOB, job_body({'count': 3}, ms=20))
+    _completes(site)
+
+
+def test_a_store_that_is_down_means_not_accepted(site: Site) -> None:
+    site.store.faults = {'down': 1}
+    assert call(site.nodes[0], 'POST', JOB, job_body())[0] == 503
+    site.store.faults = {}
+    assert call(site.nodes[0], 'GET', JOB)[0] == 410
+
+
+def test_a_lost_answer_of_the_store_is_settled(site: Site) -> None:
+    site.store.faults = {'lose_answers': 1}
+    assert call(site.nodes[0], 'POST', JOB, job_body(ms=20))[0] == 200
+    _completes(site)
+    assert len(_done(site)) == 1
+
+
+@pytest.mark.parametrize('fault', ['silent_watches', 'compacted'])
+def test_broken_watches_are_read_anew(site: Site, fault: str) -> None:
+    site.store.faults = {fault: 1}
+    time.sleep(1)
+    call(site.nodes[0], 'POST', JOB, job_body(ms=20))
+    site.store.faults = {}
+    _completes(site)
