Bound the log, never block on it, and serve counters

Log lines wait in a bounded queue for a writer thread; a full pipe and a flood are tested. Calls to the store by kind, looks, starts by verdict, plans and front requests are counted and timed on the metrics address. SIGHUP reads the settings again and logs what differs.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -18,6 +18,7 @@
 from gentianpulley.cluster.scheduler import Reign, create_scheduler
 from gentianpulley.cluster.timing import Timing
 from gentianpulley.cluster.worker_session import open_session
+from gentianpulley.counters import Counters
 from gentianpulley.deadline import MS_PER_SECOND, now_ms
 from gentianpulley.errors import GentianpulleyError, StoreError
 from gentianpulley.jobs.job import create_job
@@ -50,6 +51,7 @@
     links: WorkerLinks
     timing: Timing
     status_ms: int
+    counters: Counters
     log: EventLog
 
 
@@ -84,7 +86,10 @@
             self._token, since_ms, former | listed, self._parts.timing
         )
         office = Office(
-            create_scheduler(reign, self._log), self._tenure, self._log
+            create_scheduler(reign, self._log),
+            self._tenure,
+            self._parts.counters,
+            self._log,
         )
         office.scheduler.closed_domains = self._closed_domains
         self._office = office
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -20,6 +20,7 @@
 )
 from gentianpulley.cluster.scheduler import Order, Reign, Scheduler
 from gentianpulley.cluster.worker import Worker
+from gentianpulley.counters import Counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.jobs.job import Job
 from gentianpulley.logs import EventLog
@@ -75,11 +76,16 @@
     """Guards the scheduler and routes its orders."""
 
     def __init__(
-        self, scheduler: Scheduler, tenure: Tenure, log: EventLog
+        self,
+        scheduler: Scheduler,
+        tenure: Tenure,
+        counters: Counters,
+        log: EventLog,
     ) -> None:
         """Serve one reign."""
         self.log = log
         self.tenure = tenure
+        self.counters = counters
         self.lock = threading.Lock()
         self.scheduler = scheduler
         self.work_came = threading.Event()
@@ -154,6 +160,7 @@
                 worker, listing, sent_ms, now_ms()
             )
         self.dispatch(orders)
+        self.counters.add('worker_looks')
         if listing.ended:
             self.ends_came.set()
         self.work_came.set()
@@ -179,6 +186,7 @@
         """Report the answer to a start."""
         with self.lock:
             self.scheduler.note_start(order, reply, now_ms())
+        self.counters.add(f'starts_{reply.verdict.name.lower()}')
         self.work_came.set()
 
     def stopped(self, order: StopOrder) -> None:
@@ -211,9 +219,10 @@
         at_ms = now_ms()
         if not self.may_act(at_ms):
             return
-        with self.lock:
+        with self.lock, self.counters.timed('plan'):
             self.scheduler.note_lapses(at_ms)
             orders = self.scheduler.plan(at_ms)
+            self.counters.set('jobs_waiting', self.scheduler.waiting_jobs())
             loads = [_load_percent(self.scheduler, order) for order in orders]
         for order, load in zip(orders, loads, strict=True):
             self.log.run_ordered(order.key, order.worker_id, load)
--- /dev/null
+++ b/src/gentianpulley/log_sink.py
@@ -0,0 +1,117 @@
+"""Writes log lines without ever holding up the threads that log.
+
+Lines wait in a bounded queue for one writer thread. What comes faster than
+`MAX_LINES_PER_S`, or finds the queue full because nobody reads the pipe, is
+left out and counted; the next line that is written says how many.
+"""
+
+import os
+import threading
+from collections import deque
+from time import monotonic, sleep
+from typing import Any, Final
+
+import msgspec
+
+MAX_LINES_PER_S: Final = 600
+"""Three lines for each task of a site that starts 200 tasks a second."""
+
+MAX_WAITING_LINES: Final = 2000
+"""Lines of some 200 bytes: less than half a megabyte."""
+
+MAX_LINES_IN_WRITE: Final = 200
+"""Bounds what a blocked write holds besides the queue."""
+
+WRITE_GAP_S: Final = 0.1
+"""Lines that come within this time share one write."""
+
+FLUSH_S: Final = 0.5
+"""How long a process that ends waits for its last lines."""
+
+_LEFT_OUT_FIELDS: Final = ('task_uuid', 'task_level')
+"""Fields of the logging library that say nothing of single events."""
+
+Message = dict[str, Any]
+
+
+class LogSink:
+    """A destination for messages of the logging library."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Write to a file descriptor."""
+        self._descriptor = descriptor
+        self._waiting: deque[bytes] = deque()
+        self._came = threading.Event()
+        self._lock = threading.Lock()
+        self._second = 0
+        self._lines_in_second = 0
+        self._dropped = 0
+        self._reported = 0
+        self._idle = threading.Event()
+        self._idle.set()
+        threading.Thread(target=self._write_all, daemon=True).start()
+
+    @property
+    def dropped(self) -> int:
+        """Return how many lines were left out so far."""
+        return self._dropped
+
+    def __call__(self, message: Message) -> None:
+        """Queue one message, or count it as left out."""
+        if not self._may_queue():
+            return
+        fields = {
+            name: told
+            for name, told in message.items()
+            if name not in _LEFT_OUT_FIELDS
+        }
+        if self._dropped != self._reported:
+            fields['left_out'] = self._dropped
+            self._reported = self._dropped
+        line = msgspec.json.encode(fields, enc_hook=str)
+        self._idle.clear()
+        self._waiting.append(line)
+        self._came.set()
+
+    def flush(self) -> None:
+        """Wait for the queue to be written, but not for long."""
+        self._came.set()
+        self._idle.wait(FLUSH_S)
+
+    def _may_queue(self) -> bool:
+        with self._lock:
+            second = int(monotonic())
+            if second != self._second:
+                self._second = second
+                self._lines_in_second = 0
+            self._lines_in_second += 1
+            is_full = len(self._waiting) >= MAX_WAITING_LINES
+            if is_full or self._lines_in_second > MAX_LINES_PER_S:
+                self._dropped += 1
+                return False
+            return True
+
+    def _write_all(self) -> None:
+        while True:
+            self._came.wait()
+            self._came.clear()
+            lines = []
+            while self._waiting and len(lines) < MAX_LINES_IN_WRITE:
+                lines.append(self._waiting.popleft())
+            _write(self._descriptor, b''.join(line + b'\n' for line in lines))
+            if self._waiting:
+                self._came.set()
+                continue
+            self._idle.set()
+            sleep(WRITE_GAP_S)
+
+
+def _write(descriptor: int, text: bytes) -> None:
+    rest = text
+    while rest:
+        try:
+            rest = rest[os.write(descriptor, rest) :]
+        except OSError:
+            # Nobody reads the log any more, and there is no other place to
+            # say so.
+            return
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -5,12 +5,14 @@
 request key, owner epoch and attempt.
 """
 
+import atexit
 import logging
 import sys
 from typing import TYPE_CHECKING, Final
 
 import eliot
 
+from gentianpulley.log_sink import LogSink
 from gentianpulley.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -132,6 +134,10 @@
         """A dependency was lost or regained."""
         _write('dependency', name=name, state=state, detail=detail)
 
+    def settings_reloaded(self, changed: str) -> None:
+        """The settings were read again; lists what differs."""
+        _write('settings_reloaded', changed=changed)
+
     def peer_trouble(self, peer: str, detail: str) -> None:
         """A call to a peer failed."""
         _write('peer_trouble', peer=peer, detail=detail)
@@ -180,7 +186,9 @@
     """Write events to standard output, marked with the instance."""
     # The library logs each failed connection, which has an event of its own.
     logging.getLogger('thrift').setLevel(logging.CRITICAL)
-    eliot.to_file(sys.stdout)
+    sink = LogSink(sys.stdout.fileno())
+    atexit.register(sink.flush)
+    eliot.add_destinations(sink)
     eliot.add_global_fields(instance=instance, failure_domain=failure_domain)
     return EventLog()
 
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import threading
+from dataclasses import fields
 from pathlib import Path
 from types import FrameType
 from typing import Final
@@ -16,15 +17,18 @@
 from gentianpulley.cluster.queues import QueueTable
 from gentianpulley.cluster.submissions import Submissions
 from gentianpulley.cluster.timing import create_timing
+from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import SettingsError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog, start_log
+from gentianpulley.messages import bad_setting
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.ingress import (
     FRONT_THREADS,
     READY_THREADS,
     Ingress,
+    MetricsPage,
     Readiness,
     Stopping,
     create_server,
@@ -57,7 +61,8 @@
         self._log = log
         self._stopping = Stopping()
         bounds = settings.bounds
-        store = connect_kv_store(settings.store)
+        counters = create_counters()
+        store = connect_kv_store(settings.store, counters)
         self._table = QueueTable(log)
         parts = LeaderParts(
             store=store,
@@ -70,6 +75,7 @@
                 LOOK_MS,
             ),
             status_ms=bounds.status_ms,
+            counters=counters,
             log=log,
         )
         self._campaign = Campaign(settings.instance, parts, log)
@@ -77,8 +83,13 @@
             store, self._table, self._campaign.close_domains, log
         )
         submissions = Submissions(JobDesk(store, log), log)
-        ingress = Ingress(self._table, submissions, self._stopping, log)
+        ingress = Ingress(
+            self._table, submissions, self._stopping, counters, log
+        )
         self._front = create_server(settings.front, ingress, FRONT_THREADS)
+        self._metrics = create_server(
+            settings.metrics, MetricsPage(counters), READY_THREADS
+        )
         self._ready = create_server(
             settings.ready, Readiness(self.is_ready), READY_THREADS
         )
@@ -95,7 +106,7 @@
 
     def start(self) -> None:
         """Listen and serve; raises `OSError` if an address is taken."""
-        for server in (self._front, self._ready):
+        for server in self._servers():
             server.prepare()
             thread = threading.Thread(
                 target=_serve, args=(server, self._log), daemon=True
@@ -125,10 +136,30 @@
         grace_ms = self._settings.bounds.grace_ms
         closing_ms = started_ms + int(grace_ms * CLOSING_SHARE)
         threading.Event().wait(max(0, closing_ms - now_ms()) / 1000)
-        self._front.stop()
-        self._ready.stop()
+        for server in self._servers():
+            server.stop()
         self._log.process_state('stopped')
 
+    def reload(self) -> None:
+        """Read the settings again; what needs a new start is only logged."""
+        try:
+            settings = load_node_settings(settings_path())
+        except SettingsError as exc:
+            self._log.settings_reloaded(f'kept, as {exc.text}')
+            return
+        self._log.settings_reloaded(_differences(self._settings, settings))
+
+    def _servers(self) -> tuple[Server, ...]:
+        return self._front, self._ready, self._metrics
+
+
+def settings_path() -> Path:
+    """Return where the settings stand; raises `SettingsError`."""
+    told = os.environ.get(SETTINGS_VARIABLE, '')
+    if not told:
+        raise SettingsError(bad_setting(SETTINGS_VARIABLE, told))
+    return Path(told)
+
 
 def main() -> None:
     """Run the daemon and exit with its status."""
@@ -137,27 +168,52 @@
 
 def run_node() -> int:
     """Serve until SIGTERM; returns the exit status."""
-    stop = threading.Event()
-
-    def receive(signum: int, frame: FrameType | None) -> None:
-        stop.set()
-
-    signal.signal(signal.SIGTERM, receive)
-    signal.signal(signal.SIGINT, receive)
-    signal.signal(signal.SIGHUP, lambda signum, frame: None)
+    signals = _Signals()
     try:
-        settings = load_node_settings(Path(os.environ[SETTINGS_VARIABLE]))
-    except (SettingsError, KeyError) as exc:
-        sys.stderr.write(f'{exc}\n')
-        return SettingsError.code.exit_status
+        settings = load_node_settings(settings_path())
+    except SettingsError as exc:
+        sys.stderr.write(f'{exc.text}\n')
+        return exc.code.exit_status
     log = start_log(settings.instance, settings.failure_domain)
     node = Node(settings, log)
     node.start()
-    stop.wait()
+    while signals.wait():
+        node.reload()
     node.shut_down()
     return 0
 
 
+class _Signals:
+    """SIGTERM and SIGINT end the process, SIGHUP reads the settings again."""
+
+    def __init__(self) -> None:
+        """Receive the signals from now on."""
+        self._came = threading.Event()
+        self._is_ending = False
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, self._receive)
+
+    def wait(self) -> bool:
+        """Wait for a signal; returns whether to go on."""
+        self._came.wait()
+        self._came.clear()
+        return not self._is_ending
+
+    def _receive(self, signum: int, frame: FrameType | None) -> None:
+        if signum != signal.SIGHUP:
+            self._is_ending = True
+        self._came.set()
+
+
+def _differences(known: NodeSettings, told: NodeSettings) -> str:
+    names = [
+        spec.name
+        for spec in fields(known)
+        if getattr(known, spec.name) != getattr(told, spec.name)
+    ]
+    return ','.join(names) or 'nothing'
+
+
 def _serve(server: Server, log: EventLog) -> None:
     try:
         server.serve()
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -17,6 +17,7 @@
     Reception,
     Submissions,
 )
+from gentianpulley.counters import Counters
 from gentianpulley.deadline import deadline_in, now_ms
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.spec import (
@@ -96,9 +97,11 @@
         table: QueueTable,
         submissions: Submissions,
         stopping: Stopping,
+        counters: Counters,
         log: EventLog,
     ) -> None:
         """Serve the queues of a table."""
+        self._counters = counters
         self._table = table
         self._submissions = submissions
         self._stopping = stopping
@@ -108,11 +111,10 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request, whatever happens."""
-        try:
-            answer = self._answer(environ)
-        except Exception as fault:
-            self._log.internal_fault(repr(fault))
-            answer = Answer(FAULT)
+        method = str(environ['REQUEST_METHOD']).lower()
+        with self._counters.timed(f'front_{method}'):
+            answer = self._guarded(environ)
+        self._counters.add(f'front_answers_{answer.status[:3]}')
         headers = [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(answer.body))),
@@ -124,6 +126,13 @@
         start_response(answer.status, headers)
         return [answer.body]
 
+    def _guarded(self, environ: Environ) -> Answer:
+        try:
+            return self._answer(environ)
+        except Exception as fault:
+            self._log.internal_fault(repr(fault))
+            return Answer(FAULT)
+
     def _answer(self, environ: Environ) -> Answer:
         cfg = self._table.cfg
         if cfg is None:
@@ -164,6 +173,26 @@
         return _plain(self._submissions.submit(spec, version, deadline_ms))
 
 
+class MetricsPage:
+    """The WSGI application for those who scrape metrics."""
+
+    def __init__(self, counters: Counters) -> None:
+        """Render some counters."""
+        self._counters = counters
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        body = self._counters.render().encode()
+        headers = [
+            ('Content-Type', 'text/plain; version=0.0.4'),
+            ('Content-Length', str(len(body))),
+        ]
+        start_response(OK, headers)
+        return [body]
+
+
 class Readiness:
     """The WSGI application for the balancer: 200 while ready."""
 
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -5,7 +5,6 @@
 its conditions still hold.
 """
 
-import threading
 from base64 import b64decode, b64encode
 from collections.abc import Iterator, Sequence
 from typing import Final, TypeVar
@@ -13,6 +12,7 @@
 
 import msgspec
 
+from gentianpulley.counters import Counters
 from gentianpulley.deadline import MS_PER_SECOND, deadline_in
 from gentianpulley.errors import (
     HttpSilentError,
@@ -73,11 +73,10 @@
 class KvStore(Store):
     """The platform's store."""
 
-    def __init__(self, address: HttpAddress) -> None:
-        """Connect at the first call."""
+    def __init__(self, address: HttpAddress, counters: Counters) -> None:
+        """Connect at the first call; calls are counted by their kind."""
         self._conn = HttpConn(address, MAX_CONNS)
-        self._calls = 0
-        self._lock = threading.Lock()
+        self._counters = counters
 
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
@@ -175,7 +174,7 @@
 
     def calls_made(self) -> int:
         """Return the number of calls sent so far."""
-        return self._calls
+        return self._counters.count('store_calls')
 
     def _call(
         self,
@@ -184,12 +183,17 @@
         body: bytes = b'',
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> HttpAnswer:
-        with self._lock:
-            self._calls += 1
+        kind = _kind(path)
+        self._counters.add('store_calls')
+        self._counters.add(f'store_{kind}_calls')
         try:
-            answer = self._conn.call(
-                method, f'/gentianpulley/{path}', deadline_in(timeout_ms), body
-            )
+            with self._counters.timed(f'store_{kind}'):
+                answer = self._conn.call(
+                    method,
+                    f'/gentianpulley/{path}',
+                    deadline_in(timeout_ms),
+                    body,
+                )
         except HttpUnreachableError as exc:
             raise StoreUnreachableError(exc.text) from exc
         except HttpSilentError as exc:
@@ -202,9 +206,15 @@
         return answer
 
 
-def connect_kv_store(address: HttpAddress) -> KvStore:
+def connect_kv_store(address: HttpAddress, counters: Counters) -> KvStore:
     """Return the platform's store at an address."""
-    return KvStore(address)
+    return KvStore(address, counters)
+
+
+def _kind(path: str) -> str:
+    """Return the kind of a call for its counter."""
+    name = path.removeprefix('kv-')
+    return name.partition('?')[0].partition('/')[0].replace('-', '_')
 
 
 def _decoded(answer: HttpAnswer, message: type[_Message]) -> _Message:
--- a/src/gentianpulley/platform/node_file.py
+++ b/src/gentianpulley/platform/node_file.py
@@ -3,11 +3,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Final
 
 from gentianpulley.errors import SettingsError
 from gentianpulley.http_conn import HttpAddress, parse_address
 from gentianpulley.messages import bad_setting, file_unreadable
 
+METRICS_PORT: Final = 9464
+"""The port that the deploy file names, as it is the same on all machines."""
+
 
 @dataclass(frozen=True, slots=True)
 class SiteBounds:
@@ -25,8 +29,8 @@
 class NodeSettings:
     """What a process is told at its start.
 
-    `instance` and `failure_domain` name it; `front`, `ready` and `store` are
-    addresses.
+    `instance` and `failure_domain` name it; `front`, `ready`, `store` and
+    `metrics` are addresses.
     """
 
     instance: str
@@ -34,6 +38,7 @@
     front: HttpAddress
     ready: HttpAddress
     store: HttpAddress
+    metrics: HttpAddress
     bounds: SiteBounds
 
 
@@ -55,6 +60,7 @@
         front=_address(values, 'listen.front'),
         ready=_address(values, 'listen.ready'),
         store=_address(values, 'platform.addr'),
+        metrics=_metrics_address(values),
         bounds=SiteBounds(
             contact_ms=_number(values, 'bounds.contact_ms'),
             grace_ms=int(_number(values, 'bounds.grace_s', 1000)),
@@ -91,6 +97,13 @@
         raise SettingsError(bad_setting(name, told)) from exc
 
 
+def _metrics_address(values: Mapping[str, str]) -> HttpAddress:
+    """Return where metrics are served: told, or the usual port."""
+    if 'listen.metrics' in values:
+        return _address(values, 'listen.metrics')
+    return HttpAddress(_text(values, 'ip'), METRICS_PORT)
+
+
 def _number(
     values: Mapping[str, str], name: str, factor: int = 1, default: str = ''
 ) -> int:
--- a/tests/contracts/test_kv_store.py
+++ b/tests/contracts/test_kv_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gentianpulley.counters import create_counters
 from gentianpulley.errors import (
     StoreAnswerLostError,
     StoreCompactedError,
@@ -34,7 +35,9 @@
     @pytest.fixture
     def store(self, server: GridStore) -> Store:
         """Return an empty store."""
-        return connect_kv_store(HttpAddress(HOST, server.port))
+        return connect_kv_store(
+            HttpAddress(HOST, server.port), create_counters()
+        )
 
     @pytest.fixture
     def broken(self, server: GridStore) -> Callable[[str], Store]:
@@ -42,9 +45,13 @@
 
         def build(fault: str) -> Store:
             if fault == 'unreachable':
-                return connect_kv_store(HttpAddress(HOST, free_port()))
+                return connect_kv_store(
+                    HttpAddress(HOST, free_port()), create_counters()
+                )
             server.faults = {fault: 1}
-            return connect_kv_store(HttpAddress(HOST, server.port))
+            return connect_kv_store(
+                HttpAddress(HOST, server.port), create_counters()
+            )
 
         return build
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -28,6 +28,7 @@
             'zone=a',
             f'listen.front={HOST}:{free_port()}',
             f'listen.ready={HOST}:{free_port()}',
+            f'listen.metrics={HOST}:{free_port()}',
             f'platform.addr={HOST}:{store_port}',
             'bounds.contact_ms=3000',
             'bounds.grace_s=1',
--- /dev/null
+++ b/tests/test_log_sink.py
@@ -0,0 +1,53 @@
+"""The log never holds up who logs, and says what it left out."""
+
+import json
+import os
+import time
+
+import pytest
+
+from gentianpulley import log_sink
+from gentianpulley.log_sink import LogSink
+
+
+def _lines(descriptor: int) -> list[dict[str, object]]:
+    text = os.read(descriptor, 10_000_000)
+    return [json.loads(line) for line in text.splitlines()]
+
+
+def test_lines_are_json_without_the_librarys_fields() -> None:
+    reading, writing = os.pipe()
+    sink = LogSink(writing)
+    sink({'message_type': 'a', 'job_id': '7', 'task_uuid': 'u'})
+    sink.flush()
+    assert _lines(reading) == [{'message_type': 'a', 'job_id': '7'}]
+
+
+def test_a_full_pipe_holds_nobody_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(log_sink, 'MAX_LINES_PER_S', 1_000_000)
+    _, writing = os.pipe()
+    sink = LogSink(writing)
+    started_s = time.monotonic()
+    for number in range(5000):
+        sink({'message_type': 'x' * 200, 'number': number})
+    assert time.monotonic() - started_s < 2
+    assert sink.dropped >= 5000 - log_sink.MAX_WAITING_LINES - 600
+
+
+def test_a_flood_is_bounded_and_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    seconds = [7.0]
+    monkeypatch.setattr(log_sink, 'monotonic', lambda: seconds[0])
+    reading, writing = os.pipe()
+    sink = LogSink(writing)
+    over = 25
+    for number in range(log_sink.MAX_LINES_PER_S + over):
+        sink({'number': number})
+    seconds[0] += 1
+    sink({'number': -1})
+    sink.flush()
+    time.sleep(0.3)
+    lines = _lines(reading)
+    assert len(lines) == log_sink.MAX_LINES_PER_S + 1
+    assert lines[-1] == {'number': -1, 'left_out': over}
