Write ends at once, so that looks wait instead of returning the same ends

Cause: a look returns at once while ends are not acknowledged; with writes 50 ms apart and looks 30 ms apart, half of the looks showed nothing new.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -32,8 +32,13 @@
 IDLE_PLAN_S: Final = 0.2
 """Longest time between two plans: lapses and due times need no event."""
 
-SAVE_GAP_S: Final = 0.05
-"""Shortest time between two writes of records: ends share a call."""
+SAVE_GAP_S: Final = 0.025
+"""Shortest time between two writes of records: ends share a call. A look that
+comes before the ends of the one before are written returns at once, for the
+same ends, so this stays below the gap between looks."""
+
+IDLE_SAVE_S: Final = 0.5
+"""Longest time between two writes: what begins is written without an event."""
 
 RETRY_S: Final = 0.2
 """Pause after a failed call to the store."""
@@ -275,7 +280,7 @@
 
     def _save_loop(self, office: Office) -> None:
         while not self._tenure.is_over():
-            office.ends_came.wait(1)
+            office.ends_came.wait(IDLE_SAVE_S)
             office.ends_came.clear()
             try:
                 self._save(office)
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -372,7 +372,7 @@
         if is_current:
             _apply_end(worker, step, task, row)
         if job.state.is_final:
-            return self._stop_runs(job)
+                return self._stop_runs(job)
         return []
 
     def _note_running(
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -29,7 +29,7 @@
 """Pause after a call that failed; a worker that answers does so in
 milliseconds."""
 
-SHORTEST_LOOK_GAP_S: Final = 0.03
+SHORTEST_LOOK_GAP_S: Final = 0.045
 """Pause between looks, so that ends that come together share one look."""
 
 
--- a/src/gentianpulley/log_sink.py
+++ b/src/gentianpulley/log_sink.py
@@ -95,7 +95,7 @@
         while True:
             self._came.wait()
             self._came.clear()
-            lines = []
+            lines: list[bytes] = []
             while self._waiting and len(lines) < MAX_LINES_IN_WRITE:
                 lines.append(self._waiting.popleft())
             _write(self._descriptor, b''.join(line + b'\n' for line in lines))
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -43,7 +43,7 @@
 
 SETTINGS_VARIABLE: Final = 'GENTIANPULLEY_NODE_FILE'
 
-LOOK_MS: Final = 1000
+LOOK_MS: Final = 1500
 """How long a look at a worker waits for an end: reports of harm must come
 well within the bound of some seconds, and each look is priced."""
 
