Split the scheduler and the leader; bar late starts at a reborn worker

The scheduler stands in four layers (state, lives, runs, placing), the leader's two watches in a module of their own.

--- /dev/null
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -0,0 +1,195 @@
+"""Threads of a leader that follow the workers' directory and the jobs.
+
+Both read everything anew after their watch broke: what they know already
+stays, so reading twice does no harm.
+"""
+
+from abc import ABC, abstractmethod
+from threading import Event, Lock
+from typing import Final
+
+from gentianpulley.cluster.directory import (
+    DirectoryPage,
+    WorkerDirectory,
+    WorkerNews,
+)
+from gentianpulley.cluster.job_book import (
+    JOB_PREFIX,
+    DeposedError,
+    JobBook,
+    JobEvent,
+)
+from gentianpulley.cluster.link import WorkerFacts, WorkerLinks
+from gentianpulley.cluster.office import Office
+from gentianpulley.cluster.worker_session import open_session
+from gentianpulley.deadline import now_ms
+from gentianpulley.errors import StoreError
+from gentianpulley.jobs.job import create_job
+from gentianpulley.store import ChangeBatch, Store
+
+RETRY_S: Final = 0.2
+"""Pause after a failed call to the store."""
+
+
+class LeaderWatch(ABC):
+    """Follows one part of the store until the tenure is over."""
+
+    def __init__(self, office: Office) -> None:
+        """Report to an office."""
+        self.office = office
+
+    def run(self, revision: int) -> None:
+        """Follow from a revision; reads anew whenever the watch breaks."""
+        while not self.office.tenure.is_over():
+            try:
+                self.follow(revision)
+            except DeposedError as exc:
+                self.office.resign(exc.text)
+            except StoreError as exc:
+                self.office.log.store_trouble(exc.text)
+                Event().wait(RETRY_S)
+                revision = self._read_again(revision)
+
+    @abstractmethod
+    def follow(self, revision: int) -> None:
+        """Report changes; raises `StoreError` when the watch breaks."""
+
+    @abstractmethod
+    def read_all(self) -> int:
+        """Report everything that is there; returns the revision."""
+
+    def _read_again(self, revision: int) -> int:
+        try:
+            return self.read_all()
+        except DeposedError as exc:
+            self.office.resign(exc.text)
+        except StoreError as exc:
+            self.office.log.store_trouble(exc.text)
+        return revision
+
+
+class WorkerWatch(LeaderWatch):
+    """Opens sessions with the workers of the directory.
+
+    A worker stands on the roster in the store before its session opens, so
+    that a successor knows whom to fence.
+    """
+
+    def __init__(
+        self,
+        office: Office,
+        directory: WorkerDirectory,
+        links: WorkerLinks,
+        book: JobBook,
+    ) -> None:
+        """Begin with the roster that former leaders left."""
+        super().__init__(office)
+        self._directory = directory
+        self._links = links
+        self._book = book
+        self._roster = office.reign.roster
+        self._roster_lock = Lock()
+
+    def follow(self, revision: int) -> None:
+        """Report workers that come, change and go."""
+        for batch in self._directory.watch(revision):
+            self._note_news(batch.news)
+            if self.office.tenure.is_over():
+                break
+
+    def read_all(self) -> int:
+        """Take all workers of the directory; the others are unlisted."""
+        page = self._directory.read()
+        self.take(page)
+        present = {facts.worker_id for facts in page.facts}
+        with self.office.lock:
+            scheduler = self.office.scheduler
+            for worker_id in scheduler.workers.keys() - present:
+                scheduler.unlist_worker(worker_id, now_ms())
+        return page.revision
+
+    def take(self, page: DirectoryPage) -> None:
+        """Open sessions with all workers of a page."""
+        self._take_all(page.facts)
+
+    def shrink_roster(self) -> None:
+        """Take workers off the roster once nothing can run there."""
+        with self._roster_lock:
+            with self.office.lock:
+                if not self.office.scheduler.is_handover_over(now_ms()):
+                    return
+                known = frozenset(self.office.scheduler.workers)
+            if known < self._roster:
+                self._book.save_roster(known)
+                self._roster = known
+
+    def _note_news(self, batch: tuple[WorkerNews, ...]) -> None:
+        self._take_all(
+            tuple(news.facts for news in batch if news.facts is not None)
+        )
+        for news in batch:
+            if news.facts is None:
+                with self.office.lock:
+                    self.office.scheduler.unlist_worker(
+                        news.worker_id, now_ms()
+                    )
+
+    def _take_all(self, all_facts: tuple[WorkerFacts, ...]) -> None:
+        ids = frozenset(facts.worker_id for facts in all_facts)
+        with self._roster_lock:
+            if not ids <= self._roster:
+                self._book.save_roster(self._roster | ids)
+                self._roster |= ids
+            for facts in all_facts:
+                self._take_one(facts)
+
+    def _take_one(self, facts: WorkerFacts) -> None:
+        office = self.office
+        with office.lock:
+            known = office.scheduler.workers.get(facts.worker_id)
+            orders = office.scheduler.update_worker(facts, now_ms())
+            worker = office.scheduler.workers[facts.worker_id]
+        if worker is not known:
+            link = self._links.connect(facts)
+            session = open_session(office, worker, link)
+            office.attach(facts.worker_id, session)
+        office.dispatch(orders)
+        office.work_came.set()
+
+
+class JobWatch(LeaderWatch):
+    """Takes up jobs and cancellations as entry instances store them."""
+
+    def __init__(self, office: Office, store: Store, book: JobBook) -> None:
+        """Read from a store."""
+        super().__init__(office)
+        self._store = store
+        self._book = book
+
+    def follow(self, revision: int) -> None:
+        """Report jobs and cancellations that are new."""
+        for batch in self._store.watch(JOB_PREFIX, revision):
+            self._note_changes(batch)
+            if self.office.tenure.is_over():
+                break
+
+    def read_all(self) -> int:
+        """Report all jobs; known ones stay as they are."""
+        snapshot = self._store.read_prefix(JOB_PREFIX)
+        for entry in snapshot.entries:
+            event = self._book.event_of(entry)
+            if event is not None and not self._book.has_ended(event.job_id):
+                self._note_event(event)
+        return snapshot.revision
+
+    def _note_changes(self, batch: ChangeBatch) -> None:
+        for change in batch.changes:
+            event = self._book.event_of(change.entry) if change.entry else None
+            if event is not None:
+                self._note_event(event)
+
+    def _note_event(self, event: JobEvent) -> None:
+        if event.spec is None:
+            self.office.cancel(event.job_id)
+        else:
+            self.office.add_job(create_job(event.spec, is_inherited=False))
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -18,7 +18,8 @@
     StartReply,
     StopOrder,
 )
-from gentianpulley.cluster.scheduler import Order, Reign, Scheduler
+from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.scheduler_state import Order, Reign
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.counters import Counters
 from gentianpulley.deadline import now_ms
@@ -115,9 +116,12 @@
         if former is not None:
             former.close()
 
-    def attached(self) -> frozenset[str]:
-        """Return the ids of all workers with a session."""
-        return frozenset(self._sinks)
+    def detach_gone(self) -> None:
+        """Close the sessions of workers that are no longer known."""
+        with self.lock:
+            gone = self._sinks.keys() - self.scheduler.workers.keys()
+        for worker_id in gone:
+            self.detach(worker_id)
 
     def close(self) -> None:
         """Close all sessions."""
--- /dev/null
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -0,0 +1,216 @@
+"""Follows runs: answers to orders, and what workers list.
+
+A run holds its charge on a worker from the moment it is ordered until its
+end is certain: the worker listed the end, refused the start, answered a stop
+of a run that it does not list, or its lease is provably over.
+"""
+
+from typing import Final
+
+from gentianpulley.cluster.link import (
+    EndCause,
+    EndedRow,
+    Listing,
+    PaceOrder,
+    RunKey,
+    RunningRow,
+    StartOrder,
+    StartReply,
+    StartVerdict,
+    StopOrder,
+)
+from gentianpulley.cluster.pacing import learn, pace_orders
+from gentianpulley.cluster.scheduler_state import Order, is_current_run
+from gentianpulley.cluster.worker import UNKNOWN_PERCENT, Worker
+from gentianpulley.cluster.worker_lives import WorkerLives
+from gentianpulley.jobs.job import StepRun, Task, TaskPhase
+
+ENDS_IN_LISTING: Final = 500
+"""Ends that a worker lists at a time; a full list may lack later ones."""
+
+UNREACHABLE_MS: Final = 400
+"""How long a worker gets nothing after a connection to it failed."""
+
+
+class RunTracker(WorkerLives):
+    """Brings the ledger in line with answers and lists."""
+
+    def note_listing(
+        self, worker: Worker, listing: Listing, sent_ms: int, now_ms: int
+    ) -> list[Order]:
+        """Bring the ledger in line with what a worker lists."""
+        worker.clock.note(listing.clock_worker_ms, now_ms)
+        worker.heard_ms = now_ms
+        present = {row.key for row in listing.running}
+        worker.foreign &= present
+        orders: list[Order] = []
+        for ended in listing.ended:
+            orders.extend(self._note_end(worker, ended, now_ms))
+        for row in listing.running:
+            orders.extend(self._note_running(worker, row, now_ms))
+        if len(listing.ended) < ENDS_IN_LISTING:
+            self._return_missing(worker, present, sent_ms)
+        if worker.clock.lease_worker_ms:
+            worker.is_fenced = True
+            self.unsettled.discard(worker.worker_id)
+        if learn(worker, self.harm, now_ms):
+            orders.extend(pace_orders(worker, self.harm))
+        return orders
+
+    def note_start(
+        self, order: StartOrder, reply: StartReply, now_ms: int
+    ) -> None:
+        """Note the answer to a start."""
+        worker = self.workers.get(order.worker_id)
+        charge = worker.charges.get(order.key) if worker else None
+        if worker is None or charge is None:
+            return
+        if reply.clock_worker_ms:
+            worker.clock.note(reply.clock_worker_ms, now_ms)
+        if reply.verdict is StartVerdict.ACCEPTED:
+            charge.settled_ms = now_ms
+        elif reply.verdict is StartVerdict.LOST:
+            charge.has_lost_start = True
+        else:
+            self._note_refused_start(worker, order, reply, now_ms)
+
+    def note_stop(self, order: StopOrder, now_ms: int) -> None:
+        """Note that a worker answered a stop: the run ends or never comes."""
+        charge = self.charge_of(order)
+        if charge is not None:
+            charge.barred_ms = charge.barred_ms or now_ms
+
+    def note_pace(self, order: PaceOrder) -> None:
+        """Note that a worker answered a change of pace."""
+        charge = self.charge_of(order)
+        if charge is not None:
+            charge.percent = order.percent
+
+    def wants_start(self, order: StartOrder) -> bool:
+        """Tell whether a start has still to be sent (again)."""
+        charge = self.charge_of(order)
+        if charge is None:
+            return False
+        return not charge.settled_ms and not charge.is_stopping
+
+    def wants_stop(self, order: StopOrder) -> bool:
+        """Tell whether a stop has still to be sent (again)."""
+        worker = self.workers.get(order.worker_id)
+        if worker is None:
+            return False
+        charge = worker.charges.get(order.key)
+        if charge is None:
+            return order.key in worker.foreign
+        return not charge.barred_ms
+
+    def _note_end(
+        self, worker: Worker, row: EndedRow, now_ms: int
+    ) -> list[Order]:
+        if row.number <= worker.seen_number:
+            return []
+        worker.seen_number = row.number
+        self.change_number += 1
+        worker.unsaved_ends.append((row.number, self.change_number))
+        worker.release(row.key)
+        job = self.jobs.get(row.key.task_id.job_id)
+        step = job.step_of(row.key.task_id) if job else None
+        if job is None or step is None:
+            return []
+        task = step.tasks[row.key.task_id.ordinal]
+        self.log.run_ended(row.key, worker.worker_id, row.cause.value)
+        is_current = is_current_run(worker, step, row.key)
+        if row.cause is EndCause.FAILED:
+            worker.note_failed(now_ms)
+            job.note_failure(step, task, row.key.run, worker.worker_id)
+        if is_current:
+            _apply_end(worker, step, task, row)
+        if job.state.is_final:
+            return self.stop_runs(job)
+        return []
+
+    def _note_running(
+        self, worker: Worker, row: RunningRow, now_ms: int
+    ) -> list[Order]:
+        charge = worker.charges.get(row.key)
+        if charge is None:
+            return self._adopt(worker, row, now_ms)
+        charge.settled_ms = charge.settled_ms or now_ms
+        charge.gauge = row.gauge
+        charge.gauge_ms = now_ms
+        charge.progress_percent = row.progress_percent
+        job = self.jobs.get(row.key.task_id.job_id)
+        step = job.step_of(row.key.task_id) if job else None
+        if step is not None and row.checkpoint:
+            step.tasks[row.key.task_id.ordinal].checkpoint = row.checkpoint
+        return []
+
+    def _adopt(
+        self, worker: Worker, row: RunningRow, now_ms: int
+    ) -> list[Order]:
+        """Take over a run that somebody else started, or stop it."""
+        task_id = row.key.task_id
+        stop = StopOrder(worker.worker_id, row.key)
+        job = self.jobs.get(task_id.job_id)
+        step = job.step_of(task_id) if job else None
+        if job is None or step is None:
+            worker.foreign.add(row.key)
+            self.log.run_unknown(row.key, worker.worker_id)
+            return [stop]
+        charge = worker.charge(row.key, step.spec, now_ms)
+        charge.settled_ms = now_ms
+        charge.percent = UNKNOWN_PERCENT
+        task = step.tasks[task_id.ordinal]
+        is_wanted = not job.state.is_final and task.phase is TaskPhase.WAITING
+        if is_wanted and row.key.run >= task.run:
+            step.place(task, worker.worker_id, row.key.run)
+            task.checkpoint = row.checkpoint or task.checkpoint
+            self.log.run_adopted(row.key, worker.worker_id)
+            return []
+        charge.is_stopping = True
+        return [stop]
+
+    def _return_missing(
+        self, worker: Worker, present: set[RunKey], sent_ms: int
+    ) -> None:
+        """Give back runs that the worker certainly does not have.
+
+        The look was sent after the start or the stop was answered, so a run
+        that is neither running nor among the ends was never there.
+        """
+        for key, charge in tuple(worker.charges.items()):
+            answered_ms = charge.barred_ms or charge.settled_ms
+            if key not in present and 0 < answered_ms < sent_ms:
+                self.return_run(worker, key, 'not listed')
+
+    def _note_refused_start(
+        self,
+        worker: Worker,
+        order: StartOrder,
+        reply: StartReply,
+        now_ms: int,
+    ) -> None:
+        verdict = reply.verdict
+        self.log.start_refused(order.key, worker.worker_id, verdict.name)
+        if verdict is StartVerdict.GONE:
+            self.drop_life(worker.worker_id, now_ms)
+            return
+        self.return_run(worker, order.key, verdict.name)
+        if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
+            worker.note_failed(now_ms)
+        worker.quarantined_until_ms = max(
+            worker.quarantined_until_ms, now_ms + UNREACHABLE_MS
+        )
+
+
+def _apply_end(
+    worker: Worker, step: StepRun, task: Task, row: EndedRow
+) -> None:
+    task.run = max(task.run, row.key.run)
+    if row.cause is EndCause.DONE and not step.spec.is_endless:
+        worker.note_done()
+        step.finish(task)
+        return
+    if row.checkpoint:
+        task.checkpoint = row.checkpoint
+        step.job.is_changed = True
+    step.give_back(task)
--- /dev/null
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -0,0 +1,127 @@
+"""What one leader knows: jobs, workers and the harm between images.
+
+The base of the scheduler, without any decision. All of it is guarded by the
+lock of the office.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from gentianpulley.cluster.harm import create_harm_model
+from gentianpulley.cluster.link import (
+    LookOrder,
+    PaceOrder,
+    RunKey,
+    StartOrder,
+    StopOrder,
+)
+from gentianpulley.cluster.timing import Timing
+from gentianpulley.cluster.worker import Charge, Worker
+from gentianpulley.jobs.job import Job, StepRun, TaskPhase
+from gentianpulley.jobs.spec import TaskId
+from gentianpulley.logs import EventLog
+
+Order = StartOrder | StopOrder | PaceOrder
+
+
+@dataclass(frozen=True, slots=True)
+class Reign:
+    """One leader's time in office.
+
+    `token` fences off earlier leaders. `roster` names the workers that they
+    may have sent orders to.
+    """
+
+    token: int
+    since_ms: int
+    roster: frozenset[str]
+    timing: Timing
+
+
+class SchedulerState:
+    """Jobs, workers and what was learned in one reign."""
+
+    def __init__(self, reign: Reign, log: EventLog) -> None:
+        """Know no job and no worker yet."""
+        self.reign = reign
+        self.log = log
+        self.jobs: dict[str, Job] = {}
+        self.live_jobs: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        self.closed_domains: frozenset[str] = frozenset()
+        self.change_number = 0
+        self.harm = create_harm_model()
+        self.unsettled = set(reign.roster)
+
+    def add_job(self, job: Job) -> None:
+        """Take up an accepted job; a known one stays as it is."""
+        job_id = job.spec.job_id
+        if job_id in self.jobs:
+            return
+        self.jobs[job_id] = job
+        if not job.state.is_final:
+            self.live_jobs[job_id] = job
+
+    def changed_jobs(self) -> list[Job]:
+        """Return the jobs whose records have to be written."""
+        changed = [job for job in self.jobs.values() if job.is_changed]
+        for job in changed:
+            job.is_changed = False
+            if job.state.is_final:
+                self.live_jobs.pop(job.spec.job_id, None)
+        return changed
+
+    def note_unsaved(self, jobs: list[Job]) -> None:
+        """Ask again for the writes of records that were not written."""
+        for job in jobs:
+            job.is_changed = True
+
+    def expect_workers(self, worker_ids: Iterable[str]) -> None:
+        """Wait for these workers too before inherited work starts."""
+        self.unsettled.update(worker_ids)
+
+    def note_saved(self, change_number: int) -> None:
+        """Acknowledge the ends that went into records up to this number."""
+        for worker in self.workers.values():
+            ends = worker.unsaved_ends
+            while ends and ends[0][1] <= change_number:
+                worker.acked_number = ends.popleft()[0]
+
+    def waiting_jobs(self) -> int:
+        """Return how many jobs have not begun."""
+        return sum(1 for job in self.live_jobs.values() if not job.has_begun)
+
+    def look_order(self, worker: Worker, wait_ms: int) -> LookOrder:
+        """Return the next look at a worker; it renews the lease."""
+        return LookOrder(
+            self.reign.token,
+            worker.acked_number,
+            worker.clock.next_lease(self.reign.timing.lease_ms),
+            wait_ms,
+        )
+
+    def lease_for(self, worker: Worker) -> int:
+        """Return the lease that an order to the worker carries."""
+        return worker.clock.next_lease(self.reign.timing.lease_ms)
+
+    def is_handover_over(self, now_ms: int) -> bool:
+        """Tell whether nothing of an earlier leader can run unseen."""
+        ended_ms = self.reign.since_ms + self.reign.timing.handover_ms
+        return not self.unsettled or now_ms > ended_ms
+
+    def step_of(self, task_id: TaskId) -> StepRun | None:
+        job = self.jobs.get(task_id.job_id)
+        return job.step_of(task_id) if job else None
+
+    def charge_of(self, order: Order) -> Charge | None:
+        """Return the charge of an order's run, None once it is over."""
+        worker = self.workers.get(order.worker_id)
+        return worker.charges.get(order.key) if worker else None
+
+
+def is_current_run(worker: Worker, step: StepRun, key: RunKey) -> bool:
+    """Tell whether a run is the one that its task's phase speaks of."""
+    task = step.tasks[key.task_id.ordinal]
+    if task.phase is TaskPhase.PLACED:
+        return task.run == key.run and task.worker_id == worker.worker_id
+    return task.phase is TaskPhase.WAITING and key.run >= task.run
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -26,7 +26,7 @@
 
     `settled_ms` is when the worker answered the start or listed the run, and
     `barred_ms` when it answered a stop; zero means not yet. `is_stopping` says
-    that a stop was ordered. `sent_ms` is when the start was ordered.
+    that a stop was ordered, `has_lost_start` that a start went unanswered. `sent_ms` is when the start was ordered.
     `percent` is the pace that the worker was last told, `UNKNOWN_PERCENT` if
     somebody else told it. `bias` is how far a serving task's tail lies from
     what is expected of its image, as a logarithm.
@@ -38,6 +38,7 @@
     settled_ms: int = 0
     barred_ms: int = 0
     is_stopping: bool = False
+    has_lost_start: bool = False
     progress_percent: int = 0
     percent: int = FULL_PERCENT
     wanted_percent: int = FULL_PERCENT
@@ -45,6 +46,11 @@
     gauge_ms: int = 0
     bias: float = 0
 
+    @property
+    def may_arrive_late(self) -> bool:
+        """Tell whether a start without an answer may still arrive."""
+        return self.has_lost_start or not self.settled_ms
+
     @property
     def processors_milli(self) -> int:
         """Return what counts against the worker's processors."""
--- /dev/null
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -0,0 +1,169 @@
+"""Lives of workers: registrations, drains, lapsed leases and new starts.
+
+When a life is over, its runs are given back. Starts that it never answered
+may still arrive at the next life under the same id; they are barred there
+before their tasks run anywhere else.
+"""
+
+from typing import Final
+
+from gentianpulley.cluster.link import RunKey, StopOrder, WorkerFacts
+from gentianpulley.cluster.scheduler_state import (
+    Order,
+    Reign,
+    SchedulerState,
+    is_current_run,
+)
+from gentianpulley.cluster.worker import Charge, Worker, create_worker
+from gentianpulley.jobs.job import Job
+from gentianpulley.logs import EventLog
+
+LATE_ORDER_MS: Final = 12_500
+"""How long an order without an answer may still arrive: the platform's workers
+carry such orders out up to twelve seconds later."""
+
+
+class WorkerLives(SchedulerState):
+    """Follows the workers' lives and gives back what ended with them."""
+
+    def __init__(self, reign: Reign, log: EventLog) -> None:
+        """Know no worker yet."""
+        super().__init__(reign, log)
+        self._unanswered: dict[str, list[Charge]] = {}
+
+    def update_worker(self, facts: WorkerFacts, now_ms: int) -> list[Order]:
+        """Note a worker's registration; a new life replaces the former."""
+        known = self.workers.get(facts.worker_id)
+        if known is not None and _is_new_life(known.facts, facts):
+            self.drop_life(facts.worker_id, now_ms)
+            known = None
+        if known is None:
+            return self._begin_life(facts, now_ms)
+        began_draining = facts.is_draining and not known.facts.is_draining
+        known.facts = facts
+        known.is_listed = True
+        if began_draining:
+            return self._clear_draining(known, now_ms)
+        return []
+
+    def unlist_worker(self, worker_id: str, now_ms: int) -> None:
+        """Note that a worker left the directory; its runs may go on."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            worker.unlisted_ms = now_ms
+
+    def drop_life(self, worker_id: str, now_ms: int) -> None:
+        """End the life that is known of a worker."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is None:
+            return
+        self.log.worker_reborn(worker_id)
+        self.unsettled.discard(worker_id)
+        kept = [
+            charge
+            for charge in worker.charges.values()
+            if charge.may_arrive_late
+        ]
+        for charge in kept:
+            worker.release(charge.key)
+            charge.sent_ms = now_ms
+        if kept:
+            self._unanswered[worker_id] = kept
+        self.return_all(worker, 'life over')
+
+    def note_lapses(self, now_ms: int) -> None:
+        """Give back what ran on workers whose leases are surely over."""
+        for worker in tuple(self.workers.values()):
+            if worker.charges and worker.clock.has_lapsed(now_ms):
+                self.return_all(worker, 'lease lapsed')
+                worker.is_fenced = False
+            unlisted_for_ms = now_ms - worker.unlisted_ms
+            is_gone = unlisted_for_ms > self.reign.timing.handover_ms
+            if not worker.is_listed and not worker.charges and is_gone:
+                self.workers.pop(worker.worker_id, None)
+        for worker_id, charges in tuple(self._unanswered.items()):
+            if now_ms > charges[0].sent_ms + LATE_ORDER_MS:
+                self._forget_unanswered(worker_id)
+
+    def cancel(self, job_id: str) -> list[Order]:
+        """Cancel a job and stop what runs of it."""
+        job = self.jobs.get(job_id)
+        if job is None or job.state.is_final:
+            return []
+        job.cancel()
+        return self.stop_runs(job)
+
+    def stop_runs(self, job: Job) -> list[Order]:
+        """Stop every run of a job that has come to its end."""
+        orders: list[Order] = []
+        for step in job.steps.values():
+            for worker_id in tuple(step.per_worker):
+                worker = self.workers.get(worker_id)
+                if worker is not None:
+                    orders.extend(_stops(worker, job.spec.job_id))
+        return orders
+
+    def return_all(self, worker: Worker, reason: str) -> None:
+        """Give back all runs of a worker."""
+        for key in tuple(worker.charges):
+            self.return_run(worker, key, reason)
+
+    def return_run(self, worker: Worker, key: RunKey, reason: str) -> None:
+        """Release a run that is surely not there and let its task wait."""
+        worker.release(key)
+        self.log.run_returned(key, worker.worker_id, reason)
+        step = self.step_of(key.task_id)
+        if step is None or not is_current_run(worker, step, key):
+            return
+        task = step.tasks[key.task_id.ordinal]
+        step.give_back(task)
+        step.job.is_changed |= bool(task.checkpoint)
+
+    def _begin_life(self, facts: WorkerFacts, now_ms: int) -> list[Order]:
+        worker = create_worker(facts, now_ms)
+        self.workers[facts.worker_id] = worker
+        orders: list[Order] = []
+        for charge in self._unanswered.pop(facts.worker_id, ()):
+            kept = worker.charge(charge.key, charge.spec, now_ms)
+            kept.is_stopping = True
+            orders.append(StopOrder(facts.worker_id, charge.key))
+        return orders
+
+    def _forget_unanswered(self, worker_id: str) -> None:
+        """Give back runs whose starts cannot arrive any more."""
+        for charge in self._unanswered.pop(worker_id):
+            step = self.step_of(charge.key.task_id)
+            if step is None:
+                continue
+            task = step.tasks[charge.key.task_id.ordinal]
+            if task.run == charge.key.run and task.worker_id == worker_id:
+                step.give_back(task)
+
+    def _clear_draining(self, worker: Worker, now_ms: int) -> list[Order]:
+        """Stop what cannot end before a draining worker leaves."""
+        left_ms = worker.facts.leaves_ms - self.reign.timing.stop_ms
+        orders: list[Order] = []
+        for charge in worker.charges.values():
+            ran_ms = now_ms - charge.sent_ms
+            remaining_ms = charge.spec.estimated_ms - ran_ms
+            outlasts = charge.spec.checkpoints and remaining_ms > left_ms
+            if charge.spec.is_endless or outlasts:
+                charge.is_stopping = True
+                orders.append(StopOrder(worker.worker_id, charge.key))
+        return orders
+
+
+def _is_new_life(known: WorkerFacts, facts: WorkerFacts) -> bool:
+    if facts.born_ms and known.born_ms:
+        return facts.born_ms != known.born_ms
+    return facts.address != known.address
+
+
+def _stops(worker: Worker, job_id: str) -> list[StopOrder]:
+    orders = []
+    for charge in worker.charges.values():
+        if charge.key.task_id.job_id == job_id and not charge.is_stopping:
+            charge.is_stopping = True
+            orders.append(StopOrder(worker.worker_id, charge.key))
+    return orders
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -16,7 +16,7 @@
     WorkerLink,
 )
 from gentianpulley.cluster.office import Office, OrderSink
-from gentianpulley.cluster.scheduler import Order
+from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import (
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -13,12 +13,8 @@
     StartVerdict,
     WorkerFacts,
 )
-from gentianpulley.cluster.scheduler import (
-    Order,
-    Reign,
-    Scheduler,
-    create_scheduler,
-)
+from gentianpulley.cluster.scheduler import Scheduler, create_scheduler
+from gentianpulley.cluster.scheduler_state import Order, Reign
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.jobs.job import Job, Task, create_job
 from gentianpulley.jobs.spec import (
--- /dev/null
+++ b/tests/scheduling/test_runs.py
@@ -0,0 +1,277 @@
+"""A run keeps its charge until its end is certain, and no task runs twice."""
+
+import pytest
+
+from gentianpulley.cluster.link import (
+    EndCause,
+    RunKey,
+    RunningRow,
+    StartVerdict,
+    StopOrder,
+)
+from gentianpulley.cluster.worker_lives import LATE_ORDER_MS
+from gentianpulley.jobs.job import JobState, TaskPhase
+from gentianpulley.jobs.spec import Schedule, TaskId
+from gentianpulley.resources import Resources
+from tests.scheduling.site import TIMING, facts, hand_site, job, step
+
+TASK = TaskId('a' * 16, 0, 0, 0)
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'phase'),
+    [
+        (StartVerdict.ACCEPTED, TaskPhase.PLACED),
+        (StartVerdict.LOST, TaskPhase.PLACED),
+        (StartVerdict.NOT_SENT, TaskPhase.WAITING),
+        (StartVerdict.NO_ROOM, TaskPhase.WAITING),
+        (StartVerdict.TOO_LATE, TaskPhase.WAITING),
+        (StartVerdict.OUTDATED, TaskPhase.WAITING),
+        (StartVerdict.UNHEALTHY, TaskPhase.WAITING),
+    ],
+)
+def test_only_a_proved_refusal_frees_the_task(
+    verdict: StartVerdict, phase: TaskPhase
+) -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    order = site.plan()[0]
+    site.answer(order, verdict)
+    assert site.task(TASK).phase is phase
+    held = site.scheduler.workers['w1'].processors
+    assert (held > 0) is (phase is TaskPhase.PLACED)
+
+
+@pytest.mark.parametrize(
+    ('counts', 'needs', 'placed'),
+    [
+        ((20,), Resources(8000, 1000), 16),
+        ((20,), Resources(1000, 64_000), 8),
+        ((3,), Resources(64_000, 1000), 2),
+        ((5,), Resources(1000, 1000, 1), 0),
+    ],
+)
+def test_no_worker_is_given_more_than_it_holds(
+    counts: tuple[int, ...], needs: Resources, placed: int
+) -> None:
+    site = hand_site('w1', 'w2')
+    for count in counts:
+        site.scheduler.add_job(job(step(count, resources=needs)))
+    assert len(site.plan()) == placed
+    for worker in site.scheduler.workers.values():
+        assert worker.processors <= worker.facts.capacity.processors_milli
+        assert worker.memory <= worker.facts.capacity.memory_mib
+
+
+def test_a_run_being_stopped_still_counts() -> None:
+    site = hand_site('w1')
+    whole = Resources(64_000, 1000)
+    site.scheduler.add_job(job(step(resources=whole)))
+    order = site.start_all()[0]
+    stops = site.scheduler.cancel('a' * 16)
+    assert stops == [StopOrder('w1', order.key)]
+    site.scheduler.add_job(job(step(resources=whole), job_id='b' * 16))
+    assert not site.plan()
+    site.end('w1', order.key, EndCause.STOPPED)
+    assert len(site.plan()) == 1
+
+
+def test_a_lease_is_over_only_after_the_slowest_clock() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    site.start_all()
+    site.scheduler.look_order(site.scheduler.workers['w1'], 0)
+    site.at_ms += TIMING.lease_ms
+    site.scheduler.note_lapses(site.at_ms)
+    assert site.task(TASK).phase is TaskPhase.PLACED
+    site.at_ms += TIMING.lease_ms // 40 + 200
+    site.scheduler.note_lapses(site.at_ms)
+    assert site.task(TASK).phase is TaskPhase.WAITING
+    assert not site.plan()
+
+
+def test_looks_without_an_answer_prolong_nothing() -> None:
+    site = hand_site('w1')
+    worker = site.scheduler.workers['w1']
+    leases = set()
+    for _ in range(5):
+        site.at_ms += 500
+        leases.add(site.scheduler.look_order(worker, 0).lease_worker_ms)
+    assert len(leases) == 1
+
+
+@pytest.mark.parametrize('is_inherited', [True, False])
+def test_a_new_leader_learns_before_it_starts_inherited_work(
+    is_inherited: bool,
+) -> None:
+    """`w2` is on the roster but does not answer."""
+    site = hand_site('w1', roster=frozenset(('w1', 'w2')))
+    site.scheduler.add_job(job(step(), inherited=is_inherited))
+    assert bool(site.plan()) is not is_inherited
+    site.at_ms += TIMING.handover_ms + 1
+    site.list_runs('w1')
+    assert bool(site.plan()) is is_inherited
+
+
+def test_a_listed_run_of_the_former_leader_is_adopted() -> None:
+    site = hand_site(roster=frozenset(('w1',)))
+    site.scheduler.add_job(job(step(2), inherited=True))
+    site.scheduler.update_worker(facts('w1'), site.at_ms)
+    site.list_runs('w1', (RunningRow(RunKey(TASK, 5), 'saved', 30, 0),))
+    assert site.task(TASK).worker_id == 'w1'
+    (started,) = site.plan()
+    assert started.key.task_id.ordinal == 1
+
+
+def test_of_two_listed_runs_one_is_stopped() -> None:
+    site = hand_site('w1', 'w2', roster=frozenset(('w1', 'w2')))
+    site.scheduler.add_job(job(step(), inherited=True))
+    rows = (RunningRow(RunKey(TASK, 5), '', 30, 0),)
+    assert not site.list_runs('w1', rows)
+    older = RunKey(TASK, 4)
+    stops = site.list_runs('w2', (RunningRow(older, '', 30, 0),))
+    assert stops == [StopOrder('w2', older)]
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'waits'),
+    [
+        # Carried out and answered: the life's end is the run's end.
+        (StartVerdict.ACCEPTED, False),
+        # May yet arrive at the new life, so it is barred there first.
+        (StartVerdict.LOST, True),
+        (None, True),
+    ],
+)
+def test_a_start_without_an_answer_is_barred_at_the_next_life(
+    verdict: StartVerdict | None, waits: bool
+) -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    order = site.plan()[0]
+    if verdict is not None:
+        site.answer(order, verdict)
+    site.scheduler.drop_life('w1', site.at_ms)
+    site.add_worker('w2')
+    assert bool(site.plan()) is not waits
+    stops = site.scheduler.update_worker(facts('w1', born_ms=2), site.at_ms)
+    assert bool(stops) is waits
+    if waits:
+        site.scheduler.note_stop(StopOrder('w1', order.key), site.at_ms)
+        site.at_ms += 10
+        site.list_runs('w1')
+        assert len(site.plan()) == 1
+
+
+def test_a_start_cannot_arrive_for_ever() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    site.plan()
+    site.scheduler.drop_life('w1', site.at_ms)
+    site.add_worker('w2')
+    site.at_ms += LATE_ORDER_MS + 1
+    site.scheduler.note_lapses(site.at_ms)
+    assert len(site.plan()) == 1
+
+
+def test_steps_wait_for_the_steps_before_them() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step(2), step(1, after=(0,))))
+    first = site.start_all()
+    assert len(first) == 2
+    site.end('w1', first[0].key)
+    assert not site.plan()
+    site.end('w1', first[1].key)
+    (last,) = site.start_all()
+    assert last.key.task_id.step == 1
+    site.end('w1', last.key)
+    assert site.scheduler.jobs['a' * 16].state is JobState.COMPLETED
+
+
+def test_occurrences_wait_for_their_times() -> None:
+    site = hand_site('w1')
+    due = Schedule(site.at_ms + 1000, 5000, 3)
+    site.scheduler.add_job(job(step(), schedule=due))
+    started = []
+    for _ in range(12):
+        started.extend(site.start_all())
+        site.at_ms += 1000
+    assert [order.key.task_id.occurrence for order in started] == [0, 1, 2]
+
+
+def test_a_gang_starts_together_under_one_number() -> None:
+    site = hand_site('w1')
+    gang = step(9, is_gang=True)
+    site.scheduler.add_job(job(gang))
+    assert not site.plan()
+    site.add_worker('w2')
+    orders = site.start_all()
+    assert len({order.key.run for order in orders}) == 1
+    assert len(orders) == 9
+    site.end(orders[0].worker_id, orders[0].key)
+    assert site.scheduler.jobs['a' * 16].state is JobState.COMPLETED
+
+
+@pytest.mark.parametrize(
+    ('changes', 'placed'),
+    [
+        ({'required_label': 'r1'}, 4),
+        ({'required_label': 'gpu'}, 0),
+        ({'max_per_worker': 1}, 2),
+        ({'data_rack': 'r1'}, 4),
+    ],
+)
+def test_workers_have_to_suit_the_step(
+    changes: dict[str, object], placed: int
+) -> None:
+    site = hand_site('w1', 'w2')
+    site.scheduler.add_job(job(step(4, **changes)))
+    assert len(site.plan()) == placed
+
+
+@pytest.mark.parametrize(
+    ('worker', 'domains'),
+    [
+        ({'is_draining': True}, frozenset()),
+        ({'service': 'other'}, frozenset()),
+        ({}, frozenset('a')),
+    ],
+)
+def test_some_workers_get_nothing(
+    worker: dict[str, object], domains: frozenset[str]
+) -> None:
+    site = hand_site()
+    site.add_worker('w1', **worker)
+    site.scheduler.closed_domains = domains
+    site.scheduler.add_job(job(step()))
+    assert not site.plan()
+
+
+def test_ends_are_acknowledged_once_they_are_written() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step(2)))
+    first, second = site.start_all()
+    worker = site.scheduler.workers['w1']
+    site.end('w1', first.key)
+    written = site.scheduler.change_number
+    site.end('w1', second.key)
+    assert worker.acked_number == 0
+    site.scheduler.note_saved(written)
+    assert worker.acked_number == 1
+
+
+def test_urgent_work_goes_before_batch_work_that_came_first() -> None:
+    site = hand_site('w1')
+    whole = step(resources=Resources(64_000, 1000))
+    site.scheduler.add_job(job(whole, job_id='b' * 16, priority=2))
+    site.scheduler.add_job(job(whole, job_id='c' * 16, priority=0))
+    assert [order.key.task_id.job_id for order in site.plan()] == ['c' * 16]
+
+
+def test_jobs_that_can_be_on_time_go_before_lost_ones() -> None:
+    site = hand_site('w1')
+    whole = step(resources=Resources(64_000, 1000))
+    lost = job(whole, job_id='b' * 16, submitted_ms=site.at_ms - 20_000)
+    site.scheduler.add_job(lost)
+    site.scheduler.add_job(job(whole, job_id='c' * 16))
+    assert [order.key.task_id.job_id for order in site.plan()] == ['c' * 16]
