Count an adopted run's lease from the first look, not as lapsed

Ruled out: a real lapse (the worker's lease had seconds left). Now the bound on a former leader's lease is taken at the first answer, which also is the fence. The test failed before.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -40,6 +40,9 @@
     ) -> list[Order]:
         """Bring the ledger in line with what a worker lists."""
         worker.clock.note(listing.clock_worker_ms, now_ms)
+        # A former leader is fenced off from here on, and it gave no longer
+        # leases: whatever runs there is over by the lease that starts now.
+        self.lease_for(worker)
         worker.heard_ms = now_ms
         present = {row.key for row in listing.running}
         worker.foreign &= present
@@ -50,9 +53,8 @@
             orders.extend(self._note_running(worker, row, now_ms))
         if len(listing.ended) < ENDS_IN_LISTING:
             self._return_missing(worker, present, sent_ms)
-        if worker.clock.lease_worker_ms:
-            worker.is_fenced = True
-            self.unsettled.discard(worker.worker_id)
+        worker.is_fenced = True
+        self.unsettled.discard(worker.worker_id)
         if learn(worker, self.harm, now_ms):
             orders.extend(pace_orders(worker, self.harm))
         return orders
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -4,6 +4,7 @@
 
 from gentianpulley.cluster.link import (
     EndCause,
+    Listing,
     RunKey,
     RunningRow,
     StartVerdict,
@@ -275,3 +276,19 @@
     site.scheduler.add_job(lost)
     site.scheduler.add_job(job(whole, job_id='c' * 16))
     assert [order.key.task_id.job_id for order in site.plan()] == ['c' * 16]
+
+
+def test_an_adopted_run_is_not_taken_for_lapsed() -> None:
+    """The first look gives no lease, as the worker's clock is unknown."""
+    site = hand_site(roster=frozenset(('w1',)))
+    site.scheduler.add_job(job(step(), inherited=True))
+    site.scheduler.update_worker(facts('w1'), site.at_ms)
+    worker = site.scheduler.workers['w1']
+    assert site.scheduler.look_order(worker, 0).lease_worker_ms == 0
+    row = RunningRow(RunKey(TASK, 5), '', 30, 0)
+    listing = Listing(777, 1, (row,))
+    site.scheduler.note_listing(worker, listing, site.at_ms, site.at_ms)
+    site.at_ms += 500
+    site.scheduler.note_lapses(site.at_ms)
+    assert site.task(TASK).phase is TaskPhase.PLACED
+    assert worker.is_fenced
