--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -2,7 +2,8 @@
 
 Starts each site as processes on loopback, sends its kinds of work, adds a law
 as one file, takes a failure domain out and back, and kills an entry instance.
-Then it checks the promises against what the workers recorded.
+Then it checks the promises against what the workers recorded. Before that, a
+job of two steps runs on a small site of the users' platform.
 """
 
 import sys
@@ -11,12 +12,13 @@
 from demo.load import Load
 from demo.checks import broken_promises
 from demo.sites import LASTWRIGHT, TUUL, DemoSite, start_demo_site
+from demo.steps import run_steps
 from standins.site import Site
 
 
 def main() -> int:
     """Run both sites and return the exit status."""
-    broken: list[str] = []
+    broken = run_steps()
     for plan in (LASTWRIGHT, TUUL):
         with ExitStack() as stack:
             site = start_demo_site(plan)
--- /dev/null
+++ b/demo/steps.py
@@ -0,0 +1,65 @@
+"""A job of two steps on the users' platform, with a succession meanwhile.
+
+Shows what a caller sees: the job is accepted by one instance, the leader is
+stopped while the first step runs, and another instance tells that the job has
+completed. Every task has to have run once.
+"""
+
+from contextlib import closing
+
+import eliot
+
+from standins.grid_site import (
+    Site,
+    call,
+    cfg_document,
+    job_body,
+    state_of,
+    wait_until,
+)
+from standins.grid_store import GridStore
+
+JOB = '/batch/00000000000000d1'
+TASKS = 6
+RUN_MS = 1500
+
+
+def run_steps() -> list[str]:
+    """Play the job; returns the promises that were broken."""
+    print('== A job of two steps on the platform ==')
+    eliot.add_destinations(_leave_out)
+    store = GridStore()
+    store.run_in_background()
+    store.put('op/config', cfg_document(1))
+    site = Site(store)
+    for worker_id in ('w1', 'w2', 'w3'):
+        site.add_worker(worker_id)
+    for _ in range(2):
+        site.add_node()
+    with closing(site):
+        return _play(site)
+
+
+def _play(site: Site) -> list[str]:
+    steps = ({'count': TASKS - 2}, {'count': 2, 'after': [0]})
+    status, _ = call(site.nodes[0], 'POST', JOB, job_body(*steps, ms=RUN_MS))
+    print(f'accepted with {status}')
+    wait_until(lambda: _started(site))
+    former = next(node for node in site.nodes if node.is_leading)
+    site.nodes.remove(former)
+    former.shut_down()
+    print('the leader was stopped; its successor goes on')
+    successor = site.nodes[0]
+    wait_until(lambda: state_of(successor, JOB) == 'completed')
+    print(f'completed; {_started(site)} starts of {TASKS} tasks')
+    if _started(site) == TASKS:
+        return []
+    return ['a task of the job with steps ran twice']
+
+
+def _started(site: Site) -> int:
+    return sum(len(worker.started) for worker in site.workers.values())
+
+
+def _leave_out(message: object) -> None:
+    """Keep the nodes' log out of the demo's output."""
--- a/tests/platform_site.py
+++ b/standins/grid_site.py
@@ -1,4 +1,7 @@
-"""A small site on loopback: one store, workers and nodes in this process."""
+"""A small site of the users' platform: store, workers and nodes on loopback.
+
+All of it runs in this process, for tests and for the demo.
+"""
 
 import json
 import time
@@ -139,8 +142,9 @@
 ) -> None:
     """Wait until a condition holds; fails the test otherwise."""
     deadline_s = time.monotonic() + seconds
+    label = what or str(holds)
     while not holds():
-        assert time.monotonic() < deadline_s, f'not in time: {what or holds}'
+        assert time.monotonic() < deadline_s, f'not in time: {label}'
         time.sleep(0.02)
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,7 +6,7 @@
 import pytest
 
 from standins.grid_store import GridStore
-from tests.platform_site import (
+from standins.grid_site import (
     ROUTES,
     Site,
     call,
