Do not put off the end of a silent worker; fence the next life of a worker too

Cause 1: test_a_silent_worker_is_replaced_after_its_lease failed (20 s): a start without an answer was sent again without end, and each sending put off the time at which its run is surely over. A worker not heard for a look is sent nothing more, and a start that is not sent any more is barred once the worker lists again. The next life has to be fenced before inherited work starts.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -29,6 +29,13 @@
 from gentianpulley.cluster.worker_lives import WorkerLives
 from gentianpulley.jobs.job import StepRun, Task, TaskPhase
 
+SILENT_MS: Final = 1000
+"""How much later than its wait a look is answered by a worker that is well."""
+
+FORGOTTEN_MS: Final = 3000
+"""How long after its last sending a start without an answer is barred, if the
+worker answers but does not list the run."""
+
 STEP_MS: Final = 2500
 """A worker's clock that lies further back belongs to another life: answers on
 two connections overtake each other by less than the longest look."""
@@ -59,6 +66,7 @@
             orders.extend(self._note_end(worker, ended, now_ms))
         for row in listing.running:
             orders.extend(self._note_running(worker, row, now_ms))
+        orders.extend(_bar_forgotten(worker, sent_ms))
         if len(listing.ended) < ENDS_IN_LISTING:
             self._return_missing(worker, present, sent_ms)
         worker.is_fenced = True
@@ -101,6 +109,10 @@
         charge = self.charge_of(order)
         if charge is None or charge.settled_ms or charge.is_stopping:
             return False
+        # Sending on to a silent worker would put off the end of its lease.
+        heard_ms = self.workers[order.worker_id].heard_ms
+        if now_ms > heard_ms + self.reign.timing.look_ms + SILENT_MS:
+            return False
         charge.last_sent_ms = now_ms
         return True
 
@@ -263,3 +275,15 @@
         task.checkpoint = row.checkpoint
         step.job.is_changed = True
     step.give_back(task)
+
+
+def _bar_forgotten(worker: Worker, sent_ms: int) -> list[StopOrder]:
+    """Stop runs whose starts are not sent any more and never answered."""
+    orders = []
+    for key, charge in worker.charges.items():
+        last_ms = max(charge.sent_ms, charge.last_sent_ms)
+        is_open = not charge.settled_ms and not charge.is_stopping
+        if is_open and sent_ms > last_ms + FORGOTTEN_MS:
+            charge.is_stopping = True
+            orders.append(StopOrder(worker.worker_id, key))
+    return orders
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -59,7 +59,9 @@
         if worker is None:
             return
         self.log.worker_reborn(worker_id)
-        self.unsettled.discard(worker_id)
+        # The next life has seen no token, so a former leader that still acts
+        # could start something there: it has to be fenced as well.
+        self.unsettled.add(worker_id)
         kept = [
             charge
             for charge in worker.charges.values()
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -323,3 +323,30 @@
     orders = site.end('w1', first.key)
     assert StopOrder('w2', second.key) in orders
     assert site.scheduler.jobs['a' * 16].state is JobState.COMPLETED
+
+
+def test_sending_again_does_not_put_off_the_end_of_a_silent_worker() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    order = site.plan()[0]
+    for _ in range(25):
+        if site.scheduler.wants_start(order, site.at_ms):
+            site.answer(order, StartVerdict.LOST)
+        site.at_ms += 500
+        site.scheduler.note_lapses(site.at_ms)
+    assert site.task(TASK).phase is TaskPhase.WAITING
+
+
+def test_a_start_that_nobody_sends_any_more_is_barred() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    order = site.plan()[0]
+    assert site.scheduler.wants_start(order, site.at_ms)
+    site.answer(order, StartVerdict.LOST)
+    site.at_ms += 4000
+    stop = StopOrder('w1', order.key)
+    assert site.list_runs('w1') == [stop]
+    site.scheduler.note_stop(stop, site.at_ms)
+    site.at_ms += 10
+    site.list_runs('w1')
+    assert site.task(TASK).phase is TaskPhase.WAITING
