--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -86,11 +86,13 @@
         ingress = Ingress(
             self._table, submissions, self._stopping, counters, log
         )
-        self._front = create_server(settings.front, ingress, FRONT_THREADS)
-        self._metrics = create_server(
+        self._front_server = create_server(
+            settings.front, ingress, FRONT_THREADS
+        )
+        self._metrics_server = create_server(
             settings.metrics, MetricsPage(counters), READY_THREADS
         )
-        self._ready = create_server(
+        self._ready_server = create_server(
             settings.ready, Readiness(self.is_ready), READY_THREADS
         )
 
@@ -99,6 +101,16 @@
         """Return where callers connect."""
         return self._settings.front
 
+    @property
+    def ready(self) -> HttpAddress:
+        """Return where the balancer asks."""
+        return self._settings.ready
+
+    @property
+    def metrics(self) -> HttpAddress:
+        """Return where metrics are served."""
+        return self._settings.metrics
+
     @property
     def is_leading(self) -> bool:
         """Tell whether this instance leads now."""
@@ -150,7 +162,7 @@
         self._log.settings_reloaded(_differences(self._settings, settings))
 
     def _servers(self) -> tuple[Server, ...]:
-        return self._front, self._ready, self._metrics
+        return self._front_server, self._ready_server, self._metrics_server
 
 
 def settings_path() -> Path:
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -10,6 +10,7 @@
 from http.client import HTTPConnection
 from typing import Any
 
+from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.daemon import Node
 from gentianpulley.platform.node_file import parse_node_settings
@@ -126,6 +127,16 @@
     return resp.status, json.loads(answer or b'{}')
 
 
+def fetch(address: HttpAddress, path: str) -> tuple[int, str]:
+    """Return the status and the text that an address serves."""
+    conn = HTTPConnection(address.host, address.port, timeout=5)
+    conn.request('GET', path)
+    resp = conn.getresponse()
+    text = resp.read().decode()
+    conn.close()
+    return resp.status, text
+
+
 def job_body(*steps: dict[str, Any], **work: Any) -> dict[str, Any]:
     """Return a submission; `work` tells the stand-in how its tasks go."""
     return {
--- /dev/null
+++ b/tests/test_node_file.py
@@ -0,0 +1,62 @@
+"""The platform's settings file: what is needed, and what is refused."""
+
+import pytest
+
+from gentianpulley.errors import SettingsError
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.platform.node_file import (
+    METRICS_PORT,
+    parse_node_settings,
+)
+
+LINES = {
+    'node': 'front-a-1',
+    'zone': 'a',
+    'ip': '10.1.0.13',
+    'listen.front': '10.1.0.13:8161',
+    'listen.ready': '10.1.0.13:8167',
+    'platform.addr': '10.200.1.7:8169',
+    'bounds.contact_ms': '3000',
+    'bounds.grace_s': '6',
+    'bounds.max_hold_ms': '6000',
+    'bounds.stop_ms': '900',
+    'bounds.harm_ms': '4000',
+    'bounds.status_s': '120',
+}
+
+
+def _text(name: str, told_as: str) -> str:
+    told = {**LINES, name: told_as}
+    return '\n'.join(f'{name}={each}' for name, each in told.items())
+
+
+def test_settings_are_read_and_unknown_ones_left_out() -> None:
+    settings = parse_node_settings(_text('some.new.field', 'x'))
+    assert settings.instance == 'front-a-1'
+    assert settings.front == HttpAddress('10.1.0.13', 8161)
+    assert settings.metrics == HttpAddress('10.1.0.13', METRICS_PORT)
+    assert settings.bounds.grace_ms == 6000
+    assert settings.bounds.status_ms == 120_000
+
+
+def test_fractions_are_allowed_where_lengths_are_told() -> None:
+    settings = parse_node_settings(_text('bounds.grace_s', '1.5'))
+    assert settings.bounds.grace_ms == 1500
+
+
+@pytest.mark.parametrize(
+    ('name', 'told'),
+    [
+        ('node', ''),
+        ('zone', ''),
+        ('listen.front', '10.1.0.13'),
+        ('listen.ready', 'host:port'),
+        ('platform.addr', ''),
+        ('bounds.grace_s', 'six'),
+        ('bounds.stop_ms', '0'),
+        ('bounds.contact_ms', '-1'),
+    ],
+)
+def test_a_faulty_setting_is_named(name: str, told: str) -> None:
+    with pytest.raises(SettingsError, match=name):
+        parse_node_settings(_text(name, told))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,6 +11,7 @@
     Site,
     call,
     cfg_document,
+    fetch,
     job_body,
     state_of,
     wait_until,
@@ -259,3 +260,21 @@
     call(site.nodes[0], 'POST', JOB, job_body(ms=20))
     site.store.faults = {}
     _completes(site)
+
+
+def test_metrics_and_readiness_are_served(site: Site) -> None:
+    node = site.nodes[0]
+    call(node, 'POST', JOB, job_body(ms=20))
+    _completes(site)
+    status, text = fetch(node.metrics, '/metrics')
+    assert status == 200
+    assert 'gentianpulley_front_post_us_count 1' in text
+    assert 'gentianpulley_store_txn_calls_total' in text
+    assert fetch(node.ready, '/gentianpulley/ready')[0] == 200
+
+
+def test_a_node_without_the_store_is_not_ready(site: Site) -> None:
+    site.store.faults = {'down': 1}
+    wait_until(
+        lambda: fetch(site.nodes[0].ready, '/gentianpulley/ready')[0] == 503
+    )
