Prove an earlier sending harmless before a refused start frees its task

Found by reading: a start went unanswered, and its second sending could not be connected (or was refused for want of room). That proved the second sending harmless, not the first, which a worker may carry out up to 12 s later; the task was placed elsewhere meanwhile, so two runs were possible. A start that cannot be connected is now sent again, and other refusals bar the run by a stop first. A refusal for lateness still frees the task, as an earlier sending carries no later deadline.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -186,13 +186,14 @@
         with self.lock:
             return self.scheduler.wants_stop(order)
 
-    def started(self, order: StartOrder, reply: StartReply) -> None:
-        """Report the answer to a start."""
+    def started(self, order: StartOrder, reply: StartReply) -> list[Order]:
+        """Report the answer to a start; returns what is to be sent next."""
         with self.lock:
-            self.scheduler.note_start(order, reply, now_ms())
+            following = self.scheduler.note_start(order, reply, now_ms())
         verdict = reply.verdict.name.lower()
         self.counters.add(f'starts_{verdict}')
         self.work_came.set()
+        return following
 
     def stopped(self, order: StopOrder) -> None:
         """Report that a stop was answered."""
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -46,6 +46,18 @@
 UNREACHABLE_MS: Final = 400
 """How long a worker gets nothing after a connection to it failed."""
 
+UNPROVED: Final = frozenset(
+    (
+        StartVerdict.NOT_SENT,
+        StartVerdict.NO_ROOM,
+        StartVerdict.NO_TICKET,
+        StartVerdict.UNHEALTHY,
+        StartVerdict.INVALID,
+    )
+)
+"""Verdicts that say nothing of an earlier sending without an answer: that one
+may still be carried out, where there is room or a ticket by then."""
+
 
 class RunTracker(WorkerLives):
     """Brings the ledger in line with answers and lists."""
@@ -77,20 +89,20 @@
 
     def note_start(
         self, order: StartOrder, reply: StartReply, now_ms: int
-    ) -> None:
-        """Note the answer to a start."""
+    ) -> list[Order]:
+        """Note the answer to a start; returns what has to be sent next."""
         worker = self.workers.get(order.worker_id)
         charge = worker.charges.get(order.key) if worker else None
         if worker is None or charge is None:
-            return
+            return []
         if 0 < reply.clock_worker_ms < worker.clock.seen_worker_ms - STEP_MS:
             # Another life answered; it may hold the run.
             charge.settled_ms = now_ms
             self.drop_life(order.worker_id, now_ms)
-            return
+            return []
         if reply.clock_worker_ms:
             worker.clock.note(reply.clock_worker_ms, now_ms)
-        self._note_verdict(worker, charge, order, reply, now_ms)
+        return self._note_verdict(worker, charge, order, reply, now_ms)
 
     def note_stop(self, order: StopOrder, now_ms: int) -> None:
         """Note that a worker answered a stop: the run ends or never comes."""
@@ -133,18 +145,40 @@
         order: StartOrder,
         reply: StartReply,
         now_ms: int,
-    ) -> None:
+    ) -> list[Order]:
         verdict = reply.verdict
+        if verdict is StartVerdict.LOST:
+            charge.has_lost_start = True
+            # The same run again: the worker answers alike if it has it.
+            return [order]
+        if charge.has_lost_start and verdict in UNPROVED:
+            return self._keep_unproved(worker, charge, order, reply, now_ms)
         if verdict is StartVerdict.ACCEPTED:
             charge.settled_ms = now_ms
-        elif verdict is StartVerdict.LOST:
-            charge.has_lost_start = True
         elif verdict is StartVerdict.OUTDATED and charge.has_lost_start:
             # An earlier sending may have run and ended already, which the
             # next list tells; the run cannot start any more.
             charge.barred_ms = charge.barred_ms or now_ms
         else:
             self._note_refused_start(worker, order, reply, now_ms)
+        return []
+
+    def _keep_unproved(
+        self,
+        worker: Worker,
+        charge: Charge,
+        order: StartOrder,
+        reply: StartReply,
+        now_ms: int,
+    ) -> list[Order]:
+        """Hold a run of which only the latest sending surely did nothing."""
+        _avoid(worker, reply.verdict, now_ms)
+        if reply.verdict is StartVerdict.NOT_SENT:
+            return [order]
+        name = reply.verdict.name
+        self.log.start_refused(order.key, worker.worker_id, name)
+        charge.is_stopping = True
+        return [StopOrder(worker.worker_id, order.key)]
 
     def _note_end(
         self, worker: Worker, row: EndedRow, now_ms: int
@@ -256,11 +290,16 @@
             self.drop_life(worker.worker_id, now_ms)
             return
         self.return_run(worker, order.key, verdict.name)
-        if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
-            worker.note_failed(now_ms)
-        worker.quarantined_until_ms = max(
-            worker.quarantined_until_ms, now_ms + UNREACHABLE_MS
-        )
+        _avoid(worker, verdict, now_ms)
+
+
+def _avoid(worker: Worker, verdict: StartVerdict, now_ms: int) -> None:
+    """Send nothing to a worker for a while after it did not start a run."""
+    if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
+        worker.note_failed(now_ms)
+    worker.quarantined_until_ms = max(
+        worker.quarantined_until_ms, now_ms + UNREACHABLE_MS
+    )
 
 
 def _apply_end(
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -125,11 +125,11 @@
         if reply.verdict is StartVerdict.FENCED:
             self._office.resign('a start was fenced off')
             return
-        self._office.started(order, reply)
-        if reply.verdict is StartVerdict.LOST:
-            # The same run again: the worker answers alike if it has it.
+        following = self._office.started(order, reply)
+        if following:
             self._closed.wait(RETRY_PAUSE_S)
-            self._orders.put(order)
+        for each in following:
+            self._orders.put(each)
 
     def _send_stop(self, order: StopOrder) -> None:
         if not self._office.wants_stop(order):
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -133,10 +133,10 @@
             self.answer(order, StartVerdict.ACCEPTED)
         return orders
 
-    def answer(self, order: StartOrder, verdict: StartVerdict) -> None:
-        """Answer a start."""
+    def answer(self, order: StartOrder, verdict: StartVerdict) -> list[Order]:
+        """Answer a start; returns what has to be sent next."""
         reply = StartReply(verdict, self.at_ms)
-        self.scheduler.note_start(order, reply, self.at_ms)
+        return self.scheduler.note_start(order, reply, self.at_ms)
 
     def task(self, task_id: TaskId) -> Task:
         """Return a task of a known job."""
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -7,9 +7,11 @@
     Listing,
     RunKey,
     RunningRow,
+    StartOrder,
     StartVerdict,
     StopOrder,
 )
+from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker_lives import LATE_ORDER_MS
 from gentianpulley.jobs.job import JobState, TaskPhase
 from gentianpulley.jobs.spec import Schedule, TaskId
@@ -43,6 +45,39 @@
     assert (held > 0) is (phase is TaskPhase.PLACED)
 
 
+@pytest.mark.parametrize(
+    ('verdict', 'next_order'),
+    [
+        (StartVerdict.NOT_SENT, StartOrder),
+        (StartVerdict.NO_ROOM, StopOrder),
+        (StartVerdict.NO_TICKET, StopOrder),
+        (StartVerdict.UNHEALTHY, StopOrder),
+        (StartVerdict.INVALID, StopOrder),
+    ],
+)
+def test_a_refusal_proves_nothing_of_an_earlier_sending(
+    verdict: StartVerdict, next_order: type[Order]
+) -> None:
+    """The first sending may be carried out seconds later all the same."""
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    order = site.plan()[0]
+    assert site.answer(order, StartVerdict.LOST) == [order]
+    (following,) = site.answer(order, verdict)
+    assert isinstance(following, next_order)
+    assert site.task(TASK).phase is TaskPhase.PLACED
+    assert site.scheduler.workers['w1'].processors > 0
+
+
+def test_a_late_sending_is_over_with_the_later_one() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step()))
+    order = site.plan()[0]
+    site.answer(order, StartVerdict.LOST)
+    assert not site.answer(order, StartVerdict.TOO_LATE)
+    assert site.task(TASK).phase is TaskPhase.WAITING
+
+
 @pytest.mark.parametrize(
     ('counts', 'needs', 'placed'),
     [
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -50,6 +50,7 @@
 class Fate(enum.Enum):
     """What becomes of a start on its way."""
 
+    UNREACHED = enum.auto()
     NEVER_SENT = enum.auto()
     LATE = enum.auto()
     ANSWER_LOST = enum.auto()
@@ -57,7 +58,7 @@
 
 
 FATES = tuple(Fate)
-FATE_WEIGHTS = (10, 15, 10, 65)
+FATE_WEIGHTS = (5, 10, 15, 10, 60)
 TWO_STEPS_IN_PERCENT = 40
 FAILS_IN_PERCENT = 10
 ANY_LEADER_IN_PERCENT = 25
@@ -340,8 +341,10 @@
         fate = self.chance.choices(FATES, FATE_WEIGHTS)[0]
         verdict = StartVerdict.LOST
         if self._is_cut(place, order.worker_id):
-            fate = Fate.NEVER_SENT
-        if fate is Fate.LATE:
+            fate = self.chance.choice((Fate.NEVER_SENT, Fate.UNREACHED))
+        if fate is Fate.UNREACHED:
+            verdict = StartVerdict.NOT_SENT
+        elif fate is Fate.LATE:
             self._delay(order, token, lease_ms)
         elif fate is Fate.ANSWER_LOST:
             self._deliver(order, token, lease_ms)
@@ -352,12 +355,10 @@
             return
         self.at_ms += 1
         reply = StartReply(verdict)
-        if verdict is not StartVerdict.LOST:
+        if verdict not in {StartVerdict.LOST, StartVerdict.NOT_SENT}:
             clock = self.workers[order.worker_id].clock(self.at_ms - 1)
             reply = StartReply(verdict, clock)
-        scheduler.note_start(order, reply, self.at_ms)
-        if verdict is StartVerdict.LOST:
-            leader.queue.append(order)
+        leader.queue.extend(scheduler.note_start(order, reply, self.at_ms))
 
     def _delay(self, order: StartOrder, token: int, lease_ms: int) -> None:
         """Let a start arrive seconds later."""
