Ask the advice service which workers may run a step

The leader now asks one question at a time, for the most urgent step first, about workers with room, at most 30; it keeps tickets by step and life of the worker and uses none that is about to end. A refusal stands for the worker's life; a worker that does not take its ticket is asked about again.

Ruled out: asking by each instance (the service answers one call at a time for each machine, and only the leader places), and asking about all workers at once (each one named makes the answer later).

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from gentianpulley.cluster.advice import Adviser
+from gentianpulley.cluster.advice_loop import AdviceLoop
 from gentianpulley.cluster.directory import WorkerDirectory
 from gentianpulley.cluster.job_book import HARM_KEY, DeposedError, JobBook
 from gentianpulley.cluster.leader_watches import (
@@ -54,11 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderParts:
-    """What a leader works with; `status_ms` is how long ends are kept."""
+    """What a leader works with; `status_ms` is how long ends are kept.
+
+    A site without queues that need tickets has no `adviser`.
+    """
 
     store: Store
     directory: WorkerDirectory
     links: WorkerLinks
+    adviser: Adviser | None
     timing: Timing
     status_ms: int
     counters: Counters
@@ -169,6 +175,9 @@
     ) -> None:
         jobs = JobWatch(office, self._parts.store, self._book)
         _start('jobs', lambda: jobs.run(job_revision))
+        if self._parts.adviser is not None:
+            advice = AdviceLoop(office, self._parts.adviser)
+            _start('advice', advice.run)
         _start('plan', lambda: self._plan_loop(office))
         _start('save', lambda: self._save_loop(office, workers))
 
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
+from gentianpulley.cluster.advice import Tickets
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.pacing import excess_after
 from gentianpulley.cluster.worker import Worker
@@ -55,8 +56,15 @@
     closed_domains: frozenset[str]
     now_ms: int
     harm: HarmModel
+    tickets: Tickets
     is_busy: bool = False
 
+    def ticket(self, step: StepRun, worker: Worker) -> str:
+        """Return the ticket for a start, empty if none is needed or known."""
+        if step.job.spec.policy.advice is None:
+            return ''
+        return self.tickets.ticket(step.step_id, worker, self.now_ms)
+
 
 class Shape(NamedTuple):
     """What makes two steps equally hard to place."""
@@ -85,7 +93,17 @@
 def candidates(
     workers: Iterable[Worker], step: StepRun, view: PlacingView
 ) -> list[Worker]:
-    """Return the workers that may be sent a task of the step at all."""
+    """Return the workers that may be sent a task of the step now."""
+    allowed = suitable(workers, step, view)
+    if step.job.spec.policy.advice is None:
+        return allowed
+    return [worker for worker in allowed if view.ticket(step, worker)]
+
+
+def suitable(
+    workers: Iterable[Worker], step: StepRun, view: PlacingView
+) -> list[Worker]:
+    """Return the workers that could run the step, with or without a ticket."""
     spec = step.spec
     service = step.job.spec.policy.service
     return [
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -290,6 +290,11 @@
             self.drop_life(worker.worker_id, now_ms)
             return
         self.return_run(worker, order.key, verdict.name)
+        if verdict is StartVerdict.NO_TICKET:
+            step = self.step_of(order.key.task_id)
+            if step is not None:
+                self.tickets.drop(step.step_id, worker.worker_id)
+            return
         _avoid(worker, verdict, now_ms)
 
 
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from gentianpulley.cluster.advice import Permit, Question, question_for
 from gentianpulley.cluster.link import RunKey, StartOrder
 from gentianpulley.cluster.ordering import in_order
 from gentianpulley.cluster.placing import (
@@ -18,6 +19,7 @@
     is_busy,
     is_starving,
     shape_of,
+    suitable,
 )
 from gentianpulley.cluster.run_tracker import RunTracker
 from gentianpulley.cluster.scheduler_state import Reign
@@ -40,12 +42,7 @@
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
-        view = PlacingView(
-            self.closed_domains,
-            now_ms,
-            self.harm,
-            is_busy(self.workers.values()),
-        )
+        view = self._view(now_ms)
         orders: list[StartOrder] = []
         full: set[Shape] = set()
         for step in in_order(self._free_steps(now_ms), now_ms):
@@ -58,6 +55,38 @@
                     full.add(shape)
         return orders
 
+    def next_question(self, now_ms: int) -> Question | None:
+        """Return what to ask the advice service next, None if nothing."""
+        view = self._view(now_ms)
+        for step in in_order(self._free_steps(now_ms), now_ms):
+            if step.job.spec.policy.advice is None:
+                continue
+            allowed = suitable(self.workers.values(), step, view)
+            question = question_for(step, allowed, self.tickets, now_ms)
+            if question is not None:
+                return question
+        return None
+
+    def note_advice(
+        self, question: Question, permits: Iterable[Permit], asked_ms: int
+    ) -> None:
+        """Keep the answer to a question."""
+        asked = [
+            self.workers[worker_id]
+            for worker_id in question.worker_ids
+            if worker_id in self.workers
+        ]
+        self.tickets.note(question, permits, asked, asked_ms)
+
+    def _view(self, now_ms: int) -> PlacingView:
+        return PlacingView(
+            self.closed_domains,
+            now_ms,
+            self.harm,
+            self.tickets,
+            is_busy(self.workers.values()),
+        )
+
     def _free_steps(self, now_ms: int) -> list[StepRun]:
         """Return the steps that may start under this leader by now."""
         steps = self._startable(now_ms)
@@ -132,7 +161,11 @@
         worker.charge(key, step.spec, view.now_ms)
         step.place(task, worker.worker_id, run)
         return StartOrder(
-            worker.worker_id, key, step.job.spec.payload, task.checkpoint
+            worker.worker_id,
+            key,
+            step.job.spec.payload,
+            task.checkpoint,
+            view.ticket(step, worker),
         )
 
 
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from gentianpulley.cluster.advice import Tickets
 from gentianpulley.cluster.harm import create_harm_model
 from gentianpulley.cluster.link import (
     LookOrder,
@@ -51,6 +52,7 @@
         self.closed_domains: frozenset[str] = frozenset()
         self.change_number = 0
         self.harm = create_harm_model()
+        self.tickets = Tickets()
         self.unsettled = set(reign.roster)
 
     def add_job(self, job: Job) -> None:
@@ -69,6 +71,7 @@
             job.is_changed = False
             if job.state.is_final:
                 self.live_jobs.pop(job.spec.job_id, None)
+                self.tickets.forget_job(job.spec.job_id)
         return changed
 
     def note_unsaved(self, jobs: list[Job]) -> None:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -131,6 +131,22 @@
             and self.accelerators + need.accelerators <= room.accelerators
         )
 
+    def room_for(self, spec: StepSpec) -> int:
+        """Return how many more tasks of a step fit the declared room."""
+        room = self.facts.capacity
+        need = spec.resources
+        processors = 0 if spec.fills_spare else need.processors_milli
+        fits = [
+            left // each
+            for left, each in (
+                (room.processors_milli - self.processors, processors),
+                (room.memory_mib - self.memory, need.memory_mib),
+                (room.accelerators - self.accelerators, need.accelerators),
+            )
+            if each > 0
+        ]
+        return max(0, min(fits, default=spec.task_count))
+
     def could_ever_run(self, spec: StepSpec) -> bool:
         """Tell whether one task of a step fits the empty worker."""
         if spec.required_label not in {'', *self.facts.labels}:
--- a/src/gentianpulley/errors.py
+++ b/src/gentianpulley/errors.py
@@ -104,6 +104,10 @@
     """Another life of the worker answered; the one that was meant is over."""
 
 
+class AdviceError(GentianpulleyError):
+    """The advice service did not answer a question."""
+
+
 class PeerError(GentianpulleyError):
     """A call to another entry instance that did not succeed."""
 
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 
-from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
+from gentianpulley.jobs.spec import JobSpec, StepId, StepSpec, TaskId
 
 
 class JobState(enum.StrEnum):
@@ -89,6 +89,11 @@
         self.begins_ms = job.spec.begins_ms(occurrence)
         self.objective_ms = job.spec.objective_ms(occurrence)
 
+    @property
+    def step_id(self) -> StepId:
+        """Return the id of the step."""
+        return StepId(self.job.spec.job_id, self.occurrence, self.number)
+
     @property
     def is_done(self) -> bool:
         """Tell whether every task has ended as done."""
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -24,6 +24,14 @@
     ordinal: int
 
 
+class StepId(NamedTuple):
+    """One step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
 @dataclass(frozen=True, slots=True)
 class StepSpec:
     """Equal tasks that may run once the steps in `after` are done.
@@ -75,12 +83,26 @@
         return self.first_due_ms + occurrence * self.interval_ms
 
 
+@dataclass(frozen=True, slots=True)
+class AdvicePolicy:
+    """How the advice service of a queue answers.
+
+    A question takes it `decide_ms`, and `each_ms` for each worker named; a
+    ticket that it gives lasts `valid_ms`.
+    """
+
+    decide_ms: float
+    each_ms: float
+    valid_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class QueuePolicy:
     """What the cfg in force at the submission said of the job's queue.
 
     `priority` 0 goes first. A job is on time within `stretch` times its
-    longest chain of work plus `target_latency_ms`.
+    longest chain of work plus `target_latency_ms`. With `advice`, a step runs
+    only on workers for which the advice service gives a ticket.
     """
 
     queue: str
@@ -89,7 +111,7 @@
     max_attempts: int
     stretch: float
     target_latency_ms: int
-    needs_tickets: bool = False
+    advice: AdvicePolicy | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -127,6 +127,10 @@
         """A run is surely not on the worker any more."""
         _write_run('run_returned', key, worker, reason=reason)
 
+    def advised(self, job_id: str, asked: int, allowed: int) -> None:
+        """The advice service answered for a step of a job."""
+        _write('advised', job_id=job_id, asked=asked, allowed=allowed)
+
     def start_refused(self, key: 'RunKey', worker: str, verdict: str) -> None:
         """A worker did not start a run."""
         _write_run('start_refused', key, worker, verdict=verdict)
--- a/src/gentianpulley/messages.py
+++ b/src/gentianpulley/messages.py
@@ -21,6 +21,11 @@
     return f'setting "{name}" is missing or not usable: "{told}"'
 
 
+def advice_refused(status: int) -> str:
+    """Text for a question that the advice service did not take."""
+    return f'the advice service answered {status}'
+
+
 def worker_answered(status: int, detail: str) -> str:
     """Text for a worker's answer that is not a success."""
     return f'the worker answered {status}: {detail}'
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -23,6 +23,7 @@
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog, start_log
 from gentianpulley.messages import bad_setting
+from gentianpulley.platform.advice_client import create_adviser
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.ingress import (
     FRONT_THREADS,
@@ -68,6 +69,7 @@
             store=store,
             directory=create_directory(store, log),
             links=HttpWorkerLinks(),
+            adviser=create_adviser(settings.adviser),
             timing=create_timing(
                 bounds.max_lease_ms,
                 bounds.contact_ms,
--- a/src/gentianpulley/platform/node_file.py
+++ b/src/gentianpulley/platform/node_file.py
@@ -30,7 +30,7 @@
     """What a process is told at its start.
 
     `instance` and `failure_domain` name it; `front`, `ready`, `store` and
-    `metrics` are addresses.
+    `metrics` are addresses, and so is `adviser` where the site has one.
     """
 
     instance: str
@@ -39,6 +39,7 @@
     ready: HttpAddress
     store: HttpAddress
     metrics: HttpAddress
+    adviser: HttpAddress | None
     bounds: SiteBounds
 
 
@@ -61,6 +62,7 @@
         ready=_address(told_settings, 'listen.ready'),
         store=_address(told_settings, 'platform.addr'),
         metrics=_metrics_address(told_settings),
+        adviser=_optional_address(told_settings, 'advice'),
         bounds=SiteBounds(
             contact_ms=_number(told_settings, 'bounds.contact_ms'),
             grace_ms=int(_number(told_settings, 'bounds.grace_s', 1000)),
@@ -97,6 +99,15 @@
         raise SettingsError(bad_setting(name, told)) from exc
 
 
+def _optional_address(
+    told_settings: Mapping[str, str], name: str
+) -> HttpAddress | None:
+    """Return an address, None if the setting is missing or empty."""
+    if not told_settings.get(name):
+        return None
+    return _address(told_settings, name)
+
+
 def _metrics_address(told_settings: Mapping[str, str]) -> HttpAddress:
     """Return where metrics are served: told, or the usual port."""
     if 'listen.metrics' in told_settings:
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -14,9 +14,14 @@
 )
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
-from gentianpulley.jobs.spec import QueuePolicy
+from gentianpulley.jobs.spec import AdvicePolicy, QueuePolicy
 from gentianpulley.logs import EventLog
-from gentianpulley.platform.wire import CFG_DECODER, WireCfg, WireRoute
+from gentianpulley.platform.wire import (
+    CFG_DECODER,
+    WireAdvice,
+    WireCfg,
+    WireRoute,
+)
 from gentianpulley.store import ChangeBatch, Entry, Store
 
 OPERATOR_PREFIX: Final = 'op/'
@@ -118,6 +123,12 @@
     )
 
 
+def _advice(wire: WireAdvice | None) -> AdvicePolicy | None:
+    if wire is None:
+        return None
+    return AdvicePolicy(wire.decide_ms, wire.each_ms, wire.valid_ms)
+
+
 def _rule(route: WireRoute) -> QueueRule:
     policy = QueuePolicy(
         queue=route.name,
@@ -126,7 +137,7 @@
         max_attempts=route.max_attempts,
         stretch=route.stretch,
         target_latency_ms=route.target_latency_ms,
-        needs_tickets=route.advice is not None,
+        advice=_advice(route.advice),
     )
     address = QueueAddress(route.host, route.prefix)
     return QueueRule(address, policy, route.timeout_ms)
--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -172,6 +172,24 @@
     reason: str = ''
 
 
+# The advice service.
+
+
+class WireQuestion(Struct, frozen=True):
+    """Asks which workers may run a step."""
+
+    # A step is named ID.K.STEP, a task of it ID.K.STEP.INDEX.
+    step: str
+    worker_ids: tuple[str, ...] = field(name='workers')
+
+
+class WireAdviceAnswer(Struct, frozen=True):
+    """The workers that may run it: rows of id and ticket."""
+
+    # "good" says nothing of the workers' condition.
+    permits: tuple[tuple[str, str], ...] = field(name='good', default=())
+
+
 # Jobs.
 
 
@@ -266,6 +284,7 @@
 
 REGISTRATION_DECODER = Decoder(WireRegistration)
 LISTS_DECODER = Decoder(WireLists)
+ADVICE_DECODER = Decoder(WireAdviceAnswer)
 REPLY_DECODER = Decoder(WireReply)
 JOB_DECODER = Decoder(WireJob)
 CFG_DECODER = Decoder(WireCfg)
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -5,27 +5,44 @@
 
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
-from typing import Any
+from types import MappingProxyType
+from typing import Any, Final
 
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.daemon import Node
 from gentianpulley.platform.node_file import parse_node_settings
+from standins.grid_adviser import GridAdviser
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
+from standins.http_server import StandinServer
 from standins.site import free_port
 
-ROUTES = (
-    ('r-quick', 'fit.example', '/quick/', 0, 2),
-    ('r-batch', 'fit.example', '/batch/', 2, 3),
+ADVICE: Final = MappingProxyType(
+    {'decide_ms': 20, 'each_ms': 1, 'valid_ms': 2000}
+)
+Route = tuple[str, str, str, int, int, Mapping[str, Any]]
+PLAIN: Final[Mapping[str, Any]] = MappingProxyType({})
+ROUTES: Final[tuple[Route, ...]] = (
+    ('r-quick', 'fit.example', '/quick/', 0, 2, PLAIN),
+    ('r-batch', 'fit.example', '/batch/', 2, 3, PLAIN),
+    (
+        'r-advised',
+        'fit.example',
+        '/advised/',
+        2,
+        3,
+        MappingProxyType({'advice': dict(ADVICE)}),
+    ),
 )
 
 
-def node_file(instance: str, store_port: int) -> str:
+def node_file(instance: str, store_port: int, adviser_port: int) -> str:
     """Return the settings of a node with free ports."""
+    adviser = f'{HOST}:{adviser_port}' if adviser_port else ''
     return '\n'.join(
         (
             f'node={instance}',
@@ -34,6 +51,7 @@
             f'listen.ready={HOST}:{free_port()}',
             f'listen.metrics={HOST}:{free_port()}',
             f'platform.addr={HOST}:{store_port}',
+            f'advice={adviser}',
             'bounds.contact_ms=3000',
             'bounds.grace_s=1',
             'bounds.max_hold_ms=6000',
@@ -60,8 +78,9 @@
                 'stretch': 2,
                 'target_latency_ms': 1000,
                 'timeout_ms': 3000,
+                **more,
             }
-            for name, host, prefix, priority, attempts in routes
+            for name, host, prefix, priority, attempts, more in routes
         ],
         'services': [{'name': 'fitting'}],
         'limits': {'max_body_bytes': 10_000},
@@ -75,6 +94,7 @@
     store: GridStore
     workers: dict[str, GridWorker] = field(default_factory=dict)
     nodes: list[Node] = field(default_factory=list)
+    adviser: GridAdviser | None = None
 
     def add_worker(self, worker_id: str, **facts: Any) -> GridWorker:
         """Start a worker."""
@@ -85,7 +105,9 @@
 
     def add_node(self) -> Node:
         """Start a node and wait until it is ready."""
-        text = node_file(f'n{len(self.nodes)}', self.store.port)
+        adviser_port = self.adviser.port if self.adviser else 0
+        name = f'n{len(self.nodes)}'
+        text = node_file(name, self.store.port, adviser_port)
         node = Node(parse_node_settings(text), EventLog())
         node.start()
         self.nodes.append(node)
@@ -100,8 +122,14 @@
         servers.extend(self.workers.values())
         for server in servers:
             server.faults = {}
-            server.shutdown()
-            server.server_close()
+            _close(server)
+        if self.adviser is not None:
+            _close(self.adviser)
+
+
+def _close(server: StandinServer) -> None:
+    server.shutdown()
+    server.server_close()
 
 
 def call(
--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -5,7 +5,8 @@
 payload says how it goes: `{"ms": 200}` ends as done after 200 ms, and
 `{"ms": 50, "fail": 1}` fails. `faults`: `lose_orders` carries out the next N
 orders without an answer, `late_orders` carries them out `LATE_S` later,
-`silent` answers nothing.
+`silent` answers nothing. With `needs_tickets`, only the tickets of
+`grid_adviser` start a task.
 """
 
 import json
@@ -51,7 +52,7 @@
         self.worker_id = worker_id
         self.faults: Json = {}
         self.started: list[tuple[str, int]] = []
-        self.overlaps = 0
+        self.needs_tickets = False
         self.done: list[str] = []
         self._store = store
         self._facts = {'service': 'fitting', 'zone': zone, **facts}
@@ -143,6 +144,10 @@
     def _start(self, order: Json) -> Reply:
         task, number = order['task'], order['run']
         known = self._runs.get(task)
+        step = task.rpartition('.')[0]
+        is_told = order.get('ticket') == f'{step}/{self.worker_id}'
+        if self.needs_tickets and not is_told:
+            return self._reply({'reason': 'ticket'}, CONFLICT)
         if order['deadline_ms'] <= self._clock():
             return self._reply({'reason': 'late'}, CONFLICT)
         self._lease_ms = max(self._lease_ms, order['deadline_ms'])
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -44,6 +44,7 @@
         store=client,
         directory=create_directory(client, log),
         links=HttpWorkerLinks(),
+        adviser=None,
         timing=TIMING,
         status_ms=120_000,
         counters=counters,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,6 +7,7 @@
 
 from standins.grid_store import GridStore
 from standins.grid_site import (
+    PLAIN,
     ROUTES,
     Site,
     call,
@@ -207,7 +208,7 @@
 
 
 def test_a_newer_cfg_is_in_force_and_an_older_one_is_not(site: Site) -> None:
-    added = ('r-new', 'fit.example', '/new/', 1, 2)
+    added = ('r-new', 'fit.example', '/new/', 1, 2, PLAIN)
     site.store.put('op/config', cfg_document(9, (*ROUTES, added)))
     wait_until(lambda: call(site.nodes[0], 'GET', '/new/')[0] == 200, 2)
     site.store.put('op/config', cfg_document(5, ROUTES))
