Carry out waves of upkeep

The leader now clears one machine after the other: its worker gets nothing more, work that checkpoints and cannot end in time is stopped, other work may end within the machine's part of the time, and serving tasks go only while few enough others of their step are away. A machine counts as down from its order until it is listed as up by an answer that is surely newer. What has begun is kept in the store for a successor; an order without an answer is sent again, as the platform answers alike.

Ruled out: keeping nothing (a successor would clear machines that are done), and counting down machines by the list alone (it lags behind the orders).

The notes of a leader (roster, harm, waves) and its guarded writes stand in modules of their own now, apart from the jobs.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -10,7 +10,9 @@
 from gentianpulley.background import BackgroundLoop
 from gentianpulley.cluster.job_book import LEADER_KEY
 from gentianpulley.cluster.leader import Leader, LeaderParts, tenure_end_ms
+from gentianpulley.cluster.machines import WaveRequest
 from gentianpulley.cluster.office import Tenure
+from gentianpulley.cluster.operators import OperatorListener
 from gentianpulley.cluster.timing import LEADER_TTL_S, RENEWALS_IN_TTL
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreAnswerLostError, StoreError
@@ -33,7 +35,7 @@
 """Pause after the watch of the leader's key broke."""
 
 
-class Campaign(BackgroundLoop):
+class Campaign(BackgroundLoop, OperatorListener):
     """Waits for the leader's key to be free, takes it, and leads."""
 
     def __init__(
@@ -49,6 +51,7 @@
         self._leader: Leader | None = None
         self._token = 0
         self._domains: frozenset[str] = frozenset()
+        self._waves: tuple[WaveRequest, ...] = ()
 
     @property
     def is_leading(self) -> bool:
@@ -62,6 +65,13 @@
         if leader is not None:
             leader.close_domains(domains)
 
+    def open_waves(self, requests: tuple[WaveRequest, ...]) -> None:
+        """Carry out these waves of upkeep while leading."""
+        self._waves = requests
+        leader = self._leader
+        if leader is not None:
+            leader.open_waves(requests)
+
     def step(self) -> None:
         """Renew while leading; campaign otherwise."""
         try:
@@ -129,6 +139,7 @@
             raise
         self._leader = leader
         leader.close_domains(self._domains)
+        leader.open_waves(self._waves)
 
     def _renew(self, leader: Leader) -> None:
         tenure = self._tenure
--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from gentianpulley.cluster.leader_store import LeaderStore
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.jobs.job import Job, JobState, create_job
@@ -40,8 +41,6 @@
 RECORD_PREFIX: Final = 'gp/record/'
 WAITING_PREFIX: Final = 'gp/waiting/'
 LEADER_KEY: Final = 'gp/leader'
-ROSTER_KEY: Final = 'gp/roster'
-HARM_KEY: Final = 'gp/harm'
 _CANCEL_SUFFIX: Final = '/cancel'
 
 JOBS_IN_TRANSACTION: Final = 10
@@ -63,10 +62,6 @@
     state: JobState
 
 
-class DeposedError(StoreError):
-    """Another instance leads; nothing was written."""
-
-
 class JobDesk:
     """What every entry instance does with jobs in the store."""
 
@@ -123,10 +118,9 @@
 class JobBook:
     """What the leader reads and writes under its token."""
 
-    def __init__(self, store: Store, leader: Guard, log: EventLog) -> None:
-        """Guard every write with the leader's key."""
+    def __init__(self, store: LeaderStore, log: EventLog) -> None:
+        """Write under the token of the leader."""
         self._store = store
-        self._leader = leader
         self._log = log
         self._revisions: dict[str, int] = {}
         self._ended: dict[str, tuple[int, str]] = {}
@@ -134,7 +128,7 @@
     def load(self) -> tuple[list[Job], int]:
         """Return all jobs that go on, and the revision to watch from."""
         records = self._load_records()
-        snapshot = self._store.read_prefix(JOB_PREFIX)
+        snapshot = self._store.reader.read_prefix(JOB_PREFIX)
         jobs: dict[str, Job] = {}
         for entry in snapshot.entries:
             event = self.event_of(entry)
@@ -168,27 +162,6 @@
         for batch in _batches(jobs):
             self._save_batch(batch)
 
-    def save_roster(self, worker_ids: frozenset[str]) -> None:
-        """Write the ids of all workers that may be sent orders."""
-        body = msgspec.json.encode(sorted(worker_ids))
-        self._commit(Transaction((self._leader,), (Put(ROSTER_KEY, body),)))
-
-    def load_roster(self) -> frozenset[str]:
-        """Return the ids that earlier leaders may have sent orders to."""
-        entry = self._store.read(ROSTER_KEY)
-        if entry is None:
-            return frozenset()
-        return frozenset(msgspec.json.decode(entry.body, type=list[str]))
-
-    def save_harm(self, body: bytes) -> None:
-        """Write what was learned of the harm between images."""
-        self._commit(Transaction((self._leader,), (Put(HARM_KEY, body),)))
-
-    def load_harm(self) -> bytes | None:
-        """Return what the former leader had learned, None if nothing."""
-        entry = self._store.read(HARM_KEY)
-        return entry.body if entry else None
-
     def forget_ended(self, before_ms: int) -> int:
         """Delete jobs that ended before a time; returns how many."""
         old = [
@@ -204,13 +177,13 @@
                 record_key(job_id),
                 waiting_key(queue, job_id),
             )
-            self._commit(Transaction((self._leader,), deletes=keys))
+            self._commit(Transaction((), deletes=keys))
             self._ended.pop(job_id)
         return len(old)
 
     def _load_records(self) -> dict[str, JobRecord]:
         records = {}
-        for entry in self._store.read_prefix(RECORD_PREFIX).entries:
+        for entry in self._store.reader.read_prefix(RECORD_PREFIX).entries:
             job_id = entry.key.removeprefix(RECORD_PREFIX)
             self._revisions[job_id] = entry.revision
             try:
@@ -233,7 +206,7 @@
         ]
         commit = self._commit(
             Transaction(
-                (self._leader, *guards),
+                tuple(guards),
                 tuple(_record_put(job, saved_ms) for job in batch),
                 tuple(deletes),
             )
@@ -260,14 +233,11 @@
         if commit.applied:
             return commit
         current = {entry.key: entry.revision for entry in commit.current}
-        if current.get(self._leader.key) != self._leader.revision:
-            raise DeposedError('the leader key has changed')
         for guard in txn.guards:
-            if guard.key.startswith(RECORD_PREFIX):
-                # Only this leader writes records, so a newer revision is an
-                # earlier write of its own whose answer was lost.
-                job_id = guard.key.removeprefix(RECORD_PREFIX)
-                self._revisions[job_id] = current.get(guard.key, ABSENT)
+            # Only this leader writes records, so a newer revision is an
+            # earlier write of its own whose answer was lost.
+            job_id = guard.key.removeprefix(RECORD_PREFIX)
+            self._revisions[job_id] = current.get(guard.key, ABSENT)
         raise StoreError('a record has another revision; it is written again')
 
 
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -14,17 +14,24 @@
 from gentianpulley.cluster.advice import Adviser
 from gentianpulley.cluster.advice_loop import AdviceLoop
 from gentianpulley.cluster.directory import WorkerDirectory
-from gentianpulley.cluster.job_book import HARM_KEY, DeposedError, JobBook
+from gentianpulley.cluster.job_book import JobBook
+from gentianpulley.cluster.leader_notes import HARM_KEY, LeaderNotes
+from gentianpulley.cluster.leader_store import (
+    DeposedError,
+    create_leader_store,
+)
 from gentianpulley.cluster.leader_watches import (
     RETRY_S,
     JobWatch,
     WorkerWatch,
 )
 from gentianpulley.cluster.link import WorkerLinks
+from gentianpulley.cluster.machines import MachinePark, WaveRequest
 from gentianpulley.cluster.office import Office, Tenure
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import Reign
 from gentianpulley.cluster.timing import Timing
+from gentianpulley.cluster.upkeep_loop import UpkeepLoop
 from gentianpulley.counters import Counters
 from gentianpulley.deadline import MS_PER_SECOND, now_ms
 from gentianpulley.errors import StoreError
@@ -56,17 +63,23 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderParts:
-    """What a leader works with; `status_ms` is how long ends are kept.
+    """What a leader works with.
+
+    `status_ms` is how long ends are kept, `upkeep_ms` how long a machine is
+    down for upkeep.
 
-    A site without queues that need tickets has no `adviser`.
+    A site without queues that need tickets has no `adviser`, one whose
+    machines cannot be asked for has no `park`.
     """
 
     store: Store
     directory: WorkerDirectory
     links: WorkerLinks
     adviser: Adviser | None
+    park: MachinePark | None
     timing: Timing
     status_ms: int
+    upkeep_ms: int
     counters: Counters
     log: EventLog
 
@@ -81,13 +94,16 @@
         self._parts = parts
         self._log = parts.log
         self._tenure = tenure
-        self._book = JobBook(parts.store, guard, parts.log)
+        self._store = create_leader_store(parts.store, guard)
+        self._book = JobBook(self._store, parts.log)
+        self._notes = LeaderNotes(self._store)
         self._token = guard.revision
         self._office: Office | None = None
         self._saving = threading.Lock()
         self._closed_domains: frozenset[str] = frozenset()
         self._next_harm_ms = 0
         self._saved_harm = b''
+        self._upkeep: UpkeepLoop | None = None
 
     @property
     def office(self) -> Office | None:
@@ -100,7 +116,7 @@
         Raises `StoreError` when something could not be read.
         """
         since_ms = now_ms()
-        roster = self._book.load_roster()
+        roster = self._notes.load_roster()
         page = self._parts.directory.read()
         jobs, revision = self._book.load()
         office = self._open_office(roster, since_ms)
@@ -121,6 +137,11 @@
                 office.scheduler.closed_domains = domains
             office.work_came.set()
 
+    def open_waves(self, requests: tuple[WaveRequest, ...]) -> None:
+        """Carry out these waves of upkeep from now on."""
+        if self._upkeep is not None:
+            self._upkeep.requests = requests
+
     def hand_over(self) -> None:
         """Let answers under way arrive, and write what is known."""
         office = self._office
@@ -146,7 +167,7 @@
 
     def _watch_workers(self, office: Office) -> WorkerWatch:
         parts = self._parts
-        return WorkerWatch(office, parts.directory, parts.links, self._book)
+        return WorkerWatch(office, parts.directory, parts.links, self._notes)
 
     def _open_office(self, roster: frozenset[str], since_ms: int) -> Office:
         reign = Reign(self._token, since_ms, roster, self._parts.timing)
@@ -161,7 +182,7 @@
 
     def _take_harm(self, office: Office) -> None:
         """Begin with the harm that the former leader learned."""
-        body = self._book.load_harm()
+        body = self._notes.load_harm()
         if body is None:
             return
         try:
@@ -175,6 +196,11 @@
     ) -> None:
         jobs = JobWatch(office, self._parts.store, self._book)
         _start('jobs', lambda: jobs.run(job_revision))
+        park = self._parts.park
+        if park is not None:
+            upkeep_ms = self._parts.upkeep_ms
+            self._upkeep = UpkeepLoop(office, park, self._notes, upkeep_ms)
+            _start('upkeep', self._upkeep.run)
         if self._parts.adviser is not None:
             advice = AdviceLoop(office, self._parts.adviser)
             _start('advice', advice.run)
@@ -222,7 +248,7 @@
         with office.lock:
             learned = office.scheduler.harm.export()
         if learned != self._saved_harm:
-            self._book.save_harm(learned)
+            self._notes.save_harm(learned)
             self._saved_harm = learned
 
     def _save(self, office: Office) -> None:
--- /dev/null
+++ b/src/gentianpulley/cluster/leader_store.py
@@ -0,0 +1,42 @@
+"""What a leader writes: every transaction is guarded by its key.
+
+A former leader cannot write any more, whatever it still believes.
+"""
+
+from gentianpulley.errors import StoreError
+from gentianpulley.store import Commit, Entry, Guard, Store, Transaction
+
+
+class DeposedError(StoreError):
+    """Another instance leads; nothing was written."""
+
+
+class LeaderStore:
+    """The store under the token of one leader."""
+
+    def __init__(self, store: Store, leader: Guard) -> None:
+        """Guard every write with the leader's key."""
+        self.reader = store
+        self.leader = leader
+
+    def commit(self, txn: Transaction) -> Commit:
+        """Apply a transaction unless one of its guards does not hold.
+
+        Raises `DeposedError` if another instance leads, else `StoreError`.
+        """
+        guarded = Transaction((self.leader, *txn.guards), txn.puts, txn.deletes)
+        commit = self.reader.commit(guarded)
+        current = {entry.key: entry.revision for entry in commit.current}
+        held = current.get(self.leader.key, self.leader.revision)
+        if not commit.applied and held != self.leader.revision:
+            raise DeposedError('the leader key has changed')
+        return commit
+
+    def read(self, key: str) -> Entry | None:
+        """Return an entry, None if there is none."""
+        return self.reader.read(key)
+
+
+def create_leader_store(store: Store, leader: Guard) -> LeaderStore:
+    """Return the store for the leader whose key is `leader`."""
+    return LeaderStore(store, leader)
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -15,10 +15,11 @@
 )
 from gentianpulley.cluster.job_book import (
     JOB_PREFIX,
-    DeposedError,
     JobBook,
     JobEvent,
 )
+from gentianpulley.cluster.leader_notes import LeaderNotes
+from gentianpulley.cluster.leader_store import DeposedError
 from gentianpulley.cluster.link import WorkerFacts, WorkerLinks
 from gentianpulley.cluster.office import Office
 from gentianpulley.cluster.worker_session import open_session
@@ -80,13 +81,13 @@
         office: Office,
         directory: WorkerDirectory,
         links: WorkerLinks,
-        book: JobBook,
+        notes: LeaderNotes,
     ) -> None:
         """Begin with the roster that former leaders left."""
         super().__init__(office)
         self._directory = directory
         self._links = links
-        self._book = book
+        self._notes = notes
         self._roster = office.reign.roster
         self._roster_lock = Lock()
 
@@ -120,7 +121,7 @@
                     return
                 known = frozenset(self.office.scheduler.workers)
             if known < self._roster:
-                self._book.save_roster(known)
+                self._notes.save_roster(known)
                 self._roster = known
 
     def _note_news(self, batch: tuple[WorkerNews, ...]) -> None:
@@ -138,7 +139,7 @@
         ids = frozenset(facts.worker_id for facts in all_facts)
         with self._roster_lock:
             if not ids <= self._roster:
-                self._book.save_roster(self._roster | ids)
+                self._notes.save_roster(self._roster | ids)
                 self._roster |= ids
             for facts in all_facts:
                 self._take_one(facts)
--- /dev/null
+++ b/src/gentianpulley/cluster/upkeep_loop.py
@@ -0,0 +1,133 @@
+"""The thread of a leader that carries out waves of upkeep.
+
+What has begun is kept in the store, so that a successor goes on where the
+wave stands. An order without an answer is sent again: the platform answers
+alike if the upkeep has begun.
+"""
+
+from collections.abc import Iterable
+from threading import Event
+from typing import Final
+
+from gentianpulley.cluster.clearing import clear_workers, is_clear
+from gentianpulley.cluster.leader_notes import LeaderNotes
+from gentianpulley.cluster.machines import (
+    MachinePark,
+    UpkeepVerdict,
+    WaveRequest,
+)
+from gentianpulley.cluster.office import Office
+from gentianpulley.cluster.upkeep import Clearing, Wave, create_wave
+from gentianpulley.deadline import now_ms
+from gentianpulley.errors import MachineParkError, StoreError
+
+IDLE_S: Final = 0.2
+"""Pause while no wave is open; operators allow seconds."""
+
+PASS_S: Final = 0.2
+"""Pause between two looks at the machines of an open wave; each one reads
+their list, and an upkeep lasts seconds."""
+
+RETRY_S: Final = 0.5
+"""Pause after a call that failed."""
+
+
+class UpkeepLoop:
+    """Carries out the waves that operators ask for."""
+
+    def __init__(
+        self,
+        office: Office,
+        park: MachinePark,
+        notes: LeaderNotes,
+        upkeep_ms: int,
+    ) -> None:
+        """Serve one reign; an upkeep lasts `upkeep_ms` milliseconds."""
+        self._office = office
+        self._park = park
+        self._notes = notes
+        self._upkeep_ms = upkeep_ms
+        self._waves: dict[int, Wave] = {}
+        self._completed: set[int] = set()
+        self.requests: tuple[WaveRequest, ...] = ()
+
+    def run(self) -> None:
+        """Serve until the tenure is over."""
+        while not self._office.tenure.is_over():
+            Event().wait(self._guarded_pass())
+
+    def _guarded_pass(self) -> float:
+        """Do what can be done now; returns how long to pause, in seconds."""
+        try:
+            return self._pass()
+        except (MachineParkError, StoreError) as exc:
+            self._office.log.dependency('machines', 'no answer', exc.text)
+        return RETRY_S
+
+    def _pass(self) -> float:
+        self._take_requests(self.requests)
+        if not self._waves:
+            return IDLE_S
+        asked_ms = now_ms()
+        machines = self._park.read()
+        clearings = [
+            clearing
+            for wave in self._waves.values()
+            for clearing in wave.note_machines(machines, asked_ms, now_ms())
+        ]
+        clear = self._clear(clearings)
+        for wave in tuple(self._waves.values()):
+            self._advance(wave, clear)
+        return PASS_S
+
+    def _clear(self, clearings: list[Clearing]) -> frozenset[str]:
+        """Empty the workers of these machines; returns the clear machines."""
+        office = self._office
+        at_ms = now_ms()
+        with office.lock:
+            orders = clear_workers(office.scheduler, clearings, at_ms)
+            clear = frozenset(
+                clearing.machine_id
+                for clearing in clearings
+                if is_clear(office.scheduler, clearing, at_ms)
+            )
+        office.dispatch(orders)
+        return clear
+
+    def _take_requests(self, requests: Iterable[WaveRequest]) -> None:
+        """Open new waves and close those that operators took back."""
+        asked = {request.number: request for request in requests}
+        for number in self._waves.keys() - asked.keys():
+            self._waves.pop(number)
+        for number, request in asked.items():
+            if number not in self._waves and number not in self._completed:
+                wave = create_wave(request, self._upkeep_ms)
+                wave.restore(self._notes.load_wave(number))
+                self._park.report(number, self._notes.store, is_completed=False)
+                self._waves[number] = wave
+
+    def _advance(self, wave: Wave, clear: frozenset[str]) -> None:
+        """Send the next order of a wave, and report its end."""
+        if wave.is_completed:
+            self._complete(wave)
+            return
+        at_ms = now_ms()
+        order = wave.next_order(clear, self._office.reign.token, at_ms)
+        if order is None or not self._office.may_act(at_ms):
+            return
+        verdict = self._park.begin_upkeep(order)
+        self._office.log.upkeep(order.machine_id, order.wave, verdict.name)
+        if verdict is UpkeepVerdict.FENCED:
+            self._office.resign('an upkeep was fenced off')
+            return
+        wave.note_verdict(order, verdict, now_ms())
+        if verdict is UpkeepVerdict.BEGUN:
+            self._notes.save_wave(order.wave, wave.begun)
+        if wave.is_completed:
+            self._complete(wave)
+
+    def _complete(self, wave: Wave) -> None:
+        number = wave.request.number
+        self._park.report(number, self._notes.store, is_completed=True)
+        self._completed.add(number)
+        self._waves.pop(number, None)
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -73,7 +73,8 @@
 
     `is_fenced` says that this leader's token was answered with a list, so
     that nothing of an earlier leader can start there any more. `is_listed`
-    says that the worker stands in the directory.
+    says that the worker stands in the directory, `is_leaving` that its machine
+    goes down for upkeep.
     """
 
     def __init__(self, facts: WorkerFacts, now_ms: int) -> None:
@@ -83,6 +84,7 @@
         self.charges: dict[RunKey, Charge] = {}
         self.is_fenced = False
         self.is_listed = True
+        self.is_leaving = False
         self.unlisted_ms = 0
         self.heard_ms = now_ms
         self.seen_number = 0
@@ -116,7 +118,7 @@
     def accepts(self, now_ms: int) -> bool:
         """Tell whether new runs may be sent there."""
         is_known = self.is_fenced and self.is_listed and not self.foreign
-        if self.facts.is_draining:
+        if self.facts.is_draining or self.is_leaving:
             return False
         return is_known and now_ms >= self.quarantined_until_ms
 
--- a/src/gentianpulley/errors.py
+++ b/src/gentianpulley/errors.py
@@ -104,6 +104,10 @@
     """Another life of the worker answered; the one that was meant is over."""
 
 
+class MachineParkError(GentianpulleyError):
+    """The platform did not answer a question about its machines."""
+
+
 class AdviceError(GentianpulleyError):
     """The advice service did not answer a question."""
 
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -127,6 +127,10 @@
         """A run is surely not on the worker any more."""
         _write_run('run_returned', key, worker, reason=reason)
 
+    def upkeep(self, machine: str, wave: int, verdict: str) -> None:
+        """A machine was ordered to go down for upkeep."""
+        _write('upkeep', machine=machine, wave=wave, verdict=verdict)
+
     def advised(self, job_id: str, asked: int, allowed: int) -> None:
         """The advice service answered for a step of a job."""
         _write('advised', job_id=job_id, asked=asked, allowed=allowed)
--- a/src/gentianpulley/messages.py
+++ b/src/gentianpulley/messages.py
@@ -21,6 +21,11 @@
     return f'setting "{name}" is missing or not usable: "{told}"'
 
 
+def machines_refused(status: int) -> str:
+    """Text for a list of machines that the platform did not return."""
+    return f'the platform answered {status} to a question for its machines'
+
+
 def advice_refused(status: int) -> str:
     """Text for a question that the advice service did not take."""
     return f'the advice service answered {status}'
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -35,6 +35,7 @@
     create_server,
 )
 from gentianpulley.platform.kv_store import connect_kv_store
+from gentianpulley.platform.machine_client import create_machine_park
 from gentianpulley.platform.node_file import (
     NodeSettings,
     load_node_settings,
@@ -70,6 +71,7 @@
             directory=create_directory(store, log),
             links=HttpWorkerLinks(),
             adviser=create_adviser(settings.adviser),
+            park=create_machine_park(settings.machines, settings.instance),
             timing=create_timing(
                 bounds.max_lease_ms,
                 bounds.contact_ms,
@@ -77,13 +79,12 @@
                 LOOK_MS,
             ),
             status_ms=bounds.status_ms,
+            upkeep_ms=bounds.upkeep_ms,
             counters=counters,
             log=log,
         )
         self._campaign = Campaign(settings.instance, parts, log)
-        self._watch = OperatorWatch(
-            store, self._table, self._campaign.close_domains, log
-        )
+        self._watch = OperatorWatch(store, self._table, self._campaign, log)
         submissions = Submissions(JobDesk(store, log), log)
         ingress = Ingress(
             self._table, submissions, self._stopping, counters, log
--- /dev/null
+++ b/src/gentianpulley/platform/machine_client.py
@@ -0,0 +1,143 @@
+"""Adapter of the machines: the platform's interface over HTTP with JSON."""
+
+from types import MappingProxyType
+from typing import Final
+from urllib.parse import quote
+
+import msgspec
+
+from gentianpulley.cluster.leader_store import LeaderStore
+from gentianpulley.cluster.machines import (
+    MachineFacts,
+    MachinePark,
+    MachineState,
+    UpkeepOrder,
+    UpkeepVerdict,
+)
+from gentianpulley.deadline import deadline_in
+from gentianpulley.errors import (
+    HttpSilentError,
+    HttpUnreachableError,
+    MachineParkError,
+)
+from gentianpulley.http_conn import HttpAddress, HttpAnswer, HttpConn
+from gentianpulley.messages import machines_refused
+from gentianpulley.platform.wire import (
+    MACHINES_DECODER,
+    REFUSAL_DECODER,
+    WireMachine,
+    WireMachines,
+    WireUpkeep,
+    WireWaveStatus,
+)
+from gentianpulley.store import Put, Transaction
+
+CALL_TIMEOUT_MS: Final = 2000
+"""The platform may be slow; a quarter second was usual of its store then."""
+
+STATUS_PREFIX: Final = 'status/wave/'
+
+_OK: Final = 200
+_BAD_REQUEST: Final = 400
+_CONFLICT: Final = 409
+_REASONS: Final = MappingProxyType(
+    {
+        'fence': UpkeepVerdict.FENCED,
+        'busy': UpkeepVerdict.BUSY,
+        'wave': UpkeepVerdict.NOT_IN_WAVE,
+    }
+)
+_STATES: Final = MappingProxyType({each.value: each for each in MachineState})
+
+
+class HttpMachinePark(MachinePark):
+    """One keep-alive connection to the platform."""
+
+    def __init__(self, address: HttpAddress, holder: str) -> None:
+        """Connect at the first call; `holder` names this instance."""
+        self._conn = HttpConn(address, 1)
+        self._holder = holder
+
+    def read(self) -> tuple[MachineFacts, ...]:
+        """Return all machines, page by page."""
+        found: list[MachineFacts] = []
+        token = ''
+        while True:
+            page = self._page(token)
+            found.extend(map(_machine_facts, page.machines))
+            token = page.next_token or ''
+            if not token:
+                break
+        return tuple(found)
+
+    def report(
+        self, wave: int, store: LeaderStore, *, is_completed: bool
+    ) -> None:
+        """Write how a wave stands where operators read it."""
+        state = 'completed' if is_completed else 'running'
+        body = msgspec.json.encode(WireWaveStatus(state))
+        put = Put(f'{STATUS_PREFIX}{wave}', body)
+        store.commit(Transaction((), (put,)))
+
+    def begin_upkeep(self, order: UpkeepOrder) -> UpkeepVerdict:
+        """Take a machine down; failures are verdicts."""
+        wire = WireUpkeep(order.machine_id, order.wave)
+        headers = (
+            ('X-Lease-Holder', self._holder),
+            ('X-Fence-Token', str(order.token)),
+        )
+        try:
+            answer = self._conn.call(
+                'POST',
+                '/gentianpulley/machine-upkeep',
+                deadline_in(CALL_TIMEOUT_MS),
+                msgspec.json.encode(wire),
+                headers,
+            )
+        except HttpUnreachableError:
+            return UpkeepVerdict.REFUSED
+        except HttpSilentError:
+            return UpkeepVerdict.LOST
+        return _verdict(answer)
+
+    def _page(self, token: str) -> WireMachines:
+        path = '/gentianpulley/machines'
+        if token:
+            path = f'{path}?page_token={quote(token, safe="")}'
+        try:
+            answer = self._conn.call('GET', path, deadline_in(CALL_TIMEOUT_MS))
+        except (HttpUnreachableError, HttpSilentError) as exc:
+            raise MachineParkError(exc.text) from exc
+        if answer.status != _OK:
+            raise MachineParkError(machines_refused(answer.status))
+        try:
+            return MACHINES_DECODER.decode(answer.body)
+        except msgspec.DecodeError as exc:
+            raise MachineParkError(str(exc)) from exc
+
+
+def create_machine_park(
+    address: HttpAddress | None, holder: str
+) -> MachinePark | None:
+    """Return the machines of a site, None where they are not offered."""
+    return HttpMachinePark(address, holder) if address else None
+
+
+def _machine_facts(wire: WireMachine) -> MachineFacts:
+    state = _STATES.get(wire.state, MachineState.DOWN)
+    return MachineFacts(wire.machine_id, state, wire.worker_id or '')
+
+
+def _verdict(answer: HttpAnswer) -> UpkeepVerdict:
+    if answer.status == _OK:
+        return UpkeepVerdict.BEGUN
+    if answer.status == _BAD_REQUEST:
+        return UpkeepVerdict.NO_MACHINE
+    if answer.status != _CONFLICT:
+        return UpkeepVerdict.REFUSED
+    try:
+        reason = REFUSAL_DECODER.decode(answer.body).reason
+    except msgspec.DecodeError:
+        # The status says that nothing was done; the next try tells why.
+        return UpkeepVerdict.REFUSED
+    return _REASONS.get(reason, UpkeepVerdict.REFUSED)
--- a/src/gentianpulley/platform/node_file.py
+++ b/src/gentianpulley/platform/node_file.py
@@ -23,6 +23,7 @@
     stop_ms: int
     harm_ms: int
     status_ms: int
+    upkeep_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +31,8 @@
     """What a process is told at its start.
 
     `instance` and `failure_domain` name it; `front`, `ready`, `store` and
-    `metrics` are addresses, and so is `adviser` where the site has one.
+    `metrics` are addresses, and so are `adviser` and `machines` where the
+    site has them.
     """
 
     instance: str
@@ -40,6 +42,7 @@
     store: HttpAddress
     metrics: HttpAddress
     adviser: HttpAddress | None
+    machines: HttpAddress | None
     bounds: SiteBounds
 
 
@@ -63,6 +66,7 @@
         store=_address(told_settings, 'platform.addr'),
         metrics=_metrics_address(told_settings),
         adviser=_optional_address(told_settings, 'advice'),
+        machines=_optional_address(told_settings, 'cloud_api.addr'),
         bounds=SiteBounds(
             contact_ms=_number(told_settings, 'bounds.contact_ms'),
             grace_ms=int(_number(told_settings, 'bounds.grace_s', 1000)),
@@ -71,6 +75,9 @@
             stop_ms=_number(told_settings, 'bounds.stop_ms'),
             harm_ms=_number(told_settings, 'bounds.harm_ms', default='4000'),
             status_ms=_number(told_settings, 'bounds.status_s', 1000),
+            upkeep_ms=_number(
+                told_settings, 'bounds.upkeep_s', 1000, default='2'
+            ),
         ),
     )
 
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -1,23 +1,25 @@
-"""Follows what operators write: the cfg and the evacuated domains."""
+"""Follows what operators write: the cfg, evacuated domains and waves."""
 
-from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
 from gentianpulley.background import BackgroundLoop
+from gentianpulley.cluster.machines import WaveRequest
+from gentianpulley.cluster.operators import OperatorListener
 from gentianpulley.cluster.queues import (
     QueueAddress,
     QueueCfg,
     QueueRule,
     QueueTable,
 )
-from gentianpulley.deadline import now_ms
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.jobs.spec import AdvicePolicy, QueuePolicy
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.wire import (
     CFG_DECODER,
+    WAVE_DECODER,
     WireAdvice,
     WireCfg,
     WireRoute,
@@ -27,29 +29,29 @@
 OPERATOR_PREFIX: Final = 'op/'
 CFG_KEY: Final = 'op/config'
 EVACUATE_PREFIX: Final = 'op/evacuate/'
+WAVE_PREFIX: Final = 'op/wave/'
 
 RETRY_S: Final = 0.2
 """Pause after the watch broke, before everything is read anew."""
 
-DomainListener = Callable[[frozenset[str]], None]
-
 
 class OperatorWatch(BackgroundLoop):
-    """Keeps the queue table and the closed domains up to date."""
+    """Keeps the queue table, closed domains and waves up to date."""
 
     def __init__(
         self,
         store: Store,
         table: QueueTable,
-        on_domains: DomainListener,
+        listener: OperatorListener,
         log: EventLog,
     ) -> None:
         """Prepare the thread."""
         super().__init__('operator-watch', RETRY_S, log)
         self._store = store
         self._table = table
-        self._on_domains = on_domains
+        self._listener = listener
         self._closed: frozenset[str] = frozenset()
+        self._waves: dict[str, WaveRequest] = {}
         self._has_store = True
         self.heard_ms = 0
 
@@ -71,8 +73,13 @@
             if entry.key.startswith(EVACUATE_PREFIX)
         }
         self._close(frozenset(closed))
+        known = {entry.key for entry in snapshot.entries}
+        for key in self._waves.keys() - known:
+            self._waves.pop(key)
         for entry in snapshot.entries:
             self._note_cfg(entry)
+            self._note_wave(entry)
+        self._tell_waves()
         for batch in self._store.watch(OPERATOR_PREFIX, snapshot.revision):
             self._note_heard()
             self._note_batch(batch)
@@ -93,15 +100,38 @@
                 closed.discard(domain)
                 if change.entry is not None:
                     closed.add(domain)
-            elif change.entry is not None:
+            elif change.entry is None:
+                self._waves.pop(change.key, None)
+            else:
                 self._note_cfg(change.entry)
+                self._note_wave(change.entry)
         self._close(frozenset(closed))
+        self._tell_waves()
 
     def _close(self, domains: frozenset[str]) -> None:
         if domains != self._closed:
             self._closed = domains
             self.log.dependency('domains', 'closed', ','.join(sorted(domains)))
-            self._on_domains(domains)
+            self._listener.close_domains(domains)
+
+    def _note_wave(self, entry: Entry) -> None:
+        """Take a wave; its time counts from when it was first seen."""
+        if not entry.key.startswith(WAVE_PREFIX) or entry.key in self._waves:
+            return
+        try:
+            wire = WAVE_DECODER.decode(entry.body)
+        except msgspec.DecodeError as exc:
+            self.log.document_damaged(entry.key, str(exc))
+            return
+        self._waves[entry.key] = WaveRequest(
+            wire.wave,
+            wire.machine_ids,
+            deadline_in(int(wire.within_s * MS_PER_SECOND)),
+            max(1, wire.at_most),
+        )
+
+    def _tell_waves(self) -> None:
+        self._listener.open_waves(tuple(self._waves.values()))
 
     def _note_cfg(self, entry: Entry) -> None:
         if entry.key != CFG_KEY:
--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -190,6 +190,54 @@
     permits: tuple[tuple[str, str], ...] = field(name='good', default=())
 
 
+# Machines.
+
+
+class WireMachine(Struct, frozen=True):
+    """One machine."""
+
+    machine_id: str = field(name='machine')
+    state: str = ''
+    # The id of the machine's worker, not of the machine.
+    worker_id: str | None = field(name='id', default='')
+
+
+class WireMachines(Struct, frozen=True):
+    """One page of machines."""
+
+    machines: tuple[WireMachine, ...] = ()
+    next_token: str | None = None
+
+
+class WireUpkeep(Struct, frozen=True):
+    """Takes a machine down for the upkeep of a wave."""
+
+    machine_id: str = field(name='machine')
+    wave: int
+
+
+class WireRefusal(Struct, frozen=True):
+    """Why an order to a machine was not carried out."""
+
+    reason: str = ''
+
+
+class WireWave(Struct, frozen=True):
+    """Operators ask for the upkeep of machines."""
+
+    # The number of the wave.
+    wave: int
+    machine_ids: tuple[str, ...] = field(name='machines')
+    within_s: float
+    at_most: int
+
+
+class WireWaveStatus(Struct, frozen=True):
+    """How a wave stands."""
+
+    state: str
+
+
 # Jobs.
 
 
@@ -285,6 +333,9 @@
 REGISTRATION_DECODER = Decoder(WireRegistration)
 LISTS_DECODER = Decoder(WireLists)
 ADVICE_DECODER = Decoder(WireAdviceAnswer)
+MACHINES_DECODER = Decoder(WireMachines)
+REFUSAL_DECODER = Decoder(WireRefusal)
+WAVE_DECODER = Decoder(WireWave)
 REPLY_DECODER = Decoder(WireReply)
 JOB_DECODER = Decoder(WireJob)
 CFG_DECODER = Decoder(WireCfg)
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -16,6 +16,7 @@
 from gentianpulley.platform.daemon import Node
 from gentianpulley.platform.node_file import parse_node_settings
 from standins.grid_adviser import GridAdviser
+from standins.grid_machines import GridMachines
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
 from standins.http_server import StandinServer
@@ -40,9 +41,10 @@
 )
 
 
-def node_file(instance: str, store_port: int, adviser_port: int) -> str:
+def node_file(
+    instance: str, store_port: int, adviser: str, machines: str
+) -> str:
     """Return the settings of a node with free ports."""
-    adviser = f'{HOST}:{adviser_port}' if adviser_port else ''
     return '\n'.join(
         (
             f'node={instance}',
@@ -52,6 +54,8 @@
             f'listen.metrics={HOST}:{free_port()}',
             f'platform.addr={HOST}:{store_port}',
             f'advice={adviser}',
+            f'cloud_api.addr={machines}',
+            'bounds.upkeep_s=0.4',
             'bounds.contact_ms=3000',
             'bounds.grace_s=1',
             'bounds.max_hold_ms=6000',
@@ -95,6 +99,7 @@
     workers: dict[str, GridWorker] = field(default_factory=dict)
     nodes: list[Node] = field(default_factory=list)
     adviser: GridAdviser | None = None
+    machines: GridMachines | None = None
 
     def add_worker(self, worker_id: str, **facts: Any) -> GridWorker:
         """Start a worker."""
@@ -105,9 +110,12 @@
 
     def add_node(self) -> Node:
         """Start a node and wait until it is ready."""
-        adviser_port = self.adviser.port if self.adviser else 0
-        name = f'n{len(self.nodes)}'
-        text = node_file(name, self.store.port, adviser_port)
+        text = node_file(
+            f'n{len(self.nodes)}',
+            self.store.port,
+            _address_of(self.adviser),
+            _address_of(self.machines),
+        )
         node = Node(parse_node_settings(text), EventLog())
         node.start()
         self.nodes.append(node)
@@ -123,8 +131,13 @@
         for server in servers:
             server.faults = {}
             _close(server)
-        if self.adviser is not None:
-            _close(self.adviser)
+        for each in (self.adviser, self.machines):
+            if each is not None:
+                _close(each)
+
+
+def _address_of(server: StandinServer | None) -> str:
+    return f'{HOST}:{server.port}' if server else ''
 
 
 def _close(server: StandinServer) -> None:
--- a/standins/grid_store.py
+++ b/standins/grid_store.py
@@ -90,6 +90,11 @@
             self._delete(key)
             self._changed.notify_all()
 
+    def item(self, key: str) -> Json | None:
+        """Return an item as it is written, None if there is none."""
+        with self._changed:
+            return self._items.get(key)
+
     def keys(self, prefix: str) -> list[str]:
         """Return the keys below a prefix."""
         with self._changed:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from gentianpulley.cluster.job_book import HARM_KEY, LEADER_KEY
+from gentianpulley.cluster.job_book import LEADER_KEY
 from gentianpulley.cluster.leader import Leader, LeaderParts, tenure_end_ms
+from gentianpulley.cluster.leader_notes import HARM_KEY
 from gentianpulley.cluster.office import Office, Tenure
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.counters import create_counters
@@ -45,8 +46,10 @@
         directory=create_directory(client, log),
         links=HttpWorkerLinks(),
         adviser=None,
+        park=None,
         timing=TIMING,
         status_ms=120_000,
+        upkeep_ms=2000,
         counters=counters,
         log=log,
     )
