End a planned stop within the grace when the store does not answer

Its zone was cut from the store: handing over waits for three calls, then the servers wait for requests that wait for the store, and the interpreter waits for their threads. All of these are now bounded by a share of the grace, and the process ends without waiting for threads.

Test: test_platform_path, a leader without an answering store (red before).

--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -8,6 +8,7 @@
 import atexit
 import logging
 import sys
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 import eliot
@@ -21,8 +22,19 @@
 _PREFIX: Final = 'gentianpulley:'
 
 
+def _write_nothing() -> None:
+    """Flush where nothing waits to be written."""
+
+
 class EventLog:
-    """Writes the events of one instance."""
+    """Writes the events of one instance.
+
+    `flush` waits shortly for lines that are not written yet.
+    """
+
+    def __init__(self, flush: Callable[[], None] = _write_nothing) -> None:
+        """Pass events on to the logging library."""
+        self.flush = flush
 
     def request_accepted(self, request_key: str, work_class: str) -> None:
         """A request passed its checks."""
@@ -211,7 +223,7 @@
     atexit.register(sink.flush)
     eliot.add_destinations(sink)
     eliot.add_global_fields(instance=instance, failure_domain=failure_domain)
-    return EventLog()
+    return EventLog(sink.flush)
 
 
 def _write(event: str, **fields: str | int) -> None:
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -4,7 +4,9 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from dataclasses import fields
+from functools import partial
 from pathlib import Path
 from types import FrameType
 from typing import Final
@@ -53,6 +55,10 @@
 """Share of the grace after which the front closes; the balancer has then
 taken the instance out, which needs two seconds."""
 
+ENDING_SHARE: Final = 0.9
+"""Share of the grace after which the process ends, even if a request still
+waits for the store; the rest is for the end of the interpreter."""
+
 
 class Node:
     """One entry instance on the platform."""
@@ -123,10 +129,7 @@
         """Listen and serve; raises `OSError` if an address is taken."""
         for server in self._servers():
             server.prepare()
-            thread = threading.Thread(
-                target=_serve, args=(server, self._log), daemon=True
-            )
-            thread.start()
+            _run(partial(_serve, server, self._log))
         self._watch.start()
         self._campaign.start()
         self._log.process_state('started')
@@ -147,12 +150,15 @@
         started_ms = now_ms()
         self._log.process_state('draining')
         self._stopping.is_set = True
-        self._campaign.hand_over()
         grace_ms = self._settings.bounds.grace_ms
         closing_ms = started_ms + int(grace_ms * CLOSING_SHARE)
+        ending_ms = started_ms + int(grace_ms * ENDING_SHARE)
+        # Each of these may wait for a store that does not answer.
+        handing_over = _run(self._campaign.hand_over)
         threading.Event().wait(seconds_left(closing_ms))
-        for server in self._servers():
-            server.stop()
+        stops = [_run(server.stop) for server in self._servers()]
+        for thread in (handing_over, *stops):
+            thread.join(seconds_left(ending_ms))
         self._log.process_state('stopped')
 
     def reload(self) -> None:
@@ -178,7 +184,10 @@
 
 def main() -> None:
     """Run the daemon and exit with its status."""
-    sys.exit(run_node())
+    status = run_node()
+    sys.stderr.flush()
+    # Threads of requests that still wait must not outlast the grace.
+    os._exit(status)
 
 
 def run_node() -> int:
@@ -195,6 +204,7 @@
     while signals.wait():
         node.reload()
     node.shut_down()
+    log.flush()
     return 0
 
 
@@ -229,6 +239,12 @@
     return ','.join(names) or 'nothing'
 
 
+def _run(target: Callable[[], object]) -> threading.Thread:
+    thread = threading.Thread(target=target, daemon=True)
+    thread.start()
+    return thread
+
+
 def _serve(server: Server, log: EventLog) -> None:
     try:
         server.serve()
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -25,6 +25,7 @@
 ADVICE: Final = MappingProxyType(
     {'decide_ms': 20, 'each_ms': 1, 'valid_ms': 2000}
 )
+GRACE_S: Final = 1
 Route = tuple[str, str, str, int, int, Mapping[str, Any]]
 PLAIN: Final[Mapping[str, Any]] = MappingProxyType({})
 ROUTES: Final[tuple[Route, ...]] = (
@@ -57,7 +58,7 @@
             f'cloud_api.addr={machines}',
             'bounds.upkeep_s=0.4',
             'bounds.contact_ms=3000',
-            'bounds.grace_s=1',
+            f'bounds.grace_s={GRACE_S}',
             'bounds.max_hold_ms=6000',
             'bounds.stop_ms=900',
             'bounds.harm_ms=4000',
--- a/standins/grid_store.py
+++ b/standins/grid_store.py
@@ -5,7 +5,7 @@
 `down` refuses every call, `lose_answers` and `drop_requests` do so for the
 next N writes after and before carrying them out, `late` carries out the next
 N writes `LATE_S` after their callers gave up, `silent_watches` answers no
-watch, and `compacted` answers every watch with 410.
+watch, `silent` answers nothing, and `compacted` answers every watch with 410.
 """
 
 import json
@@ -56,6 +56,8 @@
         """Answer one request."""
         name = call.path.removeprefix(PREFIX)
         self.calls += 1
+        while self.faults.get('silent'):
+            time.sleep(0.05)
         if self.faults.get('down'):
             return Reply(UNAVAILABLE)
         verb, _, ending = name.partition('/')
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,12 +1,17 @@
 """The path of a job through nodes, store and workers, with their failures."""
 
+import threading
 import time
 from collections.abc import Iterator
+from contextlib import suppress
+from http.client import HTTPException
 
 import pytest
 
+from gentianpulley.platform.daemon import Node
 from standins.grid_store import GridStore
 from standins.grid_site import (
+    GRACE_S,
     PLAIN,
     ROUTES,
     Site,
@@ -263,6 +268,29 @@
     _completes(site)
 
 
+def test_a_planned_stop_ends_within_the_grace_without_the_store(
+    site: Site,
+) -> None:
+    """A day stopped instances that were cut off: one had to be killed."""
+    wait_until(lambda: any(node.is_leading for node in site.nodes))
+    (leading,) = [node for node in site.nodes if node.is_leading]
+    site.nodes.remove(leading)
+    site.store.faults = {'silent': 1}
+    waiting = threading.Thread(target=_ignore_answer, args=(leading,))
+    waiting.start()
+    time.sleep(0.1)
+    began_s = time.monotonic()
+    leading.shut_down()
+    assert time.monotonic() - began_s < GRACE_S
+    site.store.faults = {}
+    waiting.join()
+
+
+def _ignore_answer(node: Node) -> None:
+    with suppress(OSError, HTTPException):
+        call(node, 'GET', JOB)
+
+
 def test_metrics_and_readiness_are_served(site: Site) -> None:
     node = site.nodes[0]
     call(node, 'POST', JOB, job_body(ms=20))
