Leave workers that are slow or stand still; keep steps on one rack

Steps that should stay on one rack are now placed there: where they run already, else at the data's rack, else where most room is.

--- a/src/gentianpulley/cluster/link.py
+++ b/src/gentianpulley/cluster/link.py
@@ -44,7 +44,7 @@
 class WorkerFacts:
     """What a worker's registration says of it.
 
-    `labels` are its kind and its rack. `cold_ms` is how much longer it is
+    `labels` are its kind and its `rack`. `cold_ms` is how much longer it is
     slow after its start. `born_ms` tells two lives under one id apart.
     `leaves_ms` is the least time left while it drains.
     """
@@ -55,6 +55,7 @@
     failure_domain: str
     capacity: Resources = NOTHING
     labels: frozenset[str] = frozenset()
+    rack: str = ''
     is_draining: bool = False
     cold_ms: int = 0
     born_ms: int = 0
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final, NamedTuple
@@ -25,6 +26,14 @@
 FAR_COST: Final = 2.0
 """Cost of a worker off the data's rack, in full loads of a worker."""
 
+SPLIT_COST: Final = 3.0
+"""Cost of a worker off the rack of a step that should stay on one: dearer than
+remote data, as it slows down every task of the step."""
+
+SLOW_COST: Final = 3.0
+"""Cost of a worker whose runs are slow or stand still; dearer than one that is
+full or far from the data."""
+
 COLD_COST: Final = 1.0
 """Cost of a worker that has just started and is still slow."""
 
@@ -130,6 +139,7 @@
         self._step = step
         self._view = view
         self._is_starving = is_starving(step, view)
+        self._rack = common_rack(step, allowed)
         self._heap: list[tuple[float, int, Worker]] = []
         self._taken: tuple[float, int, Worker] | None = None
         for place, worker in enumerate(allowed):
@@ -167,11 +177,36 @@
             return
         is_harmless = _is_harmless(worker, self._step, self._view)
         if is_harmless or self._is_starving:
-            cost = _cost(worker, self._step, self._view)
+            cost = _cost(worker, self._step, self._view, self._rack)
             cost += 0 if is_harmless else HARMFUL_COST
             heapq.heappush(self._heap, (cost, place, worker))
 
 
+def common_rack(step: StepRun, allowed: list[Worker]) -> str:
+    """Return the rack for a step that should stay on one, else no rack.
+
+    It is where the step runs already; at first the data's rack if the step
+    fits there, else the rack with the most room.
+    """
+    if not step.spec.same_rack:
+        return ''
+    rooms: Counter[str] = Counter()
+    placed: Counter[str] = Counter()
+    for worker in allowed:
+        rack = worker.facts.rack
+        rooms[rack] += worker.room_for(step.spec)
+        placed[rack] += step.per_worker.get(worker.worker_id, 0)
+    if step.per_worker:
+        return _largest(placed)
+    if rooms[step.spec.data_rack] >= len(step.waiting):
+        return step.spec.data_rack
+    return _largest(rooms)
+
+
+def _largest(counts: Counter[str]) -> str:
+    return max(counts, key=lambda rack: counts[rack], default='')
+
+
 def spare_milli(worker: Worker) -> float:
     """Return the processors expected to be left by tasks that reserve."""
     busy = worker.processors - (1 - ENDLESS_USE) * worker.endless
@@ -215,13 +250,17 @@
     return excess_after(worker, view.harm, spec.image, need) <= 0
 
 
-def _cost(worker: Worker, step: StepRun, view: PlacingView) -> float:
+def _cost(worker: Worker, step: StepRun, view: PlacingView, rack: str) -> float:
     spec = step.spec
     cost = worker.failures_in_row * SUSPECT_COST
     if spec.data_rack and spec.data_rack not in worker.facts.labels:
         cost += FAR_COST
     if view.now_ms < worker.cold_until_ms:
         cost += COLD_COST
+    if view.now_ms < worker.suspect_until_ms:
+        cost += SLOW_COST
+    if rack and worker.facts.rack != rack:
+        cost += SPLIT_COST
     if spec.is_endless:
         return cost + _endless_cost(worker, spec)
     return cost + _load(worker)
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -21,6 +21,7 @@
 )
 from gentianpulley.cluster.pacing import learn, pace_orders
 from gentianpulley.cluster.scheduler_state import Order, is_current_run
+from gentianpulley.cluster.slowness import find_slow, note_progress
 from gentianpulley.cluster.worker import (
     UNKNOWN_PERCENT,
     Charge,
@@ -73,11 +74,7 @@
         worker.heard_ms = now_ms
         present = {row.key for row in listing.running}
         worker.foreign &= present
-        orders: list[Order] = []
-        for ended in listing.ended:
-            orders.extend(self._note_end(worker, ended, now_ms))
-        for row in listing.running:
-            orders.extend(self._note_running(worker, row, now_ms))
+        orders = self._note_rows(worker, listing, now_ms)
         orders.extend(_bar_forgotten(worker, sent_ms))
         if len(listing.ended) < ENDS_IN_LISTING:
             self._return_missing(worker, present, sent_ms)
@@ -85,6 +82,7 @@
         self.unsettled.discard(worker.worker_id)
         if learn(worker, self.harm, now_ms):
             orders.extend(pace_orders(worker, self.harm))
+            orders.extend(self._leave_slow(worker, now_ms))
         return orders
 
     def note_start(
@@ -138,6 +136,27 @@
             return order.key in worker.foreign
         return not charge.barred_ms
 
+    def _note_rows(
+        self, worker: Worker, listing: Listing, now_ms: int
+    ) -> list[Order]:
+        orders: list[Order] = []
+        for ended in listing.ended:
+            orders.extend(self._note_end(worker, ended, now_ms))
+        for row in listing.running:
+            orders.extend(self._note_running(worker, row, now_ms))
+        return orders
+
+    def _leave_slow(self, worker: Worker, now_ms: int) -> list[Order]:
+        """Stop runs that would end sooner anew on another worker."""
+        orders: list[Order] = []
+        for charge in find_slow(worker, now_ms):
+            charge.is_stopping = True
+            self.log.run_too_slow(
+                charge.key, worker.worker_id, charge.progress_percent
+            )
+            orders.append(StopOrder(worker.worker_id, charge.key))
+        return orders
+
     def _note_verdict(
         self,
         worker: Worker,
@@ -231,7 +250,7 @@
         charge.is_listed = True
         charge.gauge = row.gauge
         charge.gauge_ms = now_ms
-        charge.progress_percent = row.progress_percent
+        note_progress(charge, row.progress_percent, now_ms)
         job = self.jobs.get(row.key.task_id.job_id)
         step = job.step_of(row.key.task_id) if job else None
         if step is not None and row.checkpoint:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -29,7 +29,8 @@
     that a stop was ordered, `has_lost_start` that a start went unanswered,
     `is_listed` that this life of the worker has listed the run.
     `last_sent_ms` is when its start was last sent.
-    `sent_ms` is when the start was ordered.
+    `sent_ms` is when the start was ordered, `progressed_ms` when its progress
+    was last seen to move.
     `percent` is the pace that the worker was last told, `UNKNOWN_PERCENT` if
     somebody else told it. `bias` is how far a serving task's tail lies from
     what is expected of its image, as a logarithm.
@@ -45,6 +46,7 @@
     is_listed: bool = False
     last_sent_ms: int = 0
     progress_percent: int = 0
+    progressed_ms: int = 0
     percent: int = FULL_PERCENT
     wanted_percent: int = FULL_PERCENT
     gauge: int = 0
@@ -91,6 +93,7 @@
         self.acked_number = 0
         self.cold_until_ms = now_ms + facts.cold_ms
         self.quarantined_until_ms = 0
+        self.suspect_until_ms = 0
         self.failures_in_row = 0
         self.ended_done = 0
         self.processors = 0
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -147,6 +147,14 @@
         """The advice service answered for a step of a job."""
         _write('advised', job_id=job_id, asked=asked, allowed=allowed)
 
+    def run_too_slow(
+        self, key: 'RunKey', worker: str, progress_percent: int
+    ) -> None:
+        """A run is stopped, as it would end sooner on another worker."""
+        _write_run(
+            'run_too_slow', key, worker, progress_percent=progress_percent
+        )
+
     def start_refused(self, key: 'RunKey', worker: str, verdict: str) -> None:
         """A worker did not start a run."""
         _write_run('start_refused', key, worker, verdict=verdict)
--- a/src/gentianpulley/platform/directory.py
+++ b/src/gentianpulley/platform/directory.py
@@ -84,6 +84,8 @@
         failure_domain=wire.zone,
         capacity=Resources(room.cpu, room.mem_mb, room.gpus),
         labels=frozenset(wire.labels),
+        # The labels are the kind of the worker and its rack, in this order.
+        rack=wire.labels[-1] if wire.labels else '',
         is_draining=wire.state == _DRAINING,
         cold_ms=wire.cold_ms,
         born_ms=wire.born_ms,
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -46,6 +46,7 @@
         'failure_domain': 'a',
         'capacity': Resources(64_000, 256_000, 0),
         'labels': frozenset(('kind', 'r1')),
+        'rack': 'r1',
         'born_ms': 1,
     }
     return WorkerFacts(**{**known, **changes})  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/scheduling/test_racks.py
@@ -0,0 +1,60 @@
+"""Steps that should stay on one rack, and data that lies on one."""
+
+import pytest
+
+from gentianpulley.resources import Resources
+from tests.scheduling.site import HandSite, hand_site, job, step
+
+HALF = Resources(32_000, 1000)
+
+
+def _site(**racks: int) -> HandSite:
+    """Return a site with so many workers in each rack."""
+    site = hand_site()
+    for rack, count in racks.items():
+        for number in range(count):
+            labels = frozenset(('kind', rack))
+            site.add_worker(f'{rack}-{number}', rack=rack, labels=labels)
+    return site
+
+
+def _racks(site: HandSite) -> set[str]:
+    return {order.worker_id.partition('-')[0] for order in site.start_all()}
+
+
+@pytest.mark.parametrize(
+    ('data_rack', 'count', 'racks'),
+    [
+        ('', 4, {'r2'}),
+        ('', 6, {'r2'}),
+        ('r1', 4, {'r1'}),
+        # The data's rack is too small for the whole step.
+        ('r1', 6, {'r2'}),
+        # No rack is large enough.
+        ('', 8, {'r1', 'r2'}),
+    ],
+)
+def test_a_step_stays_on_one_rack_if_it_fits(
+    data_rack: str, count: int, racks: set[str]
+) -> None:
+    site = _site(r1=2, r2=3)
+    spec = step(count, same_rack=True, resources=HALF, data_rack=data_rack)
+    site.scheduler.add_job(job(spec))
+    assert _racks(site) == racks
+
+
+def test_later_tasks_follow_the_first_to_their_rack() -> None:
+    site = _site(r1=1)
+    site.scheduler.add_job(job(step(3, same_rack=True, resources=HALF)))
+    assert _racks(site) == {'r1'}
+    labels = frozenset(('kind', 'r2'))
+    site.add_worker('r2-0', rack='r2', labels=labels)
+    site.add_worker('r1-1', rack='r1')
+    assert _racks(site) == {'r1'}
+
+
+def test_a_gang_stays_on_one_rack() -> None:
+    site = _site(r1=2, r2=3)
+    spec = step(5, same_rack=True, is_gang=True, resources=HALF)
+    site.scheduler.add_job(job(spec))
+    assert _racks(site) == {'r2'}
