--- /dev/null
+++ b/src/gentianpulley/cluster/moving.py
@@ -0,0 +1,75 @@
+"""Moves filling tasks away from places where they are slowed down.
+
+Answers the pattern of a loaded site on which harm between images changes
+within seconds: a filling task that is paced down holds a place that a
+harmless one could use, and delays its whole job. A stop keeps the progress of
+a task that checkpoints, so to move it costs a short restart.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from gentianpulley.cluster.link import StopOrder
+from gentianpulley.cluster.placing import (
+    PlacingView,
+    candidates,
+    is_harmless,
+    may_hold,
+)
+from gentianpulley.cluster.scheduler_state import SchedulerState
+from gentianpulley.cluster.worker import Charge, Worker
+from gentianpulley.jobs.job import StepRun
+
+MOVE_AFTER_MS: Final = 500
+"""How long a task is paced that low before it moves; reports lag as long."""
+
+
+def moves(state: SchedulerState, view: PlacingView) -> list[StopOrder]:
+    """Return the stops of tasks that are better off elsewhere.
+
+    On a busy site they wait for a place in the order of all steps; on another
+    one they stay until a harmless place is free.
+    """
+    orders: list[StopOrder] = []
+    taken: set[str] = set()
+    for worker, charge, step in _slowed(state, view.now_ms):
+        others = (
+            each
+            for each in state.workers.values()
+            if each is not worker and each.worker_id not in taken
+        )
+        place = _harmless_place(others, step, view)
+        if place or view.is_busy:
+            taken.add(place)
+            charge.is_stopping = True
+            orders.append(StopOrder(worker.worker_id, charge.key))
+    return orders
+
+
+def _slowed(
+    state: SchedulerState, now_ms: int
+) -> Iterator[tuple[Worker, Charge, StepRun]]:
+    """Yield the tasks that have been slowed down for long enough."""
+    for worker in state.workers.values():
+        for charge in worker.charges.values():
+            step = state.step_of(charge.key.task_id)
+            if step is not None and _has_to_move(charge, now_ms):
+                yield worker, charge, step
+
+
+def _has_to_move(charge: Charge, now_ms: int) -> bool:
+    if not charge.spec.fills_spare or not charge.spec.checkpoints:
+        return False
+    if charge.is_stopping or not charge.slowed_since_ms:
+        return False
+    return now_ms - charge.slowed_since_ms > MOVE_AFTER_MS
+
+
+def _harmless_place(
+    workers: Iterable[Worker], step: StepRun, view: PlacingView
+) -> str:
+    """Return a worker that the step harms nobody on, or an empty text."""
+    for worker in candidates(workers, step, view):
+        if may_hold(worker, step) and is_harmless(worker, step, view):
+            return worker.worker_id
+    return ''
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -234,12 +234,16 @@
             return
         with self.lock, self.counters.timed('plan'):
             self.scheduler.note_lapses(at_ms)
+            stops = self.scheduler.moves(at_ms)
             orders = self.scheduler.plan(at_ms)
             self.counters.set('jobs_waiting', self.scheduler.waiting_jobs())
             workers = [
                 self.scheduler.workers[order.worker_id] for order in orders
             ]
+        self.dispatch(stops)
         self.dispatch(orders)
+        for stop in stops:
+            self.log.run_moved(stop.key, stop.worker_id)
         for order, worker in zip(orders, workers, strict=True):
             self.log.run_ordered(
                 order.key,
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -67,7 +67,9 @@
     return True
 
 
-def pace_orders(worker: Worker, model: HarmModel) -> list[PaceOrder]:
+def pace_orders(
+    worker: Worker, model: HarmModel, now_ms: int
+) -> list[PaceOrder]:
     """Return the changes of pace that the expected tails ask for."""
     filling = [
         charge
@@ -83,7 +85,7 @@
     orders = []
     for charge in filling:
         wanted = _rounded(paces[charge.key])
-        charge.wanted_percent = wanted
+        charge.want_pace(wanted, now_ms)
         if _is_worth_an_order(charge.percent, wanted):
             orders.append(PaceOrder(worker.worker_id, charge.key, wanted))
     return orders
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -37,8 +37,9 @@
 COLD_COST: Final = 1.0
 """Cost of a worker that has just started and is still slow."""
 
-STRANGER_COST: Final = 0.3
-"""Cost of each other image that serves on the worker."""
+STRANGER_COST: Final = 0.05
+"""Cost of each other image that serves on the worker: to fill up a worker goes
+first, as that leaves workers where nobody can be harmed."""
 
 HARMFUL_COST: Final = 100.0
 """Cost of a worker where a filling task is expected to harm or to crowd."""
@@ -173,12 +174,12 @@
             self._push(self._taken[1], self._taken[2])
 
     def _push(self, place: int, worker: Worker) -> None:
-        if not _may_hold(worker, self._step):
+        if not may_hold(worker, self._step):
             return
-        is_harmless = _is_harmless(worker, self._step, self._view)
-        if is_harmless or self._is_starving:
+        harms_nobody = is_harmless(worker, self._step, self._view)
+        if harms_nobody or self._is_starving:
             cost = _cost(worker, self._step, self._view, self._rack)
-            cost += 0 if is_harmless else HARMFUL_COST
+            cost += 0 if harms_nobody else HARMFUL_COST
             heapq.heappush(self._heap, (cost, place, worker))
 
 
@@ -229,7 +230,7 @@
     return reserved > BUSY_SHARE * capacity
 
 
-def _may_hold(worker: Worker, step: StepRun) -> bool:
+def may_hold(worker: Worker, step: StepRun) -> bool:
     """Tell whether the worker has the declared room, and the step a place."""
     spec = step.spec
     placed = step.per_worker.get(worker.worker_id, 0)
@@ -238,7 +239,7 @@
     return worker.has_room(spec)
 
 
-def _is_harmless(worker: Worker, step: StepRun, view: PlacingView) -> bool:
+def is_harmless(worker: Worker, step: StepRun, view: PlacingView) -> bool:
     """Tell whether a filling task finds spare processors and harms nobody."""
     spec = step.spec
     if not spec.fills_spare:
@@ -272,10 +273,9 @@
 
 
 def _endless_cost(worker: Worker, spec: StepSpec) -> float:
-    """Pack serving tasks of one image together.
+    """Pack serving tasks densely, of one image together where it fits.
 
-    That leaves workers to filling tasks, and lets each image of these find
-    serving tasks that it does not harm.
+    That leaves workers on which filling tasks harm nobody.
     """
     capacity = max(1, worker.facts.capacity.processors_milli)
     free = 1 - worker.processors / capacity
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -9,7 +9,8 @@
 from typing import Final
 
 from gentianpulley.cluster.advice import Permit, Question, question_for
-from gentianpulley.cluster.link import RunKey, StartOrder
+from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
+from gentianpulley.cluster.moving import moves
 from gentianpulley.cluster.ordering import in_order
 from gentianpulley.cluster.placing import (
     Choice,
@@ -27,6 +28,10 @@
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.logs import EventLog
 
+MOVES_GAP_MS: Final = 200
+"""Shortest time between two searches for tasks to be moved: the reports that
+they follow from come at half a second."""
+
 RUN_BITS: Final = 16
 """Runs of one task that one leader can number; the leader's token stands
 above them, so that numbers rise from leader to leader without a write."""
@@ -39,6 +44,7 @@
         """Know no job and no worker yet."""
         super().__init__(reign, log)
         self._first_run = reign.token << RUN_BITS
+        self._next_moves_ms = 0
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
@@ -55,6 +61,13 @@
                     full.add(shape)
         return orders
 
+    def moves(self, now_ms: int) -> list[StopOrder]:
+        """Return the stops of tasks that are better off elsewhere."""
+        if now_ms < self._next_moves_ms:
+            return []
+        self._next_moves_ms = now_ms + MOVES_GAP_MS
+        return moves(self, self._view(now_ms))
+
     def next_question(self, now_ms: int) -> Question | None:
         """Return what to ask the advice service next, None if nothing."""
         view = self._view(now_ms)
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -11,6 +11,10 @@
 FULL_PERCENT: Final = 100
 UNKNOWN_PERCENT: Final = -1
 
+LOW_PERCENT: Final = 35
+"""A pace below which a task is better off on another worker, which gives it
+several times as much."""
+
 QUARANTINE_AFTER: Final = 2
 """Failures in a row, without a run that ended as done, that make a worker
 suspect. One failure is usual: callers' tasks fail by themselves."""
@@ -32,8 +36,10 @@
     `sent_ms` is when the start was ordered, `progressed_ms` when its progress
     was last seen to move.
     `percent` is the pace that the worker was last told, `UNKNOWN_PERCENT` if
-    somebody else told it. `bias` is how far a serving task's tail lies from
-    what is expected of its image, as a logarithm.
+    somebody else told it, and `wanted_percent` the pace that it should have;
+    `slowed_since_ms` is since when that is low, zero while it is not. `bias`
+    is how far a serving task's tail lies from what is expected of its image,
+    as a logarithm.
     """
 
     key: RunKey
@@ -49,10 +55,19 @@
     progressed_ms: int = 0
     percent: int = FULL_PERCENT
     wanted_percent: int = FULL_PERCENT
+    slowed_since_ms: int = 0
     gauge: int = 0
     gauge_ms: int = 0
     bias: float = 0
 
+    def want_pace(self, percent: int, now_ms: int) -> None:
+        """Note the pace that the run should have from now on."""
+        self.wanted_percent = percent
+        if percent >= LOW_PERCENT:
+            self.slowed_since_ms = 0
+        elif not self.slowed_since_ms:
+            self.slowed_since_ms = now_ms
+
     @property
     def may_arrive_late(self) -> bool:
         """Tell whether the next life of the worker may hold the run.
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -147,6 +147,10 @@
         """The advice service answered for a step of a job."""
         _write('advised', job_id=job_id, asked=asked, allowed=allowed)
 
+    def run_moved(self, key: 'RunKey', worker: str) -> None:
+        """A run that was paced down is stopped, to go on elsewhere."""
+        _write_run('run_moved', key, worker)
+
     def run_too_slow(
         self, key: 'RunKey', worker: str, progress_percent: int
     ) -> None:
