--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -134,3 +134,22 @@
     for _ in range(5):
         assert not site.plan()
         site.at_ms += 1500
+
+
+def test_serving_tasks_leave_workers_where_nobody_can_be_harmed() -> None:
+    """Opening a worker for each image cost Lastwright's quiet day a tenth."""
+    site = hand_site('w1', 'w2')
+    for job_id, image in (('1' * 16, 'serves'), ('2' * 16, 'other')):
+        serving = step(
+            2,
+            image=image,
+            is_endless=True,
+            tail_target_ms=50,
+            estimated_ms=0,
+        )
+        site.scheduler.add_job(job(serving, job_id=job_id))
+    served = {order.worker_id for order in site.start_all()}
+    assert len(served) == 1
+    site.scheduler.add_job(job(_filling('fill', 3), job_id='3' * 16))
+    filled = {order.worker_id for order in site.start_all()}
+    assert not served & filled
