--- /dev/null
+++ b/src/gentianpulley/cluster/harm_risk.py
@@ -0,0 +1,95 @@
+"""Weighs a filling task's gain against the serving tasks that it may harm.
+
+Answers the pattern of a loaded site on which no worker is free of serving
+tasks: what counts is how many of them a further filling task is expected to
+push over their targets. One that comes close to its target on a worker of
+many is a smaller price than all of them.
+"""
+
+import math
+from typing import Final
+
+from gentianpulley.cluster.harm import HarmModel
+from gentianpulley.cluster.pacing import is_serving
+from gentianpulley.cluster.worker import FULL_PERCENT, Charge, Worker
+
+TAIL_SPREAD: Final = 0.35
+"""Standard deviation of the logarithm of a tail around its expectation: the
+load of serving tasks swings by half within seconds."""
+
+MOST_HARMED: Final = 0.4
+"""Serving tasks that one filling task may be expected to push over target. A
+harmed one costs four times what it earns, and earns about half as much a
+second as a filling task."""
+
+CERTAIN_SHARE: Final = 0.85
+"""Expected tail as a share of its target that no placing may pass, as pacing
+would slow the task down at once."""
+
+
+_CERTAIN_MARGIN: Final = math.log(CERTAIN_SHARE)
+_SCALE: Final = TAIL_SPREAD * math.sqrt(2)
+
+
+def harms_too_much(
+    worker: Worker, model: HarmModel, image: str, processors: int
+) -> bool:
+    """Tell whether a further filling task costs more than it is worth."""
+    harmed: float = 0
+    for before, after in _margins(worker, model, image, processors):
+        if after > _CERTAIN_MARGIN:
+            return True
+        harmed += _risk(after) - _risk(before)
+    return harmed > MOST_HARMED
+
+
+def _margins(
+    worker: Worker, model: HarmModel, image: str, processors: int
+) -> list[tuple[float, float]]:
+    """Return each serving task's margin before and after one more task.
+
+    A margin is the logarithm of the expected tail over the target.
+    """
+    shares = _placed_shares(worker)
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    more = dict(shares)
+    more[image] = more.get(image, 0) + processors / capacity
+    margins = []
+    for charge in worker.charges.values():
+        if is_serving(charge):
+            margin = _Margin(charge, model)
+            margins.append((margin.beside(shares), margin.beside(more)))
+    return margins
+
+
+class _Margin:
+    """The margin of one serving task."""
+
+    def __init__(self, charge: Charge, model: HarmModel) -> None:
+        """Take what is known of the task and of its image."""
+        self._image = charge.spec.image
+        self._shift = charge.bias - math.log(charge.spec.tail_target_ms)
+        self._model = model
+
+    def beside(self, shares: dict[str, float]) -> float:
+        """Return the margin beside filling tasks with these shares."""
+        return self._model.predict(self._image, shares) + self._shift
+
+
+def _risk(margin: float) -> float:
+    """Return the probability that a tail is over its target."""
+    above = math.erf(margin / _SCALE)
+    return (1 + above) / 2
+
+
+def _placed_shares(worker: Worker) -> dict[str, float]:
+    """Return what filling tasks are meant to use, by image."""
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    shares: dict[str, float] = {}
+    for charge in worker.charges.values():
+        if charge.spec.fills_spare:
+            image = charge.spec.image
+            need = charge.spec.resources.processors_milli
+            used = need * charge.wanted_percent / FULL_PERCENT
+            shares[image] = shares.get(image, 0) + used / capacity
+    return shares
--- a/src/gentianpulley/cluster/moving.py
+++ b/src/gentianpulley/cluster/moving.py
@@ -23,6 +23,10 @@
 MOVE_AFTER_MS: Final = 500
 """How long a task is paced that low before it moves; reports lag as long."""
 
+RESTORES_WAITED: Final = 2
+"""How many times the time to resume is waited before a task moves, so that a
+move costs less than what it may spare."""
+
 
 def moves(state: SchedulerState, view: PlacingView) -> list[StopOrder]:
     """Return the stops of tasks that are better off elsewhere.
@@ -50,19 +54,21 @@
     state: SchedulerState, now_ms: int
 ) -> Iterator[tuple[Worker, Charge, StepRun]]:
     """Yield the tasks that have been slowed down for long enough."""
+    restoring_ms = RESTORES_WAITED * state.reign.timing.restore_ms
+    wait_ms = MOVE_AFTER_MS + restoring_ms
     for worker in state.workers.values():
         for charge in worker.charges.values():
             step = state.step_of(charge.key.task_id)
-            if step is not None and _has_to_move(charge, now_ms):
+            if step and _has_to_move(charge, now_ms, wait_ms):
                 yield worker, charge, step
 
 
-def _has_to_move(charge: Charge, now_ms: int) -> bool:
+def _has_to_move(charge: Charge, now_ms: int, wait_ms: int) -> bool:
     if not charge.spec.fills_spare or not charge.spec.checkpoints:
         return False
     if charge.is_stopping or not charge.slowed_since_ms:
         return False
-    return now_ms - charge.slowed_since_ms > MOVE_AFTER_MS
+    return now_ms - charge.slowed_since_ms > wait_ms
 
 
 def _harmless_place(
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -18,9 +18,6 @@
 """Expected tail as a share of its target that is allowed: the figures are
 rough and half a second late."""
 
-PLACING_SHARE: Final = 0.65
-"""The same for a task that is not placed yet, which leaves room for load."""
-
 BIAS_WEIGHT: Final = 0.35
 """Weight of the newest report in a serving task's deviation from the model."""
 
@@ -56,9 +53,7 @@
     serving = [
         charge
         for charge in worker.charges.values()
-        if _is_serving(charge)
-        and charge.gauge_ms == now_ms
-        and charge.gauge > 0
+        if is_serving(charge) and charge.gauge_ms == now_ms and charge.gauge > 0
     ]
     for charge in serving:
         _note_bias(charge, model, shares)
@@ -80,7 +75,7 @@
         return []
     paces = {charge.key: 1.0 for charge in filling}
     for serving in worker.charges.values():
-        if _is_serving(serving):
+        if is_serving(serving):
             _slow_down(worker, model, serving, filling, paces)
     orders = []
     for charge in filling:
@@ -91,34 +86,6 @@
     return orders
 
 
-def excess_after(
-    worker: Worker, model: HarmModel, image: str, processors: int
-) -> float:
-    """Return by how much a further filling task would exceed what is allowed.
-
-    The largest excess over all serving tasks there, as a logarithm; negative
-    values are room that is left.
-    """
-    capacity = max(1, worker.facts.capacity.processors_milli)
-    serving = [
-        charge for charge in worker.charges.values() if _is_serving(charge)
-    ]
-    if not serving:
-        return -math.inf
-    placed = _placed_shares(worker)
-    placed[image] = placed.get(image, 0) + processors / capacity
-    images = {charge.spec.image for charge in serving}
-    expected = {name: model.predict(name, placed) for name in images}
-    return max(
-        expected[charge.spec.image] + charge.bias - _allowed(charge)
-        for charge in serving
-    )
-
-
-def _allowed(charge: Charge) -> float:
-    return math.log(PLACING_SHARE * charge.spec.tail_target_ms)
-
-
 def _note_bias(
     charge: Charge, model: HarmModel, shares: dict[str, float]
 ) -> None:
@@ -161,7 +128,7 @@
     }
 
 
-def _is_serving(charge: Charge) -> bool:
+def is_serving(charge: Charge) -> bool:
     return charge.spec.tail_target_ms > 0 and charge.gauge_ms > 0
 
 
@@ -176,18 +143,6 @@
     return shares
 
 
-def _placed_shares(worker: Worker) -> dict[str, float]:
-    capacity = max(1, worker.facts.capacity.processors_milli)
-    shares: dict[str, float] = {}
-    for charge in worker.charges.values():
-        if charge.spec.fills_spare:
-            image = charge.spec.image
-            need = charge.spec.resources.processors_milli
-            used = need * charge.wanted_percent / FULL_PERCENT
-            shares[image] = shares.get(image, 0) + used / capacity
-    return shares
-
-
 def _rounded(pace: float) -> int:
     percent = round(pace * FULL_PERCENT)
     return percent if percent >= STILL_PERCENT else 0
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -13,7 +13,7 @@
 
 from gentianpulley.cluster.advice import Tickets
 from gentianpulley.cluster.harm import HarmModel
-from gentianpulley.cluster.pacing import excess_after
+from gentianpulley.cluster.harm_risk import harms_too_much
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.jobs.spec import NO_LIMIT, StepSpec
@@ -248,7 +248,7 @@
     is_crowded = worker.filling + need > spare_milli(worker)
     if worker.filling and is_crowded:
         return False
-    return excess_after(worker, view.harm, spec.image, need) <= 0
+    return not harms_too_much(worker, view.harm, spec.image, need)
 
 
 def _cost(worker: Worker, step: StepRun, view: PlacingView, rack: str) -> float:
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -150,6 +150,13 @@
         """Stop runs that would end sooner anew on another worker."""
         orders: list[Order] = []
         for charge in find_slow(worker, now_ms):
+            step = self.step_of(charge.key.task_id)
+            if step is None:
+                continue
+            task = step.tasks[charge.key.task_id.ordinal]
+            if task.has_left_slow:
+                continue
+            task.has_left_slow = True
             charge.is_stopping = True
             self.log.run_too_slow(
                 charge.key, worker.worker_id, charge.progress_percent
--- a/src/gentianpulley/cluster/slowness.py
+++ b/src/gentianpulley/cluster/slowness.py
@@ -14,6 +14,9 @@
 """Share of the expected speed below which a run proves a worker slow: run
 times are estimated within a fifth and differ by a third within a step."""
 
+MOST_RUNS: Final = 0.6
+"""Share of a worker's measured runs that are slow on a slow worker."""
+
 SMALLEST_SAMPLE_MS: Final = 800
 """A younger run proves nothing: its first look and its start are in it."""
 
@@ -42,14 +45,20 @@
 
 
 def find_slow(worker: Worker, now_ms: int) -> list[Charge]:
-    """Mark a worker as suspect if it is slow; returns runs worth stopping."""
-    slow = [
+    """Mark a worker as suspect if it is slow; returns runs worth stopping.
+
+    A worker is slow if most of its measured runs are: one alone may take
+    longer than its caller estimated.
+    """
+    measured = [
         charge
         for charge in worker.charges.values()
-        if _is_measured(charge, now_ms) and _is_slow(charge, now_ms)
+        if _is_measured(charge, now_ms)
     ]
-    if slow:
-        worker.suspect_until_ms = now_ms + SUSPECT_MS
+    slow = [charge for charge in measured if _is_slow(charge, now_ms)]
+    if not slow or len(slow) < MOST_RUNS * len(measured):
+        return []
+    worker.suspect_until_ms = now_ms + SUSPECT_MS
     return [charge for charge in slow if _is_worth_stopping(charge, now_ms)]
 
 
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -28,7 +28,7 @@
     `lease_ms` is what each order gives a worker, and `max_lease_ms` the most
     that a worker takes. `tenure_ms` is how long a
     leader gives orders after the last renewal that it sent and that was
-    answered. `gang_wait_ms` bounds how long a gang's first task waits.
+    answered. A run that resumes works from `restore_ms` on.
     """
 
     lease_ms: int
@@ -36,6 +36,7 @@
     tenure_ms: int
     stop_ms: int
     look_ms: int
+    restore_ms: int = 0
 
     @property
     def longest_run_ms(self) -> int:
@@ -58,7 +59,11 @@
 
 
 def create_timing(
-    max_lease_ms: int, contact_ms: int, stop_ms: int, look_ms: int
+    max_lease_ms: int,
+    contact_ms: int,
+    stop_ms: int,
+    look_ms: int,
+    restore_ms: int = 0,
 ) -> Timing:
     """Derive the lengths from the site's bounds.
 
@@ -74,6 +79,7 @@
         tenure_ms=max(contact_ms, replaced_ms),
         stop_ms=stop_ms,
         look_ms=look_ms,
+        restore_ms=restore_ms,
     )
 
 
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -43,7 +43,8 @@
     `failed_runs` are the runs that were counted as failed.
     `avoid` names workers on which a run failed. An unconfirmed task was
     accepted under an earlier leader and may still run on a worker that this
-    leader has not listed.
+    leader has not listed. `has_left_slow` says that a run was stopped for
+    being slow, which happens once: some tasks take longer than estimated.
     """
 
     task_id: TaskId
@@ -54,6 +55,7 @@
     worker_id: str = ''
     avoid: set[str] = field(default_factory=set)
     is_unconfirmed: bool = False
+    has_left_slow: bool = False
 
     @property
     def failures(self) -> int:
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -83,6 +83,7 @@
                 bounds.contact_ms,
                 bounds.stop_ms,
                 LOOK_MS,
+                bounds.restore_ms,
             ),
             status_ms=bounds.status_ms,
             upkeep_ms=bounds.upkeep_ms,
--- a/src/gentianpulley/platform/node_file.py
+++ b/src/gentianpulley/platform/node_file.py
@@ -24,6 +24,7 @@
     harm_ms: int
     status_ms: int
     upkeep_ms: int
+    restore_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,9 @@
             stop_ms=_number(told_settings, 'bounds.stop_ms'),
             harm_ms=_number(told_settings, 'bounds.harm_ms', default='4000'),
             status_ms=_number(told_settings, 'bounds.status_s', 1000),
+            restore_ms=_number(
+                told_settings, 'bounds.restore_ms', default='100'
+            ),
             upkeep_ms=_number(
                 told_settings, 'bounds.upkeep_s', 1000, default='2'
             ),
--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -153,3 +153,44 @@
     site.scheduler.add_job(job(_filling('fill', 3), job_id='3' * 16))
     filled = {order.worker_id for order in site.start_all()}
     assert not served & filled
+
+
+def _serve(site: HandSite, images: tuple[str, ...]) -> None:
+    """Let `w1` serve some images whose tails are well under their targets."""
+    for number, image in enumerate(images):
+        spec = step(
+            image=image,
+            is_endless=True,
+            tail_target_ms=50,
+            estimated_ms=0,
+            resources=Resources(4000, 1000),
+        )
+        site.scheduler.add_job(job(spec, job_id=f'{number:016x}'))
+    rows = tuple(
+        RunningRow(order.key, '', 100, 25) for order in site.start_all()
+    )
+    site.list_runs('w1', rows)
+
+
+@pytest.mark.parametrize(
+    ('images', 'is_placed'),
+    [
+        (('calm',) * 5 + ('serves',), True),
+        (('serves',) * 6, False),
+        # Nobody else is there, but this one would be over for certain.
+        (('fragile',), False),
+    ],
+)
+def test_what_counts_is_how_many_serving_tasks_are_harmed(
+    images: tuple[str, ...], *, is_placed: bool
+) -> None:
+    """Turning to this took Lastwright's scale-1 from 0.467 to 0.518."""
+    site = hand_site('w1')
+    _serve(site, images)
+    tails = {'calm': 25, 'serves': 38, 'fragile': 100}
+    for _ in range(60):
+        for image, tail_ms in tails.items():
+            site.scheduler.harm.note(image, 25, {})
+            site.scheduler.harm.note(image, tail_ms, {'fill': 0.15})
+    site.scheduler.add_job(job(_filling('fill'), job_id='f' * 16))
+    assert bool(site.plan()) is is_placed
--- a/tests/scheduling/test_slowness.py
+++ b/tests/scheduling/test_slowness.py
@@ -77,6 +77,30 @@
     assert not _watch(site, (0, 0, 0, 0, 0))
 
 
+def test_a_task_that_takes_longer_than_estimated_is_stopped_once() -> None:
+    """Some callers' jobs take many times as long as they say, everywhere."""
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step(estimated_ms=2000)))
+    orders = _watch(site, (0, 4, 8, 10))
+    (stop,) = [each for each in orders if isinstance(each, StopOrder)]
+    site.end('w1', stop.key, EndCause.STOPPED)
+    assert not _watch(site, (0, 4, 8, 10, 14, 18))
+
+
+def test_one_slow_run_among_others_is_its_own_doing() -> None:
+    site = hand_site('w1')
+    site.scheduler.add_job(job(step(3, estimated_ms=2000)))
+    orders = site.start_all()
+    for percent in (25, 50, 75):
+        site.at_ms += LOOK_MS
+        rows = tuple(
+            RunningRow(order.key, '', 4 if number == 0 else percent, 8000)
+            for number, order in enumerate(orders)
+        )
+        assert not site.list_runs('w1', rows)
+    assert site.scheduler.workers['w1'].suspect_until_ms == 0
+
+
 def test_a_slow_worker_gets_new_work_last_and_is_tried_again() -> None:
     site = hand_site('w1')
     site.scheduler.add_job(job(step(estimated_ms=2000)))
