--- a/src/gentianpulley/cluster/harm_risk.py
+++ b/src/gentianpulley/cluster/harm_risk.py
@@ -54,26 +54,23 @@
     capacity = max(1, worker.facts.capacity.processors_milli)
     more = dict(shares)
     more[image] = more.get(image, 0) + processors / capacity
-    margins = []
-    for charge in worker.charges.values():
-        if is_serving(charge):
-            margin = _Margin(charge, model)
-            margins.append((margin.beside(shares), margin.beside(more)))
-    return margins
-
-
-class _Margin:
-    """The margin of one serving task."""
-
-    def __init__(self, charge: Charge, model: HarmModel) -> None:
-        """Take what is known of the task and of its image."""
-        self._image = charge.spec.image
-        self._shift = charge.bias - math.log(charge.spec.tail_target_ms)
-        self._model = model
-
-    def beside(self, shares: dict[str, float]) -> float:
-        """Return the margin beside filling tasks with these shares."""
-        return self._model.predict(self._image, shares) + self._shift
+    serving = [
+        charge for charge in worker.charges.values() if is_serving(charge)
+    ]
+    # Few images serve on a worker, each with several tasks.
+    expected = {
+        name: (model.predict(name, shares), model.predict(name, more))
+        for name in {charge.spec.image for charge in serving}
+    }
+    return [_margins_of(charge, expected) for charge in serving]
+
+
+def _margins_of(
+    charge: Charge, expected: dict[str, tuple[float, float]]
+) -> tuple[float, float]:
+    before, after = expected[charge.spec.image]
+    shift = charge.bias - math.log(charge.spec.tail_target_ms)
+    return before + shift, after + shift
 
 
 def _risk(margin: float) -> float:
