--- a/src/gentianpulley/cluster/clearing.py
+++ b/src/gentianpulley/cluster/clearing.py
@@ -67,11 +67,11 @@
 
     A step without a bound lets any number go.
     """
-    if not charge.spec.may_miss:
+    if not charge.spec.max_away:
         return True
     others = [task for task in step.tasks if task.task_id != charge.key.task_id]
     away = sum(1 for task in others if not _is_at_work(task, workers))
-    return away < charge.spec.may_miss
+    return away < charge.spec.max_away
 
 
 def _clear(
--- a/src/gentianpulley/cluster/harm_risk.py
+++ b/src/gentianpulley/cluster/harm_risk.py
@@ -58,9 +58,10 @@
         charge for charge in worker.charges.values() if is_serving(charge)
     ]
     # Few images serve on a worker, each with several tasks.
+    images = {charge.spec.image for charge in serving}
     expected = {
         name: (model.predict(name, shares), model.predict(name, more))
-        for name in {charge.spec.image for charge in serving}
+        for name in images
     }
     return [_margins_of(charge, expected) for charge in serving]
 
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -42,7 +42,7 @@
     do not count against a worker; they live on what the others leave.
     `is_endless` tasks run until the job is cancelled and serve their own
     users, whose latency tail has to stay under `tail_target_ms`; at most
-    `may_miss` of them may be away through actions of the scheduler.
+    `max_away` of them may be away through actions of the scheduler.
     """
 
     task_count: int
@@ -60,7 +60,7 @@
     fills_spare: bool = False
     image: str = ''
     tail_target_ms: int = 0
-    may_miss: int = 0
+    max_away: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -273,7 +273,7 @@
         fills_spare=wire.fills_spare,
         image=wire.image,
         tail_target_ms=int(wire.tail_target_ms),
-        may_miss=wire.may_miss,
+        max_away=wire.may_miss,
     )
 
 
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -139,25 +139,25 @@
     assert is_clear(site.scheduler, clearing, after_ms)
 
 
-@pytest.mark.parametrize(('may_miss', 'stopped'), [(0, 2), (1, 1), (2, 2)])
+@pytest.mark.parametrize(('max_away', 'stopped'), [(0, 2), (1, 1), (2, 2)])
 def test_serving_tasks_go_only_as_far_as_their_job_allows(
-    may_miss: int, stopped: int
+    max_away: int, stopped: int
 ) -> None:
     site = hand_site('w1')
-    spec = step(2, is_endless=True, estimated_ms=0, may_miss=may_miss)
+    spec = step(2, is_endless=True, estimated_ms=0, max_away=max_away)
     rows = _run_on(site, spec)
     site.list_runs('w1', tuple(rows))
     clearing = Clearing('m1', 'w1', site.at_ms + 100)
     orders = clear_workers(site.scheduler, [clearing], site.at_ms)
     assert len(orders) == stopped
-    is_bound = may_miss == 1
+    is_bound = max_away == 1
     late_ms = clearing.until_ms + 1
     assert is_clear(site.scheduler, clearing, late_ms) is not is_bound
 
 
 def test_the_rest_goes_once_the_first_is_back_at_work() -> None:
     site = hand_site('w1', 'w2')
-    spec = step(2, is_endless=True, estimated_ms=0, may_miss=1)
+    spec = step(2, is_endless=True, estimated_ms=0, max_away=1)
     rows = _run_on(site, spec)
     for worker_id in ('w1', 'w2'):
         present = site.scheduler.workers[worker_id].charges
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -13,7 +13,6 @@
 
 from gentianpulley.cluster.link import (
     EndCause,
-    EndedRow,
     Listing,
     RunKey,
     RunningRow,
@@ -21,7 +20,6 @@
     StartReply,
     StartVerdict,
     StopOrder,
-    WorkerFacts,
 )
 from gentianpulley.cluster.scheduler import Scheduler, create_scheduler
 from gentianpulley.cluster.scheduler_state import Order, Reign
@@ -29,7 +27,8 @@
 from gentianpulley.jobs.record import JobRecord, record_of, restore
 from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
 from gentianpulley.logs import EventLog
-from tests.scheduling.site import START_MS, TIMING, facts, job, step
+from tests.scheduling.model_worker import ModelWorker, Present
+from tests.scheduling.site import START_MS, TIMING, job, step
 
 LATE_MS = (2000, 12_000)
 WORKERS = 3
@@ -75,67 +74,6 @@
     born_ms: int
 
 
-@dataclass
-class Present:
-    """A run that is present on a worker."""
-
-    key: RunKey
-    ends_ms: int
-    fails: bool
-    stops_ms: int = 0
-
-
-@dataclass
-class ModelWorker:
-    """One worker by the published rules; its clock may be slow."""
-
-    worker_id: str
-    rate: float
-    born_ms: int
-    token: int = 0
-    lease_ms: int = 0
-    runs: dict[TaskId, Present] = field(default_factory=dict)
-    barred: dict[TaskId, int] = field(default_factory=dict)
-    ended: list[EndedRow] = field(default_factory=list)
-    count: int = 0
-    lapses: int = 0
-    lapses_at_end: dict[int, int] = field(default_factory=dict)
-
-    def clock(self, at_ms: int) -> int:
-        """Return the worker's own time."""
-        return int((at_ms - self.born_ms) * self.rate) + 1
-
-    def facts(self) -> WorkerFacts:
-        """Return the worker's registration."""
-        return facts(self.worker_id, born_ms=self.born_ms)
-
-    def used_milli(self, needs: Callable[[TaskId], int]) -> int:
-        """Return the processors in use."""
-        return sum(needs(task_id) for task_id in self.runs)
-
-    def end(self, run: Present, cause: EndCause) -> None:
-        """End a run; the end is listed until it is acknowledged."""
-        self.runs.pop(run.key.task_id)
-        barred = self.barred.get(run.key.task_id, 0)
-        self.barred[run.key.task_id] = max(barred, run.key.run)
-        self.count += 1
-        self.lapses_at_end[self.count] = self.lapses
-        self.ended.append(EndedRow(self.count, run.key, cause, ''))
-
-    def advance(self, at_ms: int) -> None:
-        """End what is due."""
-        if self.lease_ms and self.clock(at_ms) > self.lease_ms:
-            self.lapses += 1
-            self.lease_ms = 0
-            for run in tuple(self.runs.values()):
-                self.end(run, EndCause.LAPSED)
-        for run in tuple(self.runs.values()):
-            if run.stops_ms and at_ms >= run.stops_ms:
-                self.end(run, EndCause.STOPPED)
-            elif at_ms >= run.ends_ms:
-                self.end(run, EndCause.FAILED if run.fails else EndCause.DONE)
-
-
 @dataclass
 class ModelLeader:
     """A scheduler with its queue of orders, acting until its tenure ends."""
