Bound what planning costs on a full site

Every plan tried every waiting step on every worker, as no two steps need exactly alike. What found no place now rules out steps that need at least as much and go to the same places, and the pause after a plan is at least three times its cost.

Test: tests/scheduling/test_full_site.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -42,6 +42,10 @@
 """Shortest time between two plans, so that ends that come together share
 one."""
 
+PLAN_PAUSES: Final = 3
+"""Pause after a plan in units of its cost: a site that is full of waiting work
+leaves processor time to the threads that speak with workers."""
+
 IDLE_PLAN_S: Final = 0.2
 """Longest time between two plans: lapses and due times need no event."""
 
@@ -217,7 +221,7 @@
                 # One faulty plan must not end the thread that plans.
                 self._log.internal_fault(repr(fault))
             office.detach_gone()
-            threading.Event().wait(PLAN_GAP_S)
+            threading.Event().wait(_plan_gap_s(office))
 
     def _save_loop(self, office: Office, workers: WorkerWatch) -> None:
         while not self._tenure.is_over():
@@ -272,5 +276,10 @@
     return sent_ms + timing.tenure_ms
 
 
+def _plan_gap_s(office: Office) -> float:
+    """Return the pause after a plan; dear plans are made less often."""
+    return max(PLAN_GAP_S, office.plan_cost_s * PLAN_PAUSES)
+
+
 def _start(name: str, target: Callable[[], None]) -> None:
     threading.Thread(target=target, name=name, daemon=True).start()
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from typing import Final
@@ -91,6 +92,7 @@
         self.scheduler = scheduler
         self.work_came = threading.Event()
         self.ends_came = threading.Event()
+        self.plan_cost_s: float = 0
         self._sinks: dict[str, OrderSink] = {}
 
     @property
@@ -232,6 +234,7 @@
         at_ms = now_ms()
         if not self.may_act(at_ms):
             return
+        began_s = time.monotonic()
         with self.lock, self.counters.timed('plan'):
             self.scheduler.note_lapses(at_ms)
             stops = self.scheduler.moves(at_ms)
@@ -240,6 +243,7 @@
             workers = [
                 self.scheduler.workers[order.worker_id] for order in orders
             ]
+        self.plan_cost_s = time.monotonic() - began_s
         self.dispatch(stops)
         self.dispatch(orders)
         for stop in stops:
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -77,26 +77,48 @@
 
 
 class Shape(NamedTuple):
-    """What makes two steps equally hard to place."""
+    """What decides, beside its size, where a task may go."""
 
     service: str
     label: str
     data_rack: str
     image: str
-    resources: Resources
     fills_spare: bool
+    same_rack: bool
+
+
+class FullShapes:
+    """What found no place in one plan; what needs as much finds none either.
+
+    Room only shrinks within a plan, and a larger task harms no less.
+    """
+
+    def __init__(self) -> None:
+        """Take everything to find a place."""
+        self._needs: dict[Shape, list[Resources]] = {}
+
+    def add(self, step: StepRun) -> None:
+        """Note that a task of the step found no place."""
+        needs = self._needs.setdefault(shape_of(step), [])
+        needs.append(step.spec.resources)
+
+    def covers(self, step: StepRun) -> bool:
+        """Tell whether a task of the step can find no place either."""
+        need = step.spec.resources
+        smaller = self._needs.get(shape_of(step), ())
+        return any(each.fits_in(need) for each in smaller)
 
 
 def shape_of(step: StepRun) -> Shape:
-    """Return the shape of a step's tasks."""
+    """Return what decides, beside its size, where a task may go."""
     spec = step.spec
     return Shape(
         step.job.spec.policy.service,
         spec.required_label,
         spec.data_rack,
         spec.image,
-        spec.resources,
         spec.fills_spare,
+        spec.same_rack,
     )
 
 
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -14,12 +14,11 @@
 from gentianpulley.cluster.ordering import in_order
 from gentianpulley.cluster.placing import (
     Choice,
+    FullShapes,
     PlacingView,
-    Shape,
     candidates,
     is_busy,
     is_starving,
-    shape_of,
     suitable,
 )
 from gentianpulley.cluster.run_tracker import RunTracker
@@ -50,15 +49,13 @@
         """Place waiting tasks and return the starts to be sent."""
         view = self._view(now_ms)
         orders: list[StartOrder] = []
-        full: set[Shape] = set()
+        full = FullShapes()
         for step in in_order(self._free_steps(now_ms), now_ms):
-            shape = shape_of(step)
-            is_hopeless = shape in full and not is_starving(step, view)
+            is_hopeless = full.covers(step) and not is_starving(step, view)
             if not is_hopeless:
                 orders.extend(self._place_step(step, view))
-                if step.waiting and not step.spec.max_per_worker:
-                    # A later step of this shape would find no room either.
-                    full.add(shape)
+                if step.waiting and not _is_special(step):
+                    full.add(step)
         return orders
 
     def moves(self, now_ms: int) -> list[StopOrder]:
@@ -182,6 +179,13 @@
         )
 
 
+def _is_special(step: StepRun) -> bool:
+    """Tell whether a step may wait for other reasons than its size."""
+    spec = step.spec
+    needs_tickets = step.job.spec.policy.advice is not None
+    return bool(spec.max_per_worker) or spec.is_gang or needs_tickets
+
+
 def create_scheduler(reign: Reign, log: EventLog) -> Scheduler:
     """Return a scheduler for one leader's reign."""
     return Scheduler(reign, log)
