Let the threads for advice and waves survive unexpected faults

Found by reading the diff: an exception other than the expected ones would have ended these threads without a line in the log. They are background loops now, which log a fault and go on.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -204,10 +204,9 @@
         if park is not None:
             upkeep_ms = self._parts.upkeep_ms
             self._upkeep = UpkeepLoop(office, park, self._notes, upkeep_ms)
-            _start('upkeep', self._upkeep.run)
+            self._upkeep.start()
         if self._parts.adviser is not None:
-            advice = AdviceLoop(office, self._parts.adviser)
-            _start('advice', advice.run)
+            AdviceLoop(office, self._parts.adviser).start()
         _start('plan', lambda: self._plan_loop(office))
         _start('save', lambda: self._save_loop(office, workers))
 
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -67,10 +67,15 @@
 
     def next_question(self, now_ms: int) -> Question | None:
         """Return what to ask the advice service next, None if nothing."""
+        advised = [
+            step
+            for step in self._free_steps(now_ms)
+            if step.job.spec.policy.advice is not None
+        ]
+        if not advised:
+            return None
         view = self._view(now_ms)
-        for step in in_order(self._free_steps(now_ms), now_ms):
-            if step.job.spec.policy.advice is None:
-                continue
+        for step in in_order(advised, now_ms):
             allowed = suitable(self.workers.values(), step, view)
             question = question_for(step, allowed, self.tickets, now_ms)
             if question is not None:
--- a/src/gentianpulley/cluster/upkeep_loop.py
+++ b/src/gentianpulley/cluster/upkeep_loop.py
@@ -6,11 +6,12 @@
 """
 
 from collections.abc import Iterable
-from threading import Event
 from typing import Final
 
+from gentianpulley.background import BackgroundLoop
 from gentianpulley.cluster.clearing import clear_workers, is_clear
 from gentianpulley.cluster.leader_notes import LeaderNotes
+from gentianpulley.cluster.leader_store import DeposedError
 from gentianpulley.cluster.machines import (
     MachinePark,
     UpkeepVerdict,
@@ -21,9 +22,6 @@
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import MachineParkError, StoreError
 
-IDLE_S: Final = 0.2
-"""Pause while no wave is open; operators allow seconds."""
-
 PASS_S: Final = 0.2
 """Pause between two looks at the machines of an open wave; each one reads
 their list, and an upkeep lasts seconds."""
@@ -32,7 +30,7 @@
 """Pause after a call that failed."""
 
 
-class UpkeepLoop:
+class UpkeepLoop(BackgroundLoop):
     """Carries out the waves that operators ask for."""
 
     def __init__(
@@ -43,6 +41,7 @@
         upkeep_ms: int,
     ) -> None:
         """Serve one reign; an upkeep lasts `upkeep_ms` milliseconds."""
+        super().__init__('upkeep', PASS_S, office.log)
         self._office = office
         self._park = park
         self._notes = notes
@@ -51,23 +50,23 @@
         self._completed: set[int] = set()
         self.requests: tuple[WaveRequest, ...] = ()
 
-    def run(self) -> None:
-        """Serve until the tenure is over."""
-        while not self._office.tenure.is_over():
-            Event().wait(self._guarded_pass())
-
-    def _guarded_pass(self) -> float:
-        """Do what can be done now; returns how long to pause, in seconds."""
+    def step(self) -> None:
+        """Do what can be done now, until the tenure is over."""
+        if self._office.tenure.is_over():
+            self.stop()
+            return
         try:
-            return self._pass()
+            self._pass()
+        except DeposedError as exc:
+            self._office.resign(exc.text)
         except (MachineParkError, StoreError) as exc:
             self._office.log.dependency('machines', 'no answer', exc.text)
-        return RETRY_S
+            self.pause(RETRY_S)
 
-    def _pass(self) -> float:
+    def _pass(self) -> None:
         self._take_requests(self.requests)
         if not self._waves:
-            return IDLE_S
+            return
         asked_ms = now_ms()
         machines = self._park.read()
         clearings = [
@@ -78,7 +77,6 @@
         clear = self._clear(clearings)
         for wave in tuple(self._waves.values()):
             self._advance(wave, clear)
-        return PASS_S
 
     def _clear(self, clearings: list[Clearing]) -> frozenset[str]:
         """Empty the workers of these machines; returns the clear machines."""
@@ -100,7 +98,8 @@
         for number in self._waves.keys() - asked.keys():
             self._waves.pop(number)
         for number, request in asked.items():
-            if number not in self._waves and number not in self._completed:
+            is_known = number in self._waves or number in self._completed
+            if not is_known:
                 wave = create_wave(request, self._upkeep_ms)
                 wave.restore(self._notes.load_wave(number))
                 self._park.report(number, self._notes.store, is_completed=False)
