--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -13,7 +13,7 @@
 
 from gentianpulley.background import Backoff
 from gentianpulley.cluster.job_book import JobDesk, JobView
-from gentianpulley.deadline import has_passed, seconds_left
+from gentianpulley.deadline import has_passed, ms_left, seconds_left
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.jobs.spec import JobSpec
 from gentianpulley.logs import EventLog
@@ -22,6 +22,10 @@
 """Range of the seconds after which a refused caller may return, spread so
 that callers do not come back together."""
 
+LONGEST_CALL_MS: Final = 600
+"""How long a call to the store may take; another one is begun only if it can
+end before the caller's deadline."""
+
 FIRST_RETRY_S: Final = 0.03
 LONGEST_RETRY_S: Final = 0.4
 
@@ -66,7 +70,7 @@
             is_uncertain = is_uncertain or attempt is _Attempt.LOST
             if not is_uncertain:
                 return _later()
-            if has_passed(deadline_ms):
+            if ms_left(deadline_ms) < LONGEST_CALL_MS:
                 return Received(Reception.UNCERTAIN)
             _pause(backoff, deadline_ms)
 
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -39,8 +39,12 @@
 READY_THREADS: Final = 2
 """Only the platform's balancer asks."""
 
-ANSWER_MARGIN: Final = 0.8
-"""Share of a caller's deadline within which it is answered."""
+CANCEL_MARGIN: Final = 0.8
+"""Share of a caller's deadline within which a cancellation is tried."""
+
+SUBMIT_MARGIN: Final = 0.45
+"""The same for a submission: a caller that hears in half of its time that the
+store does not answer can still try another instance."""
 
 DEFAULT_WAIT_MS: Final = 3000
 """How long a caller is taken to wait if it does not say."""
@@ -162,7 +166,7 @@
         if method == 'GET':
             return _state(self._submissions.view(job_id))
         if method == 'DELETE':
-            deadline_ms = _deadline_ms(environ, rule)
+            deadline_ms = _deadline_ms(environ, rule, CANCEL_MARGIN)
             return _plain(self._submissions.cancel(job_id, deadline_ms))
         if method == 'POST':
             return self._submit(environ, rule, job_id, cfg)
@@ -171,7 +175,7 @@
     def _submit(
         self, environ: Environ, rule: QueueRule, job_id: str, cfg: QueueCfg
     ) -> Answer:
-        deadline_ms = _deadline_ms(environ, rule)
+        deadline_ms = _deadline_ms(environ, rule, SUBMIT_MARGIN)
         length = int(environ.get('CONTENT_LENGTH') or 0)
         if length > cfg.max_body_bytes:
             return Answer(TOO_LARGE)
@@ -281,12 +285,12 @@
     return len(text) == _JOB_ID_DIGITS and set(text) <= _HEX_DIGITS
 
 
-def _deadline_ms(environ: Environ, rule: QueueRule) -> int:
+def _deadline_ms(environ: Environ, rule: QueueRule, margin: float) -> int:
     told = environ.get('HTTP_X_DEADLINE_MS', '')
     wait_ms = int(told) if told.isdecimal() else DEFAULT_WAIT_MS
     if rule.timeout_ms:
         wait_ms = min(wait_ms, rule.timeout_ms)
-    return deadline_in(int(wait_ms * ANSWER_MARGIN))
+    return deadline_in(int(wait_ms * margin))
 
 
 def _plain(received: Received) -> Answer:
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -52,6 +52,10 @@
 CALL_TIMEOUT_MS: Final = 1000
 """The store answers in milliseconds; when it is slow, in a quarter second."""
 
+COMMIT_TIMEOUT_MS: Final = 600
+"""A write is one small call; twice as long as the store takes when it is slow.
+Callers wait for two of them."""
+
 WATCH_WAIT_MS: Final = 1800
 """How long a watch waits: a silent connection must be noticed, and the cfg be
 read again, within the site's bound on a cfg."""
@@ -123,7 +127,8 @@
             ),
             txn.deletes,
         )
-        answer = self._call('POST', 'kv-txn', msgspec.json.encode(wire))
+        body = msgspec.json.encode(wire)
+        answer = self._call('POST', 'kv-txn', body, COMMIT_TIMEOUT_MS)
         if answer.status == _NOT_FOUND:
             raise StoreRefusedError(store_refused('kv-txn', answer.status))
         commit = _decoded(answer, WireCommit)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -24,6 +24,7 @@
 )
 
 JOB = '/batch/00000000000000a1'
+HALF_OF_DEADLINE_S = 1.5
 
 
 @pytest.fixture
@@ -252,6 +253,16 @@
     assert call(site.nodes[0], 'GET', JOB)[0] == 410
 
 
+def test_a_caller_hears_in_time_that_the_store_is_silent(site: Site) -> None:
+    """It waited for 2.4 of its 3 s before, too long to try elsewhere."""
+    site.store.faults = {'drop_requests': 9}
+    began_s = time.monotonic()
+    status, _ = call(site.nodes[0], 'POST', JOB, job_body(ms=20))
+    assert status == 504
+    assert time.monotonic() - began_s < HALF_OF_DEADLINE_S
+    site.store.faults = {}
+
+
 def test_a_lost_answer_of_the_store_is_settled(site: Site) -> None:
     site.store.faults = {'lose_answers': 1}
     assert call(site.nodes[0], 'POST', JOB, job_body(ms=20))[0] == 200
