Take up new jobs only while the leader's key is certain

Its successor, which starts jobs newer than its own reign at once, started it elsewhere at 34.914, before it had fenced that worker. A leader now takes up jobs from its watch only while its key's lease, counted from its last answered renewal, is not over; what it sees then was there before any successor loaded, and successors wait for fences with that.

Ruled out: to let successors wait with new jobs too (up to 10 s without starts when a worker is cut off), and a tenure as short as the lease (the site would stop 2 s into each outage of the store).

Test: test_leader (red before).

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -9,7 +9,13 @@
 
 from gentianpulley.background import BackgroundLoop
 from gentianpulley.cluster.job_book import LEADER_KEY
-from gentianpulley.cluster.leader import Leader, LeaderParts, tenure_end_ms
+from gentianpulley.cluster.leader import (
+    Leader,
+    LeaderParts,
+    certain_end_ms,
+    open_tenure,
+    tenure_end_ms,
+)
 from gentianpulley.cluster.machines import WaveRequest
 from gentianpulley.cluster.office import Tenure
 from gentianpulley.cluster.operators import OperatorListener
@@ -127,7 +133,7 @@
         self._lead(sent_ms)
 
     def _lead(self, sent_ms: int) -> None:
-        tenure = Tenure(tenure_end_ms(sent_ms, self._parts.timing))
+        tenure = open_tenure(sent_ms, self._parts.timing)
         leader = Leader(self._parts, Guard(LEADER_KEY, self._token), tenure)
         leader.close_domains(self._domains)
         self._tenure = tenure
@@ -153,7 +159,9 @@
             tenure.resign('the lease of the key has lapsed')
             self._step_down(leader)
             return
-        tenure.extend(tenure_end_ms(sent_ms, self._parts.timing))
+        tenure.extend(
+            tenure_end_ms(sent_ms, self._parts.timing), certain_end_ms(sent_ms)
+        )
 
     def _step_down(self, leader: Leader) -> None:
         self._leader = None
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -30,7 +30,7 @@
 from gentianpulley.cluster.office import Office, Tenure
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import Reign
-from gentianpulley.cluster.timing import Timing
+from gentianpulley.cluster.timing import LEADER_TTL_S, Timing
 from gentianpulley.cluster.upkeep_loop import UpkeepLoop
 from gentianpulley.counters import Counters
 from gentianpulley.deadline import MS_PER_SECOND, now_ms
@@ -61,6 +61,9 @@
 """Time between two writes of the learned harm: one call, and a successor
 learns again at most what a second showed."""
 
+KEY_MARGIN_MS: Final = 100
+"""Taken off the lease of the leader's key: rounding and drift of clocks."""
+
 CLOSING_S: Final = 0.3
 """How long a leader that hands over waits for answers under way."""
 
@@ -275,6 +278,16 @@
     return sent_ms + timing.tenure_ms
 
 
+def certain_end_ms(sent_ms: int) -> int:
+    """Return until when a renewal sent then surely keeps the leader's key."""
+    return sent_ms + LEADER_TTL_S * MS_PER_SECOND - KEY_MARGIN_MS
+
+
+def open_tenure(sent_ms: int, timing: Timing) -> Tenure:
+    """Return the tenure that begins with a lease asked for at a time."""
+    return Tenure(tenure_end_ms(sent_ms, timing), certain_end_ms(sent_ms))
+
+
 def _plan_gap_s(office: Office) -> float:
     """Return the pause after a plan; dear plans are made less often."""
     return max(PLAN_GAP_S, office.plan_cost_s * PLAN_PAUSES)
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -31,6 +31,10 @@
 RETRY_S: Final = 0.2
 """Pause after a failed call to the store."""
 
+CERTAINTY_S: Final = 0.02
+"""Pause before the leader's key is looked at again; it is renewed twice a
+second."""
+
 
 class LeaderWatch(ABC):
     """Follows one part of the store until the tenure is over."""
@@ -177,13 +181,29 @@
     def read_all(self) -> int:
         """Report all jobs; known ones stay as they are."""
         snapshot = self._store.read_prefix(JOB_PREFIX)
+        self._await_certainty()
+        if self.office.tenure.is_over():
+            return snapshot.revision
         for entry in snapshot.entries:
             event = self._book.event_of(entry)
             if event is not None and not self._book.has_ended(event.job_id):
                 self._note_event(event)
         return snapshot.revision
 
+    def _await_certainty(self) -> None:
+        """Wait until no other instance can have led since the batch came.
+
+        A successor takes jobs that came after its start for nobody else's.
+        Whatever this leader sees while its key is certain was there before.
+        """
+        tenure = self.office.tenure
+        while not tenure.is_certain(now_ms()) and not tenure.is_over():
+            Event().wait(CERTAINTY_S)
+
     def _note_changes(self, batch: ChangeBatch) -> None:
+        self._await_certainty()
+        if self.office.tenure.is_over():
+            return
         for change in batch.changes:
             event = self._book.event_of(change.entry) if change.entry else None
             if event is not None:
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -45,19 +45,26 @@
 class Tenure:
     """Until when this instance may act as the leader.
 
-    The deadline moves with each renewal of the leader's key that was answered,
-    counted from when it was sent.
+    The deadlines move with each renewal of the leader's key that was answered,
+    counted from when it was sent. Until `certain_until_ms` no other instance
+    can hold the key; after that this one goes on with the jobs that it has.
     """
 
-    def __init__(self, until_ms: int) -> None:
+    def __init__(self, until_ms: int, certain_until_ms: int) -> None:
         """Hold the office until a deadline."""
         self._until_ms = until_ms
+        self._certain_until_ms = certain_until_ms
         self._resigned = threading.Event()
         self.reason = ''
 
-    def extend(self, until_ms: int) -> None:
-        """Move the deadline."""
+    def extend(self, until_ms: int, certain_until_ms: int) -> None:
+        """Move the deadlines."""
         self._until_ms = until_ms
+        self._certain_until_ms = certain_until_ms
+
+    def is_certain(self, at_ms: int) -> bool:
+        """Tell whether no other instance can lead at a time."""
+        return at_ms < self._certain_until_ms and not self.is_over()
 
     def resign(self, reason: str) -> None:
         """End the tenure for good."""
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -1,17 +1,25 @@
 """What one leader hands to the next, over a stand-in of the store."""
 
+import time
 from collections.abc import Iterator
 
 import pytest
 
-from gentianpulley.cluster.job_book import LEADER_KEY
-from gentianpulley.cluster.leader import Leader, LeaderParts, tenure_end_ms
+from gentianpulley.cluster.job_book import LEADER_KEY, job_key
+from gentianpulley.cluster.leader import (
+    Leader,
+    LeaderParts,
+    certain_end_ms,
+    open_tenure,
+    tenure_end_ms,
+)
 from gentianpulley.cluster.leader_notes import HARM_KEY
 from gentianpulley.cluster.office import Office, Tenure
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.http_conn import HttpAddress
+from gentianpulley.jobs.spec import encode_job
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.kv_store import connect_kv_store
@@ -19,6 +27,7 @@
 from gentianpulley.store import Guard
 from standins.grid_site import wait_until
 from standins.grid_store import HOST, GridStore
+from tests.scheduling.site import JOB_ID, job, step
 
 TIMING = create_timing(
     max_lease_ms=6000, contact_ms=3000, stop_ms=900, look_ms=1000
@@ -35,7 +44,7 @@
     running.server_close()
 
 
-def _leader(store: GridStore) -> Leader:
+def _leader(store: GridStore, tenure: Tenure | None = None) -> Leader:
     """Return a leader under a new token."""
     token = store.put(LEADER_KEY, {})
     counters = create_counters()
@@ -53,7 +62,7 @@
         counters=counters,
         log=log,
     )
-    tenure = Tenure(tenure_end_ms(now_ms(), TIMING))
+    tenure = tenure or open_tenure(now_ms(), TIMING)
     return Leader(parts, Guard(LEADER_KEY, token), tenure)
 
 
@@ -98,3 +107,20 @@
     office = _open_office(leader)
     leader.close()
     assert office.scheduler.harm.harm('serves', 'fill') > 0
+
+
+def test_a_leader_whose_key_may_be_gone_takes_up_no_job(
+    store: GridStore,
+) -> None:
+    """Its successor starts such a job at once: it ran twice on a day."""
+    at_ms = now_ms()
+    tenure = Tenure(tenure_end_ms(at_ms, TIMING), at_ms)
+    leader = _leader(store, tenure)
+    office = _open_office(leader)
+    store.put(job_key(JOB_ID), encode_job(job(step()).spec))
+    time.sleep(0.4)
+    assert not office.scheduler.jobs
+    later_ms = now_ms()
+    tenure.extend(tenure_end_ms(later_ms, TIMING), certain_end_ms(later_ms))
+    wait_until(lambda: JOB_ID in office.scheduler.jobs)
+    leader.close()
