Take no refusal after a silent sending for proof that nothing ran

An owner that lost the worker dropped its tasks, so the same order came as a new one and was refused or started once more; and the sender took the refusal of a later sending as proof for the silent ones before it. Both are mended: moved tasks keep their reports, and a refusal after silence is "unknown".

Ruled out: the owner's own second sending to the worker (the worker knows the task or bars it), stops of unknown tasks (unstartable from then on).

--- a/src/gentianpulley/task_ending.py
+++ b/src/gentianpulley/task_ending.py
@@ -122,16 +122,25 @@
         return report
 
     def moved(self, entry: TaskEntry) -> None:
-        """Let go of a task whose worker has another owner now."""
-        if self._begin(entry):
-            entry.end(
-                TaskReport(
-                    entry.task_id,
-                    TaskPhase.MOVED,
-                    OUTCOME_UNKNOWN,
-                    worker=entry.worker,
-                )
+        """Let go of a task whose worker has another owner now.
+
+        Its report stays, so that the same order sent again starts nothing.
+        A job with a record leaves no report behind: its record refuses a
+        second placing, and this owner may have to adopt it later.
+        """
+        if not self._begin(entry):
+            return
+        entry.end(
+            TaskReport(
+                entry.task_id,
+                TaskPhase.MOVED,
+                OUTCOME_UNKNOWN,
+                worker=entry.worker,
             )
+        )
+        if entry.stored is None:
+            self._table.retire(entry)
+        else:
             self._table.remove(entry)
 
     def withdraw(self, stored: StoredJob) -> None:
--- a/src/gentianpulley/task_follower.py
+++ b/src/gentianpulley/task_follower.py
@@ -42,22 +42,10 @@
 
         A lost answer is settled by sending the same order again on a new
         connection, which the owner recognizes by its task id. The phase is
-        `UNKNOWN` if the owner stays silent.
+        `UNKNOWN` if the owner stays silent, and also if it refuses a sending
+        after a silent one: it may have started that one and forgotten it.
         """
-        report = not_run_report(order.task_id, PEER_UNREACHABLE)
-        for _ in range(MAX_RUN_TRIES):
-            try:
-                report = self._directory.find(route.instance).run(
-                    order, wait_ms
-                )
-            except PeerUnreachableError as unreachable:
-                self._log.peer_trouble(route.instance, unreachable.text)
-                break
-            except PeerError as exc:
-                self._log.peer_trouble(route.instance, exc.text)
-                report = _unknown(order.task_id)
-            else:
-                break
+        report = self._send(route, order, wait_ms)
         self._log.task_routed(
             order.request_key, order.incarnation, route.instance, report.code
         )
@@ -82,6 +70,30 @@
             self._log.peer_trouble(worker, exc.text)
             return running_report(task_id, worker)
 
+    def _send(self, route: Route, order: TaskOrder, wait_ms: int) -> TaskReport:
+        """Send an order until it is answered; see `run_on`."""
+        for earlier_sendings in range(MAX_RUN_TRIES):
+            report = self._send_once(route, order, wait_ms)
+            if report is None:
+                continue
+            if earlier_sendings and report.phase is TaskPhase.NOT_RUN:
+                break
+            return report
+        return _unknown(order.task_id)
+
+    def _send_once(
+        self, route: Route, order: TaskOrder, wait_ms: int
+    ) -> TaskReport | None:
+        """Send an order; None if the owner stays silent."""
+        try:
+            return self._directory.find(route.instance).run(order, wait_ms)
+        except PeerUnreachableError as unreachable:
+            self._log.peer_trouble(route.instance, unreachable.text)
+            return not_run_report(order.task_id, PEER_UNREACHABLE)
+        except PeerError as exc:
+            self._log.peer_trouble(route.instance, exc.text)
+            return None
+
     def _await_slice(self, report: TaskReport, until_ms: int) -> TaskReport:
         """Ask the worker's present owner once."""
         owner = self._router.owner_of(report.worker)
--- a/src/gentianpulley/task_runner.py
+++ b/src/gentianpulley/task_runner.py
@@ -86,7 +86,7 @@
     ) -> TaskReport:
         """Wait up to `wait_ms` for the end of a task."""
         entry = self._table.find(task_id)
-        if entry is not None:
+        if entry is not None and entry.report.phase is not TaskPhase.MOVED:
             return self._wait_on(entry, wait_ms)
         owned = self._fleet.find(worker)
         if owned is None or not owned.is_taken_over:
--- a/tests/proofs/test_once.py
+++ b/tests/proofs/test_once.py
@@ -327,3 +327,20 @@
 def _has_ended(bench: OwnerBench, key: str) -> bool:
     stored = bench.jobs.read(key)
     return stored is not None and stored.job.state is not JobState.PLACED
+
+
+def test_order_sent_again_after_a_change_of_owner_starts_nothing(
+    platform: Platform, worker: Worker
+) -> None:
+    bench = build_owner(platform)
+    bench.own(worker.port, 1)
+    again = order('again#1', payload=b'{"run_ms": 60000}')
+    assert bench.runner.run(again, 0).phase is TaskPhase.RUNNING
+    bench.fleet.drop('worker-1')
+    bench.own(worker.port, 2)
+    assert bench.runner.run(again, 0).phase is TaskPhase.MOVED
+    # Whoever follows the task hears what its worker says.
+    seen = bench.runner.await_answer('again#1', 'worker-1', 0)
+    assert seen.phase is TaskPhase.RUNNING
+    bench.fleet.drop('worker-1')
+    assert bench.runner.run(again, 0).phase is TaskPhase.MOVED
