--- a/src/gentianpulley/log_sink.py
+++ b/src/gentianpulley/log_sink.py
@@ -19,8 +19,9 @@
 MAX_WAITING_LINES: Final = 2000
 """Lines of some 200 bytes: less than half a megabyte."""
 
-MAX_LINES_IN_WRITE: Final = 200
-"""Bounds what a blocked write holds besides the queue."""
+MAX_WRITE_BYTES: Final = 4096
+"""What a pipe takes in one piece (PIPE_BUF of Linux): lines of two writes never
+mix, and a reader that takes a write at a time sees whole lines only."""
 
 WRITE_GAP_S: Final = 0.05
 """Lines that come within this time share one write."""
@@ -97,17 +98,25 @@
             self._write_some()
 
     def _write_some(self) -> None:
-        lines: list[bytes] = []
-        while self._waiting and len(lines) < MAX_LINES_IN_WRITE:
-            lines.append(self._waiting.popleft())
-        lines.append(b'')
-        _write(self._descriptor, b'\n'.join(lines))
+        _write(self._descriptor, self._take_lines())
         if self._waiting:
             self._came.set()
             return
         self._idle.set()
         sleep(WRITE_GAP_S)
 
+    def _take_lines(self) -> bytes:
+        """Return whole lines for one write; a longer line goes alone."""
+        lines: list[bytes] = []
+        room = MAX_WRITE_BYTES
+        while self._waiting:
+            room -= len(self._waiting[0]) + 1
+            if lines and room < 0:
+                break
+            lines.append(self._waiting.popleft())
+        lines.append(b'')
+        return b'\n'.join(lines)
+
 
 def _write(descriptor: int, text: bytes) -> None:
     rest = text
--- a/tests/test_log_sink.py
+++ b/tests/test_log_sink.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 import time
 
 import pytest
@@ -51,3 +52,29 @@
     lines = _lines(reading)
     assert len(lines) == log_sink.MAX_LINES_PER_S + 1
     assert lines[-1] == {'number': -1, 'left_out': over}
+
+
+def test_each_write_holds_whole_lines_and_is_taken_in_one_piece(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reading, writing = os.pipe()
+    writes: list[bytes] = []
+    write = os.write
+
+    def note(descriptor: int, text: bytes) -> int:
+        if descriptor == writing:
+            writes.append(bytes(text))
+        return write(descriptor, text)
+
+    monkeypatch.setattr(os, 'write', note)
+    sink = LogSink(writing)
+    long = 'x' * 5000
+    for number in range(100):
+        sink({'number': number, 'text': long if number == 50 else 'y' * 150})
+    sink.flush()
+    assert [line['number'] for line in _lines(reading)] == list(range(100))
+    assert all(text.endswith(b'\n') for text in writes)
+    assert all(
+        len(text) <= select.PIPE_BUF or text.count(b'\n') == 1
+        for text in writes
+    )
