--- a/src/gentianpulley/cluster/moving.py
+++ b/src/gentianpulley/cluster/moving.py
@@ -46,6 +46,7 @@
         if place or view.is_busy:
             taken.add(place)
             charge.is_stopping = True
+            state.log.run_moved(charge.key, worker.worker_id)
             orders.append(StopOrder(worker.worker_id, charge.key))
     return orders
 
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -178,6 +178,18 @@
             self.ends_came.set()
         self.work_came.set()
 
+    def unreached(self, worker: Worker) -> None:
+        """Report that a look at a worker failed."""
+        with self.lock:
+            self.scheduler.note_unreached(worker, now_ms())
+
+    def take_back(self, order: StartOrder) -> bool:
+        """Return a start that was never sent; False if it was."""
+        with self.lock:
+            is_back = self.scheduler.take_back(order)
+        self.work_came.set()
+        return is_back
+
     def life_over(self, worker: Worker) -> None:
         """Report that the worker's life has ended."""
         with self.lock:
@@ -253,8 +265,6 @@
         self.plan_cost_s = time.monotonic() - began_s
         self.dispatch(stops)
         self.dispatch(orders)
-        for stop in stops:
-            self.log.run_moved(stop.key, stop.worker_id)
         for order, worker in zip(orders, workers, strict=True):
             self.log.run_ordered(
                 order.key,
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from gentianpulley.cluster.copying import abandon
 from gentianpulley.cluster.link import (
     EndCause,
     EndedRow,
@@ -72,6 +73,7 @@
         # leases: whatever runs there is over by the lease that starts now.
         self.lease_for(worker)
         worker.heard_ms = now_ms
+        worker.silent_since_ms = 0
         present = {row.key for row in listing.running}
         worker.foreign &= present
         orders = self._note_rows(worker, listing, now_ms)
@@ -157,10 +159,11 @@
             if task.has_left_slow:
                 continue
             task.has_left_slow = True
-            charge.is_stopping = True
             self.log.run_too_slow(
                 charge.key, worker.worker_id, charge.progress_percent
             )
+            abandon(self, worker, charge)
+            charge.is_stopping = True
             orders.append(StopOrder(worker.worker_id, charge.key))
         return orders
 
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -91,7 +91,8 @@
     `is_fenced` says that this leader's token was answered with a list, so
     that nothing of an earlier leader can start there any more. `is_listed`
     says that the worker stands in the directory, `is_leaving` that its machine
-    goes down for upkeep.
+    goes down for upkeep. `silent_since_ms` is when a look at it first failed,
+    zero while it answers.
     """
 
     def __init__(self, facts: WorkerFacts, now_ms: int) -> None:
@@ -104,6 +105,7 @@
         self.is_leaving = False
         self.unlisted_ms = 0
         self.heard_ms = now_ms
+        self.silent_since_ms = 0
         self.seen_number = 0
         self.acked_number = 0
         self.cold_until_ms = now_ms + facts.cold_ms
@@ -136,7 +138,7 @@
     def accepts(self, now_ms: int) -> bool:
         """Tell whether new runs may be sent there."""
         is_known = self.is_fenced and self.is_listed and not self.foreign
-        if self.facts.is_draining or self.is_leaving:
+        if self.facts.is_draining or self.is_leaving or self.silent_since_ms:
             return False
         return is_known and now_ms >= self.quarantined_until_ms
 
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -7,7 +7,12 @@
 
 from typing import Final
 
-from gentianpulley.cluster.link import RunKey, StopOrder, WorkerFacts
+from gentianpulley.cluster.link import (
+    RunKey,
+    StartOrder,
+    StopOrder,
+    WorkerFacts,
+)
 from gentianpulley.cluster.scheduler_state import (
     Order,
     Reign,
@@ -53,6 +58,10 @@
             worker.is_listed = False
             worker.unlisted_ms = now_ms
 
+    def note_unreached(self, worker: Worker, now_ms: int) -> None:
+        """Note that a look at a worker failed; it gets nothing meanwhile."""
+        worker.silent_since_ms = worker.silent_since_ms or now_ms
+
     def drop_life(self, worker_id: str, now_ms: int) -> None:
         """End the life that is known of a worker."""
         worker = self.workers.pop(worker_id, None)
@@ -122,6 +131,20 @@
         step.give_back(task)
         step.job.is_changed |= bool(task.checkpoint)
 
+    def take_back(self, order: StartOrder) -> bool:
+        """Let the task of a start that never left wait again.
+
+        False if the start was sent before: then it has to be sent on.
+        """
+        worker = self.workers.get(order.worker_id)
+        charge = self.charge_of(order)
+        if worker is None or charge is None:
+            return True
+        if charge.last_sent_ms:
+            return False
+        self.return_run(worker, order.key, 'never sent')
+        return True
+
     def _return_lapsed(self, worker: Worker, now_ms: int) -> None:
         """Give back runs whose lease is over at any life of the worker."""
         for key, charge in tuple(worker.charges.items()):
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -98,6 +98,7 @@
             return False
         except WorkerError as exc:
             self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+            self._office.unreached(self.worker)
             return False
         self._is_reached.set()
         self._office.listed(self.worker, listing, sent_ms)
@@ -108,22 +109,23 @@
             order = self._orders.get()
             if order is None:
                 continue
-            if self._may_send(order):
-                self._send(order)
-            else:
+            is_sent = self._office.may_act(now_ms()) and self._try(order)
+            if not is_sent:
                 self._closed.wait(RETRY_PAUSE_S)
                 self._orders.put(order)
 
-    def _may_send(self, order: Order) -> bool:
-        """Tell whether an order may go now.
+    def _try(self, order: Order) -> bool:
+        """Send an order; False if it has to wait.
 
         A worker that is born anew under its id takes starts that were meant
         for its former life. Its end breaks the look under way, and the next
-        look tells one life from the other; starts wait for that.
+        look tells one life from the other. Until then nothing starts there:
+        what was never sent goes elsewhere, the rest waits.
         """
         if isinstance(order, StartOrder) and not self._is_reached.is_set():
-            return False
-        return self._office.may_act(now_ms())
+            return self._office.take_back(order)
+        self._send(order)
+        return True
 
     def _send(self, order: Order) -> None:
         if isinstance(order, StartOrder):
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -1,4 +1,4 @@
-"""Starts go only to a life of a worker that was looked at since trouble."""
+"""Starts go only to a life of a worker that was looked at since a failure."""
 
 import queue
 import threading
@@ -28,7 +28,7 @@
 )
 from gentianpulley.logs import EventLog
 from standins.grid_site import wait_until
-from tests.scheduling.site import hand_site, job, step
+from tests.scheduling.site import JOB_ID, hand_site, job, step
 
 WAIT_S = 5.0
 SETTLE_S = 0.5
@@ -44,7 +44,7 @@
         self.answers: queue.Queue[WorkerError | None] = queue.Queue()
         self.looks = 0
         self.started: list[StartOrder] = []
-        self._closed = threading.Event()
+        self.verdict = StartVerdict.ACCEPTED
 
     def look(self, order: LookOrder) -> Listing:
         """Wait for the next answer."""
@@ -57,7 +57,7 @@
     def start(self, order: StartOrder, sent: Sent) -> StartReply:
         """Note the start."""
         self.started.append(order)
-        return StartReply(StartVerdict.ACCEPTED)
+        return StartReply(self.verdict)
 
     def stop(self, order: StopOrder, sent: Sent) -> None:
         """Do nothing."""
@@ -107,7 +107,7 @@
     running.link.answers.put(REBORN)
 
 
-def test_a_start_waits_until_the_worker_is_looked_at_again(
+def test_nothing_is_placed_on_a_worker_whose_look_failed(
     bench: Bench,
 ) -> None:
     bench.answer_look(LOST)
@@ -115,14 +115,41 @@
     threading.Event().wait(SETTLE_S)
     assert not bench.link.started
     bench.answer_look(None)
+    bench.office.plan()
     wait_until(lambda: bench.link.started)
 
 
+def test_a_start_that_never_left_goes_elsewhere(bench: Bench) -> None:
+    scheduler = bench.office.scheduler
+    orders = scheduler.plan(now_ms())
+    bench.answer_look(LOST)
+    bench.office.dispatch(orders)
+    (step_run,) = scheduler.jobs[JOB_ID].steps.values()
+    wait_until(lambda: step_run.waiting)
+    assert not bench.link.started
+
+
+def test_a_start_without_an_answer_waits_for_a_look(bench: Bench) -> None:
+    """It may be there: only the same run may be sent, to the same life."""
+    bench.link.verdict = StartVerdict.LOST
+    bench.office.plan()
+    wait_until(lambda: bench.link.started)
+    bench.answer_look(LOST)
+    threading.Event().wait(SETTLE_S)
+    bench.link.verdict = StartVerdict.ACCEPTED
+    sent = len(bench.link.started)
+    assert bench.session.worker.charges
+    bench.answer_look(None)
+    wait_until(lambda: len(bench.link.started) > sent)
+    assert len({order.key for order in bench.link.started}) == 1
+
+
 def test_a_start_never_goes_to_a_life_that_nobody_looked_at(
     bench: Bench,
 ) -> None:
+    orders = bench.office.scheduler.plan(now_ms())
     bench.answer_look(LOST)
-    bench.office.plan()
     bench.answer_look(REBORN)
+    bench.office.dispatch(orders)
     threading.Event().wait(SETTLE_S)
     assert not bench.link.started
