Give the neighbours of a task that stays over its target a rest

Now a smoothed tail above 0.9 of its target for a quarter of the site's bound stills all filling tasks there for 0.3 of it, and nothing new is placed beside meanwhile.

--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -12,6 +12,7 @@
 
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.link import PaceOrder, RunKey
+from gentianpulley.cluster.relief import note_level, rests
 from gentianpulley.cluster.worker import FULL_PERCENT, Charge, Worker
 
 TARGET_SHARE: Final = 0.75
@@ -56,16 +57,21 @@
         if is_serving(charge) and charge.gauge_ms == now_ms and charge.gauge > 0
     ]
     for charge in serving:
-        _note_bias(charge, model, shares)
+        expected = model.predict(charge.spec.image, shares)
+        _note_bias(charge, expected)
+        note_level(charge, expected + charge.bias, now_ms)
     for charge in random.sample(serving, min(LEARNED, len(serving))):
         model.note(charge.spec.image, charge.gauge, shares)
     return True
 
 
 def pace_orders(
-    worker: Worker, model: HarmModel, now_ms: int
+    worker: Worker, model: HarmModel, harm_ms: int, now_ms: int
 ) -> list[PaceOrder]:
-    """Return the changes of pace that the expected tails ask for."""
+    """Return the changes of pace that the expected tails ask for.
+
+    `harm_ms` is the site's bound on how long a serving task may be harmed.
+    """
     filling = [
         charge
         for charge in worker.charges.values()
@@ -73,7 +79,8 @@
     ]
     if not filling:
         return []
-    paces = {charge.key: 1.0 for charge in filling}
+    fastest: float = 0 if rests(worker, harm_ms, now_ms) else 1
+    paces = {charge.key: fastest for charge in filling}
     for serving in worker.charges.values():
         if is_serving(serving):
             _slow_down(worker, model, serving, filling, paces)
@@ -86,10 +93,7 @@
     return orders
 
 
-def _note_bias(
-    charge: Charge, model: HarmModel, shares: dict[str, float]
-) -> None:
-    expected = model.predict(charge.spec.image, shares)
+def _note_bias(charge: Charge, expected: float) -> None:
     deviation = math.log(charge.gauge) - expected
     mixed = charge.bias + BIAS_WEIGHT * (deviation - charge.bias)
     charge.bias = max(-MAX_BIAS, min(MAX_BIAS, mixed))
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -280,6 +280,8 @@
     spec = step.spec
     if not spec.fills_spare:
         return True
+    if view.now_ms < worker.rests_until_ms:
+        return False
     need = spec.resources.processors_milli
     is_crowded = worker.filling + need > spare_milli(worker)
     if worker.filling and is_crowded:
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -83,7 +83,8 @@
         worker.is_fenced = True
         self.unsettled.discard(worker.worker_id)
         if learn(worker, self.harm, now_ms):
-            orders.extend(pace_orders(worker, self.harm, now_ms))
+            harm_ms = self.reign.timing.harm_ms
+            orders.extend(pace_orders(worker, self.harm, harm_ms, now_ms))
             orders.extend(self._leave_slow(worker, now_ms))
         return orders
 
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -17,6 +17,9 @@
 """Lease of the leader's key. Two missed renewals and a slow answer of the
 store fit in; the store takes no less than a second."""
 
+DEFAULT_HARM_MS: Final = 4000
+"""Bound on harm where the settings name none: that of all known sites."""
+
 RENEWALS_IN_TTL: Final = 4
 """Renewals of the leader's key within its lease."""
 
@@ -28,7 +31,8 @@
     `lease_ms` is what each order gives a worker, and `max_lease_ms` the most
     that a worker takes. `tenure_ms` is how long a
     leader gives orders after the last renewal that it sent and that was
-    answered. A run that resumes works from `restore_ms` on.
+    answered. A run that resumes works from `restore_ms` on, and `harm_ms` is
+    the longest that a serving task may be over its target by others' doing.
     """
 
     lease_ms: int
@@ -37,6 +41,7 @@
     stop_ms: int
     look_ms: int
     restore_ms: int = 0
+    harm_ms: int = DEFAULT_HARM_MS
 
     @property
     def longest_run_ms(self) -> int:
@@ -64,6 +69,7 @@
     stop_ms: int,
     look_ms: int,
     restore_ms: int = 0,
+    harm_ms: int = DEFAULT_HARM_MS,
 ) -> Timing:
     """Derive the lengths from the site's bounds.
 
@@ -80,6 +86,7 @@
         stop_ms=stop_ms,
         look_ms=look_ms,
         restore_ms=restore_ms,
+        harm_ms=harm_ms,
     )
 
 
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -39,7 +39,8 @@
     somebody else told it, and `wanted_percent` the pace that it should have;
     `slowed_since_ms` is since when that is low, zero while it is not. `bias`
     is how far a serving task's tail lies from what is expected of its image,
-    as a logarithm.
+    as a logarithm; `over_since_ms` is since when the tail is over its target,
+    zero while it is not.
     """
 
     key: RunKey
@@ -59,6 +60,7 @@
     gauge: int = 0
     gauge_ms: int = 0
     bias: float = 0
+    over_since_ms: int = 0
 
     def want_pace(self, percent: int, now_ms: int) -> None:
         """Note the pace that the run should have from now on."""
@@ -92,7 +94,8 @@
     that nothing of an earlier leader can start there any more. `is_listed`
     says that the worker stands in the directory, `is_leaving` that its machine
     goes down for upkeep. `silent_since_ms` is when a look at it first failed,
-    zero while it answers.
+    zero while it answers, and `rests_until_ms` how long its filling tasks stand
+    still.
     """
 
     def __init__(self, facts: WorkerFacts, now_ms: int) -> None:
@@ -119,6 +122,7 @@
         self.filling = 0
         self.endless = 0
         self.sampled_ms = 0
+        self.rests_until_ms = 0
         self.foreign: set[RunKey] = set()
         self.unsaved_ends: deque[tuple[int, int]] = deque()
 
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -84,6 +84,7 @@
                 bounds.stop_ms,
                 LOOK_MS,
                 bounds.restore_ms,
+                bounds.harm_ms,
             ),
             status_ms=bounds.status_ms,
             upkeep_ms=bounds.upkeep_ms,
--- /dev/null
+++ b/tests/cluster_guards.py
@@ -0,0 +1,74 @@
+"""Guards of the scheduler on the users' platform, each switched off.
+
+As in `tests.guards`, every function replaces something from the outside.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from gentianpulley.cluster import pacing, placing, run_tracker, scheduler
+from gentianpulley.cluster.office import Office, Tenure
+from gentianpulley.task_follower import MAX_RUN_TRIES, TaskFollower
+
+
+def replace(owner: Any, name: str, member: Any) -> None:
+    """Replace a member of a class or module."""
+    setattr(owner, name, member)
+
+
+def certainty() -> None:
+    """Take up new jobs whether or not the leader's key may be gone."""
+    replace(Tenure, 'is_certain', lambda tenure, _: not tenure.is_over())
+
+
+def earlier_sending() -> None:
+    """Take any refusal of a start as proof for all its sendings."""
+    replace(run_tracker, 'UNPROVED', frozenset())
+
+
+def look_before_start() -> None:
+    """Send what waits for a silent worker without a look."""
+
+    def take_back(office: Any, order: Any) -> bool:
+        office._sinks[order.worker_id]._send(order)
+        return True
+
+    replace(Office, 'take_back', take_back)
+
+
+def rests() -> None:
+    """Pace by the model alone."""
+    replace(pacing, 'rests', lambda *_: False)
+
+
+def former_run() -> None:
+    """Let copies go beside the runs that they replace."""
+    replace(placing, 'holds_former_run', lambda *_: False)
+
+
+def copies() -> None:
+    """Wait for the lease whatever the step allows."""
+    replace(scheduler, 'copies', lambda *_: [])
+
+
+def silent_sending() -> None:
+    """Take the answer to any sending of an order for the answer to all."""
+
+    def send(follower: Any, route: Any, order: Any, wait_ms: int) -> Any:
+        report = None
+        for _ in range(MAX_RUN_TRIES):
+            report = report or follower._send_once(route, order, wait_ms)
+        return report
+
+    replace(TaskFollower, '_send', send)
+
+
+CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
+    'certainty': certainty,
+    'earlier-sending': earlier_sending,
+    'look-before-start': look_before_start,
+    'rests': rests,
+    'former-run': former_run,
+    'copies': copies,
+    'silent-sending': silent_sending,
+}
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -25,16 +25,12 @@
 from gentianpulley.worker import TaskList
 from gentianpulley.worker_fleet import WorkerFleet
 from gentianpulley.worker_keeper import WorkerKeeper
+from tests.cluster_guards import CLUSTER_GUARDS, replace
 
 VARIABLE: Final = 'GENTIANPULLEY_TEST_GUARD_OFF'
 HUGE_EPOCH: Final = 1 << 40
 
 
-def replace(owner: Any, name: str, member: Any) -> None:
-    """Replace a member of a class or module."""
-    setattr(owner, name, member)
-
-
 def ledger_capacity() -> None:
     """Take every worker for idle."""
     replace(WorkerLedger, 'free', property(lambda ledger: ledger.capacity))
@@ -212,6 +208,7 @@
     'succession': succession,
     'stale-list': stale_list,
     'stopped-is-cancelled': stopped_is_cancelled,
+    **CLUSTER_GUARDS,
 }
 
 
--- a/tests/scheduling/test_copying.py
+++ b/tests/scheduling/test_copying.py
@@ -65,6 +65,7 @@
     assert site.scheduler.workers['w1'].processors == TASK_ROOM
 
 
+@pytest.mark.proof('former-run')
 def test_no_copy_goes_beside_the_former_run() -> None:
     site, order = _silent_site(may_copy=True)
     site.scheduler.moves(site.at_ms)
@@ -92,6 +93,7 @@
     )
 
 
+@pytest.mark.proof('copies')
 def test_the_end_of_the_copy_counts_too() -> None:
     site, order = _silent_site('w2', may_copy=True)
     site.scheduler.moves(site.at_ms)
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -45,6 +45,7 @@
     assert (held > 0) is (phase is TaskPhase.PLACED)
 
 
+@pytest.mark.proof('earlier-sending')
 @pytest.mark.parametrize(
     ('verdict', 'next_order'),
     [
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -119,6 +119,7 @@
     wait_until(lambda: bench.link.started)
 
 
+@pytest.mark.proof('look-before-start')
 def test_a_start_that_never_left_goes_elsewhere(bench: Bench) -> None:
     scheduler = bench.office.scheduler
     orders = scheduler.plan(now_ms())
--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -6,7 +6,7 @@
 from gentianpulley.cluster.link import PaceOrder, RunKey, RunningRow
 from gentianpulley.jobs.spec import StepSpec
 from gentianpulley.resources import Resources
-from tests.scheduling.site import HandSite, hand_site, job, step
+from tests.scheduling.site import TIMING, HandSite, hand_site, job, step
 
 SERVING = step(
     image='serves', is_endless=True, tail_target_ms=50, estimated_ms=0
@@ -194,3 +194,47 @@
             site.scheduler.harm.note(image, tail_ms, {'fill': 0.15})
     site.scheduler.add_job(job(_filling('fill'), job_id='f' * 16))
     assert bool(site.plan()) is is_placed
+
+
+def _looks_at(
+    site: HandSite, fill: RunKey, serving: RunKey, tails: list[int]
+) -> list[tuple[int, int]]:
+    """List reports twice a second; returns each pace told and when."""
+    told = []
+    began_ms = site.at_ms
+    for tail_ms in tails:
+        site.at_ms += 500
+        rows = (
+            RunningRow(fill, '', 50, 9000),
+            RunningRow(serving, '', 100, tail_ms),
+        )
+        for order in site.list_runs('w1', rows):
+            if isinstance(order, PaceOrder):
+                site.scheduler.note_pace(order)
+                told.append((site.at_ms - began_ms, order.percent))
+    return told
+
+
+@pytest.mark.parametrize(
+    'harmless_by_model',
+    [True, pytest.param(False, marks=pytest.mark.proof('rests'))],
+)
+def test_no_task_stays_over_target_whatever_the_model_expects(
+    *, harmless_by_model: bool
+) -> None:
+    """A day broke the bound: the model took the pair for harmless, and the
+    tail for the serving task's own."""
+    site = hand_site('w1')
+    site.scheduler.add_job(job(_filling('fill'), job_id='2' * 16))
+    (fill,) = site.start_all()
+    site.scheduler.add_job(job(SERVING, job_id='1' * 16))
+    (serving,) = site.start_all()
+    _teach(site, 'fill', 10 if harmless_by_model else 30)
+    told = _looks_at(site, fill.key, serving.key, [20, 80, 80, 80, 80, 80, 80])
+    stopped_ms = [at_ms for at_ms, percent in told if percent == 0]
+    assert stopped_ms
+    assert stopped_ms[0] < TIMING.harm_ms - 500
+    # Once the tail is low again, the filling task works on.
+    low = [15 for _ in range(8)]
+    told = _looks_at(site, fill.key, serving.key, low)
+    assert told[-1][1] > 50
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -109,6 +109,7 @@
     assert office.scheduler.harm.harm('serves', 'fill') > 0
 
 
+@pytest.mark.proof('certainty')
 def test_a_leader_whose_key_may_be_gone_takes_up_no_job(
     store: GridStore,
 ) -> None:
--- a/tests/test_task_follower.py
+++ b/tests/test_task_follower.py
@@ -26,6 +26,7 @@
 UNREACHABLE = PeerUnreachableError('refused')
 REFUSED = not_run_report(TASK, NO_ROOM)
 TOO_LATE = not_run_report(TASK, DEADLINE_PASSED)
+PROOF = pytest.mark.proof('silent-sending')
 STARTED = running_report(TASK, 'worker-1')
 
 
@@ -57,8 +58,10 @@
         ((SILENT, UNREACHABLE), TaskPhase.UNKNOWN),
         ((SILENT, SILENT, SILENT), TaskPhase.UNKNOWN),
         # The owner may have started the first sending and forgotten it since.
-        ((SILENT, REFUSED), TaskPhase.UNKNOWN),
-        ((SILENT, SILENT, TOO_LATE), TaskPhase.UNKNOWN),
+        pytest.param((SILENT, REFUSED), TaskPhase.UNKNOWN, marks=PROOF),
+        pytest.param(
+            (SILENT, SILENT, TOO_LATE), TaskPhase.UNKNOWN, marks=PROOF
+        ),
     ],
 )
 def test_refused_repetition_proves_nothing_of_a_silent_sending(
