Count a job as begun once a worker has begun a task of it

A job counted as begun when its first start was ordered, not when a worker had begun it.

Now an accepted start, a listed run or a listed end begins a job.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -185,6 +185,7 @@
             return self._keep_unproved(worker, charge, order, reply, now_ms)
         if verdict is StartVerdict.ACCEPTED:
             charge.settled_ms = now_ms
+            self.note_begun(order.key)
         elif verdict is StartVerdict.OUTDATED and charge.has_lost_start:
             # An earlier sending may have run and ended already, which the
             # next list tells; the run cannot start any more.
@@ -223,6 +224,7 @@
         step = job.step_of(row.key.task_id) if job else None
         if job is None or step is None:
             return []
+        job.note_begun()
         task = step.tasks[row.key.task_id.ordinal]
         self.log.run_ended(row.key, worker.worker_id, row.cause.value)
         is_current = is_current_run(worker, step, row.key)
@@ -254,6 +256,7 @@
     def _note_running(
         self, worker: Worker, row: RunningRow, now_ms: int
     ) -> list[Order]:
+        self.note_begun(row.key)
         charge = worker.charges.get(row.key)
         if charge is None:
             return self._adopt(worker, row, now_ms)
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -94,6 +94,12 @@
         """Return how many jobs have not begun."""
         return sum(1 for job in self.live_jobs.values() if not job.has_begun)
 
+    def note_begun(self, key: RunKey) -> None:
+        """Note that a worker has begun a run; an order alone is no proof."""
+        job = self.jobs.get(key.task_id.job_id)
+        if job is not None:
+            job.note_begun()
+
     def look_order(self, worker: Worker, wait_ms: int) -> LookOrder:
         """Return the next look at a worker; it renews the lease."""
         return LookOrder(
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -112,7 +112,6 @@
         task.worker_id = worker_id
         task.is_unconfirmed = False
         self.per_worker[worker_id] = self.per_worker.get(worker_id, 0) + 1
-        self.job.note_begun()
 
     def give_back(self, task: Task) -> None:
         """Let a task wait again after a run that is certainly over."""
@@ -229,8 +228,8 @@
         return now_ms - self.idle_since_ms
 
     def note_begun(self) -> None:
-        """Note that a task was started."""
-        if not self.has_begun:
+        """Note that a worker has begun a task; an order alone is no proof."""
+        if not self.has_begun and not self.state.is_final:
             self.has_begun = True
             self.is_changed = True
             self.refresh_state()
