Take copies of tasks out again; count an older run's end while its task waits

Only an end of the latest run counted for a waiting task, so the end was acknowledged and forgotten, and run ..86 started five seconds later.

An end as done of any run now finishes its task, whether it waits or is placed (test red before, green after).

--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -258,23 +258,9 @@
     placed = step.per_worker.get(worker.worker_id, 0)
     if spec.max_per_worker != NO_LIMIT and placed >= spec.max_per_worker:
         return False
-    if spec.may_copy and holds_former_run(worker, step):
-        return False
     return worker.has_room(spec)
 
 
-def holds_former_run(worker: Worker, step: StepRun) -> bool:
-    """Tell whether a run of the step that is being stopped is still there.
-
-    Its task may wait already, as copies are allowed: a second run of it may
-    not go there, and the former one counts against the step's places.
-    """
-    return any(
-        charge.is_stopping and charge.key.task_id.step_id == step.step_id
-        for charge in worker.charges.values()
-    )
-
-
 def is_harmless(worker: Worker, step: StepRun, view: PlacingView) -> bool:
     """Tell whether a filling task finds spare processors and harms nobody."""
     spec = step.spec
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -7,7 +7,6 @@
 
 from typing import Final
 
-from gentianpulley.cluster.copying import abandon
 from gentianpulley.cluster.link import (
     EndCause,
     EndedRow,
@@ -163,7 +162,6 @@
             self.log.run_too_slow(
                 charge.key, worker.worker_id, charge.progress_percent
             )
-            abandon(self, worker, charge)
             charge.is_stopping = True
             orders.append(StopOrder(worker.worker_id, charge.key))
         return orders
@@ -241,8 +239,13 @@
         return orders
 
     def _finish_elsewhere(self, step: StepRun, task: Task) -> list[Order]:
-        """Take a late end as done, and stop the run that replaced it."""
+        """Take a late end as done, and stop the run that replaced it.
+
+        Also while the task waits: the end is acknowledged, so that nobody
+        would tell of it again.
+        """
         if task.phase is not TaskPhase.PLACED:
+            step.finish(task)
             return []
         worker = self.workers.get(task.worker_id)
         key = RunKey(task.task_id, task.run)
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 from gentianpulley.cluster.advice import Permit, Question, question_for
-from gentianpulley.cluster.copying import copies
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
 from gentianpulley.cluster.ordering import in_order
@@ -64,9 +63,7 @@
         if now_ms < self._next_moves_ms:
             return []
         self._next_moves_ms = now_ms + MOVES_GAP_MS
-        orders = copies(self, now_ms)
-        orders.extend(moves(self, self._view(now_ms)))
-        return orders
+        return moves(self, self._view(now_ms))
 
     def next_question(self, now_ms: int) -> Question | None:
         """Return what to ask the advice service next, None if nothing."""
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -23,11 +23,6 @@
     step: int
     ordinal: int
 
-    @property
-    def step_id(self) -> 'StepId':
-        """Return the id of the task's step."""
-        return StepId(self.job_id, self.occurrence, self.step)
-
 
 class StepId(NamedTuple):
     """One step of one occurrence of a job."""
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -151,10 +151,6 @@
         """A run that was paced down is stopped, to go on elsewhere."""
         _write_run('run_moved', key, worker)
 
-    def run_copied(self, key: 'RunKey', worker: str) -> None:
-        """A run may be lost; its task starts elsewhere without waiting."""
-        _write_run('run_copied', key, worker)
-
     def run_too_slow(
         self, key: 'RunKey', worker: str, progress_percent: int
     ) -> None:
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianpulley.cluster import pacing, placing, run_tracker, scheduler
+from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.office import Office, Tenure
 from gentianpulley.task_follower import MAX_RUN_TRIES, TaskFollower
 
@@ -41,16 +41,6 @@
     replace(pacing, 'rests', lambda *_: False)
 
 
-def former_run() -> None:
-    """Let copies go beside the runs that they replace."""
-    replace(placing, 'holds_former_run', lambda *_: False)
-
-
-def copies() -> None:
-    """Wait for the lease whatever the step allows."""
-    replace(scheduler, 'copies', lambda *_: [])
-
-
 def silent_sending() -> None:
     """Take the answer to any sending of an order for the answer to all."""
 
@@ -68,7 +58,5 @@
     'earlier-sending': earlier_sending,
     'look-before-start': look_before_start,
     'rests': rests,
-    'former-run': former_run,
-    'copies': copies,
     'silent-sending': silent_sending,
 }
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -423,3 +423,18 @@
     else:
         site.list_runs('w1', (RunningRow(order.key, '', 10, 0),))
     assert site.scheduler.waiting_jobs() == 0
+
+
+def test_an_end_of_an_older_run_counts_while_its_task_waits() -> None:
+    """It is acknowledged, so a start after it would run the task again."""
+    site = hand_site('w1', 'w2')
+    site.scheduler.add_job(job(step()))
+    (older,) = site.start_all()
+    run = site.task(older.key.task_id)
+    known = site.scheduler.jobs[JOB_ID]
+    # A later run was ordered elsewhere and has been given back.
+    run.run = older.key.run + 1
+    known.steps[(0, 0)].give_back(run)
+    site.end(older.worker_id, older.key)
+    assert known.state is JobState.COMPLETED
+    assert not site.plan()
