Let a refusal stand for jobs with records, whatever was sent before

Jobs with records need none of that rule: their record refuses a second placing.

Test red before, green after.

Ruled out: the store's stand-in (unchanged).

--- a/src/gentianpulley/task_follower.py
+++ b/src/gentianpulley/task_follower.py
@@ -43,7 +43,9 @@
         A lost answer is settled by sending the same order again on a new
         connection, which the owner recognizes by its task id. The phase is
         `UNKNOWN` if the owner stays silent, and also if it refuses a sending
-        after a silent one: it may have started that one and forgotten it.
+        after a silent one: it may have started that one and forgotten it. A
+        job with a record is refused by its record then, so that its refusal
+        stands and it may be offered again.
         """
         report = self._send(route, order, wait_ms)
         self._log.task_routed(
@@ -76,7 +78,8 @@
             report = self._send_once(route, order, wait_ms)
             if report is None:
                 continue
-            if earlier_sendings and report.phase is TaskPhase.NOT_RUN:
+            is_refused = report.phase is TaskPhase.NOT_RUN
+            if earlier_sendings and is_refused and not order.record:
                 break
             return report
         return _unknown(order.task_id)
--- a/tests/test_task_follower.py
+++ b/tests/test_task_follower.py
@@ -1,5 +1,6 @@
 """What an owner's answers prove when an order had to be sent again."""
 
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -70,3 +71,11 @@
     directory = cast('PeerDirectory', ScriptedOwner(*answers))
     follower = TaskFollower(cast('Router', None), directory, EventLog())
     assert follower.run_on(ROUTE, order(TASK), 0).phase is phase
+
+
+def test_a_job_with_a_record_may_be_offered_again_after_a_refusal() -> None:
+    """Taken for unknown, it left its queue for good and was never served."""
+    directory = cast('PeerDirectory', ScriptedOwner(SILENT, REFUSED))
+    follower = TaskFollower(cast('Router', None), directory, EventLog())
+    recorded = replace(order(TASK), record=b'{}', record_revision=7)
+    assert follower.run_on(ROUTE, recorded, 0).phase is TaskPhase.NOT_RUN
