--- /dev/null
+++ b/tests/scheduling/model_leader.py
@@ -0,0 +1,51 @@
+"""A modelled leader: a real scheduler, its queue of orders and its tenure."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from gentianpulley.cluster.link import StartOrder
+from gentianpulley.cluster.office import Tenure
+from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.scheduler_state import Order
+from gentianpulley.jobs.spec import JobSpec
+from gentianpulley.logs import EventLog
+from tests.scheduling.site import TIMING
+
+
+class RunSilently(EventLog):
+    """A log that writes nothing."""
+
+    def __getattribute__(self, name: str) -> Callable[..., None]:
+        return _nothing
+
+
+def _nothing(*unused: object) -> None:
+    """Write nothing."""
+
+
+@dataclass(frozen=True)
+class LateStart:
+    """A start that arrives later, for one life of its worker."""
+
+    at_ms: int
+    order: StartOrder
+    token: int
+    lease_ms: int
+    born_ms: int
+
+
+@dataclass
+class ModelLeader:
+    """A scheduler with its queue of orders, acting until its tenure ends.
+
+    `news` are jobs that its watch of the store has yet to take up.
+    """
+
+    scheduler: Scheduler
+    tenure: Tenure
+    queue: list[Order] = field(default_factory=list)
+    news: list[JobSpec] = field(default_factory=list)
+
+    def depose(self, at_ms: int) -> None:
+        """Lose the key: nothing is certain, old work goes on for a while."""
+        self.tenure.extend(at_ms + TIMING.tenure_ms, at_ms)
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -8,8 +8,6 @@
 
 import enum
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from gentianpulley.cluster.link import (
     EndCause,
@@ -22,12 +20,16 @@
     StopOrder,
 )
 from gentianpulley.cluster.office import Tenure
-from gentianpulley.cluster.scheduler import Scheduler, create_scheduler
-from gentianpulley.cluster.scheduler_state import Order, Reign
+from gentianpulley.cluster.scheduler import create_scheduler
+from gentianpulley.cluster.scheduler_state import Reign
 from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.record import JobRecord, record_of, restore
 from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
-from gentianpulley.logs import EventLog
+from tests.scheduling.model_leader import (
+    LateStart,
+    ModelLeader,
+    RunSilently,
+)
 from tests.scheduling.model_worker import ModelWorker, Present
 from tests.scheduling.site import START_MS, TIMING, job, step
 
@@ -37,17 +39,6 @@
 CAPACITY_MILLI = 64_000
 
 
-class RunSilently(EventLog):
-    """A log that writes nothing."""
-
-    def __getattribute__(self, name: str) -> Callable[..., None]:
-        return _nothing
-
-
-def _nothing(*unused: object) -> None:
-    """Write nothing."""
-
-
 class Fate(enum.Enum):
     """What becomes of a start on its way."""
 
@@ -66,34 +57,6 @@
 JOB_AT_CHANGE_IN_PERCENT = 50
 
 
-@dataclass(frozen=True)
-class LateStart:
-    """A start that arrives later, for one life of its worker."""
-
-    at_ms: int
-    order: StartOrder
-    token: int
-    lease_ms: int
-    born_ms: int
-
-
-@dataclass
-class ModelLeader:
-    """A scheduler with its queue of orders, acting until its tenure ends.
-
-    `news` are jobs that its watch of the store has yet to take up.
-    """
-
-    scheduler: Scheduler
-    tenure: Tenure
-    queue: list[Order] = field(default_factory=list)
-    news: list[JobSpec] = field(default_factory=list)
-
-    def depose(self, at_ms: int) -> None:
-        """Lose the key: nothing is certain, old work goes on for a while."""
-        self.tenure.extend(at_ms + TIMING.tenure_ms, at_ms)
-
-
 class World:
     """Everything, with one clock and one source of chance."""
 
