Give an endless task that has run a deadline to run again

Cause: in the order of waiting steps an endless one came after all others of its priority, hopeless ones too, and after all more urgent ones. On a full site with short tasks always waiting, each place that came free went to those. The advice service was asked in the same order, so that an endless step of an advised queue got no tickets either.

Ruled out by the same tests: a bound per worker (`max_per_worker`) makes no difference; the shapes that found no place cover nothing that would find one.

Now a task that has run gets a deadline when it is seen waiting (2 s, which leaves a second of the sites' three for the start). Past it, it goes before all other work whatever its priority, and its step is asked about first. A refused start keeps the deadline. Tasks that never ran keep their place, and so does a burst while nothing is overdue.

tests/scheduling/test_restarts.py before the change: - endless tasks of a drained worker, four cases: assert 9900 < 3000 - only the overdue tasks of a step go first: assert [] == [TaskId(...)] - a refused start does not put off the deadline, two cases: another task started - advice is asked first: assert ['22..', '22..'] == ['22..', '11..'] The burst that goes first passed before and passes now.

--- a/src/gentianpulley/cluster/ordering.py
+++ b/src/gentianpulley/cluster/ordering.py
@@ -49,6 +49,20 @@
     )
 
 
+def overdue_first(steps: list[StepRun], now_ms: int) -> list[StepRun]:
+    """Return the steps with overdue tasks, the earliest deadline first.
+
+    They go before everything else, whatever their priority: sites ask that
+    endless tasks run again in time however full the service is.
+    """
+    deadlines = [
+        (min(step.tasks[index].restart_by_ms for index in overdue), place)
+        for place, step in enumerate(steps)
+        if (overdue := step.overdue(now_ms))
+    ]
+    return [steps[place] for _, place in sorted(deadlines)]
+
+
 def in_order(steps: list[StepRun], now_ms: int) -> list[StepRun]:
     """Return the steps in the order in which they are placed."""
     return sorted(steps, key=lambda step: sort_key(step, now_ms))
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -270,8 +270,9 @@
         note_progress(charge, row.progress_percent, now_ms)
         job = self.jobs.get(row.key.task_id.job_id)
         step = job.step_of(row.key.task_id) if job else None
-        if step is not None and row.checkpoint:
-            step.tasks[row.key.task_id.ordinal].checkpoint = row.checkpoint
+        if step is not None:
+            task = step.tasks[row.key.task_id.ordinal]
+            task.note_running(row.checkpoint)
         return []
 
     def _adopt(
@@ -294,7 +295,7 @@
         is_wanted = not job.state.is_final and task.phase is TaskPhase.WAITING
         if is_wanted and row.key.run >= task.run:
             step.place(task, worker.worker_id, row.key.run)
-            task.checkpoint = row.checkpoint or task.checkpoint
+            task.note_running(row.checkpoint)
             self.log.run_adopted(row.key, worker.worker_id)
             return []
         charge.is_stopping = True
@@ -347,6 +348,7 @@
     worker: Worker, step: StepRun, task: Task, row: EndedRow
 ) -> None:
     task.run = max(task.run, row.key.run)
+    task.restart_by_ms = 0
     if row.cause is EndCause.DONE and not step.spec.is_endless:
         worker.note_done()
         step.finish(task)
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -11,7 +11,7 @@
 from gentianpulley.cluster.advice import Permit, Question, question_for
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
-from gentianpulley.cluster.ordering import in_order
+from gentianpulley.cluster.ordering import in_order, overdue_first
 from gentianpulley.cluster.placing import (
     Choice,
     FullShapes,
@@ -50,12 +50,13 @@
         view = self._view(now_ms)
         orders: list[StartOrder] = []
         full = FullShapes()
-        for step in in_order(self._free_steps(now_ms), now_ms):
-            is_hopeless = full.covers(step) and not is_starving(step, view)
-            if not is_hopeless:
-                orders.extend(self._place_step(step, view))
-                if step.waiting and not _is_special(step):
-                    full.add(step)
+        steps = self._free_steps(now_ms)
+        for step in overdue_first(steps, now_ms):
+            overdue = step.overdue(now_ms)
+            orders.extend(self._try_step(step, overdue, view, full))
+        for step in in_order(steps, now_ms):
+            others = step.waiting - step.overdue(now_ms)
+            orders.extend(self._try_step(step, others, view, full))
         return orders
 
     def moves(self, now_ms: int) -> list[StopOrder]:
@@ -75,7 +76,8 @@
         if not advised:
             return None
         view = self._view(now_ms)
-        for step in in_order(advised, now_ms):
+        overdue = overdue_first(advised, now_ms)
+        for step in (*overdue, *in_order(advised, now_ms)):
             allowed = suitable(self.workers.values(), step, view)
             question = question_for(step, allowed, self.tickets, now_ms)
             if question is not None:
@@ -119,13 +121,31 @@
             steps.extend(job.startable_steps(now_ms))
         return steps
 
-    def _place_step(self, step: StepRun, view: PlacingView) -> list[StartOrder]:
+    def _try_step(
+        self,
+        step: StepRun,
+        indexes: set[int],
+        view: PlacingView,
+        full: FullShapes,
+    ) -> list[StartOrder]:
+        """Place these tasks of a step, unless that is hopeless."""
+        is_hopeless = full.covers(step) and not is_starving(step, view)
+        if not indexes or is_hopeless:
+            return []
+        orders = self._place_step(step, indexes, view)
+        if indexes & step.waiting and not _is_special(step):
+            full.add(step)
+        return orders
+
+    def _place_step(
+        self, step: StepRun, indexes: set[int], view: PlacingView
+    ) -> list[StartOrder]:
         allowed = candidates(self.workers.values(), step, view)
         if step.spec.is_gang:
             return self._place_gang(step, allowed, view)
         choice = Choice(allowed, step, view)
         orders = []
-        for index in sorted(step.waiting):
+        for index in sorted(indexes):
             task = step.tasks[index]
             worker = choice.take(task)
             if worker is None:
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -7,10 +7,14 @@
 import enum
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-
+from typing import Final
 
 from gentianpulley.jobs.spec import JobSpec, StepId, StepSpec, TaskId
 
+RESTART_MS: Final = 2000
+"""How long an endless task that has run waits in the order of all work. Sites
+ask that it runs again within three seconds, and a start takes time as well."""
+
 
 class JobState(enum.StrEnum):
     """What callers are told of a job."""
@@ -45,6 +49,8 @@
     accepted under an earlier leader and may still run on a worker that this
     leader has not listed. `has_left_slow` says that a run was stopped for
     being slow, which happens once: some tasks take longer than estimated.
+    `restart_by_ms` is until when an endless task has to be placed again; zero
+    while it runs, or if it never did.
     """
 
     task_id: TaskId
@@ -56,12 +62,22 @@
     avoid: set[str] = field(default_factory=set)
     is_unconfirmed: bool = False
     has_left_slow: bool = False
+    restart_by_ms: int = 0
 
     @property
     def failures(self) -> int:
         """Return how many runs have failed."""
         return len(self.failed_runs)
 
+    def is_overdue(self, now_ms: int) -> bool:
+        """Tell whether the task should have been placed again by now."""
+        return 0 < self.restart_by_ms <= now_ms
+
+    def note_running(self, checkpoint: str) -> None:
+        """Note that a worker lists the task's run, and what it has saved."""
+        self.restart_by_ms = 0
+        self.checkpoint = checkpoint or self.checkpoint
+
 
 class StepRun:
     """One step of one occurrence of a job.
@@ -101,6 +117,29 @@
         """Tell whether every task has ended as done."""
         return self.done_count == len(self.tasks)
 
+    def set_deadlines(self, now_ms: int) -> None:
+        """Give endless tasks that wait to run again a deadline.
+
+        A start that was refused leaves the deadline as it is.
+        """
+        if not self.spec.is_endless:
+            return
+        for index in self.waiting:
+            task = self.tasks[index]
+            may_have_run = task.run or task.is_unconfirmed
+            if may_have_run and not task.restart_by_ms:
+                task.restart_by_ms = now_ms + RESTART_MS
+
+    def overdue(self, now_ms: int) -> set[int]:
+        """Return the waiting tasks whose deadlines have passed."""
+        if not self.spec.is_endless:
+            return set()
+        return {
+            index
+            for index in self.waiting
+            if self.tasks[index].is_overdue(now_ms)
+        }
+
     def place(self, task: Task, worker_id: str, run: int) -> None:
         """Note that a run was ordered, or found, on a worker."""
         index = task.task_id.ordinal
@@ -193,6 +232,7 @@
         """Yield the steps with waiting tasks whose turn has come."""
         for step in self.steps.values():
             if step.waiting and self._may_start(step, now_ms):
+                step.set_deadlines(now_ms)
                 yield step
 
     def note_failure(
--- /dev/null
+++ b/tests/scheduling/test_restarts.py
@@ -0,0 +1,231 @@
+"""An endless task that was stopped runs again soon, on a full site too."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+from itertools import count
+
+import pytest
+
+from gentianpulley.cluster.advice import Permit
+from gentianpulley.cluster.link import (
+    EndCause,
+    RunKey,
+    RunningRow,
+    StartOrder,
+    StartVerdict,
+    StopOrder,
+)
+from gentianpulley.jobs.job import Job, TaskPhase, create_job
+from gentianpulley.jobs.spec import AdvicePolicy, StepSpec
+from gentianpulley.resources import Resources
+from tests.scheduling.site import HandSite, facts, hand_site, job, step
+
+TICK_MS = 100
+SHORT_MS = 1000
+RESTART_BOUND_MS = 3000
+"""Sites ask that an endless task runs again within it, if there is room."""
+
+TWICE = 2
+PLACES_LEFT = 3
+WORKERS = ('w1', 'w2', 'w3', 'w4')
+ENDLESS = '1' * 16
+CORES = Resources(8000, 1000)
+HALF = Resources(32_000, 1000)
+
+
+def _endless(tasks: int, **changes: object) -> StepSpec:
+    known = {'is_endless': True, 'image': 'serves', 'tail_target_ms': 50}
+    return step(tasks, **{'estimated_ms': 0, **known, **changes})
+
+
+def _drain(site: HandSite, worker_id: str) -> list[RunKey]:
+    """Let a worker drain, and list the ends of what the scheduler stops."""
+    leaving = facts(worker_id, is_draining=True, leaves_ms=5000)
+    stops = site.scheduler.update_worker(leaving, site.at_ms)
+    keys = [order.key for order in stops if isinstance(order, StopOrder)]
+    for key in keys:
+        site.end(worker_id, key, EndCause.STOPPED)
+    return keys
+
+
+class _Stream:
+    """More short tasks than the site holds, which end after a second."""
+
+    def __init__(self, site: HandSite, priority: int) -> None:
+        """Begin with nothing at work."""
+        self._site = site
+        self._priority = priority
+        self._ids = (f'{number:016x}' for number in count(0x100))
+        self._running: list[tuple[int, StartOrder]] = []
+
+    def end_due(self) -> None:
+        """List the ends of the tasks that have run for long enough."""
+        due = [each for each in self._running if each[0] <= self._site.at_ms]
+        for entry in due:
+            self._running.remove(entry)
+            self._site.end(entry[1].worker_id, entry[1].key)
+
+    def submit(self) -> None:
+        """Hand in another job of short tasks."""
+        spec = job(
+            step(4, resources=CORES),
+            job_id=next(self._ids),
+            priority=self._priority,
+            submitted_ms=self._site.at_ms,
+        )
+        self._site.scheduler.add_job(spec)
+
+    def take(self, orders: list[StartOrder]) -> None:
+        """Let the short tasks among what was started run."""
+        ends_ms = self._site.at_ms + SHORT_MS
+        self._running.extend(
+            (ends_ms, order)
+            for order in orders
+            if order.key.task_id.job_id != ENDLESS
+        )
+
+
+def _room_for(site: HandSite, spec: StepSpec) -> int:
+    """Return how many tasks of the step the accepting workers have room for."""
+    return sum(
+        worker.room_for(spec)
+        for worker in site.scheduler.workers.values()
+        if worker.accepts(site.at_ms)
+    )
+
+
+def _waits(
+    site: HandSite, stream: _Stream, spec: StepSpec, stopped: list[RunKey]
+) -> Iterator[int]:
+    """Yield for each tick how long a stopped task waits in spite of room."""
+    room_since_ms = 0
+    for _ in range(100):
+        site.at_ms += TICK_MS
+        stream.end_due()
+        stream.submit()
+        if _room_for(site, spec) >= TWICE:
+            room_since_ms = room_since_ms or site.at_ms
+        stream.take(site.start_all())
+        tasks = [site.task(key.task_id) for key in stopped]
+        if all(task.phase is TaskPhase.PLACED for task in tasks):
+            return
+        yield site.at_ms - room_since_ms if room_since_ms else 0
+
+
+@pytest.mark.parametrize(
+    ('changes', 'stream_priority', 'endless_priority'),
+    [
+        ({}, 0, 0),
+        ({}, 0, 2),
+        ({'max_per_worker': 6}, 0, 0),
+        ({'max_per_worker': 6}, 0, 2),
+    ],
+)
+def test_endless_tasks_of_a_drained_worker_run_again_on_a_full_site(
+    changes: dict[str, object], stream_priority: int, endless_priority: int
+) -> None:
+    """Six workers were taken away, and their endless tasks waited for 23 s
+    while each place that came free went to other work."""
+    site = hand_site(*WORKERS)
+    spec = _endless(16, **changes)
+    serving = job(spec, job_id=ENDLESS, priority=endless_priority)
+    site.scheduler.add_job(serving)
+    stream = _Stream(site, stream_priority)
+    site.start_all()
+    for _ in range(20):
+        site.at_ms += TICK_MS
+        stream.end_due()
+        stream.submit()
+        stream.take(site.start_all())
+    tasks = serving.steps[(0, 0)].tasks
+    stopped = _drain(site, max(task.worker_id for task in tasks))
+    assert stopped
+    assert (
+        max(_waits(site, stream, spec, stopped), default=0) < RESTART_BOUND_MS
+    )
+
+
+def _site_with_one_back(tasks: int = 2) -> tuple[HandSite, RunKey]:
+    """Return a worker with one of two places free, and the run that ended.
+
+    Batch work of the same priority waits for the place too.
+    """
+    site = hand_site('w1')
+    spec = _endless(tasks, resources=HALF)
+    site.scheduler.add_job(job(spec, job_id=ENDLESS))
+    ended = site.start_all()[0]
+    site.end('w1', ended.key, EndCause.FAILED)
+    site.scheduler.add_job(job(step(99, resources=HALF), job_id='2' * 16))
+    return site, ended.key
+
+
+def _is_endless(order: StartOrder) -> bool:
+    return order.key.task_id.job_id == ENDLESS
+
+
+def test_a_burst_goes_first_while_no_endless_task_is_overdue() -> None:
+    site, _ = _site_with_one_back()
+    (placed,) = site.plan()
+    assert not _is_endless(placed)
+
+
+def test_only_the_overdue_tasks_of_a_step_go_first() -> None:
+    """Tasks that never ran keep their place behind batch work."""
+    site, ended = _site_with_one_back(tasks=5)
+    site.add_worker('w2')
+    started = site.start_all()
+    assert len(started) == PLACES_LEFT
+    site.at_ms += RESTART_BOUND_MS
+    for order in started:
+        site.end(order.worker_id, order.key)
+    restarted = site.plan()
+    assert len(restarted) == PLACES_LEFT
+    endless = [order for order in restarted if _is_endless(order)]
+    assert [order.key.task_id for order in endless] == [ended.task_id]
+
+
+@pytest.mark.parametrize(
+    'verdict', [StartVerdict.UNHEALTHY, StartVerdict.NO_ROOM]
+)
+def test_a_refused_start_does_not_put_off_the_deadline(
+    verdict: StartVerdict,
+) -> None:
+    site, ended = _site_with_one_back()
+    (first,) = site.plan()
+    site.at_ms += RESTART_BOUND_MS
+    site.end('w1', first.key)
+    (refused,) = site.plan()
+    assert refused.key.task_id == ended.task_id
+    site.answer(refused, verdict)
+    site.at_ms += 2 * TICK_MS + 300
+    (again,) = site.plan()
+    assert again.key.task_id == ended.task_id
+
+
+def _advised(plain: Job) -> Job:
+    """Return the job in a queue whose workers the advice service names."""
+    advice = AdvicePolicy(10, 1, 60_000)
+    policy = replace(plain.spec.policy, advice=advice)
+    return create_job(plain.spec.with_policy(policy), is_inherited=False)
+
+
+def test_advice_is_asked_for_an_overdue_endless_task_first() -> None:
+    """One question is answered at a time, and batch work never ends."""
+    site = hand_site('w1')
+    site.scheduler.add_job(_advised(job(_endless(2), job_id=ENDLESS)))
+    question = site.scheduler.next_question(site.at_ms)
+    assert question is not None
+    permits = (Permit('w1', 'ticket'),)
+    site.scheduler.note_advice(question, permits, site.at_ms)
+    rows = tuple(RunningRow(each.key, '', 100, 10) for each in site.start_all())
+    site.list_runs('w1', rows)
+    site.scheduler.drop_life('w1', site.at_ms)
+    site.add_worker('w1', born_ms=2)
+    site.scheduler.add_job(_advised(job(step(8), job_id='2' * 16)))
+    asked = []
+    for _ in range(2):
+        site.plan()
+        question = site.scheduler.next_question(site.at_ms)
+        asked.append(question.step_id.job_id if question else '')
+        site.at_ms += RESTART_BOUND_MS
+    assert asked == ['2' * 16, ENDLESS]
