Let an overdue endless task that fills spare processors be less choosy

Given back on a busy site where each place harms somebody, or while others of its job run, it waited without end.

Cause: only a job of which nothing runs could take the least bad worker, and never on a busy site. That fits batch work; each endless task has to run again by itself, however full the service is. Now a step with an overdue task may take the least bad place for it, where it is paced. Others of the step that never ran still wait for a harmless place.

tests/scheduling/test_restarts.py, a filling endless task takes the least bad place in time, failed before at 3000 ms: assert False is True (no start).

--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -191,7 +191,8 @@
 
     def give_back(self) -> None:
         """Offer the worker taken last again, at its new cost."""
-        self._is_starving = False
+        overdue = self._step.overdue(self._view.now_ms)
+        self._is_starving = bool(overdue)
         if self._taken is not None:
             self._push(self._taken[1], self._taken[2])
 
@@ -237,7 +238,13 @@
 
 
 def is_starving(step: StepRun, view: PlacingView) -> bool:
-    """Tell whether a step's job has waited too long to be choosy."""
+    """Tell whether a step has waited too long to be choosy.
+
+    An overdue endless task has, whatever else of its job runs and however busy
+    the site is; other work waits as a job.
+    """
+    if step.overdue(view.now_ms):
+        return True
     idle_ms = step.job.idle_ms(view.now_ms)
     return idle_ms > STARVING_MS and not view.is_busy
 
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -145,6 +145,29 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('waited_ms', 'is_placed'), [(500, False), (RESTART_BOUND_MS, True)]
+)
+def test_a_filling_endless_task_takes_the_least_bad_place_in_time(
+    waited_ms: int, *, is_placed: bool
+) -> None:
+    """Another task of the job runs, the site is busy, and each place harms."""
+    site = hand_site('w1')
+    serving = _endless(5, resources=Resources(12_000, 1000), image='fragile')
+    filling = _endless(2, fills_spare=True, image='fill', tail_target_ms=0)
+    site.scheduler.add_job(job(filling, job_id=ENDLESS))
+    ended = site.start_all()[0]
+    site.scheduler.add_job(job(serving, job_id='2' * 16))
+    site.start_all()
+    for _ in range(60):
+        site.scheduler.harm.note('fragile', 10, {})
+        site.scheduler.harm.note('fragile', 200, {'fill': 0.15})
+    site.end('w1', ended.key, EndCause.FAILED)
+    assert not site.plan()
+    site.at_ms += waited_ms
+    assert bool(site.plan()) is is_placed
+
+
 def _site_with_one_back(tasks: int = 2) -> tuple[HandSite, RunKey]:
     """Return a worker with one of two places free, and the run that ended.
 
