Look once in a plan for a place for equal tasks of a step

The tasks of a step need the same, so where the overdue ones found no place the others find none either; the step was looked at twice all the same. No change of what is started: the scheduling tests pass as before.

--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -55,8 +55,9 @@
             overdue = step.overdue(now_ms)
             orders.extend(self._try_step(step, overdue, view, full))
         for step in in_order(steps, now_ms):
-            others = step.waiting - step.overdue(now_ms)
-            orders.extend(self._try_step(step, others, view, full))
+            if not step.overdue(now_ms):
+                waiting = set(step.waiting)
+                orders.extend(self._try_step(step, waiting, view, full))
         return orders
 
     def moves(self, now_ms: int) -> list[StopOrder]:
