Use an answer that is whole, and stop waiting for one that only trickles

Callers saw: on a narrow link, answers that came whole but after their deadline were dropped, and one whose bytes trickled held its caller far past it.

Cause: the deadline was checked after each 64 KiB, also after the last byte.

Now a body is read as it comes: whole is whole, and the deadline is checked before waiting for more. HttpConn.fetch asks for an answer that may be large: it fails when no byte comes for a time, and has a bound for the whole.

--- a/src/gentianpulley/http_conn.py
+++ b/src/gentianpulley/http_conn.py
@@ -39,6 +39,18 @@
         return f'{self.host}:{self.port}'
 
 
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long a large answer may take.
+
+    It has to be whole by the deadline, and it fails earlier once no byte of it
+    came for `quiet_s` seconds.
+    """
+
+    deadline_ms: int
+    quiet_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A whole answer: the status and the body."""
@@ -77,20 +89,15 @@
 
         Raises `HttpUnreachableError` when no connection could be opened and
         `HttpSilentError` when the answer did not arrive whole in time. Both
-        drop the idle connections too, since they may be dead as well.
+        drop the idle connections too, since they may be dead as well. An
+        answer that turns out to be whole is used, though it may be late.
         """
-        try:
-            resp = self._send(
-                method, path, seconds_left(deadline_ms), body, headers
-            )
-        except (NewConnectionError, ConnectTimeoutError) as exc:
-            self._pool.close()
-            raise HttpUnreachableError(
-                http_unreachable(str(self.address), exc)
-            ) from exc
-        except (HTTPError, OSError) as exc:
-            raise self._silent(exc) from exc
-        return HttpAnswer(resp.status, self._read(resp, deadline_ms))
+        patience = Patience(deadline_ms, seconds_left(deadline_ms))
+        return self._exchange(method, path, patience, body, headers)
+
+    def fetch(self, path: str, patience: Patience) -> HttpAnswer:
+        """Send one GET whose answer may be large; raises as `call` does."""
+        return self._exchange('GET', path, patience)
 
     def stream(
         self, path: str, body: bytes, idle_timeout_s: float
@@ -119,6 +126,25 @@
         """Close all idle connections."""
         self._pool.close()
 
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        patience: Patience,
+        body: bytes = b'',
+        headers: Headers = (),
+    ) -> HttpAnswer:
+        try:
+            resp = self._send(method, path, patience.quiet_s, body, headers)
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            self._pool.close()
+            raise HttpUnreachableError(
+                http_unreachable(str(self.address), exc)
+            ) from exc
+        except (HTTPError, OSError) as exc:
+            raise self._silent(exc) from exc
+        return HttpAnswer(resp.status, self._read(resp, patience.deadline_ms))
+
     def _send(
         self,
         method: str,
@@ -140,17 +166,13 @@
         )
 
     def _read(self, resp: BaseHTTPResponse, deadline_ms: int) -> bytes:
-        chunks = []
         try:
-            for chunk in resp.stream(CHUNK_BYTES):
-                chunks.append(chunk)
-                if has_passed(deadline_ms):
-                    raise TimeoutError(deadline_ms)
+            body = b''.join(_chunks(resp, deadline_ms))
         except (HTTPError, OSError) as exc:
             resp.close()
             raise self._silent(exc) from exc
         resp.release_conn()
-        return b''.join(chunks)
+        return body
 
     def _silent(self, exc: Exception) -> HttpSilentError:
         self._pool.close()
@@ -163,6 +185,17 @@
         return HttpSilentError(http_silent(str(self.address), exc))
 
 
+def _chunks(resp: BaseHTTPResponse, deadline_ms: int) -> Iterator[bytes]:
+    """Yield a body as it comes; raises `TimeoutError` if more is missing."""
+    while True:
+        chunk = resp.read1(CHUNK_BYTES)
+        yield chunk
+        if not chunk or resp.length_remaining == 0:
+            return
+        if has_passed(deadline_ms):
+            raise TimeoutError(deadline_ms)
+
+
 def _lines(resp: BaseHTTPResponse) -> Iterator[bytes]:
     pending = b''
     while True:
