Let a leader behind a narrow link learn of jobs again

The leader, on 10 Mbit/s, learned of no new job and of no cancellation any more once the store had dropped its history.

Cause: one short timeout for the whole of an answer. A page of jobs takes longer on that link, so each read of all jobs failed, was begun from the start, and the watch, at its old revision, ended with 410 again.

Now a page and a watch's answer fail when no byte comes for a time, with a bound for the largest answer on the slowest link. Jobs of a page are taken up as it comes, and a read that broke goes on after the last key (PrefixRead). The watch starts from the revision of the first page. A watch that broke without a loss of history goes on where it was, with no read at all. JobBook.load reads likewise.

Ruled out: asking only for what is new, as the store has no such question; stale reads, as a watch may not start from their revision.

tests/test_narrow_link.py failed before: 'AssertionError: not in time: jobs are learned'; now it takes 5.3 s, of which the link needs about 4 for the pages.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -26,6 +26,7 @@
 )
 from gentianpulley.jobs.spec import JobSpec, decode_job, encode_job
 from gentianpulley.logs import EventLog
+from gentianpulley.prefix_read import PrefixRead
 from gentianpulley.store import (
     ABSENT,
     Commit,
@@ -128,9 +129,9 @@
     def load(self) -> tuple[list[Job], int]:
         """Return all jobs that go on, and the revision to watch from."""
         records = self._load_records()
-        snapshot = self._store.reader.read_prefix(JOB_PREFIX)
+        reading = PrefixRead(self._store.reader, JOB_PREFIX)
         jobs: dict[str, Job] = {}
-        for entry in snapshot.entries:
+        for entry in self._read_all(reading):
             event = self.event_of(entry)
             if event is None:
                 continue
@@ -140,7 +141,7 @@
             job = _loaded(event.spec, records.get(event.job_id))
             if job is not None:
                 jobs[event.job_id] = job
-        return list(jobs.values()), snapshot.revision
+        return list(jobs.values()), reading.revision
 
     def event_of(self, entry: Entry) -> JobEvent | None:
         """Decode an entry below the jobs' prefix; None if it is damaged."""
@@ -183,7 +184,8 @@
 
     def _load_records(self) -> dict[str, JobRecord]:
         records = {}
-        for entry in self._store.reader.read_prefix(RECORD_PREFIX).entries:
+        reading = PrefixRead(self._store.reader, RECORD_PREFIX)
+        for entry in self._read_all(reading):
             job_id = entry.key.removeprefix(RECORD_PREFIX)
             self._revisions[job_id] = entry.revision
             try:
@@ -196,6 +198,18 @@
                 self._ended[job_id] = (record.ended_ms, record.queue)
         return records
 
+    def _read_all(self, reading: PrefixRead) -> Iterator[Entry]:
+        while not reading.is_over:
+            yield from self._insist(reading)
+
+    def _insist(self, reading: PrefixRead) -> tuple[Entry, ...]:
+        """Return the next page; raises `StoreError` if it fails again."""
+        try:
+            return reading.next_page()
+        except StoreError as exc:
+            self._log.store_trouble(exc.text)
+        return reading.next_page()
+
     def _save_batch(self, batch: list[Job]) -> None:
         saved_ms = now_ms()
         guards = [self._record_guard(job) for job in batch]
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -1,7 +1,8 @@
 """Threads of a leader that follow the workers' directory and the jobs.
 
-Both read everything anew after their watch broke: what they know already
-stays, so reading twice does no harm.
+A watch that broke goes on where it was. Once the store has dropped that
+history, everything is read anew: what is known already stays, so reading twice
+does no harm.
 """
 
 from abc import ABC, abstractmethod
@@ -24,9 +25,10 @@
 from gentianpulley.cluster.office import Office
 from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.deadline import now_ms
-from gentianpulley.errors import StoreError
+from gentianpulley.errors import StoreCompactedError, StoreError
 from gentianpulley.jobs.job import create_job
-from gentianpulley.store import ChangeBatch, Store
+from gentianpulley.prefix_read import PrefixRead
+from gentianpulley.store import ChangeBatch, Entry, Store
 
 RETRY_S: Final = 0.2
 """Pause after a failed call to the store."""
@@ -39,21 +41,37 @@
 class LeaderWatch(ABC):
     """Follows one part of the store until the tenure is over."""
 
-    def __init__(self, office: Office) -> None:
-        """Report to an office."""
+    def __init__(self, office: Office, name: str) -> None:
+        """Report to an office; `name` is that of what is followed."""
         self.office = office
+        self._name = name
+        self._revision = 0
+        self._seen_ms = now_ms()
 
     def run(self, revision: int) -> None:
-        """Follow from a revision; reads anew whenever the watch breaks."""
+        """Follow from a revision, and from what was read after a loss."""
+        self._revision = revision
         while not self.office.tenure.is_over():
             try:
-                self.follow(revision)
+                self.follow(self._revision)
             except DeposedError as exc:
                 self.office.resign(exc.text)
-            except StoreError as exc:
-                self.office.log.store_trouble(exc.text)
+            except StoreCompactedError as gone:
+                self._note_trouble(gone)
                 Event().wait(RETRY_S)
-                revision = self._read_again(revision)
+                self._read_again()
+            except StoreError as broken:
+                self._note_trouble(broken)
+                Event().wait(RETRY_S)
+
+    def note_seen(self) -> None:
+        """Note that a part of what is stored was just seen."""
+        self._seen_ms = now_ms()
+
+    def note_followed(self, revision: int) -> None:
+        """Note that all changes up to a revision were taken up."""
+        self._revision = max(self._revision, revision)
+        self.note_seen()
 
     @abstractmethod
     def follow(self, revision: int) -> None:
@@ -63,14 +81,16 @@
     def read_all(self) -> int:
         """Report everything that is there; returns the revision."""
 
-    def _read_again(self, revision: int) -> int:
+    def _note_trouble(self, exc: StoreError) -> None:
+        self.office.log.store_trouble(exc.text)
+
+    def _read_again(self) -> None:
         try:
-            return self.read_all()
+            self.note_followed(self.read_all())
         except DeposedError as exc:
             self.office.resign(exc.text)
         except StoreError as exc:
-            self.office.log.store_trouble(exc.text)
-        return revision
+            self._note_trouble(exc)
 
 
 class WorkerWatch(LeaderWatch):
@@ -88,7 +108,7 @@
         notes: LeaderNotes,
     ) -> None:
         """Begin with the roster that former leaders left."""
-        super().__init__(office)
+        super().__init__(office, 'workers')
         self._directory = directory
         self._links = links
         self._notes = notes
@@ -99,6 +119,7 @@
         """Report workers that come, change and go."""
         for batch in self._directory.watch(revision):
             self._note_news(batch.news)
+            self.note_followed(batch.revision)
             if self.office.tenure.is_over():
                 break
 
@@ -167,28 +188,39 @@
 
     def __init__(self, office: Office, store: Store, book: JobBook) -> None:
         """Read from a store."""
-        super().__init__(office)
+        super().__init__(office, 'jobs')
         self._store = store
         self._book = book
+        self._reading = PrefixRead(store, JOB_PREFIX)
 
     def follow(self, revision: int) -> None:
         """Report jobs and cancellations that are new."""
         for batch in self._store.watch(JOB_PREFIX, revision):
             self._note_changes(batch)
+            self.note_followed(batch.revision)
             if self.office.tenure.is_over():
                 break
 
     def read_all(self) -> int:
-        """Report all jobs; known ones stay as they are."""
-        snapshot = self._store.read_prefix(JOB_PREFIX)
-        self._await_certainty()
-        if self.office.tenure.is_over():
-            return snapshot.revision
-        for entry in snapshot.entries:
+        """Report all jobs; known ones stay as they are.
+
+        Goes on where the last read broke.
+        """
+        for page in self._reading.pages():
+            self.note_seen()
+            self._await_certainty()
+            if self.office.tenure.is_over():
+                break
+            self._note_page(page)
+        revision = self._reading.revision
+        self._reading = PrefixRead(self._store, JOB_PREFIX)
+        return revision
+
+    def _note_page(self, page: tuple[Entry, ...]) -> None:
+        for entry in page:
             event = self._book.event_of(entry)
             if event is not None and not self._book.has_ended(event.job_id):
                 self._note_event(event)
-        return snapshot.revision
 
     def _await_certainty(self) -> None:
         """Wait until no other instance can have led since the batch came.
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -7,6 +7,7 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from typing import Final, TypeVar
 from urllib.parse import quote
 
@@ -22,7 +23,12 @@
     StoreRefusedError,
     StoreUnreachableError,
 )
-from gentianpulley.http_conn import HttpAddress, HttpAnswer, HttpConn
+from gentianpulley.http_conn import (
+    HttpAddress,
+    HttpAnswer,
+    HttpConn,
+    Patience,
+)
 from gentianpulley.messages import store_refused
 from gentianpulley.platform.wire import (
     WireCommit,
@@ -35,6 +41,7 @@
     WireRange,
     WireTransaction,
 )
+from gentianpulley.prefix_read import PrefixRead
 from gentianpulley.store import (
     Change,
     ChangeBatch,
@@ -42,6 +49,7 @@
     Entry,
     Guard,
     GuardedWrite,
+    Page,
     Snapshot,
     Store,
     StoreLease,
@@ -52,6 +60,22 @@
 CALL_TIMEOUT_MS: Final = 1000
 """The store answers in milliseconds; when it is slow, in a quarter second."""
 
+QUIET_MS: Final = 1500
+"""How long no byte of an answer may come: a slow answer of the store, behind
+what else is queued on a narrow link."""
+
+LARGEST_ANSWER_BYTES: Final = 1_500_000
+"""A page holds a megabyte of values, which travel as base64, and keys."""
+
+SLOWEST_LINK_BYTES_PER_S: Final = 300_000
+"""What a link of 5 Mbit/s leaves to one answer, as half of it may serve other
+calls."""
+
+LARGE_ANSWER_MS: Final = (
+    QUIET_MS + LARGEST_ANSWER_BYTES * MS_PER_SECOND // SLOWEST_LINK_BYTES_PER_S
+)
+"""How long the largest answer takes on the slowest link."""
+
 COMMIT_TIMEOUT_MS: Final = 600
 """A write is one small call; twice as long as the store takes when it is slow.
 Callers wait for two of them."""
@@ -61,7 +85,7 @@
 read again, within the site's bound on a cfg."""
 
 WATCH_SLACK_MS: Final = 500
-"""How much later than its wait a watch is answered at the latest."""
+"""How much later than its wait a watch begins to be answered at the latest."""
 
 MAX_CONNS: Final = 8
 
@@ -95,17 +119,21 @@
         The revision is that of the first page: a watch from there shows again
         what changed between the pages.
         """
-        pages: list[WireRange] = []
+        reading = PrefixRead(self, prefix)
+        entries = [entry for page in reading.pages() for entry in page]
+        return Snapshot(tuple(entries), reading.revision)
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return one page; it fails when no byte of it comes for a while."""
         path = f'kv-range?prefix={quote(prefix, safe="")}'
-        after = ''
-        while not pages or pages[-1].is_truncated:
-            page = _decoded(self._call('GET', f'{path}{after}'), WireRange)
-            pages.append(page)
-            if not page.items:
-                break
-            after = f'&after={quote(page.items[-1].key, safe="")}'
-        entries = [_entry(found) for page in pages for found in page.items]
-        return Snapshot(tuple(entries), pages[0].store_revision)
+        if after:
+            path = f'{path}&after={quote(after, safe="")}'
+        page = _decoded(self._fetch(path, QUIET_MS), WireRange)
+        return Page(
+            tuple(map(_entry, page.items)),
+            page.store_revision,
+            is_last=not page.is_truncated or not page.items,
+        )
 
     def write(self, writes: Sequence[GuardedWrite]) -> tuple[Verdict, ...]:
         """Try each write on its own, one call each."""
@@ -166,10 +194,9 @@
         path = f'kv-watch?prefix={quote(prefix, safe="")}'
         after = revision
         while True:
-            answer = self._call(
-                'GET',
+            answer = self._fetch(
                 f'{path}&after={after}&wait_ms={WATCH_WAIT_MS}',
-                timeout_ms=WATCH_WAIT_MS + WATCH_SLACK_MS,
+                WATCH_WAIT_MS + WATCH_SLACK_MS,
             )
             if answer.status == _GONE:
                 raise StoreCompactedError(store_refused(prefix, _GONE))
@@ -188,23 +215,39 @@
         body: bytes = b'',
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> HttpAnswer:
+        with self._counted(path):
+            answer = self._conn.call(
+                method,
+                f'/gentianpulley/{path}',
+                deadline_in(timeout_ms),
+                body,
+            )
+        _check_status(answer.status, path)
+        return answer
+
+    def _fetch(self, path: str, quiet_ms: int) -> HttpAnswer:
+        """Return an answer that may be large."""
+        patience = Patience(
+            deadline_in(quiet_ms + LARGE_ANSWER_MS), quiet_ms / MS_PER_SECOND
+        )
+        with self._counted(path):
+            answer = self._conn.fetch(f'/gentianpulley/{path}', patience)
+        _check_status(answer.status, path)
+        return answer
+
+    @contextmanager
+    def _counted(self, path: str) -> Iterator[None]:
+        """Count and time a call; its failures become those of a store."""
         kind = _kind(path)
         self._counters.add('store_calls')
         self._counters.add(f'store_{kind}_calls')
         try:
             with self._counters.timed(f'store_{kind}'):
-                answer = self._conn.call(
-                    method,
-                    f'/gentianpulley/{path}',
-                    deadline_in(timeout_ms),
-                    body,
-                )
+                yield
         except HttpUnreachableError as exc:
             raise StoreUnreachableError(exc.text) from exc
         except HttpSilentError as exc:
             raise StoreAnswerLostError(exc.text) from exc
-        _check_status(answer.status, path)
-        return answer
 
 
 def connect_kv_store(address: HttpAddress, counters: Counters) -> KvStore:
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -30,6 +30,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Some entries below a prefix, in the order of their keys.
+
+    `revision` is that of the store when it was read. Pages that are read one
+    after the other are no snapshot.
+    """
+
+    entries: tuple[Entry, ...]
+    revision: int
+    is_last: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Put:
     """A value to be written, bound to a lease unless `lease_id` is zero."""
@@ -136,6 +149,15 @@
     def read_prefix(self, prefix: str) -> Snapshot:
         """Return all entries whose keys start with `prefix`."""
 
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return entries below `prefix` whose keys come after `after`.
+
+        A store that does not page its answers returns all of them.
+        """
+        snapshot = self.read_prefix(prefix)
+        entries = tuple(each for each in snapshot.entries if each.key > after)
+        return Page(entries, snapshot.revision, is_last=True)
+
     @abstractmethod
     def write(self, writes: Sequence[GuardedWrite]) -> tuple[Verdict, ...]:
         """Try each write on its own, in one call; verdicts in order."""
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -109,11 +109,14 @@
         self.workers[worker_id] = worker
         return worker
 
-    def add_node(self) -> Node:
-        """Start a node and wait until it is ready."""
+    def add_node(self, store_port: int = 0) -> Node:
+        """Start a node and wait until it is ready.
+
+        `store_port` is that of a link to the store, if there is one between.
+        """
         text = node_file(
             f'n{len(self.nodes)}',
-            self.store.port,
+            store_port or self.store.port,
             _address_of(self.adviser),
             _address_of(self.machines),
         )
--- a/standins/grid_store.py
+++ b/standins/grid_store.py
@@ -49,6 +49,7 @@
         self._revision = 1
         self._items: dict[str, Json] = {}
         self._history: list[Json] = []
+        self._forgotten = 0
         self._leases: dict[int, _Lease] = {}
         self._last_lease = 0
 
@@ -92,6 +93,14 @@
             self._delete(key)
             self._changed.notify_all()
 
+    def forget_history(self) -> None:
+        """Drop all events so far; watches from before them end with 410."""
+        with self._changed:
+            self._revision += 1
+            self._history.clear()
+            self._forgotten = self._revision
+            self._changed.notify_all()
+
     def item(self, key: str) -> Json | None:
         """Return an item as it is written, None if there is none."""
         with self._changed:
@@ -131,6 +140,8 @@
         with self._changed:
             while True:
                 self._expire()
+                if after < self._forgotten:
+                    return _reply({}, GONE)
                 events = [
                     event
                     for event in self._history
--- a/standins/tcp_proxy.py
+++ b/standins/tcp_proxy.py
@@ -4,12 +4,14 @@
 import select
 import socket
 import threading
+import time
 from contextlib import suppress
 from typing import Final
 
 HOST: Final = '127.0.0.1'
 CHUNK: Final = 65536
 POLL_S: Final = 0.1
+NARROW_CHUNK: Final = 4096
 
 
 class LinkState(enum.Enum):
@@ -25,6 +27,23 @@
     ONE_WAY = 'one-way'
 
 
+class _Lane:
+    """One direction of a link; all connections share its bandwidth."""
+
+    def __init__(self, bytes_per_s: int) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._lock = threading.Lock()
+        self._free_s: float = 0
+
+    def pass_through(self, count: int) -> None:
+        """Return once that many bytes have passed."""
+        with self._lock:
+            begins_s = max(self._free_s, time.monotonic())
+            self._free_s = begins_s + count / self._bytes_per_s
+            ends_s = self._free_s
+        time.sleep(max(0, ends_s - time.monotonic()))
+
+
 class TcpProxy:
     """Carries connections to one address until told to fail."""
 
@@ -34,6 +53,7 @@
         self._state = LinkState.UP
         self._generation = 0
         self._silenced_below = 0
+        self._lanes: dict[bool, _Lane] = {}
         self._listener = socket.create_server((HOST, 0), backlog=128)
         self.port = int(self._listener.getsockname()[1])
         self._open: set[socket.socket] = set()
@@ -46,6 +66,12 @@
             for conn in tuple(self._open):
                 _reset(conn)
 
+    def narrow(self, bytes_per_s: int) -> None:
+        """Carry no more than that in each direction from now on."""
+        self._lanes = {
+            is_request: _Lane(bytes_per_s) for is_request in (True, False)
+        }
+
     def retarget(self, port: int) -> None:
         """Carry new connections to another port."""
         self._target = port
@@ -96,13 +122,16 @@
         while True:
             readable, _, _ = select.select([client, server], [], [], POLL_S)
             for conn in readable:
-                body = conn.recv(CHUNK)
+                body = conn.recv(NARROW_CHUNK if self._lanes else CHUNK)
                 if not body:
                     return
-                if self._carries(conn is client, generation):
+                if self._carries(conn is client, generation, len(body)):
                     other[conn].sendall(body)
 
-    def _carries(self, is_request: bool, generation: int) -> bool:
+    def _carries(self, is_request: bool, generation: int, size: int) -> bool:
+        lane = self._lanes.get(is_request)
+        if lane is not None:
+            lane.pass_through(size)
         if generation < self._silenced_below:
             return False
         if self._state is LinkState.ONE_WAY:
--- /dev/null
+++ b/tests/test_narrow_link.py
@@ -0,0 +1,85 @@
+"""An instance whose link to the store is narrow, with many stored jobs."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import pytest
+
+from gentianpulley.cluster.job_book import cancel_key, job_key
+from gentianpulley.jobs.spec import JobSpec, QueuePolicy, StepSpec, encode_job
+from gentianpulley.platform.daemon import Node
+from gentianpulley.resources import Resources
+from standins.grid_site import Site, cfg_document, wait_until
+from standins.grid_store import GridStore
+from standins.tcp_proxy import TcpProxy
+
+NARROW_BYTES_PER_S = 250_000
+STORED_JOBS = 150
+STORED_BYTES = 5000
+RUNNING_ID = '00000000000000a1'
+NEW_ID = '00000000000000a2'
+FITTING = 'fitting'
+
+
+@dataclass(frozen=True)
+class NarrowSite:
+    """A site of one worker, and the link of its nodes to the store."""
+
+    site: Site
+    link: TcpProxy
+
+    def add_node(self) -> Node:
+        """Start a node behind the link."""
+        return self.site.add_node(self.link.port)
+
+    def running(self) -> list[str]:
+        """Return the ids of the jobs whose tasks run."""
+        tasks = self.site.workers['w1'].running()
+        return [task.partition('.')[0] for task in tasks]
+
+
+@pytest.fixture
+def narrow() -> Iterator[NarrowSite]:
+    """Return a site with many stored jobs that no worker can serve."""
+    store = GridStore()
+    store.run_in_background()
+    store.put('op/config', cfg_document(3))
+    for number in range(STORED_JOBS):
+        _store_job(store, f'{number:016x}', 'elsewhere', 'x' * STORED_BYTES)
+    site = Site(store)
+    site.add_worker('w1')
+    link = TcpProxy(store.port)
+    yield NarrowSite(site, link)
+    site.close()
+    link.close()
+
+
+def _store_job(
+    store: GridStore, job_id: str, service: str, payload: str
+) -> None:
+    policy = QueuePolicy('queue', service, 0, 3, 2, 1000)
+    steps = (StepSpec(1, Resources(4000, 100, 0), 1000),)
+    spec = JobSpec(job_id, payload, policy, steps, 1)
+    store.put(job_key(job_id), encode_job(spec))
+
+
+def _store_long_job(store: GridStore, job_id: str) -> None:
+    _store_job(store, job_id, FITTING, json.dumps({'ms': 60_000}))
+
+
+def test_a_leader_learns_of_jobs_again_after_the_history_was_dropped(
+    narrow: NarrowSite,
+) -> None:
+    store = narrow.site.store
+    node = narrow.add_node()
+    wait_until(lambda: node.is_leading)
+    _store_long_job(store, RUNNING_ID)
+    wait_until(lambda: narrow.running() == [RUNNING_ID])
+    narrow.link.narrow(NARROW_BYTES_PER_S)
+    store.forget_history()
+    store.put(cancel_key(RUNNING_ID), b'')
+    _store_long_job(store, NEW_ID)
+    store.forget_history()
+    wait_until(lambda: narrow.running() == [NEW_ID], 12, 'jobs are learned')
+    assert node.is_leading
