Keep the leader's key while a narrow link loads the jobs

Callers saw nothing yet: where all instances have narrow links, none could have taken over.

Cause: no renewal is sent while a new leader loads, so a load that takes longer than the 2 s of the key's lease ends with the key lost, for ever.

Now a thread renews the key until the leader is open. The election is the same.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -5,10 +5,12 @@
 """
 
 import random
+from contextlib import closing
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
 from gentianpulley.cluster.job_book import LEADER_KEY
+from gentianpulley.cluster.key_keeper import KeyKeeper
 from gentianpulley.cluster.leader import (
     Leader,
     LeaderParts,
@@ -138,7 +140,7 @@
         leader.close_domains(self._domains)
         self._tenure = tenure
         try:
-            leader.open()
+            self._open(leader, tenure)
         except StoreError:
             leader.close()
             self._end_lease()
@@ -147,17 +149,25 @@
         leader.close_domains(self._domains)
         leader.open_waves(self._waves)
 
+    def _open(self, leader: Leader, tenure: Tenure) -> None:
+        keeper = KeyKeeper(lambda: self._extend(tenure), RENEW_S, self.log)
+        with closing(keeper):
+            leader.open()
+
     def _renew(self, leader: Leader) -> None:
         tenure = self._tenure
+        if tenure is not None and not tenure.is_over():
+            self._extend(tenure)
         if tenure is None or tenure.is_over():
             self._step_down(leader)
-            return
+
+    def _extend(self, tenure: Tenure) -> None:
+        """Renew the key; the tenure ends if its lease has lapsed."""
         sent_ms = now_ms()
         if self._lease is not None:
             self._lease = self._store.keep_alive(self._lease)
         if self._lease is None:
             tenure.resign('the lease of the key has lapsed')
-            self._step_down(leader)
             return
         tenure.extend(
             tenure_end_ms(sent_ms, self._parts.timing), certain_end_ms(sent_ms)
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -83,3 +83,13 @@
     store.forget_history()
     wait_until(lambda: narrow.running() == [NEW_ID], 12, 'jobs are learned')
     assert node.is_leading
+
+
+def test_an_instance_behind_a_narrow_link_takes_over(
+    narrow: NarrowSite,
+) -> None:
+    _store_long_job(narrow.site.store, NEW_ID)
+    narrow.link.narrow(NARROW_BYTES_PER_S)
+    node = narrow.add_node()
+    wait_until(lambda: narrow.running() == [NEW_ID], 12, 'the job runs')
+    assert node.is_leading
