Let a leader that sees nothing hand the office over

Now it resigns, with a reason in its log, once it has seen no page and no change for as long as a succession takes (handover_ms). That counts only while the store answers renewals: a store that is down for all moves no office. A leader that sees all by reading again and again keeps it.

tests/test_blind_leader.py failed before: 'assert False is True', as the tenure of the blind leader was not over.

--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -2,7 +2,8 @@
 
 A watch that broke goes on where it was. Once the store has dropped that
 history, everything is read anew: what is known already stays, so reading twice
-does no harm.
+does no harm. A leader that can do neither for long,
+while the store answers the renewals of its key, leaves the office to another.
 """
 
 from abc import ABC, abstractmethod
@@ -82,7 +83,18 @@
         """Report everything that is there; returns the revision."""
 
     def _note_trouble(self, exc: StoreError) -> None:
+        """Resign once nothing was seen for as long as a succession takes.
+
+        That time counts only while the store answers renewals: a store that
+        is down is down for every successor as well.
+        """
         self.office.log.store_trouble(exc.text)
+        at_ms = now_ms()
+        if not self.office.tenure.is_certain(at_ms):
+            self._seen_ms = at_ms
+        blind_ms = at_ms - self._seen_ms
+        if blind_ms > self.office.reign.timing.handover_ms:
+            self.office.resign(f'{self._name} not seen for {blind_ms} ms')
 
     def _read_again(self) -> None:
         try:
--- /dev/null
+++ b/tests/test_blind_leader.py
@@ -0,0 +1,67 @@
+"""When a leader that sees nothing of the store leaves the office."""
+
+import threading
+import time
+
+import pytest
+
+from gentianpulley.cluster.leader_watches import LeaderWatch
+from gentianpulley.cluster.office import Office, Tenure
+from gentianpulley.cluster.scheduler import create_scheduler
+from gentianpulley.cluster.scheduler_state import Reign
+from gentianpulley.cluster.timing import Timing
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import deadline_in, now_ms
+from gentianpulley.errors import StoreAnswerLostError, StoreCompactedError
+from gentianpulley.logs import EventLog
+
+TIMING = Timing(
+    lease_ms=100, max_lease_ms=100, tenure_ms=100, stop_ms=50, look_ms=50
+)
+LONG_MS = 60_000
+WATCHED_S = 1.5
+
+
+class GoneWatch(LeaderWatch):
+    """A watch that always ends, with reads that may work."""
+
+    def __init__(self, office: Office, can_read: bool) -> None:
+        """Read only if `can_read`."""
+        super().__init__(office, 'jobs')
+        self._can_read = can_read
+
+    def follow(self, revision: int) -> None:
+        """End at once."""
+        raise StoreCompactedError('gone')
+
+    def read_all(self) -> int:
+        """Return a revision, or lose the answer."""
+        if self._can_read:
+            return 1
+        raise StoreAnswerLostError('lost')
+
+
+@pytest.mark.parametrize(
+    ('can_read', 'certain_ms', 'resigns'),
+    [
+        (False, LONG_MS, True),
+        (False, 0, False),
+        (True, LONG_MS, False),
+    ],
+    ids=['blind', 'the store is down for all', 'sees by reading'],
+)
+def test_a_leader_resigns_only_if_another_may_see_more(
+    can_read: bool, certain_ms: int, resigns: bool
+) -> None:
+    log = EventLog()
+    tenure = Tenure(deadline_in(LONG_MS), deadline_in(certain_ms))
+    reign = Reign(1, now_ms(), frozenset(), TIMING)
+    office = Office(
+        create_scheduler(reign, log), tenure, create_counters(), log
+    )
+    watch = GoneWatch(office, can_read=can_read)
+    threading.Thread(target=watch.run, args=(1,), daemon=True).start()
+    time.sleep(WATCHED_S)
+    assert tenure.is_over() is resigns
+    assert ('not seen' in tenure.reason) is resigns
+    tenure.resign('the test is over')
