Sample whole jobs in the log instead of dropping lines at random

The decision is now made before a line is built: jobs are chosen by a hash of their ids, the same on every instance; the share follows the measured volume, and a decision stands. A chosen job whose lines pass the bound (300 a second, 1000 at once) is given up from there on and counted. Rare events, failures and endless tasks never ask and keep the sink's own bound, which lines of chosen jobs no longer use up. A job is followed from its first failed run on. Trouble with one worker is told every five seconds at most, with a count.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -259,20 +259,24 @@
             stops = self.scheduler.moves(at_ms)
             orders = self.scheduler.plan(at_ms)
             self.counters.set('jobs_waiting', self.scheduler.waiting_jobs())
-            workers = [
-                self.scheduler.workers[order.worker_id] for order in orders
-            ]
+            places = [self._place_of(order) for order in orders]
         self.plan_cost_s = time.monotonic() - began_s
         self.dispatch(stops)
         self.dispatch(orders)
-        for order, worker in zip(orders, workers, strict=True):
+        for order, (worker, is_endless) in zip(orders, places, strict=True):
             self.log.run_ordered(
                 order.key,
                 worker.worker_id,
                 _load_percent(worker),
                 at_ms - worker.heard_ms,
+                is_endless=is_endless,
             )
 
+    def _place_of(self, order: StartOrder) -> tuple[Worker, bool]:
+        """Return where a run was placed, and whether it is endless."""
+        worker = self.scheduler.workers[order.worker_id]
+        return worker, worker.charges[order.key].spec.is_endless
+
 
 def _load_percent(worker: Worker) -> int:
     capacity = max(1, worker.facts.capacity.processors_milli)
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -224,7 +224,12 @@
             return []
         job.note_begun()
         task = step.tasks[row.key.task_id.ordinal]
-        self.log.run_ended(row.key, worker.worker_id, row.cause.value)
+        self.log.run_ended(
+            row.key,
+            worker.worker_id,
+            row.cause.value,
+            is_endless=step.spec.is_endless,
+        )
         is_current = is_current_run(worker, step, row.key)
         if row.cause is EndCause.FAILED:
             worker.note_failed(now_ms)
--- a/src/gentianpulley/log_sink.py
+++ b/src/gentianpulley/log_sink.py
@@ -2,7 +2,9 @@
 
 Lines wait in a bounded queue for one writer thread. What comes faster than
 `MAX_LINES_PER_S`, or finds the queue full because nobody reads the pipe, is
-left out and counted; the next line that is written says how many.
+left out and counted; the next line that is written says how many. Lines that
+the gate has admitted have a bound of their own there, so they take nothing
+from the others.
 """
 
 import os
@@ -14,7 +16,7 @@
 import msgspec
 
 MAX_LINES_PER_S: Final = 600
-"""Three lines for each task of a site that starts 200 tasks a second."""
+"""Lines of rare events; three for each of 200 tasks that all go wrong."""
 
 MAX_WAITING_LINES: Final = 2000
 """Lines of some 200 bytes: less than half a megabyte."""
@@ -29,8 +31,14 @@
 FLUSH_S: Final = 0.5
 """How long a process that ends waits for its last lines."""
 
-_LEFT_OUT_FIELDS: Final = ('task_uuid', 'task_level')
-"""Fields of the logging library that say nothing of single events."""
+ADMITTED_FIELD: Final = 'is_admitted'
+"""Marks a line that was counted against a bound already; never written."""
+
+MAX_WAITING_ADMITTED: Final = 1500
+"""Waiting lines above which admitted ones are left out for the others."""
+
+_LEFT_OUT_FIELDS: Final = ('task_uuid', 'task_level', ADMITTED_FIELD)
+"""Fields that say nothing of single events."""
 
 Message = dict[str, Any]
 
@@ -54,7 +62,7 @@
 
     def __call__(self, message: Message) -> None:
         """Queue one message, or count it as left out."""
-        if not self._may_queue():
+        if not self._may_queue(is_admitted=ADMITTED_FIELD in message):
             return
         fields = {
             name: told
@@ -79,8 +87,10 @@
         self._came.set()
         self._idle.wait(FLUSH_S)
 
-    def _may_queue(self) -> bool:
+    def _may_queue(self, *, is_admitted: bool) -> bool:
         with self._lock:
+            if is_admitted:
+                return self._may_queue_admitted()
             second = int(monotonic())
             if second != self._second:
                 self._second = second
@@ -92,6 +102,12 @@
                 return False
             return True
 
+    def _may_queue_admitted(self) -> bool:
+        if len(self._waiting) < MAX_WAITING_ADMITTED:
+            return True
+        self._dropped += 1
+        return False
+
     def _write_all(self) -> None:
         while self._came.wait():
             self._came.clear()
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -8,12 +8,13 @@
 import atexit
 import logging
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Final
 
 import eliot
 
-from gentianpulley.log_sink import LogSink
+from gentianpulley.log_gate import LogGate, OpenGate, SamplingGate
+from gentianpulley.log_sink import ADMITTED_FIELD, LogSink
 from gentianpulley.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -21,6 +22,12 @@
 
 _PREFIX: Final = 'gentianpulley:'
 
+_USUAL_ENDS: Final = frozenset(('done', 'stopped'))
+"""Causes of ends that say nothing of trouble."""
+
+_BAD_STATES: Final = frozenset(('failed',))
+"""Final states of jobs that are always told."""
+
 
 def _write_nothing() -> None:
     """Flush where nothing waits to be written."""
@@ -29,12 +36,18 @@
 class EventLog:
     """Writes the events of one instance.
 
-    `flush` waits shortly for lines that are not written yet.
+    `flush` waits shortly for lines that are not written yet. Events that come
+    for every task or job are written if the gate admits them.
     """
 
-    def __init__(self, flush: Callable[[], None] = _write_nothing) -> None:
+    def __init__(
+        self,
+        flush: Callable[[], None] = _write_nothing,
+        gate: LogGate | None = None,
+    ) -> None:
         """Pass events on to the logging library."""
         self.flush = flush
+        self._gate = gate or OpenGate()
 
     def request_accepted(self, request_key: str, work_class: str) -> None:
         """A request passed its checks."""
@@ -85,12 +98,23 @@
         _write('worker_released', worker=worker, epoch=epoch)
 
     def worker_trouble(self, worker: str, detail: str) -> None:
-        """A call to a worker failed."""
-        _write('worker_trouble', worker=worker, detail=detail)
+        """A call to a worker failed; `repeated` counts lines left out."""
+        repeated = self._gate.repeats('worker_trouble', worker)
+        if repeated is not None:
+            _write(
+                'worker_trouble',
+                worker=worker,
+                detail=detail,
+                repeated=repeated,
+            )
 
     def job_stored(self, job_id: str, queue: str, cfg_version: int) -> None:
         """A job was accepted under a version of the cfg."""
-        _write('job_stored', job_id=job_id, queue=queue, cfg=cfg_version)
+        self._gate.report()
+        if self._gate.admits('job_stored', job_id):
+            _write_admitted(
+                'job_stored', job_id=job_id, queue=queue, cfg=cfg_version
+            )
 
     def job_refused(self, job_id: str, reason: str) -> None:
         """A submission could not be read; nothing was stored."""
@@ -106,16 +130,33 @@
 
     def job_state(self, job_id: str, state: str, waited_ms: int) -> None:
         """A job came to its end, `waited_ms` after it was submitted."""
-        _write('job_state', job_id=job_id, state=state, age_ms=waited_ms)
+        self._gate.report()
+        if state in _BAD_STATES:
+            _write('job_state', job_id=job_id, state=state, age_ms=waited_ms)
+        elif self._gate.admits('job_state', job_id):
+            _write_admitted(
+                'job_state', job_id=job_id, state=state, age_ms=waited_ms
+            )
 
     def run_ordered(
-        self, key: 'RunKey', worker: str, load_percent: int, list_age_ms: int
+        self,
+        key: 'RunKey',
+        worker: str,
+        load_percent: int,
+        list_age_ms: int,
+        *,
+        is_endless: bool = False,
     ) -> None:
         """A task was placed.
 
         The load is the worker's reserved share, known from lists of this age.
         """
-        _write_run(
+        write = _write_run
+        if not is_endless:
+            if not self._gate.admits('run_ordered', key.task_id.job_id):
+                return
+            write = _write_admitted_run
+        write(
             'run_ordered',
             key,
             worker,
@@ -123,9 +164,26 @@
             list_age_ms=list_age_ms,
         )
 
-    def run_ended(self, key: 'RunKey', worker: str, cause: str) -> None:
-        """A worker listed the end of a run."""
-        _write_run('run_ended', key, worker, cause=cause)
+    def run_ended(
+        self,
+        key: 'RunKey',
+        worker: str,
+        cause: str,
+        *,
+        is_endless: bool = False,
+    ) -> None:
+        """A worker listed the end of a run.
+
+        A job of which a run ended badly is followed from there on.
+        """
+        job_id = key.task_id.job_id
+        if cause not in _USUAL_ENDS:
+            self._gate.follow(job_id)
+            _write_run('run_ended', key, worker, cause=cause)
+        elif is_endless:
+            _write_run('run_ended', key, worker, cause=cause)
+        elif self._gate.admits('run_ended', job_id):
+            _write_admitted_run('run_ended', key, worker, cause=cause)
 
     def run_adopted(self, key: 'RunKey', worker: str) -> None:
         """A run of an earlier leader goes on under this one."""
@@ -216,15 +274,24 @@
     event: str, key: 'RunKey', worker: str, **fields: str | int
 ) -> None:
     """Write an event of one run, with the ids that lead to its job."""
+    _write(event, **_run_fields(key, worker), **fields)
+
+
+def _write_admitted_run(
+    event: str, key: 'RunKey', worker: str, **fields: str | int
+) -> None:
+    """Write an event of one run that the gate has admitted."""
+    _write_admitted(event, **_run_fields(key, worker), **fields)
+
+
+def _run_fields(key: 'RunKey', worker: str) -> dict[str, str | int]:
     task = key.task_id
-    _write(
-        event,
-        job_id=task.job_id,
-        task=f'{task.occurrence}.{task.step}.{task.ordinal}',
-        run=key.run,
-        worker=worker,
-        **fields,
-    )
+    return {
+        'job_id': task.job_id,
+        'task': f'{task.occurrence}.{task.step}.{task.ordinal}',
+        'run': key.run,
+        'worker': worker,
+    }
 
 
 def start_log(instance: str, failure_domain: str) -> EventLog:
@@ -235,8 +302,18 @@
     atexit.register(sink.flush)
     eliot.add_destinations(sink)
     eliot.add_global_fields(instance=instance, failure_domain=failure_domain)
-    return EventLog(sink.flush)
+    return EventLog(sink.flush, SamplingGate(_write_left_out))
 
 
 def _write(event: str, **fields: str | int) -> None:
     eliot.log_message(message_type=f'{_PREFIX}{event}', **fields)
+
+
+def _write_admitted(event: str, **fields: str | int) -> None:
+    """Write an event that the gate has counted against its own bound."""
+    _write(event, **{ADMITTED_FIELD: 1}, **fields)
+
+
+def _write_left_out(counts: Mapping[str, int], share_percent: int) -> None:
+    """Write how many lines of which kinds were left out."""
+    _write('lines_left_out', share_percent=share_percent, **counts)
--- a/tests/scheduling/model_leader.py
+++ b/tests/scheduling/model_leader.py
@@ -19,7 +19,7 @@
         return _nothing
 
 
-def _nothing(*unused: object) -> None:
+def _nothing(*unused: object, **unused_too: object) -> None:
     """Write nothing."""
 
 
