Give looks and orders a connection each, and use answers that are late

Causes: - The thread that looks and the one that sends orders shared one pool. A failed connect closed it without replacing it, so that the next call of either thread failed as sent: "Pool is closed", an order of unknown outcome made by ourselves. A silent call closed the other's idle connection too. - An answer that came whole after its deadline was thrown away, and each one after it as well, as the 500 ms beyond a look's wait were fixed.

WorkerLine adds the measured delay. A failure closes only its own connection; "never sent" is what failed before the first byte was written. The session's last thread closes the link, no longer the look's thread under an order.

Timeouts: the time allowed beyond a look's wait, and for an order, is the smoothed delay plus four variations, as TCP has it, from 500 ms up to (lease - look) / 2 - 100 ms, doubled after a silent call. The floor finds a dead connection as soon as before while the link is quiet. At the ceiling (1.9 s with the usual bounds) a look that is given up and a next one that takes as long still renew the lease in time. While bytes arrive a call goes on, up to the ceiling; what lies in the socket by then is used however late the thread comes to read it.

Late answers are safe: a listing is judged by when its look was sent, and a clock reading that is paired with a late receipt only makes the lease look longer.

Ruled out: replacing the pool after a failed connect only; it heals the first cause, not the others.

--- /dev/null
+++ b/bench/calls.py
@@ -0,0 +1,90 @@
+"""Measures what one short call costs the calling thread.
+
+Usage: python -m bench.calls [CALLS]
+
+A server in a process of its own answers each request at once. The pool that
+most adapters use and the connection to workers alternate in blocks, so that
+both meet the same machine.
+"""
+
+import sys
+import time
+from collections.abc import Callable
+from multiprocessing import Pipe, Process
+from multiprocessing.connection import Connection
+from statistics import median
+from typing import Final
+
+from gentianpulley.deadline import deadline_in
+from gentianpulley.http_conn import HttpAddress, HttpConn
+from gentianpulley.keep_alive import KeepAliveConn, Patience
+from tests.scripted_server import ScriptedServer, answer
+
+DEFAULT_CALLS: Final = 12_000
+BLOCKS: Final = 12
+TIMEOUT_MS: Final = 1000
+HOST: Final = '127.0.0.1'
+PATH: Final = '/gentianpulley/run-start'
+HEADERS: Final = (('X-Target-Instance', 'i-0123456789'),)
+REQUEST: Final = (
+    b'{"task":"5c0e7a21d94b36f8.0.1.17","run":2,"task_spec":"text",'
+    b'"deadline_ms":486000,"fence_token":7,"checkpoint":""}'
+)
+BODY: Final = b'{"clock_ms":482113,"born":1796415446768}'
+ANSWER: Final = answer(BODY, more=b'Content-Type: application/json\r\n')
+
+
+def main() -> None:
+    """Measure both and print the processor time of a call."""
+    calls = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_CALLS
+    near, far = Pipe()
+    server = Process(target=_serve, args=(far,), daemon=True)
+    server.start()
+    address = HttpAddress(HOST, int(near.recv()))
+    clients = {'pool': _pool(address), 'keep-alive': _keep_alive(address)}
+    costs: dict[str, list[float]] = {name: [] for name in clients}
+    for _ in range(BLOCKS):
+        for name, call in clients.items():
+            costs[name].append(_cost_us(call, calls // BLOCKS))
+    for name, blocks in costs.items():
+        print(
+            f'{name:>10}: {median(blocks):6.1f} us a call '
+            f'(blocks {min(blocks):.1f} to {max(blocks):.1f})'
+        )
+    near.send(None)
+    server.join()
+
+
+def _pool(address: HttpAddress) -> Callable[[], object]:
+    conn = HttpConn(address, 1)
+    return lambda: conn.call(
+        'POST', PATH, deadline_in(TIMEOUT_MS), REQUEST, HEADERS
+    )
+
+
+def _keep_alive(address: HttpAddress) -> Callable[[], object]:
+    conn = KeepAliveConn(address, HEADERS)
+    return lambda: conn.post(PATH, REQUEST, _patience())
+
+
+def _patience() -> Patience:
+    until_ms = deadline_in(TIMEOUT_MS)
+    return Patience(until_ms, TIMEOUT_MS, until_ms)
+
+
+def _cost_us(call: Callable[[], object], calls: int) -> float:
+    began_ns = time.thread_time_ns()
+    for _ in range(calls):
+        call()
+    return (time.thread_time_ns() - began_ns) / calls / 1000
+
+
+def _serve(pipe: Connection) -> None:
+    server = ScriptedServer(lambda _: (ANSWER,))
+    pipe.send(server.port)
+    pipe.recv()
+    server.close()
+
+
+if __name__ == '__main__':
+    main()
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -52,6 +52,15 @@
         """
         return int(self.max_lease_ms / (1 - CLOCK_DRIFT)) + PROOF_SLACK_MS
 
+    @property
+    def longest_slack_ms(self) -> int:
+        """Return how late an answer of a worker is waited for at most.
+
+        A look that is given up after this, and a next one that is answered at
+        this delay, still renew the lease before it runs out.
+        """
+        return (self.lease_ms - self.look_ms) // 2 - PROOF_SLACK_MS
+
     @property
     def handover_ms(self) -> int:
         """Return after how long a former leader's leases are all over.
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -5,6 +5,7 @@
 
 import queue
 import threading
+from collections.abc import Callable
 from typing import Final
 
 from gentianpulley.cluster.link import (
@@ -47,12 +48,16 @@
         self._closed = threading.Event()
         self._is_reached = threading.Event()
         self._threads = [
-            threading.Thread(target=target, name=name, daemon=True)
-            for target, name in (
+            threading.Thread(
+                target=self._run, args=(loop,), name=name, daemon=True
+            )
+            for loop, name in (
                 (self._look_loop, f'look-{worker.worker_id}'),
                 (self._order_loop, f'order-{worker.worker_id}'),
             )
         ]
+        self._ending = threading.Lock()
+        self._running = len(self._threads)
 
     def start(self) -> None:
         """Start both threads."""
@@ -68,6 +73,18 @@
         """Queue an order."""
         self._orders.put(order)
 
+    def _run(self, loop: Callable[[], None]) -> None:
+        """Run a thread; the last one to end closes the link.
+
+        A call of the other one may be under way until then.
+        """
+        loop()
+        with self._ending:
+            self._running -= 1
+            is_last = not self._running
+        if is_last:
+            self._link.close()
+
     def _look_loop(self) -> None:
         wait_ms = 0
         while not self._closed.is_set():
@@ -78,7 +95,6 @@
                 self._is_reached.clear()
                 wait_ms = 0
                 self._closed.wait(RETRY_PAUSE_S)
-        self._link.close()
 
     def _look(self, wait_ms: int) -> bool:
         """Look once; returns whether the worker answered."""
@@ -94,7 +110,7 @@
             return False
         except WorkerGoneError:
             self._office.life_over(self.worker)
-            self._closed.set()
+            self.close()
             return False
         except WorkerError as exc:
             self._office.log.worker_trouble(self.worker.worker_id, exc.text)
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -72,20 +72,21 @@
         counters = create_counters()
         store = connect_kv_store(settings.store, counters)
         self._table = QueueTable(log)
+        timing = create_timing(
+            bounds.max_lease_ms,
+            bounds.contact_ms,
+            bounds.stop_ms,
+            LOOK_MS,
+            bounds.restore_ms,
+            bounds.harm_ms,
+        )
         parts = LeaderParts(
             store=store,
             directory=create_directory(store, log),
-            links=HttpWorkerLinks(),
+            links=HttpWorkerLinks(timing.longest_slack_ms),
             adviser=create_adviser(settings.adviser),
             park=create_machine_park(settings.machines, settings.instance),
-            timing=create_timing(
-                bounds.max_lease_ms,
-                bounds.contact_ms,
-                bounds.stop_ms,
-                LOOK_MS,
-                bounds.restore_ms,
-                bounds.harm_ms,
-            ),
+            timing=timing,
             status_ms=bounds.status_ms,
             upkeep_ms=bounds.upkeep_ms,
             counters=counters,
--- /dev/null
+++ b/src/gentianpulley/platform/worker_line.py
@@ -0,0 +1,63 @@
+"""One connection to a worker and the delay of its answers, for one thread."""
+
+from typing import Final
+
+import msgspec
+
+from gentianpulley.deadline import now_ms
+from gentianpulley.delay_estimate import DelayEstimate
+from gentianpulley.errors import (
+    HttpSilentError,
+    HttpUnreachableError,
+    WorkerSilentError,
+    WorkerUnreachableError,
+)
+from gentianpulley.http_conn import Headers, HttpAddress, HttpAnswer
+from gentianpulley.keep_alive import KeepAliveConn, Patience
+
+SHORTEST_SLACK_MS: Final = 500
+"""How late an answer may always be. Orders are answered in one round trip,
+some ms between failure domains."""
+
+
+class WorkerLine:
+    """Calls one worker, and waits for as long as its answers have taken."""
+
+    def __init__(
+        self, address: HttpAddress, headers: Headers, longest_slack_ms: int
+    ) -> None:
+        """Connect at the first call."""
+        self._conn = KeepAliveConn(address, headers)
+        self._delay = DelayEstimate(SHORTEST_SLACK_MS, longest_slack_ms)
+
+    def call(
+        self, path: str, wire: msgspec.Struct, wait_ms: int = 0
+    ) -> HttpAnswer:
+        """Send a message; the worker may wait before it answers.
+
+        Raises `WorkerUnreachableError` when nothing was sent and
+        `WorkerSilentError` when no answer arrived.
+        """
+        body = msgspec.json.encode(wire)
+        due_ms = now_ms() + wait_ms
+        patience = Patience(
+            due_ms + self._delay.allowed_ms,
+            self._delay.allowed_ms,
+            due_ms + self._delay.ceiling_ms,
+        )
+        try:
+            answer = self._conn.post(f'/gentianpulley/{path}', body, patience)
+        except HttpUnreachableError as exc:
+            raise WorkerUnreachableError(exc.text) from exc
+        except HttpSilentError as exc:
+            self._delay.note_timeout()
+            raise WorkerSilentError(exc.text) from exc
+        late_ms = now_ms() - due_ms
+        if late_ms >= 0:
+            # An answer before the end of its wait tells no delay.
+            self._delay.note(late_ms)
+        return answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._conn.close()
--- a/src/gentianpulley/platform/worker_link.py
+++ b/src/gentianpulley/platform/worker_link.py
@@ -22,16 +22,13 @@
     WorkerLink,
     WorkerLinks,
 )
-from gentianpulley.deadline import deadline_in
 from gentianpulley.errors import (
-    HttpSilentError,
-    HttpUnreachableError,
     WorkerFencedError,
     WorkerGoneError,
     WorkerSilentError,
     WorkerUnreachableError,
 )
-from gentianpulley.http_conn import HttpAnswer, HttpConn, parse_address
+from gentianpulley.http_conn import HttpAnswer, parse_address
 from gentianpulley.messages import worker_answered
 from gentianpulley.platform.task_names import parse_task_name, task_name
 from gentianpulley.platform.wire import (
@@ -43,16 +40,7 @@
     WireStart,
     WireStop,
 )
-
-ORDER_TIMEOUT_MS: Final = 500
-"""Orders are answered in one round trip, some ms between failure domains; an
-order without an answer is sent again."""
-
-LOOK_SLACK_MS: Final = 500
-"""How much later than its wait a look is answered at the latest."""
-
-MAX_CONNS: Final = 2
-"""One for looks and one for orders."""
+from gentianpulley.platform.worker_line import SHORTEST_SLACK_MS, WorkerLine
 
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
@@ -85,12 +73,18 @@
 
 
 class HttpWorkerLink(WorkerLink):
-    """Two keep-alive connections to one life of a worker."""
+    """One connection for looks and one for orders to one life of a worker.
+
+    Each belongs to the thread that calls over it, so that a failure of one
+    breaks no call of the other.
+    """
 
-    def __init__(self, facts: WorkerFacts) -> None:
+    def __init__(self, facts: WorkerFacts, longest_slack_ms: int) -> None:
         """Connect at the first call."""
-        self._conn = HttpConn(parse_address(facts.address), MAX_CONNS)
-        self._headers = ((_EXPECTED_LIFE, facts.worker_id),)
+        address = parse_address(facts.address)
+        headers = ((_EXPECTED_LIFE, facts.worker_id),)
+        self._looks = WorkerLine(address, headers, longest_slack_ms)
+        self._orders = WorkerLine(address, headers, longest_slack_ms)
         self._born_ms = facts.born_ms
 
     def look(self, order: LookOrder) -> Listing:
@@ -101,7 +95,7 @@
             order.lease_worker_ms,
             order.wait_ms,
         )
-        answer = self._order('hold', wire, LOOK_SLACK_MS + order.wait_ms)
+        answer = _checked('hold', self._looks.call('hold', wire, order.wait_ms))
         try:
             lists = LISTS_DECODER.decode(answer.body)
             listing = Listing(
@@ -128,7 +122,7 @@
             order.ticket,
         )
         try:
-            answer = self._call('run-start', wire, ORDER_TIMEOUT_MS)
+            answer = self._orders.call('run-start', wire)
         except WorkerUnreachableError as exc:
             return StartReply(StartVerdict.NOT_SENT, detail=exc.text)
         except WorkerSilentError as exc:
@@ -139,58 +133,48 @@
         """Stop or bar a run; returns once the worker has answered."""
         name = task_name(order.key.task_id)
         wire = WireStop(name, order.key.run, sent.token)
-        self._order('run-stop', wire, ORDER_TIMEOUT_MS)
+        _checked('run-stop', self._orders.call('run-stop', wire))
 
     def pace(self, order: PaceOrder, sent: Sent) -> None:
         """Change the share at which a run works."""
         name = task_name(order.key.task_id)
         wire = WirePace(name, order.key.run, order.percent, sent.token)
-        self._order('pace', wire, ORDER_TIMEOUT_MS)
+        _checked('pace', self._orders.call('pace', wire))
 
     def close(self) -> None:
-        """Close all idle connections."""
-        self._conn.close()
-
-    def _order(
-        self, path: str, wire: msgspec.Struct, timeout_ms: int
-    ) -> HttpAnswer:
-        """Send an order that has to be answered with success."""
-        answer = self._call(path, wire, timeout_ms)
-        if answer.status == _MISDIRECTED:
-            raise WorkerGoneError(worker_answered(answer.status, path))
-        if answer.status == _CONFLICT:
-            reason = _reply(answer).reason
-            if reason == _FENCE:
-                raise WorkerFencedError(worker_answered(_CONFLICT, reason))
-            # The run is not there any more, which the next list shows.
-            return answer
-        if answer.status != _OK:
-            raise WorkerUnreachableError(worker_answered(answer.status, path))
-        return answer
-
-    def _call(
-        self, path: str, wire: msgspec.Struct, timeout_ms: int
-    ) -> HttpAnswer:
-        try:
-            return self._conn.call(
-                'POST',
-                f'/gentianpulley/{path}',
-                deadline_in(timeout_ms),
-                msgspec.json.encode(wire),
-                self._headers,
-            )
-        except HttpUnreachableError as exc:
-            raise WorkerUnreachableError(exc.text) from exc
-        except HttpSilentError as exc:
-            raise WorkerSilentError(exc.text) from exc
+        """Close both connections; no call is under way any more."""
+        self._looks.close()
+        self._orders.close()
 
 
 class HttpWorkerLinks(WorkerLinks):
-    """Opens links to workers at the addresses that they register."""
+    """Opens links to workers at the addresses that they register.
+
+    An answer that arrives late is waited for up to `longest_slack_ms`.
+    """
+
+    def __init__(self, longest_slack_ms: int = SHORTEST_SLACK_MS) -> None:
+        """Wait no longer than given, however slow the answers are."""
+        self._longest_slack_ms = longest_slack_ms
 
     def connect(self, facts: WorkerFacts) -> WorkerLink:
         """Return a link to one life of a worker."""
-        return HttpWorkerLink(facts)
+        return HttpWorkerLink(facts, self._longest_slack_ms)
+
+
+def _checked(path: str, answer: HttpAnswer) -> HttpAnswer:
+    """Return an answer of success, or one that the next look explains."""
+    if answer.status == _MISDIRECTED:
+        raise WorkerGoneError(worker_answered(answer.status, path))
+    if answer.status == _CONFLICT:
+        reason = _reply(answer).reason
+        if reason == _FENCE:
+            raise WorkerFencedError(worker_answered(_CONFLICT, reason))
+        # The run is not there any more, which the next list shows.
+        return answer
+    if answer.status != _OK:
+        raise WorkerUnreachableError(worker_answered(answer.status, path))
+    return answer
 
 
 def _start_reply(answer: HttpAnswer) -> StartReply:
--- /dev/null
+++ b/tests/scripted_server.py
@@ -0,0 +1,134 @@
+"""A TCP server that answers each request as a test's script says."""
+
+import enum
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from typing import Final
+
+HOST: Final = '127.0.0.1'
+CHUNK: Final = 65536
+HEAD_END: Final = b'\r\n\r\n'
+
+RESETTING: Final = struct.pack('ii', 1, 0)
+
+
+class End(enum.Enum):
+    """How the server ends a connection."""
+
+    CLOSED = enum.auto()
+    RESET = enum.auto()
+
+
+Part = bytes | float | End
+"""Bytes are sent, a number is a pause in seconds."""
+
+Script = Callable[[bytes], tuple[Part, ...]]
+"""Returns the parts of the answer to a request."""
+
+
+class ScriptedServer:
+    """Counts connections and keeps requests."""
+
+    def __init__(self, script: Script, port: int = 0) -> None:
+        """Listen."""
+        self.conns = 0
+        self.requests: list[bytes] = []
+        self._script = script
+        self._open: list[socket.socket] = []
+        self._listener = socket.create_server((HOST, port))
+        self.port = int(self._listener.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Return where the server listens."""
+        return f'{HOST}:{self.port}'
+
+    def hang_up(self) -> None:
+        """Close all connections."""
+        for conn in tuple(self._open):
+            with suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        self._listener.close()
+        self.hang_up()
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while self._listener.fileno() >= 0:
+                conn, _ = self._listener.accept()
+                conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.conns += 1
+                self._open.append(conn)
+                threading.Thread(
+                    target=self._serve, args=(conn,), daemon=True
+                ).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with suppress(OSError), conn:
+            while conn.fileno() >= 0:
+                request = _read_request(conn)
+                self.requests.append(request)
+                for part in self._script(request):
+                    _play(conn, part)
+
+
+def _play(conn: socket.socket, part: Part) -> None:
+    if isinstance(part, bytes):
+        conn.sendall(part)
+    elif isinstance(part, End):
+        if part is End.RESET:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
+        raise ConnectionError(part)
+    else:
+        time.sleep(part)
+
+
+def _read_request(conn: socket.socket) -> bytes:
+    received = b''
+    while HEAD_END not in received:
+        received += _receive(conn)
+    head, _, body = received.partition(HEAD_END)
+    length = int(head.lower().split(b'content-length: ')[1].split()[0])
+    while len(body) < length:
+        body += _receive(conn)
+    return head + HEAD_END + body
+
+
+def _receive(conn: socket.socket) -> bytes:
+    chunk = conn.recv(CHUNK)
+    if not chunk:
+        raise ConnectionError
+    return chunk
+
+
+def answer(body: bytes, status: int = 200, more: bytes = b'') -> bytes:
+    """Return an answer with a length."""
+    return b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s' % (
+        status,
+        len(body),
+        more,
+        body,
+    )
+
+
+@contextmanager
+def scripted_server(script: Script) -> Iterator[ScriptedServer]:
+    """Run a server for the time of a block."""
+    server = ScriptedServer(script)
+    try:
+        yield server
+    finally:
+        server.close()
+
+
+def free_port() -> int:
+    """Return a port where nobody listens."""
+    with socket.create_server((HOST, 0)) as listener:
+        return int(listener.getsockname()[1])
