Tell another life of a worker by its birth or by cause, not by a slow answer

What callers would see: with answers waited for by their measured delay, a start that was accepted but answered more than 2.5 s after newer looks ended the life that the leader knew of a healthy worker: all its runs were given back, and started elsewhere beside those that ran on.

Cause: STEP_MS took a clock 2.5 s behind the newest one as another life's, which holds only while answers overtake each other by less.

Change: an answer that carries the worker's birth is judged by it alone. One without (only lists surely carry it) is judged by cause: the worker wrote it after the start was sent, so its clock is not behind what had been heard of that clock by then, however late the answer comes. The bound on time is gone.

--- a/src/gentianpulley/cluster/link.py
+++ b/src/gentianpulley/cluster/link.py
@@ -157,11 +157,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StartReply:
-    """The worker's answer to a start; its clock is zero if it said none."""
+    """The worker's answer to a start; what it did not say is zero."""
 
     verdict: StartVerdict
     clock_worker_ms: int = 0
     detail: str = field(default='')
+    born_ms: int = 0
 
 
 class WorkerLink(ABC):
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -37,10 +37,6 @@
 """How long after its last sending a start without an answer is barred, if the
 worker answers but does not list the run."""
 
-STEP_MS: Final = 2500
-"""A worker's clock that lies further back belongs to another life: answers on
-two connections overtake each other by less than the longest look."""
-
 ENDS_IN_LISTING: Final = 500
 """Ends that a worker lists at a time; a full list may lack later ones."""
 
@@ -95,8 +91,8 @@
         charge = worker.charges.get(order.key) if worker else None
         if worker is None or charge is None:
             return []
-        if 0 < reply.clock_worker_ms < worker.clock.seen_worker_ms - STEP_MS:
-            # Another life answered; it may hold the run.
+        if _is_other_life(worker, charge, reply):
+            # It may hold the run.
             charge.settled_ms = now_ms
             self.drop_life(order.worker_id, now_ms)
             return []
@@ -122,10 +118,12 @@
         if charge is None or charge.settled_ms or charge.is_stopping:
             return False
         # Sending on to a silent worker would put off the end of its lease.
-        heard_ms = self.workers[order.worker_id].heard_ms
-        if now_ms > heard_ms + self.reign.timing.look_ms + SILENT_MS:
+        worker = self.workers[order.worker_id]
+        quiet_ms = now_ms - worker.heard_ms
+        if quiet_ms > self.reign.timing.look_ms + SILENT_MS:
             return False
         charge.last_sent_ms = now_ms
+        charge.sent_worker_ms = worker.clock.seen_worker_ms
         return True
 
     def wants_stop(self, order: StopOrder) -> bool:
@@ -334,6 +332,17 @@
         _avoid(worker, verdict, now_ms)
 
 
+def _is_other_life(worker: Worker, charge: Charge, reply: StartReply) -> bool:
+    """Tell whether a life answered that is not the one that was meant.
+
+    Its clock alone may tell: an answer is written after the start was sent,
+    thus not before what had been heard of that clock by then.
+    """
+    if reply.born_ms and worker.facts.born_ms:
+        return reply.born_ms != worker.facts.born_ms
+    return 0 < reply.clock_worker_ms < charge.sent_worker_ms
+
+
 def _avoid(worker: Worker, verdict: StartVerdict, now_ms: int) -> None:
     """Send nothing to a worker for a while after it did not start a run."""
     if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -32,7 +32,8 @@
     `barred_ms` when it answered a stop; zero means not yet. `is_stopping` says
     that a stop was ordered, `has_lost_start` that a start went unanswered,
     `is_listed` that this life of the worker has listed the run.
-    `last_sent_ms` is when its start was last sent.
+    `last_sent_ms` is when its start was last sent, `sent_worker_ms` what was
+    known of the worker's clock by then.
     `sent_ms` is when the start was ordered, `progressed_ms` when its progress
     was last seen to move.
     `percent` is the pace that the worker was last told, `UNKNOWN_PERCENT` if
@@ -52,6 +53,7 @@
     has_lost_start: bool = False
     is_listed: bool = False
     last_sent_ms: int = 0
+    sent_worker_ms: int = 0
     progress_percent: int = 0
     progressed_ms: int = 0
     percent: int = FULL_PERCENT
--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -169,6 +169,7 @@
     """A worker's answer to an order."""
 
     clock_ms: int = 0
+    born_ms: int = field(name='born', default=0)
     reason: str = ''
 
 
--- a/src/gentianpulley/platform/worker_link.py
+++ b/src/gentianpulley/platform/worker_link.py
@@ -182,7 +182,7 @@
     verdict = _STATUSES.get(answer.status, StartVerdict.LOST)
     if answer.status == _CONFLICT:
         verdict = _REASONS.get(reply.reason, StartVerdict.LOST)
-    return StartReply(verdict, reply.clock_ms, reply.reason)
+    return StartReply(verdict, reply.clock_ms, reply.reason, reply.born_ms)
 
 
 def _reply(answer: HttpAnswer) -> WireReply:
