Let the larger instance lead, and a much larger one take over

Cause: whoever creates the key first leads, and nothing but chance says who.

The key now holds the name and the capacity of the leader (an older value is still read as a name). Candidates wait longer the smaller they are. A healthy candidate of at least twice the leader's size offers to take over, by a key under its own lease, and the leader hands over as at a planned stop.

Ruled out: naming a successor in the key, as one that died would hold up the site for a whole lease.

Why it works: an offer and a wait only decide who tries first. The token, the tenure and the fencing of workers are as they were.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -2,12 +2,17 @@
 
 Every instance campaigns. The revision at which the key was created is the
 leader's token: it rises with each leader and needs no counter of its own.
+Larger instances try first, and a much larger one takes over by an offer that
+the leader answers with a planned hand-over.
 """
 
 import random
+from collections.abc import Callable
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
+from gentianpulley.cluster.candidacy import Candidate, encode_candidate
+from gentianpulley.cluster.candidature import Candidature
 from gentianpulley.cluster.job_book import LEADER_KEY
 from gentianpulley.cluster.leader import (
     Leader,
@@ -18,38 +23,32 @@
 )
 from gentianpulley.cluster.machines import WaveRequest
 from gentianpulley.cluster.office import Tenure
+from gentianpulley.cluster.offers import create_leased_key
 from gentianpulley.cluster.operators import OperatorListener
 from gentianpulley.cluster.timing import LEADER_TTL_S, RENEWALS_IN_TTL
 from gentianpulley.deadline import now_ms
-from gentianpulley.errors import StoreAnswerLostError, StoreError
-from gentianpulley.logs import EventLog
-from gentianpulley.store import (
-    ABSENT,
-    Entry,
-    Guard,
-    Put,
-    StoreLease,
-    Transaction,
-)
+from gentianpulley.errors import StoreError
+from gentianpulley.store import Guard, StoreLease
 
 RENEW_S: Final = LEADER_TTL_S / RENEWALS_IN_TTL
 
-CANDIDATE_DELAY_S: Final = 0.1
-"""Longest random delay of a candidate, so that few try at once."""
-
-WATCH_BROKEN_PAUSE_S: Final = 0.3
-"""Pause after the watch of the leader's key broke."""
+OFFER_LOOK_RENEWALS: Final = 3
+"""A leader looks for an offer with each so many renewals of its key."""
 
 
 class Campaign(BackgroundLoop, OperatorListener):
     """Waits for the leader's key to be free, takes it, and leads."""
 
     def __init__(
-        self, instance: str, parts: LeaderParts, log: EventLog
+        self,
+        own: Candidate,
+        parts: LeaderParts,
+        is_healthy: Callable[[], bool],
     ) -> None:
-        """Prepare the thread; `instance` names this instance in the key."""
-        super().__init__('campaign', RENEW_S, log)
-        self._instance = instance
+        """Prepare the thread; `own` stands in the key while leading."""
+        super().__init__('campaign', RENEW_S, parts.log)
+        self._candidature = Candidature(own, parts, is_healthy)
+        self._renewals = 0
         self._parts = parts
         self._store = parts.store
         self._lease: StoreLease | None = None
@@ -91,6 +90,10 @@
     def hand_over(self) -> None:
         """Stop campaigning; a leader writes its state and frees the key."""
         self.stop()
+        self._free_key()
+        self._candidature.withdraw()
+
+    def _free_key(self) -> None:
         leader = self._leader
         self._leader = None
         if leader is not None:
@@ -99,38 +102,35 @@
 
     def _campaign(self) -> None:
         snapshot = self._store.read_prefix(LEADER_KEY)
-        held = [entry for entry in snapshot.entries if entry.key == LEADER_KEY]
-        if held:
-            self._await_vacancy(held[0], snapshot.revision)
+        if self._candidature.take(snapshot.entries):
+            self._await_vacancy(snapshot.revision)
         if self.is_stopping:
             return
-        self.pause(random.uniform(0, CANDIDATE_DELAY_S))
+        wait = self._candidature.wait()
+        if wait.most_s:
+            self.pause(random.uniform(wait.least_s, wait.most_s))
+        # Another one leads by now, likely: one read instead of three calls.
+        if wait.least_s and self._store.read(LEADER_KEY) is not None:
+            return
         self._try_to_lead()
 
-    def _await_vacancy(self, held: Entry, revision: int) -> None:
+    def _await_vacancy(self, revision: int) -> None:
         """Return once the key was deleted; raises `StoreError`."""
         for batch in self._store.watch(LEADER_KEY, revision):
-            if self.is_stopping:
-                return
-            if any(change.entry is None for change in batch.changes):
+            if self.is_stopping or self._candidature.note(batch.changes):
                 return
+            self._candidature.update_offer()
 
     def _try_to_lead(self) -> None:
         sent_ms = now_ms()
-        lease = self._store.grant_lease(LEADER_TTL_S)
-        put = Put(LEADER_KEY, self._instance.encode(), lease.lease_id)
-        txn = Transaction((Guard(LEADER_KEY, ABSENT),), (put,))
-        try:
-            commit = self._store.commit(txn)
-        except StoreAnswerLostError:
-            self._store.revoke(lease)
-            raise
-        if not commit.applied:
-            self._store.revoke(lease)
+        body = encode_candidate(self._candidature.own)
+        made = create_leased_key(self._store, LEADER_KEY, body, LEADER_TTL_S)
+        if made is None:
             return
-        self._lease = lease
-        self._token = commit.revision
+        self._lease = made.lease
+        self._token = made.revision
         self._lead(sent_ms)
+        self._candidature.withdraw()
 
     def _lead(self, sent_ms: int) -> None:
         tenure = open_tenure(sent_ms, self._parts.timing)
@@ -162,6 +162,16 @@
         tenure.extend(
             tenure_end_ms(sent_ms, self._parts.timing), certain_end_ms(sent_ms)
         )
+        self._renewals += 1
+        if self._renewals % OFFER_LOOK_RENEWALS == 0:
+            self._answer_offer()
+
+    def _answer_offer(self) -> None:
+        """Hand over to a much larger candidate that has offered."""
+        offer = self._candidature.accept_offer()
+        if offer is not None:
+            self.log.candidacy('hands over', offer.instance)
+            self._free_key()
 
     def _step_down(self, leader: Leader) -> None:
         self._leader = None
--- /dev/null
+++ b/src/gentianpulley/cluster/candidature.py
@@ -0,0 +1,96 @@
+"""What an instance knows of the leader and of offers, and its own offer."""
+
+from collections.abc import Callable, Iterable
+
+from gentianpulley.cluster.candidacy import (
+    HAND_OVER_GAP_MS,
+    Candidate,
+    Wait,
+    decode_candidate,
+    should_hand_over,
+    should_offer,
+    vacancy_wait,
+)
+from gentianpulley.cluster.job_book import LEADER_KEY
+from gentianpulley.cluster.leader import LeaderParts
+from gentianpulley.cluster.offers import OFFER_KEY, OwnOffer, SeenOffer
+from gentianpulley.deadline import now_ms
+from gentianpulley.store import Change, Entry
+
+
+class Candidature:
+    """One instance among those that would lead."""
+
+    def __init__(
+        self,
+        own: Candidate,
+        parts: LeaderParts,
+        is_healthy: Callable[[], bool],
+    ) -> None:
+        """Know of no leader; only an instance that is healthy offers."""
+        self.own = own
+        self._is_healthy = is_healthy
+        self._healthy_since_ms = now_ms()
+        self._leader: Candidate | None = None
+        self._offer: Candidate | None = None
+        self._own_offer = OwnOffer(parts.store, own, parts.log)
+        self._seen_offer = SeenOffer(parts.store)
+        self._handed_over_ms = now_ms() - HAND_OVER_GAP_MS
+
+    def take(self, entries: Iterable[Entry]) -> bool:
+        """Learn what stands in the store; tells whether someone leads."""
+        candidates = {each.key: decode_candidate(each.body) for each in entries}
+        self._offer = candidates.get(OFFER_KEY)
+        leader = candidates.get(LEADER_KEY)
+        self._leader = leader or self._leader
+        return leader is not None
+
+    def note(self, changes: Iterable[Change]) -> bool:
+        """Learn what has changed; tells whether the key is free."""
+        is_vacant = False
+        for change in changes:
+            candidate = _candidate(change.entry)
+            if change.key == OFFER_KEY:
+                self._offer = candidate
+            if change.key == LEADER_KEY:
+                self._leader = candidate or self._leader
+                is_vacant = candidate is None
+        return is_vacant
+
+    def wait(self) -> Wait:
+        """Return how long to wait before creating the free key."""
+        return vacancy_wait(self.own, self._leader, self._offer)
+
+    def update_offer(self) -> None:
+        """Make, renew or withdraw the own offer; raises `StoreError`."""
+        at_ms = now_ms()
+        if not self._is_healthy():
+            self._healthy_since_ms = at_ms
+        leader = self._leader
+        is_wanted = leader is not None and should_offer(
+            self.own, leader, at_ms - self._healthy_since_ms
+        )
+        self._own_offer.update(is_wanted and not self._others_offer())
+
+    def withdraw(self) -> None:
+        """End the own offer."""
+        self._own_offer.withdraw()
+
+    def accept_offer(self) -> Candidate | None:
+        """Return to whom the leader hands over now; raises `StoreError`."""
+        offer = self._seen_offer.read()
+        at_ms = now_ms()
+        if offer is None:
+            return None
+        if not should_hand_over(self.own, offer, self._handed_over_ms, at_ms):
+            return None
+        self._handed_over_ms = at_ms
+        return offer.candidate
+
+    def _others_offer(self) -> bool:
+        offer = self._offer
+        return offer is not None and offer.instance != self.own.instance
+
+
+def _candidate(entry: Entry | None) -> Candidate | None:
+    return None if entry is None else decode_candidate(entry.body)
--- /dev/null
+++ b/src/gentianpulley/cluster/offers.py
@@ -0,0 +1,121 @@
+"""The offer to take over: one key under a lease of its owner.
+
+It stands below the prefix of the leader's key, so candidates see it by the
+watch that they have.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.cluster.candidacy import (
+    OFFER_TTL_S,
+    Candidate,
+    StandingOffer,
+    decode_candidate,
+    encode_candidate,
+)
+from gentianpulley.cluster.job_book import LEADER_KEY
+from gentianpulley.deadline import now_ms
+from gentianpulley.errors import StoreAnswerLostError, StoreError
+from gentianpulley.logs import EventLog
+from gentianpulley.store import (
+    ABSENT,
+    Guard,
+    Put,
+    Store,
+    StoreLease,
+    Transaction,
+)
+
+OFFER_KEY: Final = f'{LEADER_KEY}-offer'
+
+
+@dataclass(frozen=True, slots=True)
+class LeasedKey:
+    """A key that this instance created, and the lease that it is under."""
+
+    lease: StoreLease
+    revision: int
+
+
+class OwnOffer:
+    """The candidate's side: makes, renews and withdraws its offer."""
+
+    def __init__(self, store: Store, own: Candidate, log: EventLog) -> None:
+        """Offer nothing yet."""
+        self._store = store
+        self._own = own
+        self._log = log
+        self._lease: StoreLease | None = None
+
+    def update(self, is_wanted: bool) -> None:
+        """Make or renew the offer, or withdraw it; raises `StoreError`."""
+        if is_wanted:
+            self._make_or_renew()
+        else:
+            self.withdraw()
+
+    def withdraw(self) -> None:
+        """End the offer; without the store it lapses."""
+        lease = self._lease
+        self._lease = None
+        if lease is None:
+            return
+        try:
+            self._store.revoke(lease)
+        except StoreError as exc:
+            self._log.store_trouble(exc.text)
+
+    def _make_or_renew(self) -> None:
+        lease = self._lease
+        if lease is not None:
+            self._lease = self._store.keep_alive(lease)
+            return
+        body = encode_candidate(self._own)
+        made = create_leased_key(self._store, OFFER_KEY, body, OFFER_TTL_S)
+        if made is not None:
+            self._lease = made.lease
+            self._log.candidacy('offers', self._own.instance)
+
+
+class SeenOffer:
+    """The leader's side: whose offer stands, and since when."""
+
+    def __init__(self, store: Store) -> None:
+        """Know of no offer."""
+        self._store = store
+        self._revision = ABSENT
+        self._since_ms = 0
+
+    def read(self) -> StandingOffer | None:
+        """Look at the offer; raises `StoreError`."""
+        entry = self._store.read(OFFER_KEY)
+        at_ms = now_ms()
+        revision = ABSENT if entry is None else entry.revision
+        if revision != self._revision:
+            self._revision = revision
+            self._since_ms = at_ms
+        if entry is None:
+            return None
+        candidate = decode_candidate(entry.body)
+        return StandingOffer(candidate, at_ms - self._since_ms)
+
+
+def create_leased_key(
+    store: Store, key: str, body: bytes, ttl_s: int
+) -> LeasedKey | None:
+    """Create a key under a new lease, None if it exists.
+
+    Raises `StoreError`; nothing is left behind then but what lapses.
+    """
+    lease = store.grant_lease(ttl_s)
+    put = Put(key, body, lease.lease_id)
+    try:
+        commit = store.commit(Transaction((Guard(key, ABSENT),), (put,)))
+    except StoreAnswerLostError:
+        store.revoke(lease)
+        raise
+    if commit.applied:
+        return LeasedKey(lease, commit.revision)
+    store.revoke(lease)
+    return None
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -171,6 +171,10 @@
         """This instance began or ended to lead."""
         _write('leader_state', state=state, token=token, detail=detail)
 
+    def candidacy(self, state: str, candidate: str) -> None:
+        """A candidate offered to take over, or the leader hands over to it."""
+        _write('candidacy', state=state, candidate=candidate)
+
     def cfg_in_force(self, version: int, queues: int) -> None:
         """A newer cfg is in force."""
         _write('cfg_in_force', version=version, queues=queues)
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -14,6 +14,7 @@
 from cheroot.wsgi import Server
 
 from gentianpulley.cluster.campaign import Campaign
+from gentianpulley.cluster.candidacy import Candidate
 from gentianpulley.cluster.job_book import JobDesk
 from gentianpulley.cluster.leader import LeaderParts
 from gentianpulley.cluster.queues import QueueTable
@@ -91,7 +92,8 @@
             counters=counters,
             log=log,
         )
-        self._campaign = Campaign(settings.instance, parts, log)
+        own = Candidate(settings.instance, settings.capacity)
+        self._campaign = Campaign(own, parts, self.is_ready)
         self._watch = OperatorWatch(store, self._table, self._campaign, log)
         submissions = Submissions(JobDesk(store, log), log)
         ingress = Ingress(
--- a/src/gentianpulley/platform/node_file.py
+++ b/src/gentianpulley/platform/node_file.py
@@ -5,6 +5,13 @@
 from pathlib import Path
 from typing import Final
 
+from gentianpulley.cluster.capacity import (
+    DEFAULT_LINK_BYTES_S,
+    DEFAULT_MEMORY_BYTES,
+    DEFAULT_PROCESSORS_MILLI,
+    MILLI,
+    InstanceCapacity,
+)
 from gentianpulley.errors import SettingsError
 from gentianpulley.http_conn import HttpAddress, parse_address
 from gentianpulley.messages import bad_setting, file_unreadable
@@ -12,6 +19,11 @@
 METRICS_PORT: Final = 9464
 """The port that the deploy file names, as it is the same on all machines."""
 
+MBIT_BYTES: Final = 125_000
+"""Bytes a second in one Mbit/s."""
+
+MB_BYTES: Final = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class SiteBounds:
@@ -45,6 +57,7 @@
     adviser: HttpAddress | None
     machines: HttpAddress | None
     bounds: SiteBounds
+    capacity: InstanceCapacity
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -83,9 +96,41 @@
                 told_settings, 'bounds.upkeep_s', 1000, default='2'
             ),
         ),
+        capacity=_capacity(told_settings),
+    )
+
+
+def _capacity(told_settings: Mapping[str, str]) -> InstanceCapacity:
+    """Return the limits that the settings name, and defaults for the rest."""
+    return InstanceCapacity(
+        processors_milli=_processors_milli(told_settings),
+        link_bytes_s=_limit(
+            told_settings, 'limits.link_mbps', MBIT_BYTES, DEFAULT_LINK_BYTES_S
+        ),
+        memory_bytes=_limit(
+            told_settings, 'limits.memory_mb', MB_BYTES, DEFAULT_MEMORY_BYTES
+        ),
     )
 
 
+def _processors_milli(told_settings: Mapping[str, str]) -> int:
+    """Return the share of each core times the cores, in thousandths."""
+    share_milli = _limit(
+        told_settings, 'limits.cpu_share', MILLI, DEFAULT_PROCESSORS_MILLI
+    )
+    cores = _limit(told_settings, 'limits.cores', 1, 1)
+    return share_milli * cores
+
+
+def _limit(
+    told_settings: Mapping[str, str], name: str, factor: int, default: int
+) -> int:
+    """Return a limit; one that is missing or empty takes the default."""
+    if not told_settings.get(name):
+        return default
+    return _number(told_settings, name, factor)
+
+
 def _told_settings(text: str) -> dict[str, str]:
     told_settings = {}
     for line in text.splitlines():
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -109,15 +109,16 @@
         self.workers[worker_id] = worker
         return worker
 
-    def add_node(self) -> Node:
-        """Start a node and wait until it is ready."""
+    def add_node(self, cpu_share: float = 1.0) -> Node:
+        """Start a node with a part of a core and wait until it is ready."""
         text = node_file(
             f'n{len(self.nodes)}',
             self.store.port,
             _address_of(self.adviser),
             _address_of(self.machines),
         )
-        node = Node(parse_node_settings(text), EventLog())
+        limits = f'limits.cpu_share={cpu_share}'
+        node = Node(parse_node_settings(f'{text}\n{limits}'), EventLog())
         node.start()
         self.nodes.append(node)
         wait_until(node.is_ready)
--- /dev/null
+++ b/tests/test_campaign.py
@@ -0,0 +1,180 @@
+"""Elections between instances of different sizes, over a stand-in store."""
+
+import time
+from base64 import b64decode
+from collections.abc import Iterator
+
+import pytest
+
+from gentianpulley.cluster import candidacy
+from gentianpulley.cluster.campaign import Campaign
+from gentianpulley.cluster.candidacy import Candidate, decode_candidate
+from gentianpulley.cluster.capacity import InstanceCapacity
+from gentianpulley.cluster.job_book import LEADER_KEY
+from gentianpulley.cluster.leader import LeaderParts
+from gentianpulley.cluster.offers import OFFER_KEY, OwnOffer
+from gentianpulley.cluster.timing import create_timing
+from gentianpulley.counters import create_counters
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.logs import EventLog
+from gentianpulley.platform.directory import create_directory
+from gentianpulley.platform.kv_store import connect_kv_store
+from gentianpulley.platform.worker_link import HttpWorkerLinks
+from standins.grid_site import (
+    Site,
+    call,
+    cfg_document,
+    job_body,
+    state_of,
+    wait_until,
+)
+from standins.grid_store import HOST, GridStore
+
+SMALL = 516
+LARGE = 2151
+JOB = '/batch/00000000000000a1'
+TAKE_OVER_S = 18
+
+
+class Race:
+    """Campaigns at one store."""
+
+    def __init__(self) -> None:
+        """Start the store."""
+        self.store = GridStore()
+        self.store.run_in_background()
+        self.campaigns: list[Campaign] = []
+
+    def join(self, name: str, milli: int, is_healthy: bool = True) -> Campaign:
+        """Start a campaign."""
+        campaign = Campaign(
+            _candidate(name, milli), self.parts(), lambda: is_healthy
+        )
+        self.campaigns.append(campaign)
+        campaign.start()
+        return campaign
+
+    def parts(self) -> LeaderParts:
+        """Return parts of an instance with its own client of the store."""
+        counters = create_counters()
+        log = EventLog()
+        client = connect_kv_store(HttpAddress(HOST, self.store.port), counters)
+        return LeaderParts(
+            store=client,
+            directory=create_directory(client, log),
+            links=HttpWorkerLinks(),
+            adviser=None,
+            park=None,
+            timing=create_timing(6000, 3000, 900, 1000),
+            status_ms=120_000,
+            upkeep_ms=2000,
+            counters=counters,
+            log=log,
+        )
+
+    def leader(self) -> str:
+        """Return who holds the leader's key, '' if nobody does."""
+        found = self.store.item(LEADER_KEY)
+        if found is None:
+            return ''
+        return decode_candidate(b64decode(found['value'])).instance
+
+    def close(self) -> None:
+        """Stop all campaigns, then the store."""
+        for campaign in self.campaigns:
+            campaign.hand_over()
+        self.store.shutdown()
+        self.store.server_close()
+
+
+def _candidate(name: str, milli: int) -> Candidate:
+    return Candidate(name, InstanceCapacity(processors_milli=milli))
+
+
+@pytest.fixture
+def race() -> Iterator[Race]:
+    """Return a store without a leader."""
+    running = Race()
+    yield running
+    running.close()
+
+
+@pytest.mark.parametrize('late_s', [0, 0.1, 0.2, 0.3])
+def test_the_larger_of_two_that_start_together_leads(
+    race: Race, late_s: float
+) -> None:
+    race.join('small', SMALL)
+    time.sleep(late_s)
+    race.join('large', LARGE)
+    wait_until(race.leader)
+    assert race.leader() == 'large'
+
+
+@pytest.mark.parametrize('milli', [1, SMALL])
+def test_a_small_one_leads_when_it_is_alone(race: Race, milli: int) -> None:
+    small = race.join('small', milli)
+    wait_until(lambda: small.is_leading, 3)
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'is_healthy'),
+    [
+        (SMALL, SMALL, True),
+        (LARGE, LARGE, True),
+        (SMALL, 2 * SMALL - 1, True),
+        (LARGE, SMALL, True),
+        (SMALL, LARGE, False),
+    ],
+)
+def test_equals_smaller_and_sick_ones_never_offer(
+    race: Race,
+    monkeypatch: pytest.MonkeyPatch,
+    first: int,
+    second: int,
+    is_healthy: bool,
+) -> None:
+    monkeypatch.setattr(candidacy, 'SETTLED_MS', 1)
+    leader = race.join('first', first)
+    wait_until(lambda: leader.is_leading)
+    race.join('second', second, is_healthy)
+    deadline_s = time.monotonic() + 4
+    while time.monotonic() < deadline_s:
+        assert not race.store.keys(OFFER_KEY)
+        time.sleep(0.05)
+    assert race.leader() == 'first'
+
+
+def test_an_offer_whose_owner_died_is_not_acted_on(race: Race) -> None:
+    leader = race.join('small', SMALL)
+    wait_until(lambda: leader.is_leading)
+    held = race.store.item(LEADER_KEY)
+    parts = race.parts()
+    OwnOffer(parts.store, _candidate('dead', LARGE), parts.log).update(True)
+    assert race.store.keys(OFFER_KEY)
+    wait_until(lambda: not race.store.keys(OFFER_KEY), 5)
+    time.sleep(2)
+    assert race.store.item(LEADER_KEY) == held
+    assert leader.is_leading
+
+
+def test_a_larger_one_that_joins_later_takes_over_and_runs_go_on() -> None:
+    """A small leader kept the site for good, whoever joined later."""
+    store = GridStore()
+    store.run_in_background()
+    store.put('op/config', cfg_document(3))
+    site = Site(store)
+    worker = site.add_worker('w1')
+    small = site.add_node(cpu_share=0.516)
+    wait_until(lambda: small.is_leading)
+    body = job_body({'count': 4}, ms=14_000)
+    assert call(small, 'POST', JOB, body)[0] == 200
+    wait_until(lambda: len(worker.running()) == 4)
+    large = site.add_node(cpu_share=2.0)
+    wait_until(lambda: large.is_leading, TAKE_OVER_S)
+    assert not small.is_leading
+    wait_until(lambda: state_of(large, JOB) == 'completed', TAKE_OVER_S)
+    started = len(worker.started)
+    leads = large.is_leading
+    site.close()
+    assert started == 4
+    assert leads
--- a/tests/test_node_file.py
+++ b/tests/test_node_file.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from gentianpulley.cluster.capacity import InstanceCapacity
 from gentianpulley.errors import SettingsError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.platform.node_file import (
@@ -44,9 +45,28 @@
     assert settings.bounds.grace_ms == 1500
 
 
+@pytest.mark.parametrize(
+    ('name', 'told', 'capacity'),
+    [
+        ('some.new.field', 'x', InstanceCapacity()),
+        ('limits.cores', '', InstanceCapacity()),
+        ('limits.cores', '3', InstanceCapacity(processors_milli=3000)),
+        ('limits.cpu_share', '0.516', InstanceCapacity(processors_milli=516)),
+        ('limits.link_mbps', '10', InstanceCapacity(link_bytes_s=1_250_000)),
+        ('limits.memory_mb', '200', InstanceCapacity(memory_bytes=200_000_000)),
+    ],
+)
+def test_limits_are_read_and_have_defaults(
+    name: str, told: str, capacity: InstanceCapacity
+) -> None:
+    assert parse_node_settings(_text(name, told)).capacity == capacity
+
+
 @pytest.mark.parametrize(
     ('name', 'told'),
     [
+        ('limits.cpu_share', 'half'),
+        ('limits.link_mbps', '0'),
         ('node', ''),
         ('zone', ''),
         ('listen.front', '10.1.0.13'),
