Let no instance that drains begin to lead

Cause: the stop was asked for only before the delay.

The test failed before: 'AssertionError: assert not 'draining'', in test_an_instance_that_drains_while_it_waits_does_not_lead.

A candidate now asks after its delay. A leader that was stopped while it loaded hands over once it has loaded.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -104,11 +104,11 @@
         snapshot = self._store.read_prefix(LEADER_KEY)
         if self._candidature.take(snapshot.entries):
             self._await_vacancy(snapshot.revision)
-        if self.is_stopping:
-            return
         wait = self._candidature.wait()
         if wait.most_s:
             self.pause(random.uniform(wait.least_s, wait.most_s))
+        if self.is_stopping:
+            return
         # Another one leads by now, likely: one read instead of three calls.
         if wait.least_s and self._store.read(LEADER_KEY) is not None:
             return
@@ -131,6 +131,8 @@
         self._token = made.revision
         self._lead(sent_ms)
         self._candidature.withdraw()
+        if self.is_stopping:
+            self._free_key()
 
     def _lead(self, sent_ms: int) -> None:
         tenure = open_tenure(sent_ms, self._parts.timing)
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -157,6 +157,17 @@
     assert leader.is_leading
 
 
+def test_an_instance_that_drains_while_it_waits_does_not_lead(
+    race: Race,
+) -> None:
+    draining = race.join('draining', SMALL)
+    time.sleep(0.2)
+    draining.hand_over()
+    time.sleep(1.5)
+    assert not race.leader()
+    assert not draining.is_leading
+
+
 def test_a_larger_one_that_joins_later_takes_over_and_runs_go_on() -> None:
     """A small leader kept the site for good, whoever joined later."""
     store = GridStore()
