--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -109,8 +109,8 @@
         self.workers[worker_id] = worker
         return worker
 
-    def add_node(self, store_port: int = 0) -> Node:
-        """Start a node and wait until it is ready.
+    def add_node(self, store_port: int = 0, cpu_share: float = 1.0) -> Node:
+        """Start a node with a part of a core and wait until it is ready.
 
         `store_port` is that of a link to the store, if there is one between.
         """
@@ -120,7 +120,8 @@
             _address_of(self.adviser),
             _address_of(self.machines),
         )
-        node = Node(parse_node_settings(text), EventLog())
+        limits = f'limits.cpu_share={cpu_share}'
+        node = Node(parse_node_settings(f'{text}\n{limits}'), EventLog())
         node.start()
         self.nodes.append(node)
         wait_until(node.is_ready)
