Tell each second what the leader planned, and why tasks wait

No line said why a waiting step found no place, how long plans took or lagged, what was reserved for runs of unknown outcome, or which answers of workers were lost. The scheduler now notes the reason of each waiting step as it plans, and returns a frozen PlanReport; the office writes it as `plan_report` once a second with plans, their cost and lag, orders and the queues of the sessions, and sets the same figures as gauges. An order that is sent again keeps its age, so a stop that never leaves shows. Failed looks, stops and paces are counted by cause, and looks beyond their wait and orders have histograms.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -8,6 +8,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from types import MappingProxyType
 from typing import Final
 
 from gentianpulley.cluster.link import (
@@ -19,6 +20,7 @@
     StartReply,
     StopOrder,
 )
+from gentianpulley.cluster.plan_meter import PlanMeter, WorkSignal
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.scheduler_state import Order, Reign
 from gentianpulley.cluster.worker import Worker
@@ -29,6 +31,10 @@
 
 _PERCENT: Final = 100
 
+_ORDER_KINDS: Final = MappingProxyType(
+    {StartOrder: 'starts', StopOrder: 'stops', PaceOrder: 'paces'}
+)
+
 
 class OrderSink(ABC):
     """Takes the orders for one worker."""
@@ -37,6 +43,10 @@
     def send(self, order: Order) -> None:
         """Queue an order."""
 
+    @abstractmethod
+    def backlog(self) -> tuple[int, int]:
+        """Return how many orders wait, and the age of the oldest in ms."""
+
     @abstractmethod
     def close(self) -> None:
         """Send nothing more."""
@@ -97,7 +107,8 @@
         self.counters = counters
         self.lock = threading.Lock()
         self.scheduler = scheduler
-        self.work_came = threading.Event()
+        self.work_came = WorkSignal()
+        self._meter = PlanMeter(counters, log)
         self.ends_came = threading.Event()
         self.plan_cost_s: float = 0
         self._sinks: dict[str, OrderSink] = {}
@@ -142,6 +153,7 @@
         for order in orders:
             sink = self._sinks.get(order.worker_id)
             if sink is not None:
+                self._meter.note_order(_ORDER_KINDS[type(order)])
                 sink.send(order)
 
     # What sessions ask and report.
@@ -253,6 +265,7 @@
         at_ms = now_ms()
         if not self.may_act(at_ms):
             return
+        lag_s = self.work_came.take_lag_s()
         began_s = time.monotonic()
         with self.lock, self.counters.timed('plan'):
             self.scheduler.note_lapses(at_ms)
@@ -261,8 +274,18 @@
             self.counters.set('jobs_waiting', self.scheduler.waiting_jobs())
             places = [self._place_of(order) for order in orders]
         self.plan_cost_s = time.monotonic() - began_s
-        self.dispatch(stops)
-        self.dispatch(orders)
+        self._meter.note_plan(self.plan_cost_s, lag_s)
+        self.dispatch((*stops, *orders))
+        self._log_starts(orders, places, at_ms)
+        if self._meter.is_due():
+            self._report(at_ms)
+
+    def _log_starts(
+        self,
+        orders: list[StartOrder],
+        places: list[tuple[Worker, bool]],
+        at_ms: int,
+    ) -> None:
         for order, (worker, is_endless) in zip(orders, places, strict=True):
             self.log.run_ordered(
                 order.key,
@@ -272,6 +295,12 @@
                 is_endless=is_endless,
             )
 
+    def _report(self, at_ms: int) -> None:
+        with self.lock:
+            report = self.scheduler.report(at_ms)
+        sinks = tuple(self._sinks.values())
+        self._meter.tell(report, [sink.backlog() for sink in sinks])
+
     def _place_of(self, order: StartOrder) -> tuple[Worker, bool]:
         """Return where a run was placed, and whether it is endless."""
         worker = self.scheduler.workers[order.worker_id]
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -14,6 +14,7 @@
 from gentianpulley.cluster.advice import Tickets
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.harm_risk import harms_too_much
+from gentianpulley.cluster.waiting import WaitReason
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.jobs.spec import NO_LIMIT, StepSpec
@@ -165,9 +166,18 @@
         self._rack = common_rack(step, allowed)
         self._heap: list[tuple[float, int, Worker]] = []
         self._taken: tuple[float, int, Worker] | None = None
+        self._reasons: set[WaitReason] = set()
         for place, worker in enumerate(allowed):
             self._push(place, worker)
 
+    @property
+    def reason(self) -> WaitReason:
+        """Return why a task finds no place: what a worker with room lacks."""
+        for reason in (WaitReason.HARM, WaitReason.SPREAD):
+            if reason in self._reasons:
+                return reason
+        return WaitReason.NO_ROOM
+
     def take(self, task: Task) -> Worker | None:
         """Return the cheapest worker for a task, or None.
 
@@ -197,12 +207,16 @@
 
     def _push(self, place: int, worker: Worker) -> None:
         if not may_hold(worker, self._step):
+            if worker.has_room(self._step.spec):
+                self._reasons.add(WaitReason.SPREAD)
             return
         harms_nobody = is_harmless(worker, self._step, self._view)
         if harms_nobody or self._is_starving:
             cost = _cost(worker, self._step, self._view, self._rack)
             cost += 0 if harms_nobody else HARMFUL_COST
             heapq.heappush(self._heap, (cost, place, worker))
+        else:
+            self._reasons.add(WaitReason.HARM)
 
 
 def common_rack(step: StepRun, allowed: list[Worker]) -> str:
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -21,8 +21,13 @@
     is_starving,
     suitable,
 )
+from gentianpulley.cluster.plan_report import (
+    PlanReport,
+    create_plan_report,
+)
 from gentianpulley.cluster.run_tracker import RunTracker
 from gentianpulley.cluster.scheduler_state import Reign
+from gentianpulley.cluster.waiting import WaitReason, Waits
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.logs import EventLog
@@ -44,20 +49,28 @@
         super().__init__(reign, log)
         self._first_run = reign.token << RUN_BITS
         self._next_moves_ms = 0
+        self._waits = Waits()
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
         view = self._view(now_ms)
         orders: list[StartOrder] = []
         full = FullShapes()
+        self._waits.begin_plan(now_ms)
         for step in in_order(self._free_steps(now_ms), now_ms):
             is_hopeless = full.covers(step) and not is_starving(step, view)
-            if not is_hopeless:
+            if is_hopeless:
+                self._waits.note(step, WaitReason.ALIKE)
+            else:
                 orders.extend(self._place_step(step, view))
                 if step.waiting and not _is_special(step):
                     full.add(step)
         return orders
 
+    def report(self, now_ms: int) -> PlanReport:
+        """Sum up what the latest plan left."""
+        return create_plan_report(self, self._waits, now_ms)
+
     def moves(self, now_ms: int) -> list[StopOrder]:
         """Return the stops of tasks that are better off elsewhere."""
         if now_ms < self._next_moves_ms:
@@ -107,6 +120,9 @@
         steps = self._startable(now_ms)
         if self.is_handover_over(now_ms):
             return steps
+        for held in steps:
+            if held.job.is_inherited:
+                self._waits.note(held, WaitReason.INHERITED)
         return [step for step in steps if not step.job.is_inherited]
 
     def _startable(self, now_ms: int) -> list[StepRun]:
@@ -121,9 +137,25 @@
 
     def _place_step(self, step: StepRun, view: PlacingView) -> list[StartOrder]:
         allowed = candidates(self.workers.values(), step, view)
-        if step.spec.is_gang:
-            return self._place_gang(step, allowed, view)
         choice = Choice(allowed, step, view)
+        if step.spec.is_gang:
+            orders = self._place_gang(step, choice, view)
+        else:
+            orders = self._place_each(step, choice, view)
+        if step.waiting:
+            reason = choice.reason if allowed else self._lack(step, view)
+            self._waits.note(step, reason)
+        return orders
+
+    def _lack(self, step: StepRun, view: PlacingView) -> WaitReason:
+        """Return what a step without any worker lacks."""
+        if suitable(self.workers.values(), step, view):
+            return WaitReason.TICKET
+        return WaitReason.NO_WORKER
+
+    def _place_each(
+        self, step: StepRun, choice: Choice, view: PlacingView
+    ) -> list[StartOrder]:
         orders = []
         for index in sorted(step.waiting):
             task = step.tasks[index]
@@ -136,14 +168,13 @@
         return orders
 
     def _place_gang(
-        self, step: StepRun, allowed: list[Worker], view: PlacingView
+        self, step: StepRun, choice: Choice, view: PlacingView
     ) -> list[StartOrder]:
         """Place all tasks of a gang under one run number, or none."""
         if len(step.waiting) < len(step.tasks):
             return []
         checkpoint = max(task.checkpoint for task in step.tasks)
         run = max(task.run for task in step.tasks) + 1
-        choice = Choice(allowed, step, view)
         orders: list[StartOrder] = []
         for task in step.tasks:
             worker = choice.take(task)
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -3,7 +3,6 @@
 Both ask the reign before each call whether this instance still leads.
 """
 
-import queue
 import threading
 from typing import Final
 
@@ -15,10 +14,12 @@
     StopOrder,
     WorkerLink,
 )
+from gentianpulley.cluster.link_trouble import trouble_of
 from gentianpulley.cluster.office import Office, OrderSink
+from gentianpulley.cluster.order_queue import OrderQueue
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker import Worker
-from gentianpulley.deadline import now_ms
+from gentianpulley.deadline import MS_PER_SECOND, now_ms
 from gentianpulley.errors import (
     WorkerError,
     WorkerFencedError,
@@ -43,7 +44,7 @@
         self.worker = worker
         self._office = office
         self._link = link
-        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._orders = OrderQueue()
         self._closed = threading.Event()
         self._is_reached = threading.Event()
         self._threads = [
@@ -62,12 +63,16 @@
     def close(self) -> None:
         """Let both threads end after their current calls."""
         self._closed.set()
-        self._orders.put(None)
+        self._orders.wake()
 
     def send(self, order: Order) -> None:
         """Queue an order."""
         self._orders.put(order)
 
+    def backlog(self) -> tuple[int, int]:
+        """Return how many orders wait, and the age of the oldest in ms."""
+        return self._orders.backlog()
+
     def _look_loop(self) -> None:
         wait_ms = 0
         while not self._closed.is_set():
@@ -88,7 +93,10 @@
         first = not self.worker.is_fenced
         order = self._office.look_order(self.worker, 0 if first else wait_ms)
         try:
-            listing = self._link.look(order)
+            with self._office.counters.timed(
+                'look_beyond_wait', order.wait_ms / MS_PER_SECOND
+            ):
+                listing = self._link.look(order)
         except WorkerFencedError as exc:
             self._office.resign(exc.text)
             return False
@@ -97,7 +105,7 @@
             self._closed.set()
             return False
         except WorkerError as exc:
-            self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+            self._note_trouble('looks', exc)
             self._office.unreached(self.worker)
             return False
         self._is_reached.set()
@@ -112,7 +120,8 @@
             is_sent = self._office.may_act(now_ms()) and self._try(order)
             if not is_sent:
                 self._closed.wait(RETRY_PAUSE_S)
-                self._orders.put(order)
+                self.send(order)
+            self._orders.done(order)
 
     def _try(self, order: Order) -> bool:
         """Send an order; False if it has to wait.
@@ -124,7 +133,8 @@
         """
         if isinstance(order, StartOrder) and not self._is_reached.is_set():
             return self._office.take_back(order)
-        self._send(order)
+        with self._office.counters.timed('worker_order'):
+            self._send(order)
         return True
 
     def _send(self, order: Order) -> None:
@@ -146,7 +156,7 @@
         if following:
             self._closed.wait(RETRY_PAUSE_S)
         for each in following:
-            self._orders.put(each)
+            self.send(each)
 
     def _send_stop(self, order: StopOrder) -> None:
         if not self._office.wants_stop(order):
@@ -156,9 +166,9 @@
         except WorkerFencedError as exc:
             self._office.resign(exc.text)
         except WorkerError as exc:
-            self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+            self._note_trouble('stops', exc)
             self._closed.wait(RETRY_PAUSE_S)
-            self._orders.put(order)
+            self.send(order)
         else:
             self._office.stopped(order)
 
@@ -169,10 +179,15 @@
             self._office.resign(exc.text)
         except WorkerError as exc:
             # The next look shows the old pace, which asks for it again.
-            self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+            self._note_trouble('paces', exc)
         else:
             self._office.paced(order)
 
+    def _note_trouble(self, kind: str, exc: WorkerError) -> None:
+        """Count and tell a call without a useful answer."""
+        self._office.counters.add(f'{kind}_failed_{trouble_of(exc)}')
+        self._office.log.worker_trouble(self.worker.worker_id, exc.text)
+
     def _sent(self) -> Sent:
         return self._office.sent(self.worker)
 
--- a/src/gentianpulley/counters.py
+++ b/src/gentianpulley/counters.py
@@ -56,13 +56,13 @@
             histogram.record_value(bounded)
 
     @contextmanager
-    def timed(self, name: str) -> Iterator[None]:
-        """Observe how long a block takes."""
+    def timed(self, name: str, expected_s: float = 0) -> Iterator[None]:
+        """Observe how much longer than expected a block takes."""
         started_s = time.monotonic()
         try:
             yield
         finally:
-            elapsed_s = time.monotonic() - started_s
+            elapsed_s = time.monotonic() - started_s - expected_s
             self.observe(name, int(elapsed_s * _US_PER_S))
 
     def render(self) -> str:
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-
 from gentianpulley.jobs.spec import JobSpec, StepId, StepSpec, TaskId
 
 
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -197,6 +197,11 @@
         """A run is surely not on the worker any more."""
         _write_run('run_returned', key, worker, reason=reason)
 
+    def plan_report(self, figures: Mapping[str, int], **names: str) -> None:
+        """What a leader planned in a second, and what waits and why."""
+        self._gate.report()
+        _write('plan_report', **figures, **names)
+
     def upkeep(self, machine: str, wave: int, verdict: str) -> None:
         """A machine was ordered to go down for upkeep."""
         _write('upkeep', machine=machine, wave=wave, verdict=verdict)
--- a/src/gentianpulley/worker_keeper.py
+++ b/src/gentianpulley/worker_keeper.py
@@ -22,8 +22,8 @@
 from gentianpulley.result_code import WORKER_REFUSED
 from gentianpulley.start_gate import StartGate
 from gentianpulley.task import running_report
-from gentianpulley.task_entry import TaskEntry, new_entry
 from gentianpulley.task_ending import ANSWER_KEPT_MS
+from gentianpulley.task_entry import TaskEntry, new_entry
 from gentianpulley.worker import TaskList, TaskState
 from gentianpulley.worker_fleet import WorkerFleet
 
--- a/tests/contracts/worker_contract.py
+++ b/tests/contracts/worker_contract.py
@@ -18,8 +18,8 @@
 )
 from gentianpulley.resources import Resources
 from gentianpulley.result_code import (
-    START_TOO_LATE,
     STALE_EPOCH,
+    START_TOO_LATE,
     WORKER_REFUSED,
     ResultCode,
 )
--- a/tests/proofs/test_store_outage.py
+++ b/tests/proofs/test_store_outage.py
@@ -8,9 +8,8 @@
 import pytest
 
 from gentianpulley.cfg_folder import load_cfg_folder
-from gentianpulley.document import Document
+from gentianpulley.document import Document, DocumentKind
 from gentianpulley.document_push import push_cfg, read_document, take_out
-from gentianpulley.document import DocumentKind
 from gentianpulley.errors import CfgConflictError
 from gentianpulley.etcd_store import connect_store
 from gentianpulley.http_conn import HttpAddress
--- /dev/null
+++ b/tests/scheduling/test_link_trouble.py
@@ -0,0 +1,48 @@
+"""Calls without a useful answer are counted by what went wrong."""
+
+import pytest
+from urllib3 import HTTPConnectionPool
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+    ReadTimeoutError,
+)
+
+from gentianpulley.cluster.link_trouble import trouble_of
+from gentianpulley.errors import (
+    HttpSilentError,
+    WorkerSilentError,
+    WorkerUnreachableError,
+)
+
+HOST = '127.0.0.1'
+POOL = HTTPConnectionPool(HOST)
+CAUSES: tuple[tuple[Exception, str], ...] = (
+    (ConnectTimeoutError(), 'connect_timeout'),
+    (NewConnectionError(HTTPConnection(HOST), 'no'), 'refused'),
+    (ConnectionRefusedError(), 'refused'),
+    (ReadTimeoutError(POOL, '/', 'slow'), 'read_timeout'),
+    (TimeoutError(1), 'late'),
+    (ProtocolError('cut'), 'closed'),
+    (ConnectionResetError(), 'closed'),
+    (HTTPError('other'), 'workersilenterror'),
+)
+
+
+@pytest.mark.parametrize(('cause', 'name'), CAUSES)
+def test_the_cause_is_found_under_the_errors_of_the_layers(
+    cause: Exception, name: str
+) -> None:
+    http = HttpSilentError('no whole answer')
+    http.__cause__ = cause
+    raised = WorkerSilentError('no whole answer')
+    raised.__cause__ = http
+    assert trouble_of(raised) == name
+
+
+def test_an_error_without_a_cause_is_named_by_its_class() -> None:
+    raised = WorkerUnreachableError('status 500')
+    assert trouble_of(raised) == 'workerunreachableerror'
--- /dev/null
+++ b/tests/scheduling/test_plan_report.py
@@ -0,0 +1,307 @@
+"""The report says why tasks wait, since when, and what is reserved for what."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+import pytest
+
+from gentianpulley.cluster.link import StartVerdict, StopOrder
+from gentianpulley.cluster.office import Office, OrderSink, Tenure
+from gentianpulley.cluster.order_queue import OrderQueue
+from gentianpulley.cluster.plan_meter import REPORT_GAP_S, WorkSignal
+from gentianpulley.cluster.plan_report import ListAges
+from gentianpulley.cluster.scheduler_state import Order
+from gentianpulley.cluster.waiting import WaitReason
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import now_ms
+from gentianpulley.jobs.job import Job, create_job
+from gentianpulley.jobs.spec import AdvicePolicy, StepSpec
+from gentianpulley.logs import EventLog
+from gentianpulley.resources import Resources
+from tests.scheduling.site import (
+    START_MS,
+    HandSite,
+    hand_site,
+    job,
+    step,
+)
+
+Counts = Mapping[str, int]
+WAITING_CASES: dict[str, tuple[StepSpec, Counts]] = {
+    'nothing waits': (step(8), {}),
+    'no room': (step(11), {WaitReason.NO_ROOM: 3}),
+    'no worker has the label': (
+        step(2, required_label='other'),
+        {WaitReason.NO_WORKER: 2},
+    ),
+    'one for each worker': (
+        step(3, max_per_worker=1),
+        {WaitReason.SPREAD: 2},
+    ),
+    'neither room nor spread': (
+        step(2, max_per_worker=1, resources=Resources(65_000, 1, 0)),
+        {WaitReason.NO_ROOM: 2},
+    ),
+    'a gang of nine': (step(9, is_gang=True), {WaitReason.NO_ROOM: 9}),
+}
+
+
+@pytest.mark.parametrize(
+    ('spec', 'expected'), WAITING_CASES.values(), ids=WAITING_CASES
+)
+def test_waiting_tasks_are_counted_by_reason(
+    spec: StepSpec, expected: Mapping[str, int]
+) -> None:
+    """One worker has room for eight tasks."""
+    site = hand_site('w')
+    site.scheduler.add_job(job(spec))
+    site.plan()
+    assert site.scheduler.report(site.at_ms).waiting == expected
+
+
+def test_a_filling_task_that_would_harm_is_told_from_one_without_room() -> None:
+    site = hand_site('w')
+    site.scheduler.workers['w'].rests_until_ms = site.at_ms + 5000
+    site.scheduler.add_job(job(step(2, fills_spare=True)))
+    site.plan()
+    report = site.scheduler.report(site.at_ms)
+    assert report.waiting == {WaitReason.HARM: 2}
+    assert report.workers == {'resting': 1}
+
+
+def test_a_step_that_was_not_looked_at_says_so() -> None:
+    site = hand_site('w')
+    for number in range(3):
+        site.scheduler.add_job(job(step(9), job_id=f'{number:016x}'))
+    site.plan()
+    assert site.scheduler.report(site.at_ms).waiting == {
+        WaitReason.NO_ROOM: 1,
+        WaitReason.ALIKE: 18,
+    }
+
+
+def test_inherited_work_waits_for_the_former_leaders_workers() -> None:
+    site = hand_site('w', roster=frozenset(('unseen',)))
+    site.scheduler.add_job(job(step(2), inherited=True))
+    assert not site.plan()
+    report = site.scheduler.report(site.at_ms)
+    assert report.waiting == {WaitReason.INHERITED: 2}
+
+
+def test_work_without_a_ticket_waits_for_one() -> None:
+    site = hand_site('w')
+    spec = job(step(2)).spec
+    advice = AdvicePolicy(decide_ms=20, each_ms=1, valid_ms=2000)
+    policy = replace(spec.policy, advice=advice)
+    advised = create_job(spec.with_policy(policy), is_inherited=False)
+    site.scheduler.add_job(advised)
+    site.plan()
+    report = site.scheduler.report(site.at_ms)
+    assert report.waiting == {WaitReason.TICKET: 2}
+
+
+def test_the_oldest_waiting_steps_are_named_with_their_ages() -> None:
+    site = hand_site('w')
+    first = job(step(9), job_id='a' * 16)
+    site.scheduler.add_job(first)
+    site.plan()
+    site.at_ms += 700
+    endless = step(1, is_endless=True, required_label='other')
+    site.scheduler.add_job(job(endless, job_id='b' * 16))
+    site.plan()
+    site.at_ms += 300
+    site.plan()
+    report = site.scheduler.report(site.at_ms)
+    assert report.oldest is not None
+    assert report.oldest_endless is not None
+    told = (report.oldest, report.oldest_endless)
+    assert [(each.job_id[0], each.task, each.age_ms) for each in told] == [
+        ('a', '0.0.8', 1000),
+        ('b', '0.0.0', 300),
+    ]
+    assert report.oldest_endless.reason == 'no_worker'
+
+
+def test_an_age_begins_anew_after_a_plan_that_placed_everything() -> None:
+    site = hand_site('w')
+    site.scheduler.add_job(job(step(9)))
+    orders = site.start_all()
+    site.at_ms += 500
+    site.end('w', orders[0].key)
+    site.plan()
+    assert site.scheduler.report(site.at_ms).oldest is None
+
+
+def test_reserved_room_is_told_by_certainty() -> None:
+    site = hand_site('w')
+    known = job(step(4))
+    site.scheduler.add_job(known)
+    orders = site.plan()
+    site.answer(orders[0], StartVerdict.ACCEPTED)
+    site.answer(orders[1], StartVerdict.LOST)
+    worker = site.scheduler.workers['w']
+    worker.charges[orders[2].key].is_stopping = True
+    report = site.scheduler.report(site.at_ms)
+    assert report.reserved_milli == {
+        'settled': 8000,
+        'unanswered': 16_000,
+        'stopping': 8000,
+    }
+
+
+def _silence(worker: Worker) -> None:
+    worker.silent_since_ms = START_MS
+
+
+def _quarantine(worker: Worker) -> None:
+    worker.quarantined_until_ms = START_MS + 1
+
+
+def _unfence(worker: Worker) -> None:
+    worker.is_fenced = False
+
+
+def _drain(worker: Worker) -> None:
+    worker.is_leaving = True
+
+
+def _leave_alone(worker: Worker) -> None:
+    assert worker.is_fenced
+
+
+CONDITIONS: dict[str, Callable[[Worker], None]] = {
+    'accepting': _leave_alone,
+    'silent': _silence,
+    'quarantined': _quarantine,
+    'unfenced': _unfence,
+    'draining': _drain,
+}
+
+
+@pytest.mark.parametrize('condition', CONDITIONS)
+def test_workers_are_told_by_condition(condition: str) -> None:
+    site = hand_site('w', 'other')
+    CONDITIONS[condition](site.scheduler.workers['w'])
+    workers = site.scheduler.report(site.at_ms).workers
+    others = {} if condition == 'accepting' else {'accepting': 1}
+    assert workers == {condition: 2 - len(others), **others}
+
+
+def test_ages_of_lists() -> None:
+    site = hand_site(*(f'w{number}' for number in range(100)))
+    for age, worker in enumerate(site.scheduler.workers.values()):
+        worker.heard_ms = site.at_ms - age
+    report = site.scheduler.report(site.at_ms)
+    assert report.list_ages == ListAges(50, 95, 99)
+
+
+def test_a_site_without_workers_has_a_report_too() -> None:
+    report = hand_site().scheduler.report(START_MS)
+    assert report.list_ages == ListAges(0, 0, 0)
+    assert report.oldest is None
+
+
+class _Backlog(OrderSink):
+    """A session that sends nothing."""
+
+    def __init__(self) -> None:
+        self.orders = OrderQueue()
+
+    def send(self, order: Order) -> None:
+        self.orders.put(order)
+
+    def backlog(self) -> tuple[int, int]:
+        return self.orders.backlog()
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class _Told(EventLog):
+    """Keeps the figures of each second."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.figures: list[Mapping[str, int]] = []
+
+    def plan_report(self, figures: Mapping[str, int], **names: str) -> None:
+        self.figures.append(figures)
+
+
+def _site_of_now(known: Job) -> HandSite:
+    site = hand_site()
+    site.at_ms = now_ms()
+    site.add_worker('w')
+    site.scheduler.add_job(known)
+    return site
+
+
+def test_the_office_tells_plans_orders_and_queues_once_a_second(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = _site_of_now(job(step(9)))
+    log = _Told()
+    counters = create_counters()
+    until_ms = now_ms() + 60_000
+    office = Office(site.scheduler, Tenure(until_ms, until_ms), counters, log)
+    office.attach('w', _Backlog())
+    office.work_came.set()
+    office.plan()
+    assert not log.figures
+    monkeypatch.setattr(
+        'gentianpulley.cluster.plan_meter.time.monotonic', _later()
+    )
+    office.plan()
+    (figures,) = log.figures
+    assert figures['plans'] == 2
+    assert figures['ordered_starts'] == 8
+    assert figures['queued'] == 8
+    assert figures['waiting_no_room'] == 1
+    assert figures['reserved_milli_unanswered'] == 64_000
+    page = counters.render()
+    assert 'gentianpulley_leader_waiting_no_room 1\n' in page
+    assert 'gentianpulley_ordered_starts_total 8\n' in page
+    assert 'gentianpulley_plan_lag_us_count 2\n' in page
+
+
+def _later() -> Callable[[], float]:
+    began_s = now_ms() / 1000 + REPORT_GAP_S + 1_000_000_000
+    return lambda: began_s
+
+
+def test_an_order_that_is_put_again_while_it_is_sent_keeps_its_age(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = [START_MS]
+    monkeypatch.setattr(
+        'gentianpulley.cluster.order_queue.now_ms', lambda: clock[0]
+    )
+    site = _site_of_now(job(step()))
+    order = StopOrder('w', site.plan()[0].key)
+    orders = OrderQueue()
+    orders.put(order)
+    clock[0] += 400
+    assert orders.get() == order
+    orders.put(order)
+    orders.done(order)
+    assert orders.backlog() == (1, 400)
+    assert orders.get() == order
+    orders.done(order)
+    assert orders.backlog() == (0, 0)
+
+
+def test_the_lag_counts_from_the_first_of_several_events(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = [5.0]
+    monkeypatch.setattr(
+        'gentianpulley.cluster.plan_meter.time.monotonic', lambda: clock[0]
+    )
+    signal = WorkSignal()
+    signal.set()
+    clock[0] = 7.0
+    signal.set()
+    clock[0] = 8.0
+    assert int(signal.take_lag_s()) == 3
+    assert int(signal.take_lag_s()) == 0
