--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gentianpulley.platform.daemon import Node
+from standins.grid_store import GridStore
 from standins.grid_site import (
     GRACE_S,
     PLAIN,
@@ -21,7 +22,6 @@
     state_of,
     wait_until,
 )
-from standins.grid_store import GridStore
 
 JOB = '/batch/00000000000000a1'
 HALF_OF_DEADLINE_S = 1.5
