Count failures of a worker as in a row only if they lie close together

Cause: two failures in a row make a worker suspect, and only a run that ends as done breaks the row. No run of an endless task ends as done. Now failures more than 8 s apart do not count as in a row; that is twice the time for which a suspect worker gets nothing, so that a faulty one stays suspect when it is tried again.

tests/scheduling/test_restarts.py, a worker of endless tasks that fail now and then is not suspect, failed before with a gap of 20 s: nothing was started. The case of failures 0.1 s apart passed before and passes now.

--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -23,6 +23,10 @@
 """How long a suspect worker gets nothing before it is tried again; about as
 long as such a fault lasts on the sites' days."""
 
+FAILURE_GAP_MS: Final = 2 * QUARANTINE_MS
+"""Failures that lie further apart do not count as in a row: a worker of endless
+tasks has no run that ends as done and would clear it."""
+
 
 @dataclass(slots=True)
 class Charge:
@@ -115,6 +119,7 @@
         self.quarantined_until_ms = 0
         self.suspect_until_ms = 0
         self.failures_in_row = 0
+        self.failed_ms = 0
         self.ended_done = 0
         self.processors = 0
         self.memory = 0
@@ -212,6 +217,9 @@
 
     def note_failed(self, now_ms: int) -> None:
         """Note a failed run; several in a row make the worker suspect."""
+        if now_ms > self.failed_ms + FAILURE_GAP_MS:
+            self.failures_in_row = 0
+        self.failed_ms = now_ms
         self.failures_in_row += 1
         if self.failures_in_row >= QUARANTINE_AFTER:
             self.quarantined_until_ms = now_ms + QUARANTINE_MS
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -252,3 +252,27 @@
         asked.append(question.step_id.job_id if question else '')
         site.at_ms += RESTART_BOUND_MS
     assert asked == ['2' * 16, ENDLESS]
+
+
+def _run_and_fail(site: HandSite) -> list[StartOrder]:
+    """Let one of the tasks at work fail; returns what is started then."""
+    worker = site.scheduler.workers['w1']
+    rows = tuple(RunningRow(key, '', 100, 10) for key in worker.charges)
+    site.list_runs('w1', rows)
+    site.end('w1', rows[0].key, EndCause.FAILED)
+    return site.start_all()
+
+
+@pytest.mark.parametrize(('gap_ms', 'starts'), [(20_000, 1), (100, 0)])
+def test_a_worker_of_endless_tasks_that_fail_now_and_then_is_not_suspect(
+    gap_ms: int, starts: int
+) -> None:
+    """No run of an endless task ends as done, which would clear the worker."""
+    site = hand_site('w1')
+    site.scheduler.add_job(job(_endless(8), job_id=ENDLESS))
+    site.start_all()
+    started = []
+    for _ in range(3):
+        site.at_ms += gap_ms
+        started = _run_and_fail(site)
+    assert len(started) == starts
