--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 from gentianpulley.cluster.advice import Permit, Question, question_for
-from gentianpulley.cluster.holding import worker_to_hold
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
 from gentianpulley.cluster.ordering import in_order, overdue_first
@@ -45,7 +44,6 @@
         super().__init__(reign, log)
         self._first_run = reign.token << RUN_BITS
         self._next_moves_ms = 0
-        self._held: Worker | None = None
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
@@ -53,12 +51,9 @@
         orders: list[StartOrder] = []
         full = FullShapes()
         steps = self._free_steps(now_ms)
-        first = overdue_first(steps, now_ms)
-        self._hold(None)
-        for step in first:
+        for step in overdue_first(steps, now_ms):
             overdue = step.overdue(now_ms)
             orders.extend(self._try_step(step, overdue, view, full))
-        self._hold_for(first, view)
         for step in in_order(steps, now_ms):
             if not step.overdue(now_ms):
                 waiting = set(step.waiting)
@@ -127,21 +122,6 @@
             steps.extend(job.startable_steps(now_ms))
         return steps
 
-    def _hold_for(self, steps: Iterable[StepRun], view: PlacingView) -> None:
-        """Keep one worker, for the step that has been overdue for longest."""
-        for step in steps:
-            if step.overdue(view.now_ms):
-                self._hold(worker_to_hold(self.workers.values(), step, view))
-                break
-
-    def _hold(self, worker: Worker | None) -> None:
-        """Keep this worker, or none, instead of the one kept before."""
-        if self._held is not None:
-            self._held.is_held = False
-        self._held = worker
-        if worker is not None:
-            worker.is_held = True
-
     def _try_step(
         self,
         step: StepRun,
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -97,8 +97,7 @@
     `is_fenced` says that this leader's token was answered with a list, so
     that nothing of an earlier leader can start there any more. `is_listed`
     says that the worker stands in the directory, `is_leaving` that its machine
-    goes down for upkeep, `is_held` that it is kept for an overdue task.
-    `silent_since_ms` is when a look at it first failed,
+    goes down for upkeep. `silent_since_ms` is when a look at it first failed,
     zero while it answers, and `rests_until_ms` how long its filling tasks stand
     still.
     """
@@ -111,7 +110,6 @@
         self.is_fenced = False
         self.is_listed = True
         self.is_leaving = False
-        self.is_held = False
         self.unlisted_ms = 0
         self.heard_ms = now_ms
         self.silent_since_ms = 0
@@ -149,8 +147,7 @@
     def accepts(self, now_ms: int) -> bool:
         """Tell whether new runs may be sent there."""
         is_known = self.is_fenced and self.is_listed and not self.foreign
-        is_kept = self.is_leaving or self.is_held
-        if self.facts.is_draining or is_kept or self.silent_since_ms:
+        if self.facts.is_draining or self.is_leaving or self.silent_since_ms:
             return False
         return is_known and now_ms >= self.quarantined_until_ms
 
