Send stops before starts, and place starts again that waited too long

Cause: one queue for all orders of a worker, first come first served. A start that waited was sent however late, although room had come elsewhere; one whose worker had gone silent meanwhile was neither sent nor given back, and its room stayed taken until it was barred seconds later.

Change: OrderQueue gives out stops, then paces, then starts; a start that still waits goes in front of a stop or a pace of its own run, so that their sequence stays. A start that waited for 2 s, or whose worker went silent, is given back unless it was sent before. Such a start is given back only if the worker cannot hold it: not if the run was listed or a stop follows.

The session's last thread closes the link, so an order under way is not broken by the thread that looks.

Failed before (with the former name of is_reached), all of tests/scheduling/test_order_queue.py: - test_a_stop_does_not_wait_behind_starts: ['start 1', 'start 2'] == ['stop 9', 'pace 0'] - test_a_run_that_is_stopped_is_not_started_any_more: 'start 1' != 'stop 2' - test_a_pace_does_not_overtake_the_start_of_its_run: 'start 1' != 'start 2' - test_starts_that_waited_long_are_placed_again: not in time - test_a_start_to_a_worker_gone_silent_is_placed_again: not in time - test_the_link_is_closed_once_no_call_is_under_way: assert not 'look-w'

--- /dev/null
+++ b/src/gentianpulley/cluster/order_queue.py
@@ -0,0 +1,76 @@
+"""The orders that wait for one worker: stops, then paces, then starts."""
+
+import threading
+from collections import deque
+from dataclasses import dataclass
+
+from gentianpulley.cluster.link import PaceOrder, StopOrder
+from gentianpulley.cluster.scheduler_state import Order
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedOrder:
+    """An order and the time since when it waits."""
+
+    order: Order
+    since_ms: int
+
+
+class OrderQueue:
+    """Gives out what frees room and bounds harm before what can wait.
+
+    Nothing overtakes the start of its own run.
+    """
+
+    def __init__(self) -> None:
+        """Hold nothing yet."""
+        self._stops: deque[QueuedOrder] = deque()
+        self._paces: deque[QueuedOrder] = deque()
+        self._starts: deque[QueuedOrder] = deque()
+        self._changed = threading.Condition()
+        self._is_closed = False
+
+    def put(self, queued: QueuedOrder) -> None:
+        """Add an order behind those of its kind."""
+        lane = self._lane(queued)
+        with self._changed:
+            if lane is not self._starts:
+                self._advance_start(queued, lane)
+            lane.append(queued)
+            self._changed.notify()
+
+    def get(self) -> QueuedOrder | None:
+        """Wait for the next order; None once the queue is closed."""
+        with self._changed:
+            self._changed.wait_for(self._is_ready)
+            return None if self._is_closed else self._next()
+
+    def close(self) -> None:
+        """Give out nothing more."""
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify_all()
+
+    def _is_ready(self) -> bool:
+        has_orders = self._stops or self._paces or self._starts
+        return self._is_closed or bool(has_orders)
+
+    def _next(self) -> QueuedOrder:
+        lane = self._stops or self._paces or self._starts
+        return lane.popleft()
+
+    def _advance_start(
+        self, queued: QueuedOrder, lane: deque[QueuedOrder]
+    ) -> None:
+        """Let the start of the same run go first, if it still waits."""
+        for start in tuple(self._starts):
+            if start.order.key == queued.order.key:
+                self._starts.remove(start)
+                lane.append(start)
+
+    def _lane(self, queued: QueuedOrder) -> deque[QueuedOrder]:
+        if isinstance(queued.order, StopOrder):
+            return self._stops
+        if isinstance(queued.order, PaceOrder):
+            return self._paces
+        return self._starts
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -134,13 +134,14 @@
     def take_back(self, order: StartOrder) -> bool:
         """Let the task of a start that never left wait again.
 
-        False if the start was sent before: then it has to be sent on.
+        False if the start was sent before, also by somebody else, or a stop
+        follows: then the worker has to tell what became of the run.
         """
         worker = self.workers.get(order.worker_id)
         charge = self.charge_of(order)
         if worker is None or charge is None:
             return True
-        if charge.last_sent_ms:
+        if charge.last_sent_ms or charge.settled_ms or charge.is_stopping:
             return False
         self.return_run(worker, order.key, 'never sent')
         return True
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -3,7 +3,6 @@
 Both ask the reign before each call whether this instance still leads.
 """
 
-import queue
 import threading
 from collections.abc import Callable
 from typing import Final
@@ -17,6 +16,7 @@
     WorkerLink,
 )
 from gentianpulley.cluster.office import Office, OrderSink
+from gentianpulley.cluster.order_queue import OrderQueue, QueuedOrder
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.deadline import now_ms
@@ -33,6 +33,10 @@
 SHORTEST_LOOK_GAP_S: Final = 0.045
 """Pause between looks, so that ends that come together share one look."""
 
+LONGEST_START_WAIT_MS: Final = 2000
+"""A start that waited longer behind other orders is placed again, where there
+is room by then."""
+
 
 class WorkerSession(OrderSink):
     """Keeps the lease of one life of a worker and carries its orders."""
@@ -44,9 +48,9 @@
         self.worker = worker
         self._office = office
         self._link = link
-        self._orders: queue.SimpleQueue[Order | None] = queue.SimpleQueue()
+        self._orders = OrderQueue()
         self._closed = threading.Event()
-        self._is_reached = threading.Event()
+        self._reached = threading.Event()
         self._threads = [
             threading.Thread(
                 target=self._run, args=(loop,), name=name, daemon=True
@@ -59,6 +63,11 @@
         self._ending = threading.Lock()
         self._running = len(self._threads)
 
+    @property
+    def is_reached(self) -> bool:
+        """Tell whether the latest look was answered."""
+        return self._reached.is_set()
+
     def start(self) -> None:
         """Start both threads."""
         for thread in self._threads:
@@ -67,11 +76,11 @@
     def close(self) -> None:
         """Let both threads end after their current calls."""
         self._closed.set()
-        self._orders.put(None)
+        self._orders.close()
 
     def send(self, order: Order) -> None:
         """Queue an order."""
-        self._orders.put(order)
+        self._orders.put(QueuedOrder(order, now_ms()))
 
     def _run(self, loop: Callable[[], None]) -> None:
         """Run a thread; the last one to end closes the link.
@@ -92,7 +101,7 @@
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
             else:
-                self._is_reached.clear()
+                self._reached.clear()
                 wait_ms = 0
                 self._closed.wait(RETRY_PAUSE_S)
 
@@ -116,21 +125,21 @@
             self._office.log.worker_trouble(self.worker.worker_id, exc.text)
             self._office.unreached(self.worker)
             return False
-        self._is_reached.set()
+        self._reached.set()
         self._office.listed(self.worker, listing, sent_ms)
         return True
 
     def _order_loop(self) -> None:
         while not self._closed.is_set():
-            order = self._orders.get()
-            if order is None:
-                continue
-            is_sent = self._office.may_act(now_ms()) and self._try(order)
+            queued = self._orders.get()
+            if queued is None:
+                return
+            is_sent = self._office.may_act(now_ms()) and self._try(queued)
             if not is_sent:
                 self._closed.wait(RETRY_PAUSE_S)
-                self._orders.put(order)
+                self._orders.put(queued)
 
-    def _try(self, order: Order) -> bool:
+    def _try(self, queued: QueuedOrder) -> bool:
         """Send an order; False if it has to wait.
 
         A worker that is born anew under its id takes starts that were meant
@@ -138,8 +147,13 @@
         look tells one life from the other. Until then nothing starts there:
         what was never sent goes elsewhere, the rest waits.
         """
-        if isinstance(order, StartOrder) and not self._is_reached.is_set():
-            return self._office.take_back(order)
+        order = queued.order
+        if isinstance(order, StartOrder):
+            if not self.is_reached:
+                return self._office.take_back(order)
+            is_stale = now_ms() > queued.since_ms + LONGEST_START_WAIT_MS
+            if is_stale and self._office.take_back(order):
+                return True
         self._send(order)
         return True
 
@@ -153,6 +167,8 @@
 
     def _send_start(self, order: StartOrder) -> None:
         if not self._office.wants_start(order):
+            # A worker that went silent meanwhile gets nothing new.
+            self._office.take_back(order)
             return
         reply = self._link.start(order, self._sent())
         if reply.verdict is StartVerdict.FENCED:
@@ -162,7 +178,7 @@
         if following:
             self._closed.wait(RETRY_PAUSE_S)
         for each in following:
-            self._orders.put(each)
+            self.send(each)
 
     def _send_stop(self, order: StopOrder) -> None:
         if not self._office.wants_stop(order):
@@ -174,7 +190,7 @@
         except WorkerError as exc:
             self._office.log.worker_trouble(self.worker.worker_id, exc.text)
             self._closed.wait(RETRY_PAUSE_S)
-            self._orders.put(order)
+            self.send(order)
         else:
             self._office.stopped(order)
 
--- /dev/null
+++ b/tests/scheduling/test_order_queue.py
@@ -0,0 +1,182 @@
+"""In which sequence a worker gets its orders, and which ones go back."""
+
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from gentianpulley.cluster import worker_session
+from gentianpulley.cluster.link import (
+    Listing,
+    LookOrder,
+    PaceOrder,
+    RunKey,
+    Sent,
+    StartOrder,
+    StartReply,
+    StartVerdict,
+    StopOrder,
+    WorkerLink,
+)
+from gentianpulley.cluster.office import Office, Tenure
+from gentianpulley.cluster.scheduler_state import Order
+from gentianpulley.cluster.worker_session import WorkerSession, open_session
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import now_ms
+from gentianpulley.jobs.spec import TaskId
+from gentianpulley.logs import EventLog
+from standins.grid_site import wait_until
+from tests.scheduling.site import JOB_ID, hand_site, job, step
+
+WAIT_S = 5.0
+SHORT_WAIT_MS = 100
+LOOK_S = 0.02
+
+
+class HeldLink(WorkerLink):
+    """Answers looks, and holds the first order until it is let go."""
+
+    def __init__(self) -> None:
+        """Hold the first order."""
+        self.sent: list[str] = []
+        self.released = threading.Event()
+        self.looks = threading.Event()
+        self.looks.set()
+        self.closed_in = ''
+
+    def look(self, order: LookOrder) -> Listing:
+        """List nothing, until looks are held too."""
+        self.looks.wait(WAIT_S)
+        threading.Event().wait(LOOK_S)
+        return Listing(now_ms())
+
+    def start(self, order: StartOrder, sent: Sent) -> StartReply:
+        """Note the start."""
+        self._note(f'start {order.key.task_id.ordinal}')
+        return StartReply(StartVerdict.ACCEPTED)
+
+    def stop(self, order: StopOrder, sent: Sent) -> None:
+        """Note the stop."""
+        self._note(f'stop {order.key.task_id.ordinal}')
+
+    def pace(self, order: PaceOrder, sent: Sent) -> None:
+        """Note the pace."""
+        self._note(f'pace {order.key.task_id.ordinal}')
+
+    def close(self) -> None:
+        """Note who closes."""
+        self.closed_in = threading.current_thread().name
+
+    def _note(self, text: str) -> None:
+        self.sent.append(text)
+        self.released.wait(WAIT_S)
+
+
+class Bench:
+    """A session whose first start is under way, and starts behind it."""
+
+    def __init__(self) -> None:
+        """Send the first of four starts."""
+        site = hand_site()
+        site.at_ms = now_ms()
+        site.add_worker('w')
+        self.scheduler = site.scheduler
+        self.scheduler.add_job(job(step(4)))
+        self.worker = self.scheduler.workers['w']
+        self.link = HeldLink()
+        tenure = Tenure(now_ms() + 60_000, now_ms() + 60_000)
+        self.office = Office(
+            self.scheduler, tenure, create_counters(), EventLog()
+        )
+        self.session: WorkerSession = open_session(
+            self.office, self.worker, self.link
+        )
+        self.office.attach('w', self.session)
+        wait_until(lambda: self.session.is_reached)
+        self.office.plan()
+        wait_until(lambda: self.link.sent)
+
+    def key_of(self, ordinal: int) -> RunKey:
+        """Return the run of a task."""
+        charges = self.worker.charges
+        keys = {key.task_id: key for key in charges}
+        return keys[TaskId(JOB_ID, 0, 0, ordinal)]
+
+    def stop(self, ordinal: int) -> None:
+        """Stop a run as a cancellation does."""
+        key = self.key_of(ordinal)
+        self.worker.charges[key].is_stopping = True
+        self.session.send(StopOrder('w', key))
+
+    def waiting(self) -> int:
+        """Return how many tasks wait to be placed."""
+        known = self.scheduler.jobs[JOB_ID]
+        return sum(len(each.waiting) for each in known.steps.values())
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    running = Bench()
+    yield running
+    running.link.released.set()
+    running.link.looks.set()
+    running.session.close()
+
+
+def test_a_stop_does_not_wait_behind_starts(bench: Bench) -> None:
+    foreign = RunKey(TaskId('b' * 16, 0, 0, 9), 1)
+    orders: tuple[Order, ...] = (
+        PaceOrder('w', bench.key_of(0), 40),
+        StopOrder('w', foreign),
+    )
+    bench.worker.foreign.add(foreign)
+    for order in orders:
+        bench.session.send(order)
+    bench.link.released.set()
+    wait_until(lambda: len(bench.link.sent) == 6)
+    assert bench.link.sent[1:3] == ['stop 9', 'pace 0']
+    assert bench.link.sent[3:] == ['start 1', 'start 2', 'start 3']
+
+
+def test_a_run_that_is_stopped_is_not_started_any_more(bench: Bench) -> None:
+    bench.stop(2)
+    bench.link.released.set()
+    wait_until(lambda: len(bench.link.sent) == 4)
+    assert bench.link.sent[1:] == ['stop 2', 'start 1', 'start 3']
+
+
+def test_a_pace_does_not_overtake_the_start_of_its_run(bench: Bench) -> None:
+    bench.session.send(PaceOrder('w', bench.key_of(2), 40))
+    bench.link.released.set()
+    wait_until(lambda: len(bench.link.sent) == 5)
+    assert bench.link.sent[1:] == ['start 2', 'pace 2', 'start 1', 'start 3']
+
+
+def test_starts_that_waited_long_are_placed_again(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(worker_session, 'LONGEST_START_WAIT_MS', SHORT_WAIT_MS)
+    threading.Event().wait(2 * SHORT_WAIT_MS / 1000)
+    bench.link.released.set()
+    wait_until(lambda: bench.waiting() == 3)
+    assert bench.link.sent == ['start 0']
+
+
+def test_a_start_to_a_worker_gone_silent_is_placed_again(
+    bench: Bench,
+) -> None:
+    """It was neither sent nor given back, and barred seconds later."""
+    bench.link.looks.clear()
+    threading.Event().wait(5 * LOOK_S)
+    bench.worker.heard_ms = 0
+    bench.link.released.set()
+    wait_until(lambda: bench.waiting() == 3)
+    assert bench.link.sent == ['start 0']
+
+
+def test_the_link_is_closed_once_no_call_is_under_way(bench: Bench) -> None:
+    bench.session.close()
+    threading.Event().wait(5 * LOOK_S)
+    assert not bench.link.closed_in
+    bench.link.released.set()
+    wait_until(lambda: bench.link.closed_in == 'order-w')
