--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -9,7 +9,6 @@
 
 from gentianpulley.cluster.link import (
     PaceOrder,
-    Sent,
     StartOrder,
     StartVerdict,
     StopOrder,
@@ -17,7 +16,7 @@
 )
 from gentianpulley.cluster.link_trouble import trouble_of
 from gentianpulley.cluster.office import Office, OrderSink
-from gentianpulley.cluster.order_queue import OrderQueue
+from gentianpulley.cluster.order_queue import OrderQueue, QueuedOrder
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.deadline import MS_PER_SECOND, now_ms
@@ -34,6 +33,10 @@
 SHORTEST_LOOK_GAP_S: Final = 0.045
 """Pause between looks, so that ends that come together share one look."""
 
+LONGEST_START_WAIT_MS: Final = 2000
+"""A start that waited longer behind other orders is placed again, where there
+is room by then."""
+
 
 class WorkerSession(OrderSink):
     """Keeps the lease of one life of a worker and carries its orders."""
@@ -47,7 +50,7 @@
         self._link = link
         self._orders = OrderQueue()
         self._closed = threading.Event()
-        self._is_reached = threading.Event()
+        self._reached = threading.Event()
         self._threads = [
             threading.Thread(
                 target=self._run, args=(loop,), name=name, daemon=True
@@ -60,6 +63,11 @@
         self._ending = threading.Lock()
         self._running = len(self._threads)
 
+    @property
+    def is_reached(self) -> bool:
+        """Tell whether the latest look was answered."""
+        return self._reached.is_set()
+
     def start(self) -> None:
         """Start both threads."""
         for thread in self._threads:
@@ -68,11 +76,11 @@
     def close(self) -> None:
         """Let both threads end after their current calls."""
         self._closed.set()
-        self._orders.wake()
+        self._orders.close()
 
     def send(self, order: Order) -> None:
         """Queue an order."""
-        self._orders.put(order)
+        self._orders.put(QueuedOrder(order, now_ms()))
 
     def backlog(self) -> tuple[int, int]:
         """Return how many orders wait, and the age of the oldest in ms."""
@@ -97,7 +105,7 @@
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
             else:
-                self._is_reached.clear()
+                self._reached.clear()
                 wait_ms = 0
                 self._closed.wait(RETRY_PAUSE_S)
 
@@ -124,22 +132,21 @@
             self._note_trouble('looks', exc)
             self._office.unreached(self.worker)
             return False
-        self._is_reached.set()
+        self._reached.set()
         self._office.listed(self.worker, listing, sent_ms)
         return True
 
     def _order_loop(self) -> None:
         while not self._closed.is_set():
-            order = self._orders.get()
-            if order is None:
-                continue
-            is_sent = self._office.may_act(now_ms()) and self._try(order)
+            queued = self._orders.get()
+            if queued is None:
+                return
+            is_sent = self._office.may_act(now_ms()) and self._try(queued)
             if not is_sent:
                 self._closed.wait(RETRY_PAUSE_S)
-                self.send(order)
-            self._orders.done(order)
+                self._orders.put(queued)
 
-    def _try(self, order: Order) -> bool:
+    def _try(self, queued: QueuedOrder) -> bool:
         """Send an order; False if it has to wait.
 
         A worker that is born anew under its id takes starts that were meant
@@ -147,24 +154,31 @@
         look tells one life from the other. Until then nothing starts there:
         what was never sent goes elsewhere, the rest waits.
         """
-        if isinstance(order, StartOrder) and not self._is_reached.is_set():
-            return self._office.take_back(order)
+        order = queued.order
+        if isinstance(order, StartOrder):
+            if not self.is_reached:
+                return self._office.take_back(order)
+            is_stale = now_ms() > queued.since_ms + LONGEST_START_WAIT_MS
+            if is_stale and self._office.take_back(order):
+                return True
         with self._office.counters.timed('worker_order'):
-            self._send(order)
+            self._send(order, queued.since_ms)
         return True
 
-    def _send(self, order: Order) -> None:
+    def _send(self, order: Order, since_ms: int) -> None:
         if isinstance(order, StartOrder):
-            self._send_start(order)
+            self._send_start(order, since_ms)
         elif isinstance(order, StopOrder):
-            self._send_stop(order)
+            self._send_stop(order, since_ms)
         else:
             self._send_pace(order)
 
-    def _send_start(self, order: StartOrder) -> None:
+    def _send_start(self, order: StartOrder, since_ms: int) -> None:
         if not self._office.wants_start(order):
+            # A worker that went silent meanwhile gets nothing new.
+            self._office.take_back(order)
             return
-        reply = self._link.start(order, self._sent())
+        reply = self._link.start(order, self._office.sent(self.worker))
         if reply.verdict is StartVerdict.FENCED:
             self._office.resign('a start was fenced off')
             return
@@ -172,25 +186,25 @@
         if following:
             self._closed.wait(RETRY_PAUSE_S)
         for each in following:
-            self.send(each)
+            self._orders.put(QueuedOrder(each, since_ms))
 
-    def _send_stop(self, order: StopOrder) -> None:
+    def _send_stop(self, order: StopOrder, since_ms: int) -> None:
         if not self._office.wants_stop(order):
             return
         try:
-            self._link.stop(order, self._sent())
+            self._link.stop(order, self._office.sent(self.worker))
         except WorkerFencedError as exc:
             self._office.resign(exc.text)
         except WorkerError as exc:
             self._note_trouble('stops', exc)
             self._closed.wait(RETRY_PAUSE_S)
-            self.send(order)
+            self._orders.put(QueuedOrder(order, since_ms))
         else:
             self._office.stopped(order)
 
     def _send_pace(self, order: PaceOrder) -> None:
         try:
-            self._link.pace(order, self._sent())
+            self._link.pace(order, self._office.sent(self.worker))
         except WorkerFencedError as exc:
             self._office.resign(exc.text)
         except WorkerError as exc:
@@ -204,9 +218,6 @@
         self._office.counters.add(f'{kind}_failed_{trouble_of(exc)}')
         self._office.log.worker_trouble(self.worker.worker_id, exc.text)
 
-    def _sent(self) -> Sent:
-        return self._office.sent(self.worker)
-
 
 def open_session(
     office: Office, worker: Worker, link: WorkerLink
