--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -262,20 +262,17 @@
     def _note_running(
         self, worker: Worker, row: RunningRow, now_ms: int
     ) -> list[Order]:
-        self.note_begun(row.key)
         charge = worker.charges.get(row.key)
         if charge is None:
+            self.note_begun(row.key)
             return self._adopt(worker, row, now_ms)
+        if not charge.is_listed or row.checkpoint != charge.checkpoint:
+            self.note_checkpoint(charge, row.checkpoint)
         charge.settled_ms = charge.settled_ms or now_ms
         charge.is_listed = True
         charge.gauge = row.gauge
         charge.gauge_ms = now_ms
         note_progress(charge, row.progress_percent, now_ms)
-        job = self.jobs.get(row.key.task_id.job_id)
-        step = job.step_of(row.key.task_id) if job else None
-        if step is not None:
-            task = step.tasks[row.key.task_id.ordinal]
-            task.note_running(row.checkpoint)
         return []
 
     def _adopt(
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -100,6 +100,15 @@
         if job is not None:
             job.note_begun()
 
+    def note_checkpoint(self, charge: Charge, checkpoint: str) -> None:
+        """Note a run that is listed for the first time, or has saved more."""
+        charge.checkpoint = checkpoint
+        self.note_begun(charge.key)
+        task_id = charge.key.task_id
+        step = self.step_of(task_id)
+        if step is not None:
+            step.tasks[task_id.ordinal].note_running(checkpoint)
+
     def look_order(self, worker: Worker, wait_ms: int) -> LookOrder:
         """Return the next look at a worker; it renews the lease."""
         return LookOrder(
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -45,7 +45,7 @@
     `slowed_since_ms` is since when that is low, zero while it is not. `bias`
     is how far a serving task's tail lies from what is expected of its image,
     as a logarithm; `over_since_ms` is since when the tail is over its target,
-    zero while it is not.
+    zero while it is not. `checkpoint` is what was listed last.
     """
 
     key: RunKey
@@ -67,6 +67,7 @@
     gauge_ms: int = 0
     bias: float = 0
     over_since_ms: int = 0
+    checkpoint: str = ''
 
     def want_pace(self, percent: int, now_ms: int) -> None:
         """Note the pace that the run should have from now on."""
