Keep the records that were written before a write failed

A leader behind a narrow link writes changed records ten at a time. A batch that failed had all batches written again, also those that were written: where each round loses one, the records after it are never written, and their ends never acknowledged.

Now only what is left is written again. Ends are acknowledged as before, once all records up to theirs are written. test_leader's factory of leaders moves to leader_bench unchanged, as both tests use it.

tests/test_saving.py failed before (every second write of records is dropped): 'AssertionError: not in time: all records are written'.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -6,6 +6,7 @@
 that a write whose answer was lost cannot undo a newer one.
 """
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -158,10 +159,15 @@
         """Tell whether a final record of a job is known."""
         return job_id in self._ended
 
-    def save(self, jobs: list[Job]) -> None:
-        """Write the jobs' records; raises `DeposedError` or `StoreError`."""
-        for batch in _batches(jobs):
-            self._save_batch(batch)
+    def save(self, batches: deque[list[Job]]) -> None:
+        """Write the jobs' records; raises `DeposedError` or `StoreError`.
+
+        Batches that are written are taken off the queue, so that after a
+        failure it holds those that are left.
+        """
+        while batches:
+            self._save_batch(batches[0])
+            batches.popleft()
 
     def forget_ended(self, before_ms: int) -> int:
         """Delete jobs that ended before a time; returns how many."""
@@ -255,6 +261,14 @@
         raise StoreError('a record has another revision; it is written again')
 
 
+def save_batches(jobs: list[Job]) -> deque[list[Job]]:
+    """Return the jobs in batches that are each written at once."""
+    return deque(
+        jobs[start : start + JOBS_IN_TRANSACTION]
+        for start in range(0, len(jobs), JOBS_IN_TRANSACTION)
+    )
+
+
 def job_key(job_id: str) -> str:
     """Return where a submitted job stands."""
     return f'{JOB_PREFIX}{job_id}'
@@ -280,11 +294,6 @@
     return Put(record_key(job.spec.job_id), body)
 
 
-def _batches(jobs: list[Job]) -> Iterator[list[Job]]:
-    for start in range(0, len(jobs), JOBS_IN_TRANSACTION):
-        yield jobs[start : start + JOBS_IN_TRANSACTION]
-
-
 def _loaded(spec: JobSpec, record: JobRecord | None) -> Job | None:
     if record is not None and record.state.is_final:
         return None
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final
 
 import msgspec
@@ -14,7 +15,7 @@
 from gentianpulley.cluster.advice import Adviser
 from gentianpulley.cluster.advice_loop import AdviceLoop
 from gentianpulley.cluster.directory import WorkerDirectory
-from gentianpulley.cluster.job_book import JobBook
+from gentianpulley.cluster.job_book import JobBook, save_batches
 from gentianpulley.cluster.leader_notes import HARM_KEY, LeaderNotes
 from gentianpulley.cluster.leader_store import (
     DeposedError,
@@ -263,11 +264,12 @@
             with office.lock:
                 number = office.scheduler.change_number
                 changed = office.scheduler.changed_jobs()
+            batches = save_batches(changed)
             try:
-                self._book.save(changed)
+                self._book.save(batches)
             except StoreError:
                 with office.lock:
-                    office.scheduler.note_unsaved(changed)
+                    office.scheduler.note_unsaved(list(chain(*batches)))
                 raise
             with office.lock:
                 office.scheduler.note_saved(number)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -5,34 +5,24 @@
 
 import pytest
 
-from gentianpulley.cluster.job_book import LEADER_KEY, job_key
+from gentianpulley.cluster.job_book import job_key
 from gentianpulley.cluster.leader import (
     Leader,
-    LeaderParts,
     certain_end_ms,
-    open_tenure,
     tenure_end_ms,
 )
 from gentianpulley.cluster.leader_notes import HARM_KEY
 from gentianpulley.cluster.office import Office, Tenure
-from gentianpulley.cluster.timing import create_timing
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.spec import encode_job
-from gentianpulley.logs import EventLog
-from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.kv_store import connect_kv_store
-from gentianpulley.platform.worker_link import HttpWorkerLinks
-from gentianpulley.store import Guard
 from standins.grid_site import wait_until
 from standins.grid_store import HOST, GridStore
+from tests.leader_bench import TIMING, create_leader
 from tests.scheduling.site import JOB_ID, job, step
 
-TIMING = create_timing(
-    max_lease_ms=6000, contact_ms=3000, stop_ms=900, look_ms=1000
-)
-
 
 @pytest.fixture
 def store() -> Iterator[GridStore]:
@@ -46,24 +36,9 @@
 
 def _leader(store: GridStore, tenure: Tenure | None = None) -> Leader:
     """Return a leader under a new token."""
-    token = store.put(LEADER_KEY, {})
-    counters = create_counters()
-    log = EventLog()
-    client = connect_kv_store(HttpAddress(HOST, store.port), counters)
-    parts = LeaderParts(
-        store=client,
-        directory=create_directory(client, log),
-        links=HttpWorkerLinks(),
-        adviser=None,
-        park=None,
-        timing=TIMING,
-        status_ms=120_000,
-        upkeep_ms=2000,
-        counters=counters,
-        log=log,
-    )
-    tenure = tenure or open_tenure(now_ms(), TIMING)
-    return Leader(parts, Guard(LEADER_KEY, token), tenure)
+    address = HttpAddress(HOST, store.port)
+    client = connect_kv_store(address, create_counters())
+    return create_leader(store, client, tenure)
 
 
 def _open_office(leader: Leader) -> Office:
