Count a job that is forgotten as ended

Now JobBook.has_ended stays true for jobs of its reign that were deleted.

tests/test_saving.py failed before: 'assert False' for all(map(has_ended, ...)) after forget_ended.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -126,6 +126,7 @@
         self._log = log
         self._revisions: dict[str, int] = {}
         self._ended: dict[str, tuple[int, str]] = {}
+        self._forgotten: set[str] = set()
 
     def load(self) -> tuple[list[Job], int]:
         """Return all jobs that go on, and the revision to watch from."""
@@ -156,8 +157,8 @@
         return None
 
     def has_ended(self, job_id: str) -> bool:
-        """Tell whether a final record of a job is known."""
-        return job_id in self._ended
+        """Tell whether a final record of a job is known, or was."""
+        return job_id in self._ended or job_id in self._forgotten
 
     def save(self, batches: deque[list[Job]]) -> None:
         """Write the jobs' records; raises `DeposedError` or `StoreError`.
@@ -185,6 +186,7 @@
                 waiting_key(queue, job_id),
             )
             self._commit(Transaction((), deletes=keys))
+            self._forgotten.add(job_id)
             self._ended.pop(job_id)
         return len(old)
 
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -5,17 +5,23 @@
 import pytest
 
 from gentianpulley.cluster.job_book import (
+    JOB_PREFIX,
     JOBS_IN_TRANSACTION,
+    LEADER_KEY,
     RECORD_PREFIX,
+    JobBook,
     cancel_key,
     job_key,
 )
+from gentianpulley.cluster.leader_store import create_leader_store
 from gentianpulley.counters import create_counters
+from gentianpulley.deadline import deadline_in
 from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.spec import encode_job
-from gentianpulley.platform.kv_store import KvStore
-from gentianpulley.store import Commit, Store, Transaction
+from gentianpulley.logs import EventLog
+from gentianpulley.platform.kv_store import KvStore, connect_kv_store
+from gentianpulley.store import Commit, Guard, Store, Transaction
 from standins.grid_site import wait_until
 from standins.grid_store import HOST, GridStore
 from tests.leader_bench import create_leader
@@ -41,6 +47,11 @@
         return super().commit(txn)
 
 
+def _client(server: GridStore) -> Store:
+    address = HttpAddress(HOST, server.port)
+    return connect_kv_store(address, create_counters())
+
+
 @pytest.fixture
 def server() -> Iterator[GridStore]:
     """Return a store of jobs that are all cancelled."""
@@ -67,3 +78,20 @@
         'all records are written',
     )
     leader.close()
+
+
+def test_a_job_that_is_forgotten_still_counts_as_ended(
+    server: GridStore,
+) -> None:
+    """A page read before it was deleted may be taken up after that."""
+    first = create_leader(server, _client(server))
+    first.open()
+    wait_until(lambda: len(server.keys(RECORD_PREFIX)) == len(JOB_IDS))
+    first.close()
+    guard = Guard(LEADER_KEY, server.put(LEADER_KEY, {}))
+    book = JobBook(create_leader_store(_client(server), guard), EventLog())
+    book.load()
+    while book.forget_ended(deadline_in(1000)):
+        assert all(map(book.has_ended, JOB_IDS))
+    assert not server.keys(JOB_PREFIX)
+    assert all(map(book.has_ended, JOB_IDS))
