--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -11,6 +11,7 @@
 from gentianpulley.cluster.advice import Permit, Question, question_for
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
+from gentianpulley.cluster.open_workers import OpenWorkers
 from gentianpulley.cluster.ordering import in_order, overdue_first
 from gentianpulley.cluster.placing import (
     Choice,
@@ -21,8 +22,13 @@
     is_starving,
     suitable,
 )
+from gentianpulley.cluster.plan_report import (
+    PlanReport,
+    create_plan_report,
+)
 from gentianpulley.cluster.run_tracker import RunTracker
 from gentianpulley.cluster.scheduler_state import Reign
+from gentianpulley.cluster.waiting import WaitReason, Waits
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.logs import EventLog
@@ -44,12 +50,14 @@
         super().__init__(reign, log)
         self._first_run = reign.token << RUN_BITS
         self._next_moves_ms = 0
+        self._waits = Waits()
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
         view = self._view(now_ms)
         orders: list[StartOrder] = []
         full = FullShapes()
+        self._waits.begin_plan(now_ms)
         steps = self._free_steps(now_ms)
         for step in overdue_first(steps, now_ms):
             overdue = step.overdue(now_ms)
@@ -60,6 +68,10 @@
                 orders.extend(self._try_step(step, waiting, view, full))
         return orders
 
+    def report(self, now_ms: int) -> PlanReport:
+        """Sum up what the latest plan left."""
+        return create_plan_report(self, self._waits, now_ms)
+
     def moves(self, now_ms: int) -> list[StopOrder]:
         """Return the stops of tasks that are better off elsewhere."""
         if now_ms < self._next_moves_ms:
@@ -79,7 +91,7 @@
         view = self._view(now_ms)
         overdue = overdue_first(advised, now_ms)
         for step in (*overdue, *in_order(advised, now_ms)):
-            allowed = suitable(self.workers.values(), step, view)
+            allowed = suitable(step, view)
             question = question_for(step, allowed, self.tickets, now_ms)
             if question is not None:
                 return question
@@ -97,12 +109,13 @@
         self.tickets.note(question, permits, asked, asked_ms)
 
     def _view(self, now_ms: int) -> PlacingView:
+        workers = self.workers.values()
         return PlacingView(
-            self.closed_domains,
+            OpenWorkers(workers, self.closed_domains, now_ms),
             now_ms,
             self.harm,
             self.tickets,
-            is_busy(self.workers.values()),
+            is_busy(workers),
         )
 
     def _free_steps(self, now_ms: int) -> list[StepRun]:
@@ -110,6 +123,9 @@
         steps = self._startable(now_ms)
         if self.is_handover_over(now_ms):
             return steps
+        for held in steps:
+            if held.job.is_inherited:
+                self._waits.note(held, WaitReason.INHERITED)
         return [step for step in steps if not step.job.is_inherited]
 
     def _startable(self, now_ms: int) -> list[StepRun]:
@@ -130,8 +146,8 @@
         full: FullShapes,
     ) -> list[StartOrder]:
         """Place these tasks of a step, unless that is hopeless."""
-        is_hopeless = full.covers(step) and not is_starving(step, view)
-        if not indexes or is_hopeless:
+        if full.covers(step) and not is_starving(step, view):
+            self._waits.note(step, WaitReason.ALIKE)
             return []
         orders = self._place_step(step, indexes, view)
         if indexes & step.waiting and not _is_special(step):
@@ -141,10 +157,30 @@
     def _place_step(
         self, step: StepRun, indexes: set[int], view: PlacingView
     ) -> list[StartOrder]:
-        allowed = candidates(self.workers.values(), step, view)
-        if step.spec.is_gang:
-            return self._place_gang(step, allowed, view)
+        allowed = candidates(step, view)
         choice = Choice(allowed, step, view)
+        if step.spec.is_gang:
+            orders = self._place_gang(step, choice, view)
+        else:
+            orders = self._place_each(step, indexes, choice, view)
+        if step.waiting:
+            reason = choice.reason if allowed else self._lack(step, view)
+            self._waits.note(step, reason)
+        return orders
+
+    def _lack(self, step: StepRun, view: PlacingView) -> WaitReason:
+        """Return what a step without any worker lacks."""
+        if suitable(step, view):
+            return WaitReason.TICKET
+        return WaitReason.NO_WORKER
+
+    def _place_each(
+        self,
+        step: StepRun,
+        indexes: set[int],
+        choice: Choice,
+        view: PlacingView,
+    ) -> list[StartOrder]:
         orders = []
         for index in sorted(indexes):
             task = step.tasks[index]
@@ -157,14 +193,13 @@
         return orders
 
     def _place_gang(
-        self, step: StepRun, allowed: list[Worker], view: PlacingView
+        self, step: StepRun, choice: Choice, view: PlacingView
     ) -> list[StartOrder]:
         """Place all tasks of a gang under one run number, or none."""
         if len(step.waiting) < len(step.tasks):
             return []
         checkpoint = max(task.checkpoint for task in step.tasks)
         run = max(task.run for task in step.tasks) + 1
-        choice = Choice(allowed, step, view)
         orders: list[StartOrder] = []
         for task in step.tasks:
             worker = choice.take(task)
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -23,6 +23,10 @@
 """How long a suspect worker gets nothing before it is tried again; about as
 long as such a fault lasts on the sites' days."""
 
+FAILURE_GAP_MS: Final = 2 * QUARANTINE_MS
+"""Failures that lie further apart do not count as in a row: a worker of endless
+tasks has no run that ends as done and would clear it."""
+
 
 @dataclass(slots=True)
 class Charge:
@@ -41,7 +45,7 @@
     `slowed_since_ms` is since when that is low, zero while it is not. `bias`
     is how far a serving task's tail lies from what is expected of its image,
     as a logarithm; `over_since_ms` is since when the tail is over its target,
-    zero while it is not.
+    zero while it is not. `checkpoint` is what was listed last.
     """
 
     key: RunKey
@@ -63,6 +67,7 @@
     gauge_ms: int = 0
     bias: float = 0
     over_since_ms: int = 0
+    checkpoint: str = ''
 
     def want_pace(self, percent: int, now_ms: int) -> None:
         """Note the pace that the run should have from now on."""
@@ -117,6 +122,7 @@
         self.quarantined_until_ms = 0
         self.suspect_until_ms = 0
         self.failures_in_row = 0
+        self.failed_ms = 0
         self.ended_done = 0
         self.processors = 0
         self.memory = 0
@@ -214,6 +220,9 @@
 
     def note_failed(self, now_ms: int) -> None:
         """Note a failed run; several in a row make the worker suspect."""
+        if now_ms > self.failed_ms + FAILURE_GAP_MS:
+            self.failures_in_row = 0
+        self.failed_ms = now_ms
         self.failures_in_row += 1
         if self.failures_in_row >= QUARANTINE_AFTER:
             self.quarantined_until_ms = now_ms + QUARANTINE_MS
--- /dev/null
+++ b/tests/test_saving.py
@@ -0,0 +1,97 @@
+"""How a leader writes records while writes fail."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from gentianpulley.cluster.job_book import (
+    JOB_PREFIX,
+    JOBS_IN_TRANSACTION,
+    LEADER_KEY,
+    RECORD_PREFIX,
+    JobBook,
+    cancel_key,
+    job_key,
+)
+from gentianpulley.cluster.leader_store import create_leader_store
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import deadline_in
+from gentianpulley.errors import StoreAnswerLostError
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.jobs.spec import encode_job
+from gentianpulley.logs import EventLog
+from gentianpulley.platform.kv_store import KvStore, connect_kv_store
+from gentianpulley.store import Commit, Guard, Store, Transaction
+from standins.grid_site import wait_until
+from standins.grid_store import HOST, GridStore
+from tests.leader_bench import create_leader
+from tests.scheduling.site import job, step
+
+JOB_IDS = tuple(f'{number:016x}' for number in range(3 * JOBS_IN_TRANSACTION))
+
+
+class EverySecondLost(KvStore):
+    """A store that drops every second write of records."""
+
+    def __init__(self, server: GridStore) -> None:
+        """Connect to a stand-in."""
+        super().__init__(HttpAddress(HOST, server.port), create_counters())
+        self._writes = 0
+
+    def commit(self, txn: Transaction) -> Commit:
+        """Apply a transaction, or drop it."""
+        if any(put.key.startswith(RECORD_PREFIX) for put in txn.puts):
+            self._writes += 1
+            if self._writes % 2 == 0:
+                raise StoreAnswerLostError('dropped')
+        return super().commit(txn)
+
+
+def _client(server: GridStore) -> Store:
+    address = HttpAddress(HOST, server.port)
+    return connect_kv_store(address, create_counters())
+
+
+@pytest.fixture
+def server() -> Iterator[GridStore]:
+    """Return a store of jobs that are all cancelled."""
+    running = GridStore()
+    running.run_in_background()
+    for job_id in JOB_IDS:
+        spec = job(step(), job_id=job_id).spec
+        running.put(job_key(job_id), encode_job(spec))
+        running.put(cancel_key(job_id), b'')
+    yield running
+    running.shutdown()
+    running.server_close()
+
+
+def test_records_that_were_written_are_not_written_again(
+    server: GridStore,
+) -> None:
+    client: Store = EverySecondLost(server)
+    leader = create_leader(server, client)
+    leader.open()
+    wait_until(
+        lambda: len(server.keys(RECORD_PREFIX)) == len(JOB_IDS),
+        5,
+        'all records are written',
+    )
+    leader.close()
+
+
+def test_a_job_that_is_forgotten_still_counts_as_ended(
+    server: GridStore,
+) -> None:
+    """A page read before it was deleted may be taken up after that."""
+    first = create_leader(server, _client(server))
+    first.open()
+    wait_until(lambda: len(server.keys(RECORD_PREFIX)) == len(JOB_IDS))
+    first.close()
+    guard = Guard(LEADER_KEY, server.put(LEADER_KEY, {}))
+    book = JobBook(create_leader_store(_client(server), guard), EventLog())
+    book.load()
+    while book.forget_ended(deadline_in(1000)):
+        assert all(map(book.has_ended, JOB_IDS))
+    assert not server.keys(JOB_PREFIX)
+    assert all(map(book.has_ended, JOB_IDS))
