Look at a worker again once its ends are written

Cause: a worker lists its ends at once, again and again, until a look acknowledges them, which it may do only once they are written.

Now a look that brought ends is followed by the next one when these are written, or after a quarter of a second while nothing can be written; looks renew leases, so they go on. The tests' sessions got the new method, and one reads an event in place of a property.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -271,8 +271,7 @@
                 with office.lock:
                     office.scheduler.note_unsaved(list(chain(*batches)))
                 raise
-            with office.lock:
-                office.scheduler.note_saved(number)
+            office.note_saved(number)
 
 
 def tenure_end_ms(sent_ms: int, timing: Timing) -> int:
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -47,6 +47,10 @@
     def backlog(self) -> tuple[int, int]:
         """Return how many orders wait, and the age of the oldest in ms."""
 
+    @abstractmethod
+    def note_acknowledged(self) -> None:
+        """Note that the worker's ends so far may be acknowledged."""
+
     @abstractmethod
     def close(self) -> None:
         """Send nothing more."""
@@ -253,6 +257,15 @@
             self.scheduler.add_job(job)
         self.work_came.set()
 
+    def note_saved(self, change_number: int) -> None:
+        """Acknowledge ends that are written; their workers are looked at."""
+        with self.lock:
+            settled = self.scheduler.note_saved(change_number)
+        for worker_id in settled:
+            sink = self._sinks.get(worker_id)
+            if sink is not None:
+                sink.note_acknowledged()
+
     def cancel(self, job_id: str) -> None:
         """Cancel a job."""
         with self.lock:
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -83,12 +83,20 @@
         """Wait for these workers too before inherited work starts."""
         self.unsettled.update(worker_ids)
 
-    def note_saved(self, change_number: int) -> None:
-        """Acknowledge the ends that went into records up to this number."""
+    def note_saved(self, change_number: int) -> list[str]:
+        """Acknowledge the ends that went into records up to this number.
+
+        Returns the workers all of whose ends are acknowledged now.
+        """
+        settled = []
         for worker in self.workers.values():
             ends = worker.unsaved_ends
+            had_ends = bool(ends)
             while ends and ends[0][1] <= change_number:
                 worker.acked_number = ends.popleft()[0]
+            if had_ends and not ends:
+                settled.append(worker.worker_id)
+        return settled
 
     def waiting_jobs(self) -> int:
         """Return how many jobs have not begun."""
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -33,6 +33,10 @@
 SHORTEST_LOOK_GAP_S: Final = 0.045
 """Pause between looks, so that ends that come together share one look."""
 
+LONGEST_LOOK_GAP_S: Final = 0.25
+"""Longest pause for ends that are not written yet. While the store is away,
+looks go on: they renew leases."""
+
 LONGEST_START_WAIT_MS: Final = 2000
 """A start that waited longer behind other orders is placed again, where there
 is room by then."""
@@ -50,7 +54,8 @@
         self._link = link
         self._orders = OrderQueue()
         self._closed = threading.Event()
-        self._reached = threading.Event()
+        self._acknowledged = threading.Event()
+        self.reached = threading.Event()
         self._threads = [
             threading.Thread(
                 target=self._run, args=(loop,), name=name, daemon=True
@@ -63,11 +68,6 @@
         self._ending = threading.Lock()
         self._running = len(self._threads)
 
-    @property
-    def is_reached(self) -> bool:
-        """Tell whether the latest look was answered."""
-        return self._reached.is_set()
-
     def start(self) -> None:
         """Start both threads."""
         for thread in self._threads:
@@ -76,12 +76,17 @@
     def close(self) -> None:
         """Let both threads end after their current calls."""
         self._closed.set()
+        self._acknowledged.set()
         self._orders.close()
 
     def send(self, order: Order) -> None:
         """Queue an order."""
         self._orders.put(QueuedOrder(order, now_ms()))
 
+    def note_acknowledged(self) -> None:
+        """Look again: the worker's ends so far may be acknowledged."""
+        self._acknowledged.set()
+
     def backlog(self) -> tuple[int, int]:
         """Return how many orders wait, and the age of the oldest in ms."""
         return self._orders.backlog()
@@ -104,8 +109,11 @@
             if self._look(wait_ms):
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
+                # Ends are listed at once, until they are acknowledged.
+                if self.worker.unsaved_ends:
+                    self._acknowledged.wait(LONGEST_LOOK_GAP_S)
             else:
-                self._reached.clear()
+                self.reached.clear()
                 wait_ms = 0
                 self._closed.wait(RETRY_PAUSE_S)
 
@@ -132,7 +140,8 @@
             self._note_trouble('looks', exc)
             self._office.unreached(self.worker)
             return False
-        self._reached.set()
+        self.reached.set()
+        self._acknowledged.clear()
         self._office.listed(self.worker, listing, sent_ms)
         return True
 
@@ -156,7 +165,7 @@
         """
         order = queued.order
         if isinstance(order, StartOrder):
-            if not self.is_reached:
+            if not self.reached.is_set():
                 return self._office.take_back(order)
             is_stale = now_ms() > queued.since_ms + LONGEST_START_WAIT_MS
             if is_stale and self._office.take_back(order):
--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -92,7 +92,7 @@
             self.office, self.worker, self.link
         )
         self.office.attach('w', self.session)
-        wait_until(lambda: self.session.is_reached)
+        wait_until(lambda: self.session.reached.is_set())
         self.office.plan()
         wait_until(lambda: self.link.sent)
 
--- a/tests/scheduling/test_plan_report.py
+++ b/tests/scheduling/test_plan_report.py
@@ -211,6 +211,9 @@
     def send(self, order: Order) -> None:
         self.orders.put(QueuedOrder(order, now_ms()))
 
+    def note_acknowledged(self) -> None:
+        """Do nothing."""
+
     def backlog(self) -> tuple[int, int]:
         return self.orders.backlog()
 
