Weigh harm anew only where something has changed

Cause: each plan weighed each image of waiting filling tasks against all serving tasks of all workers anew, though little had changed since the plan before; and the model learned from every worker's reports, a least-squares update for each, so that both grew with the fleet.

Now a worker keeps how far its serving tasks are from their targets, and which images harm too much, until it is charged, gives back or reports anew. Filling steps look only at workers that may have enough processors to spare, the most first. The model learns from at most 400 reports a second, which is what a site of 34 workers gives; it forgets by report, so a larger site forgot faster.

With keeping taken out, test_harm_cost fails: assert not ['s', 's', ...].

--- a/src/gentianpulley/cluster/harm.py
+++ b/src/gentianpulley/cluster/harm.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from gentianpulley.deadline import MS_PER_SECOND
+
 PRIOR_HARM: Final = 3.0
 """Coefficient of an unknown pair: a task on a sixth of the worker raises the
 tail by half, so that unknown pairs are tried one at a time."""
@@ -36,6 +38,12 @@
 """Added at a hand-over: as much as drift adds in a hundred samples, which a
 worker gives in forty seconds."""
 
+REPORTS_PER_S: Final = 400
+"""Reports a second from which the model learns, on a site of any size."""
+
+REPORTS_BURST_MS: Final = 100
+"""How long reports that did not come may come later."""
+
 EXPORTED_DIGITS: Final = 3
 """Decimal digits kept of exported figures."""
 
@@ -88,6 +96,18 @@
     def __init__(self) -> None:
         """Know nothing but the prior."""
         self._estimates: dict[str, _Estimate] = {}
+        self._next_report_ms: float = 0
+
+    def wants_report(self, now_ms: int) -> bool:
+        """Tell whether one more report is worth its processor time now.
+
+        What is asked for is spread evenly over time.
+        """
+        if now_ms < self._next_report_ms:
+            return False
+        earliest_ms = max(self._next_report_ms, now_ms - REPORTS_BURST_MS)
+        self._next_report_ms = earliest_ms + MS_PER_SECOND / REPORTS_PER_S
+        return True
 
     def note(self, serving: str, tail_ms: float, shares: Shares) -> None:
         """Learn from one report of a serving task beside filling ones."""
--- a/src/gentianpulley/cluster/harm_risk.py
+++ b/src/gentianpulley/cluster/harm_risk.py
@@ -11,7 +11,12 @@
 
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.pacing import is_serving
-from gentianpulley.cluster.worker import FULL_PERCENT, Charge, Worker
+from gentianpulley.cluster.worker import (
+    FULL_PERCENT,
+    Charge,
+    ServingMargin,
+    Worker,
+)
 
 TAIL_SPREAD: Final = 0.35
 """Standard deviation of the logarithm of a tail around its expectation: the
@@ -34,44 +39,54 @@
 def harms_too_much(
     worker: Worker, model: HarmModel, image: str, processors: int
 ) -> bool:
-    """Tell whether a further filling task costs more than it is worth."""
+    """Tell whether a further filling task costs more than it is worth.
+
+    What the worker's tasks are expected to do without it is worked out once
+    until the worker changes, and so is which images harm too much.
+    """
+    smallest = worker.harmful_needs.get(image)
+    if smallest is not None and processors >= smallest:
+        return True
+    if worker.serving_margins is None:
+        worker.serving_margins = _margins(worker, model)
+    capacity = max(1, worker.facts.capacity.processors_milli)
+    share = processors / capacity
+    if not _is_harmful(worker.serving_margins, model, image, share):
+        return False
+    worker.harmful_needs[image] = processors
+    return True
+
+
+def _is_harmful(
+    margins: list[ServingMargin], model: HarmModel, image: str, share: float
+) -> bool:
+    """Tell whether an image's share of a worker pushes tails too far."""
     harmed: float = 0
-    for before, after in _margins(worker, model, image, processors):
+    for serving in margins:
+        after = serving.margin + share * model.harm(serving.image, image)
         if after > _CERTAIN_MARGIN:
             return True
-        harmed += _risk(after) - _risk(before)
+        harmed += _risk(after) - serving.risk
     return harmed > MOST_HARMED
 
 
-def _margins(
-    worker: Worker, model: HarmModel, image: str, processors: int
-) -> list[tuple[float, float]]:
-    """Return each serving task's margin before and after one more task.
-
-    A margin is the logarithm of the expected tail over the target.
-    """
+def _margins(worker: Worker, model: HarmModel) -> list[ServingMargin]:
+    """Return how far each serving task is expected to be from its target."""
     shares = _placed_shares(worker)
-    capacity = max(1, worker.facts.capacity.processors_milli)
-    more = dict(shares)
-    more[image] = more.get(image, 0) + processors / capacity
     serving = [
         charge for charge in worker.charges.values() if is_serving(charge)
     ]
     # Few images serve on a worker, each with several tasks.
     images = {charge.spec.image for charge in serving}
-    expected = {
-        name: (model.predict(name, shares), model.predict(name, more))
-        for name in images
-    }
-    return [_margins_of(charge, expected) for charge in serving]
+    expected = {name: model.predict(name, shares) for name in images}
+    return [_margin_of(charge, expected) for charge in serving]
 
 
-def _margins_of(
-    charge: Charge, expected: dict[str, tuple[float, float]]
-) -> tuple[float, float]:
-    before, after = expected[charge.spec.image]
+def _margin_of(charge: Charge, expected: dict[str, float]) -> ServingMargin:
+    image = charge.spec.image
     shift = charge.bias - math.log(charge.spec.tail_target_ms)
-    return before + shift, after + shift
+    margin = expected[image] + shift
+    return ServingMargin(image, margin, _risk(margin))
 
 
 def _risk(margin: float) -> float:
--- a/src/gentianpulley/cluster/open_workers.py
+++ b/src/gentianpulley/cluster/open_workers.py
@@ -5,11 +5,23 @@
 workers of a loaded site have no room for most steps.
 """
 
+import math
 from collections.abc import Iterable, Iterator
+from operator import itemgetter
+from typing import Final
 
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.spec import StepSpec
 
+ENDLESS_USE: Final = 0.6
+"""Expected share of its processors that an endless task uses: their load
+swings around a half."""
+
+Place = tuple[int, Worker]
+"""A worker and its place among those that suit a step."""
+
+_Headroom = tuple[float, int, Worker]
+
 
 class OpenWorkers:
     """Workers that accept runs, by the service and label that a step needs."""
@@ -27,7 +39,9 @@
             if worker.accepts(now_ms)
             and worker.facts.failure_domain not in closed_domains
         ]
+        self._now_ms = now_ms
         self._suitable: dict[tuple[str, str], list[Worker]] = {}
+        self._headroom: dict[tuple[str, str], list[_Headroom]] = {}
 
     def suitable(self, service: str, label: str) -> list[Worker]:
         """Return those of a service that have a label; any if it is empty."""
@@ -43,14 +57,52 @@
             self._suitable[wanted] = found
         return found
 
+    def fillable(
+        self, service: str, label: str, processors: int
+    ) -> Iterator[Place]:
+        """Yield the suitable ones that may have so many to spare.
+
+        Room only shrinks within a plan, so who has too few gets no more.
+        """
+        wanted = (service, label)
+        if wanted not in self._headroom:
+            self._headroom[wanted] = self._by_headroom(service, label)
+        for headroom, place, worker in self._headroom[wanted]:
+            if headroom < processors:
+                break
+            yield place, worker
+
+    def _by_headroom(self, service: str, label: str) -> list[_Headroom]:
+        """Return the workers that do not rest, the most to spare first."""
+        return sorted(
+            (
+                (_headroom(worker), place, worker)
+                for place, worker in enumerate(self.suitable(service, label))
+                if self._now_ms >= worker.rests_until_ms
+            ),
+            key=itemgetter(0),
+            reverse=True,
+        )
+
+
+def spare_milli(worker: Worker) -> float:
+    """Return the processors expected to be left by tasks that reserve."""
+    busy = worker.processors - (1 - ENDLESS_USE) * worker.endless
+    return worker.facts.capacity.processors_milli - busy
+
+
+def _headroom(worker: Worker) -> float:
+    """Return what is left to filling tasks; a worker without any takes one."""
+    if not worker.filling:
+        return math.inf
+    return spare_milli(worker) - worker.filling
+
 
-def with_room(
-    workers: Iterable[Worker], spec: StepSpec
-) -> Iterator[tuple[int, Worker]]:
+def with_room(places: Iterable[Place], spec: StepSpec) -> Iterator[Place]:
     """Yield the workers with the declared room, each with its place."""
     need = spec.resources
     processors = 0 if spec.fills_spare else need.processors_milli
-    for place, worker in enumerate(workers):
+    for place, worker in places:
         room = worker.facts.capacity
         if worker.processors + processors > room.processors_milli:
             continue
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -50,6 +50,7 @@
     if now_ms < worker.sampled_ms + SAMPLE_GAP_MS:
         return False
     worker.sampled_ms = now_ms
+    worker.forget_margins()
     shares = _used_shares(worker, now_ms)
     serving = [
         charge
@@ -61,7 +62,8 @@
         _note_bias(charge, expected)
         note_level(charge, expected + charge.bias, now_ms)
     for charge in random.sample(serving, min(LEARNED, len(serving))):
-        model.note(charge.spec.image, charge.gauge, shares)
+        if model.wants_report(now_ms):
+            model.note(charge.spec.image, charge.gauge, shares)
     return True
 
 
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -14,17 +14,18 @@
 from gentianpulley.cluster.advice import Tickets
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.harm_risk import harms_too_much
-from gentianpulley.cluster.open_workers import OpenWorkers, with_room
+from gentianpulley.cluster.open_workers import (
+    OpenWorkers,
+    Place,
+    spare_milli,
+    with_room,
+)
 from gentianpulley.cluster.waiting import WaitReason
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.jobs.spec import NO_LIMIT, StepSpec
 from gentianpulley.resources import Resources
 
-ENDLESS_USE: Final = 0.6
-"""Expected share of its processors that an endless task uses: their load
-swings around a half."""
-
 FAR_COST: Final = 2.0
 """Cost of a worker off the data's rack, in full loads of a worker."""
 
@@ -156,7 +157,11 @@
         self._heap: list[tuple[float, int, Worker]] = []
         self._taken: tuple[float, int, Worker] | None = None
         self._reasons: set[WaitReason] = set()
-        for place, worker in with_room(allowed, step.spec):
+        offered: Iterable[Place] = enumerate(allowed)
+        if _must_spare(step) and not self._is_starving:
+            offered = _fillable(step, view)
+            self._reasons.add(WaitReason.HARM)
+        for place, worker in with_room(offered, step.spec):
             self._push(place, worker)
 
     @property
@@ -212,6 +217,18 @@
             self._reasons.add(WaitReason.HARM)
 
 
+def _must_spare(step: StepRun) -> bool:
+    """Tell whether only spare processors decide where a step may go."""
+    return step.spec.fills_spare and step.job.spec.policy.advice is None
+
+
+def _fillable(step: StepRun, view: PlacingView) -> Iterable[Place]:
+    spec = step.spec
+    service = step.job.spec.policy.service
+    need = spec.resources.processors_milli
+    return view.workers.fillable(service, spec.required_label, need)
+
+
 def common_rack(step: StepRun, allowed: list[Worker]) -> str:
     """Return the rack for a step that should stay on one, else no rack.
 
@@ -237,12 +254,6 @@
     return max(counts, key=lambda rack: counts[rack], default='')
 
 
-def spare_milli(worker: Worker) -> float:
-    """Return the processors expected to be left by tasks that reserve."""
-    busy = worker.processors - (1 - ENDLESS_USE) * worker.endless
-    return worker.facts.capacity.processors_milli - busy
-
-
 def is_starving(step: StepRun, view: PlacingView) -> bool:
     """Tell whether a step has waited too long to be choosy.
 
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from gentianpulley.cluster.link import RunKey, WorkerFacts
 from gentianpulley.cluster.timing import WorkerClock
@@ -94,6 +94,18 @@
         return self.spec.resources.processors_milli
 
 
+class ServingMargin(NamedTuple):
+    """How far a serving task is expected to be from its target.
+
+    `margin` is the logarithm of the expected tail over the target, and `risk`
+    the probability that the tail is over it.
+    """
+
+    image: str
+    margin: float
+    risk: float
+
+
 class Worker:
     """Ledger and condition of one life of a worker.
 
@@ -102,7 +114,9 @@
     says that the worker stands in the directory, `is_leaving` that its machine
     goes down for upkeep. `silent_since_ms` is when a look at it first failed,
     zero while it answers, and `rests_until_ms` how long its filling tasks stand
-    still.
+    still. `serving_margins` is None until it is worked out for what runs now,
+    and `harmful_needs` holds, by image, the processors from which a further
+    filling task harms too much.
     """
 
     def __init__(self, facts: WorkerFacts, now_ms: int) -> None:
@@ -131,6 +145,8 @@
         self.endless = 0
         self.sampled_ms = 0
         self.rests_until_ms = 0
+        self.serving_margins: list[ServingMargin] | None = None
+        self.harmful_needs: dict[str, int] = {}
         self.foreign: set[RunKey] = set()
         self.unsaved_ends: deque[tuple[int, int]] = deque()
 
@@ -212,6 +228,11 @@
             if key.task_id == task_id
         ]
 
+    def forget_margins(self) -> None:
+        """Let what runs, and how fast, be weighed anew."""
+        self.serving_margins = None
+        self.harmful_needs.clear()
+
     def note_done(self) -> None:
         """Note a run that ended as done: the worker works."""
         self.ended_done += 1
@@ -228,6 +249,7 @@
             self.quarantined_until_ms = now_ms + QUARANTINE_MS
 
     def _book(self, charge: Charge, sign: int) -> None:
+        self.forget_margins()
         need = charge.spec.resources
         self.processors += sign * charge.processors_milli
         self.memory += sign * need.memory_mib
