Keep the pool of connections after a call that could not connect

Cause: a call that could not connect closed the pool of idle connections and left it closed. The next call then failed without a byte sent and counted as silent, which is an unknown outcome; and the pool made after it held one connection in place of eight, so that each call beside another opened one of its own.

--- a/src/gentianpulley/http_conn.py
+++ b/src/gentianpulley/http_conn.py
@@ -7,10 +7,11 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import (
+    ClosedPoolError,
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
@@ -73,9 +74,8 @@
     def __init__(self, address: HttpAddress, max_conns: int) -> None:
         """Open nothing yet; hold at most `max_conns` idle connections."""
         self.address = address
-        self._pool = HTTPConnectionPool(
-            address.host, address.port, maxsize=max_conns, retries=False
-        )
+        self._max_conns = max_conns
+        self._pool = _open_pool(address, max_conns)
 
     def call(
         self,
@@ -137,7 +137,7 @@
         try:
             resp = self._send(method, path, patience.quiet_s, body, headers)
         except (NewConnectionError, ConnectTimeoutError) as exc:
-            self._pool.close()
+            self._renew_pool()
             raise HttpUnreachableError(
                 http_unreachable(str(self.address), exc)
             ) from exc
@@ -154,16 +154,21 @@
         headers: Headers = (),
     ) -> BaseHTTPResponse:
         timeout = max(timeout_s, _SHORTEST_TIMEOUT_S)
-        return self._pool.urlopen(
-            method,
-            path,
-            body=body or None,
-            headers=dict((*_JSON_HEADERS, *headers)),
-            timeout=Timeout(
+        request: dict[str, Any] = {
+            'method': method,
+            'url': path,
+            'body': body or None,
+            'headers': dict((*_JSON_HEADERS, *headers)),
+            'timeout': Timeout(
                 connect=min(CONNECT_TIMEOUT_S, timeout), read=timeout
             ),
-            preload_content=False,
-        )
+            'preload_content': False,
+        }
+        try:
+            return self._pool.urlopen(**request)
+        except ClosedPoolError:
+            # Another call has just closed it; nothing of this one was sent.
+            return self._pool.urlopen(**request)
 
     def _read(self, resp: BaseHTTPResponse, deadline_ms: int) -> bytes:
         try:
@@ -175,15 +180,21 @@
         return body
 
     def _silent(self, exc: Exception) -> HttpSilentError:
-        self._pool.close()
-        self._pool = HTTPConnectionPool(
-            self.address.host,
-            self.address.port,
-            maxsize=self._pool.pool.maxsize if self._pool.pool else 1,
-            retries=False,
-        )
+        self._renew_pool()
         return HttpSilentError(http_silent(str(self.address), exc))
 
+    def _renew_pool(self) -> None:
+        """Drop the idle connections; calls under way keep theirs."""
+        former = self._pool
+        self._pool = _open_pool(self.address, self._max_conns)
+        former.close()
+
+
+def _open_pool(address: HttpAddress, max_conns: int) -> HTTPConnectionPool:
+    return HTTPConnectionPool(
+        address.host, address.port, maxsize=max_conns, retries=False
+    )
+
 
 def _chunks(resp: BaseHTTPResponse, deadline_ms: int) -> Iterator[bytes]:
     """Yield a body as it comes; raises `TimeoutError` if more is missing."""
