Keep the store's connections apart from the failure of one call

What callers saw: while the store could not be reached, every second call to it counted as "answer lost" although nothing was sent, so that a submission that could have been refused at once was uncertain. And after the first call without an answer each process kept one connection to the store instead of eight, for as long as it lived: the renewal of the leader's key, writes of records, watches and callers' calls opened a connection each.

Cause: HttpConn closed its pool when a call failed. After a failure to connect it stayed closed, so the next call failed with "Pool is closed", sorted as an answer that was lost. After a silent call a new pool took over the width of the closed one, which is not known any more once it is closed: one. A call of another thread that had just taken the pool failed with it.

Why it works: the pool is replaced before the former one is closed, always at the same width, and a request that met a closed pool was not sent, so it goes over the new one. The idle connections are still dropped after a failure, and calls under way keep theirs, as before.

--- a/src/gentianpulley/http_conn.py
+++ b/src/gentianpulley/http_conn.py
@@ -6,11 +6,13 @@
 """
 
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import (
+    ClosedPoolError,
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
@@ -73,9 +75,8 @@
     def __init__(self, address: HttpAddress, max_conns: int) -> None:
         """Open nothing yet; hold at most `max_conns` idle connections."""
         self.address = address
-        self._pool = HTTPConnectionPool(
-            address.host, address.port, maxsize=max_conns, retries=False
-        )
+        self._max_conns = max_conns
+        self._pool = self._open_pool()
 
     def call(
         self,
@@ -123,8 +124,18 @@
             resp.close()
 
     def close(self) -> None:
-        """Close all idle connections."""
-        self._pool.close()
+        """Close all idle connections; later calls open others."""
+        former = self._pool
+        self._pool = self._open_pool()
+        former.close()
+
+    def _open_pool(self) -> HTTPConnectionPool:
+        return HTTPConnectionPool(
+            self.address.host,
+            self.address.port,
+            maxsize=self._max_conns,
+            retries=False,
+        )
 
     def _exchange(
         self,
@@ -137,7 +148,7 @@
         try:
             resp = self._send(method, path, patience.quiet_s, body, headers)
         except (NewConnectionError, ConnectTimeoutError) as exc:
-            self._pool.close()
+            self.close()
             raise HttpUnreachableError(
                 http_unreachable(str(self.address), exc)
             ) from exc
@@ -153,17 +164,25 @@
         body: bytes,
         headers: Headers = (),
     ) -> BaseHTTPResponse:
-        timeout = max(timeout_s, _SHORTEST_TIMEOUT_S)
-        return self._pool.urlopen(
-            method,
-            path,
-            body=body or None,
-            headers=dict((*_JSON_HEADERS, *headers)),
-            timeout=Timeout(
-                connect=min(CONNECT_TIMEOUT_S, timeout), read=timeout
-            ),
-            preload_content=False,
+        """Send over the pool of now.
+
+        A failure of another call may have replaced it before this request was
+        sent, which then goes over the new one.
+        """
+        timeout_s = max(timeout_s, _SHORTEST_TIMEOUT_S)
+        timeout = Timeout(
+            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
+        while True:
+            with suppress(ClosedPoolError):
+                return self._pool.urlopen(
+                    method,
+                    path,
+                    body=body or None,
+                    headers=dict((*_JSON_HEADERS, *headers)),
+                    timeout=timeout,
+                    preload_content=False,
+                )
 
     def _read(self, resp: BaseHTTPResponse, deadline_ms: int) -> bytes:
         try:
@@ -175,13 +194,7 @@
         return body
 
     def _silent(self, exc: Exception) -> HttpSilentError:
-        self._pool.close()
-        self._pool = HTTPConnectionPool(
-            self.address.host,
-            self.address.port,
-            maxsize=self._pool.pool.maxsize if self._pool.pool else 1,
-            retries=False,
-        )
+        self.close()
         return HttpSilentError(http_silent(str(self.address), exc))
 
 
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,80 @@
+"""What a call that failed leaves to the other calls of its pool."""
+
+import threading
+from collections.abc import Callable
+from contextlib import closing
+
+import pytest
+
+from gentianpulley.deadline import deadline_in
+from gentianpulley.errors import HttpSilentError, HttpUnreachableError
+from gentianpulley.http_conn import HttpAddress, HttpConn
+from tests.scripted_server import (
+    HOST,
+    Part,
+    ScriptedServer,
+    answer,
+    free_port,
+    scripted_server,
+)
+
+WIDTH = 3
+
+
+def _script(request: bytes) -> tuple[Part, ...]:
+    if request.startswith(b'POST /silent'):
+        return (1.0,)
+    return (0.1, answer(b'{}'))
+
+
+def _post(conn: HttpConn, path: str, timeout_ms: int = 1000) -> int:
+    answered = conn.call('POST', path, deadline_in(timeout_ms), b'{}')
+    return answered.status
+
+
+def _post_at_once(conn: HttpConn) -> None:
+    threads = [
+        threading.Thread(target=_post, args=(conn, '/')) for _ in range(WIDTH)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _time_out(conn: HttpConn) -> None:
+    with pytest.raises(HttpSilentError):
+        _post(conn, '/silent', 50)
+
+
+def _close(conn: HttpConn) -> None:
+    conn.close()
+
+
+@pytest.mark.parametrize('fail', [_time_out, _close])
+def test_after_a_failure_as_many_connections_are_kept_as_before(
+    fail: Callable[[HttpConn], None],
+) -> None:
+    with scripted_server(_script) as server:
+        conn = HttpConn(HttpAddress(HOST, server.port), WIDTH)
+        fail(conn)
+        before = server.conns
+        for _ in range(3):
+            _post_at_once(conn)
+        assert server.conns - before == WIDTH
+
+
+def test_the_first_call_to_a_server_that_is_back_is_answered() -> None:
+    port = free_port()
+    conn = HttpConn(HttpAddress(HOST, port), WIDTH)
+    with pytest.raises(HttpUnreachableError):
+        _post(conn, '/')
+    with closing(ScriptedServer(_script, port)):
+        assert _post(conn, '/') == 200
+
+
+def test_a_server_that_stays_away_is_unreachable_each_time() -> None:
+    conn = HttpConn(HttpAddress(HOST, free_port()), WIDTH)
+    for _ in range(3):
+        with pytest.raises(HttpUnreachableError):
+            _post(conn, '/')
