Send the late start of a gang instead of placing its task again

What callers would see: a run that ends alone (rule GANG).

Cause: a start that waited for 2 s behind other orders of its worker is placed again. The member of a gang can't be: the gang is placed as a whole, once all its tasks wait. The members that had started elsewhere waited for it until the site's bound (3 to 4 s) and ended alone, though the late start would have come in time for them.

The test failed before: AssertionError: assert ['start 0'] == ['start 0', ..., 'start 3']

Why it works: such a start is sent, however late. If it is too late as well, the gang is no worse off than without it. A start to a worker that went silent is still given back.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -202,6 +202,13 @@
         self.work_came.set()
         return is_back
 
+    def take_back_late(self, order: StartOrder) -> bool:
+        """Return a start that waited for long; False if it is sent now."""
+        with self.lock:
+            is_back = self.scheduler.take_back_late(order)
+        self.work_came.set()
+        return is_back
+
     def life_over(self, worker: Worker) -> None:
         """Report that the worker's life has ended."""
         with self.lock:
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -146,6 +146,17 @@
         self.return_run(worker, order.key, 'never sent')
         return True
 
+    def take_back_late(self, order: StartOrder) -> bool:
+        """Let the task of a start that waited for long wait for a place.
+
+        Not that of a gang: its other members would wait for it in vain, and
+        end alone.
+        """
+        step = self.step_of(order.key.task_id)
+        if step is not None and step.spec.is_gang:
+            return False
+        return self.take_back(order)
+
     def _return_lapsed(self, worker: Worker, now_ms: int) -> None:
         """Give back runs whose lease is over at any life of the worker."""
         for key, charge in tuple(worker.charges.items()):
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -159,7 +159,7 @@
             if not self.is_reached:
                 return self._office.take_back(order)
             is_stale = now_ms() > queued.since_ms + LONGEST_START_WAIT_MS
-            if is_stale and self._office.take_back(order):
+            if is_stale and self._office.take_back_late(order):
                 return True
         with self._office.counters.timed('worker_order'):
             self._send(order, queued.since_ms)
--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -75,13 +75,13 @@
 class Bench:
     """A session whose first start is under way, and starts behind it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_gang: bool = False) -> None:
         """Send the first of four starts."""
         site = hand_site()
         site.at_ms = now_ms()
         site.add_worker('w')
         self.scheduler = site.scheduler
-        self.scheduler.add_job(job(step(4)))
+        self.scheduler.add_job(job(step(4, is_gang=is_gang)))
         self.worker = self.scheduler.workers['w']
         self.link = HeldLink()
         tenure = Tenure(now_ms() + 60_000, now_ms() + 60_000)
@@ -108,6 +108,12 @@
         self.worker.charges[key].is_stopping = True
         self.session.send(StopOrder('w', key))
 
+    def close(self) -> None:
+        """Let the threads end."""
+        self.link.released.set()
+        self.link.looks.set()
+        self.session.close()
+
     def waiting(self) -> int:
         """Return how many tasks wait to be placed."""
         known = self.scheduler.jobs[JOB_ID]
@@ -118,9 +124,7 @@
 def bench() -> Iterator[Bench]:
     running = Bench()
     yield running
-    running.link.released.set()
-    running.link.looks.set()
-    running.session.close()
+    running.close()
 
 
 def test_a_stop_does_not_wait_behind_starts(bench: Bench) -> None:
@@ -162,6 +166,19 @@
     assert bench.link.sent == ['start 0']
 
 
+def test_a_late_start_of_a_gang_goes_out_to_the_others_that_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The members that had started waited in vain and ended alone."""
+    monkeypatch.setattr(worker_session, 'LONGEST_START_WAIT_MS', SHORT_WAIT_MS)
+    bench = Bench(is_gang=True)
+    threading.Event().wait(2 * SHORT_WAIT_MS / 1000)
+    bench.link.released.set()
+    threading.Event().wait(5 * LOOK_S)
+    bench.close()
+    assert bench.link.sent == ['start 0', 'start 1', 'start 2', 'start 3']
+
+
 def test_a_start_to_a_worker_gone_silent_is_placed_again(
     bench: Bench,
 ) -> None:
