Leave the office to others after a reign that could not see the store

What callers would see: a site without a leader, again and again, while one instance that cannot read the jobs takes the office each time.

Cause: an instance that could not load, or resigned as blind, campaigned again half a second later, which is as long as much smaller candidates wait. And as the larger one it offered to take over from the one that had won: it counts as healthy, as the small reads that this depends on work. A blind reign lasts 10 s, so such a site is blind for most of the time.

The test failed before: a leader of 516 that had taken over handed the office back to the blind one of 8000, AssertionError: assert None == {'key': 'gp/leader', 'value': ...}

Why it works: after such a reign an instance offers nothing for 30 s and waits 2 s longer than others for a free key. Alone it goes on trying, which the second new test checks (it passed before as well). A reign that ended because the key lapsed or another one leads is no reason to rest, so the return of the store after an outage is as before.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -147,6 +147,7 @@
                 leader.open()
         except StoreError:
             leader.close()
+            self._candidature.rest()
             self._end_lease()
             raise
         self._leader = leader
@@ -186,6 +187,8 @@
     def _step_down(self, leader: Leader) -> None:
         self._leader = None
         leader.close()
+        if self._tenure is not None and self._tenure.is_given_up:
+            self._candidature.rest()
         self._end_lease()
         self.pause(RENEW_S)
 
--- a/src/gentianpulley/cluster/candidacy.py
+++ b/src/gentianpulley/cluster/candidacy.py
@@ -38,6 +38,13 @@
 """How long an offer has been seen before the leader hands over: an owner that
 died before has not renewed it."""
 
+REST_MS: Final = 30_000
+"""How long an instance that could not do the office leaves it to others."""
+
+REST_DELAY_S: Final = 2.0
+"""How much longer it waits meanwhile before it creates a free key: more than
+the smallest one waits, and a failed call."""
+
 HAND_OVER_GAP_MS: Final = 30_000
 """Shortest time between two hand-overs of one instance to offers."""
 
@@ -100,6 +107,11 @@
     return Wait(least_s, least_s + CANDIDATE_SPREAD_S)
 
 
+def resting_wait(wait: Wait) -> Wait:
+    """Return how long one waits that leaves the office to others."""
+    return Wait(wait.least_s + REST_DELAY_S, wait.most_s + REST_DELAY_S)
+
+
 def should_offer(
     own: Candidate, leader: Candidate, healthy_for_ms: int
 ) -> bool:
--- a/src/gentianpulley/cluster/candidature.py
+++ b/src/gentianpulley/cluster/candidature.py
@@ -4,9 +4,11 @@
 
 from gentianpulley.cluster.candidacy import (
     HAND_OVER_GAP_MS,
+    REST_MS,
     Candidate,
     Wait,
     decode_candidate,
+    resting_wait,
     should_hand_over,
     should_offer,
     vacancy_wait,
@@ -36,6 +38,7 @@
         self._own_offer = OwnOffer(parts.store, own, parts.log)
         self._seen_offer = SeenOffer(parts.store)
         self._handed_over_ms = now_ms() - HAND_OVER_GAP_MS
+        self._rests_until_ms = 0
 
     def take(self, entries: Iterable[Entry]) -> bool:
         """Learn what stands in the store; tells whether someone leads."""
@@ -59,12 +62,17 @@
 
     def wait(self) -> Wait:
         """Return how long to wait before creating the free key."""
-        return vacancy_wait(self.own, self._leader, self._offer)
+        wait = vacancy_wait(self.own, self._leader, self._offer)
+        return resting_wait(wait) if self._is_resting(now_ms()) else wait
+
+    def rest(self) -> None:
+        """Leave the office to others for a while."""
+        self._rests_until_ms = now_ms() + REST_MS
 
     def update_offer(self) -> None:
         """Make, renew or withdraw the own offer; raises `StoreError`."""
         at_ms = now_ms()
-        if not self._is_healthy():
+        if self._is_resting(at_ms) or not self._is_healthy():
             self._healthy_since_ms = at_ms
         leader = self._leader
         is_wanted = leader is not None and should_offer(
@@ -87,6 +95,9 @@
         self._handed_over_ms = at_ms
         return offer.candidate
 
+    def _is_resting(self, at_ms: int) -> bool:
+        return at_ms < self._rests_until_ms
+
     def _others_offer(self) -> bool:
         offer = self._offer
         return offer is not None and offer.instance != self.own.instance
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -94,7 +94,7 @@
             self._seen_ms = at_ms
         blind_ms = at_ms - self._seen_ms
         if blind_ms > self.office.reign.timing.handover_ms:
-            self.office.resign(f'{self._name} not seen for {blind_ms} ms')
+            self.office.give_up(f'{self._name} not seen for {blind_ms} ms')
 
     def _read_again(self) -> None:
         try:
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -58,6 +58,7 @@
     The deadlines move with each renewal of the leader's key that was answered,
     counted from when it was sent. Until `certain_until_ms` no other instance
     can hold the key; after that this one goes on with the jobs that it has.
+    `is_given_up` says that this instance could not do the office.
     """
 
     def __init__(self, until_ms: int, certain_until_ms: int) -> None:
@@ -66,6 +67,7 @@
         self._certain_until_ms = certain_until_ms
         self._resigned = threading.Event()
         self.reason = ''
+        self.is_given_up = False
 
     def extend(self, until_ms: int, certain_until_ms: int) -> None:
         """Move the deadlines."""
@@ -82,6 +84,11 @@
             self.reason = reason
             self._resigned.set()
 
+    def give_up(self, reason: str) -> None:
+        """End the tenure, as another instance may do better."""
+        self.is_given_up = True
+        self.resign(reason)
+
     def is_over(self) -> bool:
         """Tell whether the tenure has ended for good."""
         return self._resigned.is_set()
@@ -168,6 +175,11 @@
         self.work_came.set()
         self.ends_came.set()
 
+    def give_up(self, reason: str) -> None:
+        """Stop leading: another instance may see more."""
+        self.tenure.give_up(reason)
+        self.resign(reason)
+
     def look_order(self, worker: Worker, wait_ms: int) -> LookOrder:
         """Return the next look at a worker."""
         with self.lock:
--- a/tests/test_blind_leader.py
+++ b/tests/test_blind_leader.py
@@ -63,5 +63,6 @@
     threading.Thread(target=watch.run, args=(1,), daemon=True).start()
     time.sleep(WATCHED_S)
     assert tenure.is_over() is resigns
+    assert tenure.is_given_up is resigns
     assert ('not seen' in tenure.reason) is resigns
     tenure.resign('the test is over')
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -3,6 +3,7 @@
 import time
 from base64 import b64decode
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -10,16 +11,18 @@
 from gentianpulley.cluster.campaign import Campaign
 from gentianpulley.cluster.candidacy import Candidate, decode_candidate
 from gentianpulley.cluster.capacity import InstanceCapacity
-from gentianpulley.cluster.job_book import LEADER_KEY
+from gentianpulley.cluster.job_book import JOB_PREFIX, LEADER_KEY
 from gentianpulley.cluster.leader import LeaderParts
 from gentianpulley.cluster.offers import OFFER_KEY, OwnOffer
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.counters import create_counters
+from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.directory import create_directory
-from gentianpulley.platform.kv_store import connect_kv_store
+from gentianpulley.platform.kv_store import KvStore, connect_kv_store
 from gentianpulley.platform.worker_link import HttpWorkerLinks
+from gentianpulley.store import Page
 from standins.grid_site import (
     Site,
     call,
@@ -31,11 +34,23 @@
 from standins.grid_store import HOST, GridStore
 
 SMALL = 516
+LARGEST = 8000
 LARGE = 2151
 JOB = '/batch/00000000000000a1'
 TAKE_OVER_S = 18
 
 
+class JoblessStore(KvStore):
+    """A store whose answers with jobs never come."""
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return a page, or lose it if it holds jobs."""
+        if prefix == JOB_PREFIX:
+            time.sleep(0.3)
+            raise StoreAnswerLostError(prefix)
+        return super().read_page(prefix, after)
+
+
 class Race:
     """Campaigns at one store."""
 
@@ -45,6 +60,17 @@
         self.store.run_in_background()
         self.campaigns: list[Campaign] = []
 
+    def join_blind(self, name: str, milli: int) -> Campaign:
+        """Start a campaign of an instance that cannot read the jobs."""
+        address = HttpAddress(HOST, self.store.port)
+        parts = replace(
+            self.parts(), store=JoblessStore(address, create_counters())
+        )
+        campaign = Campaign(_candidate(name, milli), parts, lambda: True)
+        self.campaigns.append(campaign)
+        campaign.start()
+        return campaign
+
     def join(self, name: str, milli: int, is_healthy: bool = True) -> Campaign:
         """Start a campaign."""
         campaign = Campaign(
@@ -144,6 +170,31 @@
     assert race.leader() == 'first'
 
 
+def test_one_that_cannot_load_leaves_the_office_to_a_smaller_one(
+    race: Race, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It campaigned again at once, and had it handed over as the largest."""
+    monkeypatch.setattr(candidacy, 'SETTLED_MS', 1)
+    race.join_blind('blind', LARGEST)
+    wait_until(race.leader)
+    assert race.leader() == 'blind'
+    small = race.join('small', SMALL)
+    wait_until(lambda: small.is_leading, 8)
+    held = race.store.item(LEADER_KEY)
+    time.sleep(7)
+    assert race.store.item(LEADER_KEY) == held
+    assert not race.store.keys(OFFER_KEY)
+
+
+def test_one_that_cannot_load_goes_on_trying_if_it_is_alone(
+    race: Race,
+) -> None:
+    race.join_blind('blind', LARGEST)
+    wait_until(race.leader)
+    first = race.store.item(LEADER_KEY)
+    wait_until(lambda: race.store.item(LEADER_KEY) not in (None, first), 5)
+
+
 def test_an_offer_whose_owner_died_is_not_acted_on(race: Race) -> None:
     leader = race.join('small', SMALL)
     wait_until(lambda: leader.is_leading)
