Give the office up when no renewal of its key is answered

What callers would see: nothing is started or stopped any more, for as long as the leader's answers from the store take longer than a call waits (1 s, or a link that loses one direction).

Cause: a renewal whose answer is lost still reaches the store, which keeps the key. The leader acts no more once its tenure has run out, but stays: the watch of the jobs waits for certainty without an end, and its blindness counts only while renewals are answered. So nobody acts and nobody can take over.

Why it works: once the leases of the reign are over (`handover_ms` after the last answered renewal) there is nothing left to be kept, so the leader resigns and revokes the lease. It does so only where an answer was lost: a store that can't be reached gets no renewals, and the key lapses there by itself.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -7,8 +7,8 @@
 """
 
 import random
-from collections.abc import Callable
-from contextlib import closing
+from collections.abc import Callable, Iterator
+from contextlib import closing, contextmanager
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
@@ -27,9 +27,9 @@
 from gentianpulley.cluster.office import Tenure
 from gentianpulley.cluster.offers import create_leased_key
 from gentianpulley.cluster.operators import OperatorListener
-from gentianpulley.cluster.timing import LEADER_TTL_S, RENEWALS_IN_TTL
+from gentianpulley.cluster.timing import LEADER_TTL_S, RENEWALS_IN_TTL, Timing
 from gentianpulley.deadline import now_ms
-from gentianpulley.errors import StoreError
+from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.store import Guard, StoreLease
 
 RENEW_S: Final = LEADER_TTL_S / RENEWALS_IN_TTL
@@ -157,7 +157,8 @@
     def _renew(self, leader: Leader) -> None:
         tenure = self._tenure
         if tenure is not None and not tenure.is_over():
-            self._extend(tenure)
+            with _giving_up_late(tenure, self._parts.timing):
+                self._extend(tenure)
         if tenure is None or tenure.is_over():
             self._step_down(leader)
             return
@@ -201,3 +202,19 @@
             self._store.revoke(lease)
         except StoreError as exc:
             self.log.store_trouble(exc.text)
+
+
+@contextmanager
+def _giving_up_late(tenure: Tenure, timing: Timing) -> Iterator[None]:
+    """Give a tenure up whose renewals have not been answered for long.
+
+    The store may have taken them, and keeps the key from all others. Nothing
+    of the reign is left to be kept once its leases are over.
+    """
+    try:
+        yield
+    except StoreAnswerLostError:
+        left_ms = timing.handover_ms - timing.tenure_ms
+        if tenure.overdue_ms(now_ms()) > left_ms:
+            tenure.give_up('no renewal of the key was answered')
+        raise
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -89,6 +89,10 @@
         self.is_given_up = True
         self.resign(reason)
 
+    def overdue_ms(self, at_ms: int) -> int:
+        """Return for how long no orders may be sent, negative if they may."""
+        return at_ms - self._until_ms
+
     def is_over(self) -> bool:
         """Tell whether the tenure has ended for good."""
         return self._resigned.is_set()
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -14,7 +14,7 @@
 from gentianpulley.cluster.job_book import JOB_PREFIX, LEADER_KEY
 from gentianpulley.cluster.leader import LeaderParts
 from gentianpulley.cluster.offers import OFFER_KEY, OwnOffer
-from gentianpulley.cluster.timing import create_timing
+from gentianpulley.cluster.timing import Timing, create_timing
 from gentianpulley.counters import create_counters
 from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
@@ -22,7 +22,7 @@
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.kv_store import KvStore, connect_kv_store
 from gentianpulley.platform.worker_link import HttpWorkerLinks
-from gentianpulley.store import Page
+from gentianpulley.store import Page, StoreLease
 from standins.grid_site import (
     Site,
     call,
@@ -38,6 +38,9 @@
 LARGE = 2151
 JOB = '/batch/00000000000000a1'
 TAKE_OVER_S = 18
+SHORT_TIMING = Timing(
+    lease_ms=500, max_lease_ms=500, tenure_ms=2500, stop_ms=50, look_ms=50
+)
 
 
 class JoblessStore(KvStore):
@@ -51,6 +54,15 @@
         return super().read_page(prefix, after)
 
 
+class DeafStore(KvStore):
+    """A store that renews leases, while its answers never come."""
+
+    def keep_alive(self, lease: StoreLease) -> StoreLease | None:
+        """Renew the lease, and lose the answer."""
+        super().keep_alive(lease)
+        raise StoreAnswerLostError('renewal')
+
+
 class Race:
     """Campaigns at one store."""
 
@@ -60,11 +72,15 @@
         self.store.run_in_background()
         self.campaigns: list[Campaign] = []
 
-    def join_blind(self, name: str, milli: int) -> Campaign:
-        """Start a campaign of an instance that cannot read the jobs."""
+    def join_impaired(
+        self, name: str, milli: int, store: type[KvStore]
+    ) -> Campaign:
+        """Start a campaign of an instance with such a store."""
         address = HttpAddress(HOST, self.store.port)
         parts = replace(
-            self.parts(), store=JoblessStore(address, create_counters())
+            self.parts(),
+            store=store(address, create_counters()),
+            timing=SHORT_TIMING,
         )
         campaign = Campaign(_candidate(name, milli), parts, lambda: True)
         self.campaigns.append(campaign)
@@ -175,7 +191,7 @@
 ) -> None:
     """It campaigned again at once, and had it handed over as the largest."""
     monkeypatch.setattr(candidacy, 'SETTLED_MS', 1)
-    race.join_blind('blind', LARGEST)
+    race.join_impaired('blind', LARGEST, JoblessStore)
     wait_until(race.leader)
     assert race.leader() == 'blind'
     small = race.join('small', SMALL)
@@ -186,10 +202,21 @@
     assert not race.store.keys(OFFER_KEY)
 
 
+def test_one_whose_renewals_are_not_answered_frees_the_key(
+    race: Race,
+) -> None:
+    """The store kept the key for it, and it never acted again."""
+    deaf = race.join_impaired('deaf', LARGEST, DeafStore)
+    wait_until(lambda: deaf.is_leading)
+    small = race.join('small', SMALL)
+    wait_until(lambda: small.is_leading, 8)
+    assert not deaf.is_leading
+
+
 def test_one_that_cannot_load_goes_on_trying_if_it_is_alone(
     race: Race,
 ) -> None:
-    race.join_blind('blind', LARGEST)
+    race.join_impaired('blind', LARGEST, JoblessStore)
     wait_until(race.leader)
     first = race.store.item(LEADER_KEY)
     wait_until(lambda: race.store.item(LEADER_KEY) not in (None, first), 5)
