Look only at live jobs for records that have to be written

What callers would see: a leader that slows down the longer it leads.

Cause: each write of records, up to 40 a second, looked at all jobs ever taken up, under the lock of the scheduler.

Why it works: a job stays among the live ones until its end is handed out to be written, and comes back if that fails. A late failure of an ended job changes nothing in its record, which was written again with a later end.

Not changed: ended jobs stay in memory for the reign.

--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -40,7 +40,10 @@
 
 
 class SchedulerState:
-    """Jobs, workers and what was learned in one reign."""
+    """Jobs, workers and what was learned in one reign.
+
+    `live_jobs` are those that go on or whose end is not written yet.
+    """
 
     def __init__(self, reign: Reign, log: EventLog) -> None:
         """Know no job and no worker yet."""
@@ -61,12 +64,15 @@
         if job_id in self.jobs:
             return
         self.jobs[job_id] = job
-        if not job.state.is_final:
+        if job.is_changed or not job.state.is_final:
             self.live_jobs[job_id] = job
 
     def changed_jobs(self) -> list[Job]:
-        """Return the jobs whose records have to be written."""
-        changed = [job for job in self.jobs.values() if job.is_changed]
+        """Return the jobs whose records have to be written.
+
+        The record of a job that has ended is written once.
+        """
+        changed = [job for job in self.live_jobs.values() if job.is_changed]
         for job in changed:
             job.is_changed = False
             if job.state.is_final:
@@ -78,6 +84,7 @@
         """Ask again for the writes of records that were not written."""
         for job in jobs:
             job.is_changed = True
+            self.live_jobs[job.spec.job_id] = job
 
     def expect_workers(self, worker_ids: Iterable[str]) -> None:
         """Wait for these workers too before inherited work starts."""
