--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -1,8 +1,8 @@
-"""A failed call does not break the calls that come after or beside it."""
+"""What a call that failed leaves to the other calls of its pool."""
 
-import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable
+from contextlib import closing
 from typing import Any
 
 import pytest
@@ -12,61 +12,32 @@
 from gentianpulley.deadline import deadline_in
 from gentianpulley.errors import HttpSilentError, HttpUnreachableError
 from gentianpulley.http_conn import HttpAddress, HttpConn
-from standins.http_server import OK, Call, Reply, StandinServer
-from standins.site import free_port
+from tests.scripted_server import (
+    HOST,
+    Part,
+    ScriptedServer,
+    answer,
+    free_port,
+    scripted_server,
+)
 
-HOST = '127.0.0.1'
-CALLS = 4
+WIDTH = 3
 
 
-class CountingServer(StandinServer):
-    """Counts connections; holds calls until as many as told are there."""
+def _script(request: bytes) -> tuple[Part, ...]:
+    if request.startswith(b'POST /silent'):
+        return (1.0,)
+    return (0.1, answer(b'{}'))
 
-    def __init__(self, port: int) -> None:
-        """Hold nothing yet."""
-        super().__init__(HOST, port)
-        self.conns = 0
-        self.together = threading.Barrier(1)
 
-    def get_request(self) -> tuple[socket.socket, object]:
-        """Count a connection."""
-        self.conns += 1
-        return super().get_request()
+def _post(conn: HttpConn, path: str, timeout_ms: int = 1000) -> int:
+    answered = conn.call('POST', path, deadline_in(timeout_ms), b'{}')
+    return answered.status
 
-    def serve(self, call: Call) -> Reply:
-        """Answer once enough calls are there."""
-        self.together.wait(2)
-        return Reply(OK, b'{}')
 
-
-@pytest.fixture
-def address() -> HttpAddress:
-    return HttpAddress(HOST, free_port())
-
-
-@pytest.fixture
-def failed(address: HttpAddress) -> HttpConn:
-    """Return a connection whose first call found nobody listening."""
-    conn = HttpConn(address, CALLS)
-    with pytest.raises(HttpUnreachableError):
-        conn.call('GET', '/', deadline_in(500))
-    return conn
-
-
-@pytest.fixture
-def server(address: HttpAddress, failed: HttpConn) -> Iterator[CountingServer]:
-    running = CountingServer(address.port)
-    running.run_in_background()
-    yield running
-    running.shutdown()
-    running.server_close()
-
-
-def _call_together(conn: HttpConn, server: CountingServer) -> None:
-    server.together = threading.Barrier(CALLS)
+def _post_at_once(conn: HttpConn) -> None:
     threads = [
-        threading.Thread(target=conn.call, args=('GET', '/', deadline_in(3000)))
-        for _ in range(CALLS)
+        threading.Thread(target=_post, args=(conn, '/')) for _ in range(WIDTH)
     ]
     for thread in threads:
         thread.start()
@@ -74,40 +45,60 @@
         thread.join()
 
 
-def test_a_call_after_a_refused_connection_is_sent(
-    failed: HttpConn, server: CountingServer
-) -> None:
-    """It was taken for silent, although nothing of it had left."""
-    assert failed.call('GET', '/', deadline_in(1000)).status == OK
+def _time_out(conn: HttpConn) -> None:
+    with pytest.raises(HttpSilentError):
+        _post(conn, '/silent', 50)
+
+
+def _close(conn: HttpConn) -> None:
+    conn.close()
 
 
-def test_connections_are_kept_after_a_failed_call(
-    failed: HttpConn, server: CountingServer
+@pytest.mark.parametrize('fail', [_time_out, _close])
+def test_after_a_failure_as_many_connections_are_kept_as_before(
+    fail: Callable[[HttpConn], None],
 ) -> None:
-    """Only one was kept after a failure, so each call beside it opened one."""
-    with pytest.raises(HttpSilentError):
-        server.together = threading.Barrier(2)
-        failed.call('GET', '/', deadline_in(100))
-    _call_together(failed, server)
-    opened = server.conns
-    _call_together(failed, server)
-    assert server.conns == opened
+    with scripted_server(_script) as server:
+        conn = HttpConn(HttpAddress(HOST, server.port), WIDTH)
+        fail(conn)
+        before = server.conns
+        for _ in range(3):
+            _post_at_once(conn)
+        assert server.conns - before == WIDTH
+
+
+def test_the_first_call_to_a_server_that_is_back_is_answered() -> None:
+    port = free_port()
+    conn = HttpConn(HttpAddress(HOST, port), WIDTH)
+    with pytest.raises(HttpUnreachableError):
+        _post(conn, '/')
+    with closing(ScriptedServer(_script, port)):
+        assert _post(conn, '/') == 200
+
+
+def test_a_server_that_stays_away_is_unreachable_each_time() -> None:
+    conn = HttpConn(HttpAddress(HOST, free_port()), WIDTH)
+    for _ in range(3):
+        with pytest.raises(HttpUnreachableError):
+            _post(conn, '/')
 
 
 def test_a_call_whose_pool_was_just_closed_is_sent(
-    failed: HttpConn,
-    server: CountingServer,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A call beside it has failed and dropped the idle connections."""
     closed = [True]
     urlopen = HTTPConnectionPool.urlopen
 
-    def _urlopen(pool: HTTPConnectionPool, **request: Any) -> BaseHTTPResponse:
+    def _urlopen(
+        pool: HTTPConnectionPool, *line: Any, **request: Any
+    ) -> BaseHTTPResponse:
         if closed:
             closed.pop()
             raise ClosedPoolError(pool, 'Pool is closed.')
-        return urlopen(pool, **request)
+        return urlopen(pool, *line, **request)
 
     monkeypatch.setattr(HTTPConnectionPool, 'urlopen', _urlopen)
-    assert failed.call('GET', '/', deadline_in(1000)).status == OK
+    with scripted_server(_script) as server:
+        conn = HttpConn(HttpAddress(HOST, server.port), WIDTH)
+        assert _post(conn, '/') == 200
