Write the records of wide jobs in smaller transactions

Ten records went into one transaction whatever their size; those of jobs with 500 tasks that have failed and saved are 440 kB, which as base64 takes half a second of a link of 10 Mbit/s, and all of 600 ms beside anything else. The first batch then fails each time, is handed out first again, and no later record is written.

Batches are halved until they hold at most 100 kB of records. test_saving failed before: assert 439580 <= 100000. A single record that is larger still goes alone.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -49,6 +49,11 @@
 """A job takes a guard, a put and a delete; the store allows 32 entries."""
 
 
+LARGEST_TRANSACTION_BYTES: Final = 100_000
+"""Records in one transaction: a link of 5 Mbit/s carries them, as base64, in a
+part of the time that a write may take."""
+
+
 @dataclass(frozen=True, slots=True)
 class JobEvent:
     """A job or its cancellation as it appears in the store."""
@@ -167,6 +172,7 @@
         failure it holds those that are left.
         """
         while batches:
+            _split_large(batches)
             self._save_batch(batches[0])
             batches.popleft()
 
@@ -271,6 +277,19 @@
     )
 
 
+def _split_large(batches: deque[list[Job]]) -> None:
+    """Halve the first batch until its records are no more than one write."""
+    while len(batches[0]) > 1 and _is_large(batches[0]):
+        batch = batches.popleft()
+        middle = len(batch) // 2
+        batches.extendleft((batch[middle:], batch[:middle]))
+
+
+def _is_large(batch: list[Job]) -> bool:
+    sizes = (len(_record_put(job, 0).body) for job in batch)
+    return sum(sizes) > LARGEST_TRANSACTION_BYTES
+
+
 def job_key(job_id: str) -> str:
     """Return where a submitted job stands."""
     return f'{JOB_PREFIX}{job_id}'
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -7,17 +7,21 @@
 from gentianpulley.cluster.job_book import (
     JOB_PREFIX,
     JOBS_IN_TRANSACTION,
+    LARGEST_TRANSACTION_BYTES,
     LEADER_KEY,
     RECORD_PREFIX,
     JobBook,
     cancel_key,
     job_key,
+    record_key,
+    save_batches,
 )
-from gentianpulley.cluster.leader_store import create_leader_store
+from gentianpulley.cluster.leader_store import LeaderStore, create_leader_store
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import deadline_in
 from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
+from gentianpulley.jobs.job import Job
 from gentianpulley.jobs.spec import encode_job
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.kv_store import KvStore, connect_kv_store
@@ -95,3 +99,40 @@
         assert all(map(book.has_ended, JOB_IDS))
     assert not server.keys(JOB_PREFIX)
     assert all(map(book.has_ended, JOB_IDS))
+
+
+class KeptStore(LeaderStore):
+    """Keeps the transactions that it is asked for."""
+
+    def __init__(self) -> None:
+        """Use no store."""
+        self.transactions: list[Transaction] = []
+
+    def commit(self, txn: Transaction) -> Commit:
+        """Apply nothing."""
+        self.transactions.append(txn)
+        return Commit(applied=True, revision=1)
+
+
+def _job_with_checkpoints(job_id: str) -> Job:
+    known = job(step(500), job_id=job_id)
+    for task in known.steps[(0, 0)].tasks:
+        task.checkpoint = f'{task.task_id.ordinal:016x}'
+        task.failed_runs.add(1)
+    return known
+
+
+def test_records_of_wide_jobs_do_not_share_one_large_write() -> None:
+    """On a narrow link ten of them took longer than a write may take, and no
+    record was written from then on."""
+    store = KeptStore()
+    jobs = [_job_with_checkpoints(job_id) for job_id in JOB_IDS]
+    batches = save_batches(jobs)
+    JobBook(store, EventLog()).save(batches)
+    sizes = [
+        sum(len(put.body) for put in txn.puts) for txn in store.transactions
+    ]
+    assert max(sizes) <= LARGEST_TRANSACTION_BYTES
+    keys = [put.key for txn in store.transactions for put in txn.puts]
+    assert keys == [record_key(job_id) for job_id in JOB_IDS]
+    assert not batches
