--- a/bench/calls.py
+++ b/bench/calls.py
@@ -17,7 +17,7 @@
 
 from gentianpulley.deadline import deadline_in
 from gentianpulley.http_conn import HttpAddress, HttpConn
-from gentianpulley.keep_alive import KeepAliveConn, Patience
+from gentianpulley.keep_alive import KeepAliveConn, AnswerDeadlines
 from tests.scripted_server import ScriptedServer, answer
 
 DEFAULT_CALLS: Final = 12_000
@@ -64,12 +64,12 @@
 
 def _keep_alive(address: HttpAddress) -> Callable[[], object]:
     conn = KeepAliveConn(address, HEADERS)
-    return lambda: conn.post(PATH, REQUEST, _patience())
+    return lambda: conn.post(PATH, REQUEST, _deadlines())
 
 
-def _patience() -> Patience:
+def _deadlines() -> AnswerDeadlines:
     until_ms = deadline_in(TIMEOUT_MS)
-    return Patience(until_ms, TIMEOUT_MS, until_ms)
+    return AnswerDeadlines(until_ms, TIMEOUT_MS, until_ms)
 
 
 def _cost_us(call: Callable[[], object], calls: int) -> float:
--- a/src/gentianpulley/keep_alive.py
+++ b/src/gentianpulley/keep_alive.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class AnswerDeadlines:
     """How long an answer is waited for.
 
     Its first byte has until `first_ms`. While it arrives it may pause for
@@ -68,24 +68,26 @@
         self._sock: socket.socket | None = None
         self._poll = select.poll()
 
-    def post(self, path: str, body: bytes, patience: Patience) -> HttpAnswer:
+    def post(
+        self, path: str, body: bytes, deadlines: AnswerDeadlines
+    ) -> HttpAnswer:
         """Send one request and return its whole answer.
 
         Raises `HttpUnreachableError` when no byte of the request was written,
         `HttpSilentError` when no whole answer arrived after that. Both close
         the connection.
         """
-        sock = self._connected(patience)
+        sock = self._connected(deadlines)
         head = f'POST {path} HTTP/1.1\r\n{self._fixed}'
         request = b'%sContent-Length: %d\r\n\r\n%s' % (
             head.encode('latin-1'),
             len(body),
             body,
         )
-        self._write(sock, request, patience)
+        self._write(sock, request, deadlines)
         answer = _Answer()
         try:
-            self._read(sock, answer, patience)
+            self._read(sock, answer, deadlines)
         except (OSError, HttpParserError, HttpParserUpgrade) as exc:
             raise self._silent(exc) from exc
         if not answer.may_continue:
@@ -100,17 +102,17 @@
             self._poll.unregister(sock)
             sock.close()
 
-    def _connected(self, patience: Patience) -> socket.socket:
+    def _connected(self, deadlines: AnswerDeadlines) -> socket.socket:
         """Return the open connection, or a new one if that has ended."""
         if self._sock is not None and self._poll.poll(0):
             # Nothing is due on an idle connection but its end.
             self.close()
         if self._sock is None:
-            self._sock = self._connect(patience)
+            self._sock = self._connect(deadlines)
         return self._sock
 
-    def _connect(self, patience: Patience) -> socket.socket:
-        timeout_ms = min(CONNECT_TIMEOUT_MS, ms_left(patience.first_ms))
+    def _connect(self, deadlines: AnswerDeadlines) -> socket.socket:
+        timeout_ms = min(CONNECT_TIMEOUT_MS, ms_left(deadlines.first_ms))
         try:
             sock = socket.create_connection(
                 (self._address.host, self._address.port),
@@ -124,12 +126,12 @@
         return sock
 
     def _write(
-        self, sock: socket.socket, request: bytes, patience: Patience
+        self, sock: socket.socket, request: bytes, deadlines: AnswerDeadlines
     ) -> None:
         written = 0
         try:
             while written < len(request):
-                written += _send(sock, request[written:], patience)
+                written += _send(sock, request[written:], deadlines)
         except OSError as exc:
             if written:
                 raise self._silent(exc) from exc
@@ -137,18 +139,18 @@
             raise self._unreachable(exc) from exc
 
     def _read(
-        self, sock: socket.socket, answer: '_Answer', patience: Patience
+        self, sock: socket.socket, answer: '_Answer', deadlines: AnswerDeadlines
     ) -> None:
-        until_ms = patience.first_ms
+        until_ms = deadlines.first_ms
         while not answer.is_whole:
             if not self._poll.poll(ms_left(until_ms)):
                 raise TimeoutError(until_ms)
             chunk = sock.recv(CHUNK_BYTES)
             answer.take(chunk)
             is_drained = len(chunk) < CHUNK_BYTES
-            if is_drained and has_passed(patience.last_ms):
+            if is_drained and has_passed(deadlines.last_ms):
                 answer.check_whole()
-            until_ms = patience.next_ms()
+            until_ms = deadlines.next_ms()
 
     def _silent(self, exc: Exception) -> HttpSilentError:
         self.close()
@@ -225,15 +227,15 @@
             self.may_continue = self._parser.should_keep_alive()
 
 
-def _send(sock: socket.socket, rest: bytes, patience: Patience) -> int:
+def _send(sock: socket.socket, rest: bytes, deadlines: AnswerDeadlines) -> int:
     """Write what fits; waits only if nothing does."""
     try:
         return sock.send(rest)
     except BlockingIOError:
         writable = select.poll()
         writable.register(sock, select.POLLOUT)
-        if not writable.poll(ms_left(patience.first_ms)):
-            raise TimeoutError(patience.first_ms) from None
+        if not writable.poll(ms_left(deadlines.first_ms)):
+            raise TimeoutError(deadlines.first_ms) from None
     return 0
 
 
--- a/src/gentianpulley/platform/worker_line.py
+++ b/src/gentianpulley/platform/worker_line.py
@@ -13,7 +13,7 @@
     WorkerUnreachableError,
 )
 from gentianpulley.http_conn import Headers, HttpAddress, HttpAnswer
-from gentianpulley.keep_alive import KeepAliveConn, Patience
+from gentianpulley.keep_alive import KeepAliveConn, AnswerDeadlines
 
 SHORTEST_SLACK_MS: Final = 500
 """How late an answer may always be. Orders are answered in one round trip,
@@ -40,13 +40,13 @@
         """
         body = msgspec.json.encode(wire)
         due_ms = now_ms() + wait_ms
-        patience = Patience(
+        deadlines = AnswerDeadlines(
             due_ms + self._delay.allowed_ms,
             self._delay.allowed_ms,
             due_ms + self._delay.ceiling_ms,
         )
         try:
-            answer = self._conn.post(f'/gentianpulley/{path}', body, patience)
+            answer = self._conn.post(f'/gentianpulley/{path}', body, deadlines)
         except HttpUnreachableError as exc:
             raise WorkerUnreachableError(exc.text) from exc
         except HttpSilentError as exc:
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -9,7 +9,7 @@
 from gentianpulley.delay_estimate import DelayEstimate
 from gentianpulley.errors import HttpSilentError, HttpUnreachableError
 from gentianpulley.http_conn import HttpAddress, HttpAnswer
-from gentianpulley.keep_alive import KeepAliveConn, Patience
+from gentianpulley.keep_alive import KeepAliveConn, AnswerDeadlines
 from tests.scripted_server import (
     HOST,
     End,
@@ -31,13 +31,13 @@
 CLOSING = answer(BODY, more=b'Connection: close\r\n')
 
 
-def _patience() -> Patience:
+def _deadlines() -> AnswerDeadlines:
     at_ms = now_ms()
-    return Patience(at_ms + FIRST_MS, GAP_MS, at_ms + LAST_MS)
+    return AnswerDeadlines(at_ms + FIRST_MS, GAP_MS, at_ms + LAST_MS)
 
 
 def _post(conn: KeepAliveConn, body: bytes = b'{}') -> HttpAnswer:
-    return conn.post('/path', body, _patience())
+    return conn.post('/path', body, _deadlines())
 
 
 def _conn(server: ScriptedServer) -> KeepAliveConn:
@@ -165,7 +165,9 @@
         conn = _conn(server)
         sent = json.dumps({'text': 'y' * 2_000_000}).encode()
         conn.post(
-            '/path', sent, Patience(now_ms() + 9000, 9000, now_ms() + 9000)
+            '/path',
+            sent,
+            AnswerDeadlines(now_ms() + 9000, 9000, now_ms() + 9000),
         )
         head, _, body = server.requests[0].partition(b'\r\n\r\n')
         conn.close()
