Let the guard of looks before starts call a session as it is now

A session's sending takes the time since when an order waits; with the guard off the proof would have failed for the missing argument. It fails for its own reason: make prove-red, look-before-start: red; rests and earlier-sending (5) red too. The other guards were not run.

--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -30,7 +30,7 @@
     """Send what waits for a silent worker without a look."""
 
     def take_back(office: Any, order: Any) -> bool:
-        office._sinks[order.worker_id]._send(order)
+        office._sinks[order.worker_id]._send(order, 0)
         return True
 
     replace(Office, 'take_back', take_back)
