Learn cancellations before all jobs are read again

Cause: at about 8.3 s the store dropped its history, so the watch of the jobs ended with 410 and all jobs were read again. Cancellations stood among the jobs, as gp/job/ID/cancel, and each page of jobs with their payloads took seconds on a link of 5 Mbit/s. Class: an urgent and small message behind a bulk read.

Ruled out: stops that wait in the session (the job was marked as cancelled only at 13.6 s).

Change: specs and cancellations have prefixes of their own below the one that is watched. A read after a lost watch begins with the cancellations, and repeats them before each page of jobs; loading does the same. The revision to watch from is that of the first read, so nothing is missed in between. Only pages of jobs count as seen for a leader that may be blind.

The store in test_campaign that loses pages with jobs loses those of the prefix that jobs have now.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 from urllib.parse import quote
@@ -40,10 +40,11 @@
 
 ROOT: Final = 'gp/'
 JOB_PREFIX: Final = 'gp/job/'
+SPEC_PREFIX: Final = 'gp/job/spec/'
+CANCEL_PREFIX: Final = 'gp/job/cancelled/'
 RECORD_PREFIX: Final = 'gp/record/'
 WAITING_PREFIX: Final = 'gp/waiting/'
 LEADER_KEY: Final = 'gp/leader'
-_CANCEL_SUFFIX: Final = '/cancel'
 
 JOBS_IN_TRANSACTION: Final = 10
 """A job takes a guard, a put and a delete; the store allows 32 entries."""
@@ -136,27 +137,30 @@
     def load(self) -> tuple[list[Job], int]:
         """Return all jobs that go on, and the revision to watch from."""
         records = self._load_records()
-        reading = PrefixRead(self._store.reader, JOB_PREFIX)
-        jobs: dict[str, Job] = {}
-        for entry in self._read_all(reading):
-            event = self.event_of(entry)
-            if event is None:
-                continue
-            if event.spec is None:
-                _cancel(jobs.get(event.job_id))
-                continue
-            job = _loaded(event.spec, records.get(event.job_id))
-            if job is not None:
-                jobs[event.job_id] = job
-        return list(jobs.values()), reading.revision
+        # Read before the jobs, so that the watch shows what comes in between.
+        cancels = PrefixRead(self._store.reader, CANCEL_PREFIX)
+        cancelled = {
+            entry.key.removeprefix(CANCEL_PREFIX)
+            for entry in self._read_all(cancels)
+        }
+        specs = PrefixRead(self._store.reader, SPEC_PREFIX)
+        jobs = [
+            job
+            for entry in self._read_all(specs)
+            if (job := self._loaded(entry, records)) is not None
+        ]
+        for job in jobs:
+            if job.spec.job_id in cancelled:
+                job.cancel()
+        return jobs, cancels.revision
 
     def event_of(self, entry: Entry) -> JobEvent | None:
         """Decode an entry below the jobs' prefix; None if it is damaged."""
-        name = entry.key.removeprefix(JOB_PREFIX)
-        if name.endswith(_CANCEL_SUFFIX):
-            return JobEvent(name.removesuffix(_CANCEL_SUFFIX), None)
+        if entry.key.startswith(CANCEL_PREFIX):
+            return JobEvent(entry.key.removeprefix(CANCEL_PREFIX), None)
+        job_id = entry.key.removeprefix(SPEC_PREFIX)
         try:
-            return JobEvent(name, decode_job(entry.body))
+            return JobEvent(job_id, decode_job(entry.body))
         except msgspec.DecodeError as exc:
             self._log.document_damaged(entry.key, str(exc))
         return None
@@ -196,6 +200,21 @@
             self._ended.pop(job_id)
         return len(old)
 
+    def _loaded(
+        self, entry: Entry, records: Mapping[str, JobRecord]
+    ) -> Job | None:
+        """Return a stored job, None if it has ended or is damaged."""
+        event = self.event_of(entry)
+        if event is None or event.spec is None:
+            return None
+        record = records.get(event.job_id)
+        if record is not None and record.state.is_final:
+            return None
+        job = create_job(event.spec, is_inherited=True)
+        if record is not None:
+            restore(job, record)
+        return job
+
     def _load_records(self) -> dict[str, JobRecord]:
         records = {}
         reading = PrefixRead(self._store.reader, RECORD_PREFIX)
@@ -292,12 +311,12 @@
 
 def job_key(job_id: str) -> str:
     """Return where a submitted job stands."""
-    return f'{JOB_PREFIX}{job_id}'
+    return f'{SPEC_PREFIX}{job_id}'
 
 
 def cancel_key(job_id: str) -> str:
     """Return where a job's cancellation stands."""
-    return f'{JOB_PREFIX}{job_id}{_CANCEL_SUFFIX}'
+    return f'{CANCEL_PREFIX}{job_id}'
 
 
 def record_key(job_id: str) -> str:
@@ -313,17 +332,3 @@
 def _record_put(job: Job, saved_ms: int) -> Put:
     body = encode_record(record_of(job, saved_ms))
     return Put(record_key(job.spec.job_id), body)
-
-
-def _loaded(spec: JobSpec, record: JobRecord | None) -> Job | None:
-    if record is not None and record.state.is_final:
-        return None
-    job = create_job(spec, is_inherited=True)
-    if record is not None:
-        restore(job, record)
-    return job
-
-
-def _cancel(job: Job | None) -> None:
-    if job is not None:
-        job.cancel()
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -16,7 +16,9 @@
     WorkerNews,
 )
 from gentianpulley.cluster.job_book import (
+    CANCEL_PREFIX,
     JOB_PREFIX,
+    SPEC_PREFIX,
     JobBook,
     JobEvent,
 )
@@ -195,6 +197,38 @@
         office.work_came.set()
 
 
+class JobReading:
+    """One read of all jobs, which may be taken up again after it broke.
+
+    Cancellations are due within seconds, and the jobs may take longer than
+    that on a narrow link: the cancellations are read before each page of jobs.
+    """
+
+    def __init__(self, store: Store) -> None:
+        """Read nothing yet."""
+        self.revision = 0
+        self._store = store
+        self._jobs = PrefixRead(store, SPEC_PREFIX)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether all pages of jobs were read."""
+        return self._jobs.is_over
+
+    def next_cancelled(self) -> frozenset[str]:
+        """Return the ids of all cancelled jobs; raises `StoreError`."""
+        reading = PrefixRead(self._store, CANCEL_PREFIX)
+        entries = [entry for page in reading.pages() for entry in page]
+        self.revision = self.revision or reading.revision
+        return frozenset(
+            entry.key.removeprefix(CANCEL_PREFIX) for entry in entries
+        )
+
+    def next_page(self) -> tuple[Entry, ...]:
+        """Return the next page of jobs; raises `StoreError`."""
+        return self._jobs.next_page()
+
+
 class JobWatch(LeaderWatch):
     """Takes up jobs and cancellations as entry instances store them."""
 
@@ -203,7 +237,7 @@
         super().__init__(office, 'jobs')
         self._store = store
         self._book = book
-        self._reading = PrefixRead(store, JOB_PREFIX)
+        self._reading = JobReading(store)
 
     def follow(self, revision: int) -> None:
         """Report jobs and cancellations that are new."""
@@ -218,21 +252,30 @@
 
         Goes on where the last read broke.
         """
-        for page in self._reading.pages():
+        reading = self._reading
+        while not reading.is_over:
+            cancelled = reading.next_cancelled()
+            for job_id in cancelled:
+                self.office.cancel(job_id)
+            page = reading.next_page()
             self.note_seen()
             self._await_certainty()
             if self.office.tenure.is_over():
                 break
-            self._note_page(page)
-        revision = self._reading.revision
-        self._reading = PrefixRead(self._store, JOB_PREFIX)
-        return revision
+            self._note_page(page, cancelled)
+        self._reading = JobReading(self._store)
+        return reading.revision
 
-    def _note_page(self, page: tuple[Entry, ...]) -> None:
+    def _note_page(
+        self, page: tuple[Entry, ...], cancelled: frozenset[str]
+    ) -> None:
         for entry in page:
             event = self._book.event_of(entry)
-            if event is not None and not self._book.has_ended(event.job_id):
-                self._note_event(event)
+            if event is None or self._book.has_ended(event.job_id):
+                continue
+            self._note_event(event)
+            if event.job_id in cancelled:
+                self.office.cancel(event.job_id)
 
     def _await_certainty(self) -> None:
         """Wait until no other instance can have led since the batch came.
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -11,7 +11,7 @@
 from gentianpulley.cluster.campaign import Campaign
 from gentianpulley.cluster.candidacy import Candidate, decode_candidate
 from gentianpulley.cluster.capacity import InstanceCapacity
-from gentianpulley.cluster.job_book import JOB_PREFIX, LEADER_KEY
+from gentianpulley.cluster.job_book import LEADER_KEY, SPEC_PREFIX
 from gentianpulley.cluster.leader import LeaderParts
 from gentianpulley.cluster.offers import OFFER_KEY, OwnOffer
 from gentianpulley.cluster.timing import Timing, create_timing
@@ -48,7 +48,7 @@
 
     def read_page(self, prefix: str, after: str) -> Page:
         """Return a page, or lose it if it holds jobs."""
-        if prefix == JOB_PREFIX:
+        if prefix == SPEC_PREFIX:
             time.sleep(0.3)
             raise StoreAnswerLostError(prefix)
         return super().read_page(prefix, after)
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -17,6 +17,7 @@
 NARROW_BYTES_PER_S = 250_000
 STORED_JOBS = 150
 STORED_BYTES = 5000
+CANCEL_S = 3
 RUNNING_ID = '00000000000000a1'
 NEW_ID = '00000000000000a2'
 FITTING = 'fitting'
@@ -85,6 +86,22 @@
     assert node.is_leading
 
 
+def test_a_cancellation_is_learned_before_all_jobs_are_read_again(
+    narrow: NarrowSite,
+) -> None:
+    """The read of all jobs takes longer here than a cancellation may."""
+    store = narrow.site.store
+    node = narrow.add_node()
+    wait_until(lambda: node.is_leading)
+    _store_long_job(store, RUNNING_ID)
+    wait_until(lambda: narrow.running() == [RUNNING_ID])
+    narrow.link.narrow(NARROW_BYTES_PER_S)
+    store.forget_history()
+    store.put(cancel_key(RUNNING_ID), b'')
+    store.forget_history()
+    wait_until(lambda: not narrow.running(), CANCEL_S, 'the job is stopped')
+
+
 def test_an_instance_behind_a_narrow_link_takes_over(
     narrow: NarrowSite,
 ) -> None:
