Stop the other members of a gang when one does not start

Callers would see runs of a gang end `alone` (rule GANG) and its room held for gang_wait_ms: when one start was refused, never sent or barred, the members that had started waited for it in vain.

Cause: a run that is given back let only its own task wait; the gang is placed again once all wait, and nobody stopped the others.

Evidence: tests/scheduling/test_gangs.py. Before, the next plan sent no stop (`[] == [StopOrder('w1', ...)]`); the other cases call the new method and could not run. All 23 pass now.

Ruled out: stopping from the answer itself, as members are at other workers, and orders that follow an answer go to the worker that gave it; testing for members that wait beside members that run, which is also true while ends of a gang are listed one by one and while a successor adopts members.

Why it works: all that gives a run back or bars it passes through one place, which marks the gang; the next plan stops what is left before it places. A member that was never sent waits at once. An end of a member that was there marks nothing, as the workers end the others.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -305,7 +305,8 @@
         began_s = time.monotonic()
         with self.lock, self.counters.timed('plan'):
             self.scheduler.note_lapses(at_ms)
-            stops = self.scheduler.moves(at_ms)
+            stops = self.scheduler.stop_torn_gangs()
+            stops.extend(self.scheduler.moves(at_ms))
             orders = self.scheduler.plan(at_ms)
             self.counters.set('jobs_waiting', self.scheduler.waiting_jobs())
             places = [self._place_of(order) for order in orders]
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -72,7 +72,10 @@
         present = {row.key for row in listing.running}
         worker.foreign &= present
         orders = self._note_rows(worker, listing, now_ms)
-        orders.extend(_bar_forgotten(worker, sent_ms))
+        orders.extend(
+            self.halt_uncertain(worker, charge)
+            for charge in _forgotten(worker, sent_ms)
+        )
         if len(listing.ended) < ENDS_IN_LISTING:
             self._return_missing(worker, present, sent_ms)
         worker.is_fenced = True
@@ -204,8 +207,7 @@
             return [order]
         name = reply.verdict.name
         self.log.start_refused(order.key, worker.worker_id, name)
-        charge.is_stopping = True
-        return [StopOrder(worker.worker_id, order.key)]
+        return [self.halt_uncertain(worker, charge)]
 
     def _note_end(
         self, worker: Worker, row: EndedRow, now_ms: int
@@ -370,13 +372,12 @@
     step.give_back(task)
 
 
-def _bar_forgotten(worker: Worker, sent_ms: int) -> list[StopOrder]:
-    """Stop runs whose starts are not sent any more and never answered."""
-    orders = []
-    for key, charge in worker.charges.items():
+def _forgotten(worker: Worker, sent_ms: int) -> list[Charge]:
+    """Return runs whose starts are not sent any more and never answered."""
+    charges = []
+    for charge in worker.charges.values():
         last_ms = max(charge.sent_ms, charge.last_sent_ms)
         is_open = not charge.settled_ms and not charge.is_stopping
         if is_open and sent_ms > last_ms + FORGOTTEN_MS:
-            charge.is_stopping = True
-            orders.append(StopOrder(worker.worker_id, key))
-    return orders
+            charges.append(charge)
+    return charges
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -77,6 +77,12 @@
         elif not self.slowed_since_ms:
             self.slowed_since_ms = now_ms
 
+    @property
+    def is_unsent(self) -> bool:
+        """Tell whether nobody has sent the run, and no stop of it follows."""
+        was_sent = self.last_sent_ms or self.settled_ms
+        return not was_sent and not self.is_stopping
+
     @property
     def may_arrive_late(self) -> bool:
         """Tell whether the next life of the worker may hold the run.
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -7,18 +7,13 @@
 
 from typing import Final
 
+from gentianpulley.cluster.gangs import GangKeeper
 from gentianpulley.cluster.link import (
-    RunKey,
     StartOrder,
     StopOrder,
     WorkerFacts,
 )
-from gentianpulley.cluster.scheduler_state import (
-    Order,
-    Reign,
-    SchedulerState,
-    is_current_run,
-)
+from gentianpulley.cluster.scheduler_state import Order, Reign
 from gentianpulley.cluster.worker import Charge, Worker, create_worker
 from gentianpulley.jobs.job import Job
 from gentianpulley.logs import EventLog
@@ -28,7 +23,7 @@
 carry such orders out up to twelve seconds later."""
 
 
-class WorkerLives(SchedulerState):
+class WorkerLives(GangKeeper):
     """Follows the workers' lives and gives back what ended with them."""
 
     def __init__(self, reign: Reign, log: EventLog) -> None:
@@ -79,6 +74,7 @@
         for charge in kept:
             worker.release(charge.key)
             charge.sent_ms = now_ms
+            self.note_absent(charge.key)
         if kept:
             self._unanswered[worker_id] = kept
         self.return_all(worker, 'life over')
@@ -120,17 +116,6 @@
         for key in tuple(worker.charges):
             self.return_run(worker, key, reason)
 
-    def return_run(self, worker: Worker, key: RunKey, reason: str) -> None:
-        """Release a run that is surely not there and let its task wait."""
-        worker.release(key)
-        self.log.run_returned(key, worker.worker_id, reason)
-        step = self.step_of(key.task_id)
-        if step is None or not is_current_run(worker, step, key):
-            return
-        task = step.tasks[key.task_id.ordinal]
-        step.give_back(task)
-        step.job.is_changed |= bool(task.checkpoint)
-
     def take_back(self, order: StartOrder) -> bool:
         """Let the task of a start that never left wait again.
 
@@ -141,7 +126,7 @@
         charge = self.charge_of(order)
         if worker is None or charge is None:
             return True
-        if charge.last_sent_ms or charge.settled_ms or charge.is_stopping:
+        if not charge.is_unsent:
             return False
         self.return_run(worker, order.key, 'never sent')
         return True
@@ -184,6 +169,7 @@
             task = step.tasks[charge.key.task_id.ordinal]
             if task.run == charge.key.run and task.worker_id == worker_id:
                 step.give_back(task)
+                self.note_absent(charge.key)
 
     def _clear_draining(self, worker: Worker, now_ms: int) -> list[Order]:
         """Stop what cannot end before a draining worker leaves."""
