Let starts go once the look before them is noted

Callers would see a task start seconds late after its worker had been silent: a session let starts go as soon as a look was answered, before the scheduler had noted the answer. In between the worker counts as silent, so a start that had been sent without an answer was dropped, and barred 3 s later.

Evidence: test_starts_wait_until_the_look_before_them_is_noted holds the lock of the office while a look is answered; before, starts were let go meanwhile (`assert not True`).

The stand-in accepted starts and listed nothing, so the scheduler gave the started one back and four tasks waited, not three; a slow test never saw three. It lists what it started now, and the test looks again after some looks (4 == 3 with the stand-in as it was). Two more tests took a pause for a proof that a look was held, or that a thread had ended; they wait for the thing itself now.

--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -140,9 +140,9 @@
             self._note_trouble('looks', exc)
             self._office.unreached(self.worker)
             return False
-        self.reached.set()
         self._acknowledged.clear()
         self._office.listed(self.worker, listing, sent_ms)
+        self.reached.set()
         return True
 
     def _order_loop(self) -> None:
--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -11,6 +11,7 @@
     LookOrder,
     PaceOrder,
     RunKey,
+    RunningRow,
     Sent,
     StartOrder,
     StartReply,
@@ -34,24 +35,32 @@
 
 
 class HeldLink(WorkerLink):
-    """Answers looks, and holds the first order until it is let go."""
+    """Answers looks, and holds the first order until it is let go.
+
+    Lists what it has started, as a worker does, since it began to.
+    """
 
     def __init__(self) -> None:
         """Hold the first order."""
         self.sent: list[str] = []
+        self.running: dict[RunKey, RunningRow] = {}
+        self.is_look_held = threading.Event()
         self.released = threading.Event()
         self.looks = threading.Event()
         self.looks.set()
         self.closed_in = ''
 
     def look(self, order: LookOrder) -> Listing:
-        """List nothing, until looks are held too."""
+        """List what runs, until looks are held too."""
+        if not self.looks.is_set():
+            self.is_look_held.set()
         self.looks.wait(WAIT_S)
         threading.Event().wait(LOOK_S)
-        return Listing(now_ms())
+        return Listing(now_ms(), running=tuple(self.running.values()))
 
     def start(self, order: StartOrder, sent: Sent) -> StartReply:
         """Note the start."""
+        self.running[order.key] = RunningRow(order.key, '', 100, 0)
         self._note(f'start {order.key.task_id.ordinal}')
         return StartReply(StartVerdict.ACCEPTED)
 
@@ -162,7 +171,9 @@
     monkeypatch.setattr(worker_session, 'LONGEST_START_WAIT_MS', SHORT_WAIT_MS)
     threading.Event().wait(2 * SHORT_WAIT_MS / 1000)
     bench.link.released.set()
-    wait_until(lambda: bench.waiting() == 3)
+    wait_until(lambda: bench.waiting() >= 3)
+    threading.Event().wait(5 * LOOK_S)
+    assert bench.waiting() == 3
     assert bench.link.sent == ['start 0']
 
 
@@ -184,7 +195,7 @@
 ) -> None:
     """It was neither sent nor given back, and barred seconds later."""
     bench.link.looks.clear()
-    threading.Event().wait(5 * LOOK_S)
+    wait_until(lambda: bench.link.is_look_held.is_set())
     bench.worker.heard_ms = 0
     bench.link.released.set()
     wait_until(lambda: bench.waiting() == 3)
@@ -193,7 +204,26 @@
 
 def test_the_link_is_closed_once_no_call_is_under_way(bench: Bench) -> None:
     bench.session.close()
-    threading.Event().wait(5 * LOOK_S)
+    wait_until(lambda: not _is_alive('look-w'))
     assert not bench.link.closed_in
     bench.link.released.set()
     wait_until(lambda: bench.link.closed_in == 'order-w')
+
+
+def test_starts_wait_until_the_look_before_them_is_noted(
+    bench: Bench,
+) -> None:
+    """A worker counted as silent just after it had answered again: what had
+    been sent to it was dropped, and barred seconds later."""
+    bench.link.looks.clear()
+    wait_until(lambda: bench.link.is_look_held.is_set())
+    bench.session.reached.clear()
+    with bench.office.lock:
+        bench.link.looks.set()
+        threading.Event().wait(5 * LOOK_S)
+        assert not bench.session.reached.is_set()
+    wait_until(lambda: bench.session.reached.is_set())
+
+
+def _is_alive(thread_name: str) -> bool:
+    return any(each.name == thread_name for each in threading.enumerate())
