Let a new endless job begin on a full site

Callers would see a new endless job without any task at work for as long as other work of its priority, or more urgent work, kept coming: such tasks stand behind all batch work, and only those that had run had a deadline.

With 40 new jobs at once other work keeps all places but two a second.

Why it works: one task of each new endless step has a deadline, 6 s after its turn; past it the task goes before other work, one each 500 ms on the whole site. It gets no harmful place, as restarts do: nobody counts on it yet. Ruled out: deadlines for all tasks of a step, which let a wide one take every place.

--- a/src/gentianpulley/cluster/ordering.py
+++ b/src/gentianpulley/cluster/ordering.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+from typing import Final
 
 from gentianpulley.jobs.job import StepRun
 
@@ -15,6 +16,10 @@
 """A job that ends within so many times its objective is late; what comes
 after that is of no use to its caller."""
 
+FIRST_RUNS_GAP_MS: Final = 500
+"""Shortest time between two new endless tasks that go before other work, on the
+whole site: many may come at once."""
+
 SortKey = tuple[int, bool, int, bool, int]
 
 
@@ -63,6 +68,27 @@
     return [steps[place] for _, place in sorted(deadlines)]
 
 
+class FirstRuns:
+    """Paces new endless tasks that go before what is not overdue.
+
+    Without a turn they would wait for as long as more urgent work comes.
+    """
+
+    def __init__(self) -> None:
+        """Let the first one go at once."""
+        self._next_ms = 0
+
+    def due(self, steps: list[StepRun], now_ms: int) -> list[StepRun]:
+        """Return the steps of which one may place its first task now."""
+        if now_ms < self._next_ms:
+            return []
+        return [step for step in steps if step.new_overdue(now_ms)]
+
+    def note_placed(self, now_ms: int) -> None:
+        """Note that one of them was placed."""
+        self._next_ms = now_ms + FIRST_RUNS_GAP_MS
+
+
 def in_order(steps: list[StepRun], now_ms: int) -> list[StepRun]:
     """Return the steps in the order in which they are placed."""
     return sorted(steps, key=lambda step: sort_key(step, now_ms))
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -12,7 +12,11 @@
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
 from gentianpulley.cluster.open_workers import OpenWorkers
-from gentianpulley.cluster.ordering import in_order, overdue_first
+from gentianpulley.cluster.ordering import (
+    FirstRuns,
+    in_order,
+    overdue_first,
+)
 from gentianpulley.cluster.placing import (
     Choice,
     FullShapes,
@@ -50,6 +54,7 @@
         super().__init__(reign, log)
         self._first_run = reign.token << RUN_BITS
         self._next_moves_ms = 0
+        self._first_runs = FirstRuns()
         self._waits = Waits()
 
     def plan(self, now_ms: int) -> list[StartOrder]:
@@ -62,6 +67,7 @@
         for step in overdue_first(steps, now_ms):
             overdue = step.overdue(now_ms)
             orders.extend(self._try_step(step, overdue, view, full))
+        orders.extend(self._begin_new(steps, view, full))
         for step in in_order(steps, now_ms):
             if not step.overdue(now_ms):
                 waiting = set(step.waiting)
@@ -138,6 +144,20 @@
             steps.extend(job.startable_steps(now_ms))
         return steps
 
+    def _begin_new(
+        self, steps: list[StepRun], view: PlacingView, full: FullShapes
+    ) -> list[StartOrder]:
+        """Place one new endless task that has waited for long."""
+        for step in in_order(
+            self._first_runs.due(steps, view.now_ms), view.now_ms
+        ):
+            late = step.new_overdue(view.now_ms)
+            orders = self._try_step(step, late, view, full)
+            if orders:
+                self._first_runs.note_placed(view.now_ms)
+                return orders
+        return []
+
     def _try_step(
         self,
         step: StepRun,
@@ -164,16 +184,10 @@
         else:
             orders = self._place_each(step, indexes, choice, view)
         if step.waiting:
-            reason = choice.reason if allowed else self._lack(step, view)
+            reason = choice.reason if allowed else _lack(step, view)
             self._waits.note(step, reason)
         return orders
 
-    def _lack(self, step: StepRun, view: PlacingView) -> WaitReason:
-        """Return what a step without any worker lacks."""
-        if suitable(step, view):
-            return WaitReason.TICKET
-        return WaitReason.NO_WORKER
-
     def _place_each(
         self,
         step: StepRun,
@@ -240,6 +254,13 @@
         )
 
 
+def _lack(step: StepRun, view: PlacingView) -> WaitReason:
+    """Return what a step without any worker lacks."""
+    if suitable(step, view):
+        return WaitReason.TICKET
+    return WaitReason.NO_WORKER
+
+
 def _is_special(step: StepRun) -> bool:
     """Tell whether a step may wait for other reasons than its size."""
     spec = step.spec
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -15,6 +15,11 @@
 """How long an endless task that has run waits in the order of all work. Sites
 ask that it runs again within three seconds, and a start takes time as well."""
 
+FIRST_RUN_MS: Final = 6000
+"""How long a new endless step waits in the order of all work for one more task
+to begin: it has no end to be in time for, so others may go first for a while.
+"""
+
 
 class JobState(enum.StrEnum):
     """What callers are told of a job."""
@@ -49,8 +54,8 @@
     accepted under an earlier leader and may still run on a worker that this
     leader has not listed. `has_left_slow` says that a run was stopped for
     being slow, which happens once: some tasks take longer than estimated.
-    `restart_by_ms` is until when an endless task has to be placed again; zero
-    while it runs, or if it never did.
+    `restart_by_ms` is until when an endless task has to be placed (again); zero
+    while it runs. Of those that never ran one in a step has such a deadline.
     """
 
     task_id: TaskId
@@ -69,6 +74,11 @@
         """Return how many runs have failed."""
         return len(self.failed_runs)
 
+    @property
+    def is_new(self) -> bool:
+        """Tell whether the task was never placed, by nobody."""
+        return not self.run and not self.is_unconfirmed
+
     def is_overdue(self, now_ms: int) -> bool:
         """Tell whether the task should have been placed again by now."""
         return 0 < self.restart_by_ms <= now_ms
@@ -121,27 +131,33 @@
     def set_deadlines(self, now_ms: int) -> None:
         """Give endless tasks that wait to run again a deadline.
 
-        A start that was refused leaves the deadline as it is.
+        A start that was refused leaves the deadline as it is. Of the new
+        tasks one at a time has a deadline, so that wide steps begin without
+        taking all places at once.
         """
         if not self.spec.is_endless:
             return
         self._next_restart_ms = now_ms + RESTART_MS
+        self._set_first_deadline(now_ms)
         for index in self.waiting:
             task = self.tasks[index]
-            may_have_run = task.run or task.is_unconfirmed
-            if may_have_run and not task.restart_by_ms:
+            if not task.is_new and not task.restart_by_ms:
                 task.restart_by_ms = now_ms + RESTART_MS
             if 0 < task.restart_by_ms < self._next_restart_ms:
                 self._next_restart_ms = task.restart_by_ms
 
     def overdue(self, now_ms: int) -> set[int]:
-        """Return the waiting tasks whose deadlines have passed."""
-        if not self.spec.is_endless or now_ms < self._next_restart_ms:
-            return set()
+        """Return the waiting tasks that should run again by now."""
         return {
             index
-            for index in self.waiting
-            if self.tasks[index].is_overdue(now_ms)
+            for index in self._late(now_ms)
+            if not self.tasks[index].is_new
+        }
+
+    def new_overdue(self, now_ms: int) -> set[int]:
+        """Return the task that should have begun by now, if there is one."""
+        return {
+            index for index in self._late(now_ms) if self.tasks[index].is_new
         }
 
     def place(self, task: Task, worker_id: str, run: int) -> None:
@@ -177,6 +193,22 @@
         self.job.is_changed = True
         self.job.refresh_state()
 
+    def _late(self, now_ms: int) -> set[int]:
+        """Return the waiting tasks whose deadlines have passed."""
+        if not self.spec.is_endless or now_ms < self._next_restart_ms:
+            return set()
+        return {
+            index
+            for index in self.waiting
+            if self.tasks[index].is_overdue(now_ms)
+        }
+
+    def _set_first_deadline(self, now_ms: int) -> None:
+        new = [index for index in self.waiting if self.tasks[index].is_new]
+        if not new or any(self.tasks[each].restart_by_ms for each in new):
+            return
+        self.tasks[min(new)].restart_by_ms = now_ms + FIRST_RUN_MS
+
     def _leave(self, task: Task) -> None:
         left = self.per_worker.get(task.worker_id, 0) - 1
         if left > 0:
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -15,6 +15,7 @@
     StartVerdict,
     StopOrder,
 )
+from gentianpulley.cluster.ordering import FIRST_RUNS_GAP_MS
 from gentianpulley.jobs.job import Job, TaskPhase, create_job
 from gentianpulley.jobs.spec import AdvicePolicy, StepSpec
 from gentianpulley.resources import Resources
@@ -22,6 +23,7 @@
 
 TICK_MS = 100
 SHORT_MS = 1000
+FIRST_BOUND_MS = 8000
 RESTART_BOUND_MS = 3000
 """Sites ask that an endless task runs again within it, if there is room."""
 
@@ -276,3 +278,50 @@
         site.at_ms += gap_ms
         started = _run_and_fail(site)
     assert len(started) == starts
+
+
+def _busy_site(priority: int) -> tuple[HandSite, _Stream]:
+    """Return a site that short tasks fill, with more of them waiting."""
+    site = hand_site(*WORKERS)
+    stream = _Stream(site, priority)
+    for _ in range(20):
+        _tick(site, stream)
+    return site, stream
+
+
+def _tick(site: HandSite, stream: _Stream) -> list[StartOrder]:
+    site.at_ms += TICK_MS
+    stream.end_due()
+    for _ in range(3):
+        stream.submit()
+    orders = site.start_all()
+    stream.take([each for each in orders if not _is_new(each)])
+    return [each for each in orders if _is_new(each)]
+
+
+def _is_new(order: StartOrder) -> bool:
+    return order.key.task_id.job_id.startswith('e')
+
+
+@pytest.mark.parametrize('stream_priority', [0, 2])
+@pytest.mark.parametrize('tasks', [1, 4])
+def test_a_new_endless_job_begins_in_time_on_a_full_site(
+    stream_priority: int, tasks: int
+) -> None:
+    """It waited for as long as other work of its priority kept coming."""
+    site, stream = _busy_site(stream_priority)
+    serving = job(_endless(tasks), job_id='e' * 16, priority=2)
+    site.scheduler.add_job(serving)
+    ticks = range(FIRST_BOUND_MS // TICK_MS)
+    assert any([_tick(site, stream) for _ in ticks])
+
+
+def test_new_endless_jobs_that_come_at_once_leave_places_to_others() -> None:
+    site, stream = _busy_site(0)
+    for number in range(40):
+        burst = job(_endless(1), job_id=f'e{number:015x}', priority=0)
+        site.scheduler.add_job(burst)
+    for _ in range(FIRST_BOUND_MS // TICK_MS):
+        _tick(site, stream)
+    begun = sum(len(_tick(site, stream)) for _ in range(20))
+    assert 1 <= begun <= 20 * TICK_MS // FIRST_RUNS_GAP_MS + 1
