Let other orders go on while a failed stop waits to be sent again

Callers would see tasks start over three seconds late: at a worker that answers looks but fails a stop, the stop went back to the front of the queue, before all starts, again and again, until those starts were barred after 3 s.

Cause: the session slept between two tries, and a stop comes before what waits.

Ruled out: stops behind starts, which would fill what the stop frees; holding starts back as well, as only a stop's own run is concerned, and no start of it is sent once it is stopped.

Why it works: the stop stands aside until it is due, then goes behind the other stops. A start of the same run still goes before the first try, as before, so nothing overtakes it.

--- a/src/gentianpulley/cluster/order_queue.py
+++ b/src/gentianpulley/cluster/order_queue.py
@@ -6,7 +6,15 @@
 
 from gentianpulley.cluster.link import PaceOrder, StopOrder
 from gentianpulley.cluster.scheduler_state import Order
-from gentianpulley.deadline import now_ms
+from gentianpulley.deadline import now_ms, seconds_left
+
+
+@dataclass(frozen=True, slots=True)
+class DelayedStop:
+    """A stop that failed, and when it is sent again."""
+
+    queued: 'QueuedOrder'
+    due_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,11 +28,14 @@
 class OrderQueue:
     """Gives out what frees room and bounds harm before what can wait.
 
-    Nothing overtakes the start of its own run.
+    A stop that failed is held back for a while, so that one run that cannot
+    be stopped does not keep others from starting. Nothing overtakes the start
+    of its own run.
     """
 
     def __init__(self) -> None:
         """Hold nothing yet."""
+        self._delayed: deque[DelayedStop] = deque()
         self._stops: deque[QueuedOrder] = deque()
         self._paces: deque[QueuedOrder] = deque()
         self._starts: deque[QueuedOrder] = deque()
@@ -40,10 +51,17 @@
             lane.append(queued)
             self._changed.notify()
 
+    def put_later(self, stop: DelayedStop) -> None:
+        """Hold a stop back until it is due; other orders go on meanwhile."""
+        with self._changed:
+            self._delayed.append(stop)
+            self._changed.notify()
+
     def get(self) -> QueuedOrder | None:
         """Wait for the next order; None once the queue is closed."""
         with self._changed:
-            self._changed.wait_for(self._is_ready)
+            while not self._is_ready():
+                self._changed.wait(self._until_due_s())
             return None if self._is_closed else self._next()
 
     def close(self) -> None:
@@ -55,12 +73,28 @@
     def backlog(self) -> tuple[int, int]:
         """Return how many orders wait, and the age of the oldest in ms."""
         with self._changed:
-            lanes = (*self._stops, *self._paces, *self._starts)
+            held = (stop.queued for stop in self._delayed)
+            lanes = (*held, *self._stops, *self._paces, *self._starts)
         at_ms = now_ms()
         oldest_ms = min((queued.since_ms for queued in lanes), default=at_ms)
         return len(lanes), at_ms - oldest_ms
 
+    def _until_due_s(self) -> float | None:
+        """Return how long nothing is due; None if nothing is held back."""
+        if not self._delayed:
+            return None
+        return seconds_left(min(stop.due_ms for stop in self._delayed))
+
+    def _admit_due(self) -> None:
+        """Let the stops that are due by now go behind the others."""
+        at_ms = now_ms()
+        for stop in tuple(self._delayed):
+            if stop.due_ms <= at_ms:
+                self._delayed.remove(stop)
+                self._stops.append(stop.queued)
+
     def _is_ready(self) -> bool:
+        self._admit_due()
         has_orders = self._stops or self._paces or self._starts
         return self._is_closed or bool(has_orders)
 
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -16,20 +16,26 @@
 )
 from gentianpulley.cluster.link_trouble import trouble_of
 from gentianpulley.cluster.office import Office, OrderSink
-from gentianpulley.cluster.order_queue import OrderQueue, QueuedOrder
+from gentianpulley.cluster.order_queue import (
+    DelayedStop,
+    OrderQueue,
+    QueuedOrder,
+)
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker import Worker
-from gentianpulley.deadline import MS_PER_SECOND, now_ms
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
 from gentianpulley.errors import (
     WorkerError,
     WorkerFencedError,
     WorkerGoneError,
 )
 
-RETRY_PAUSE_S: Final = 0.15
+RETRY_PAUSE_MS: Final = 150
 """Pause after a call that failed; a worker that answers does so in
 milliseconds."""
 
+RETRY_PAUSE_S: Final = RETRY_PAUSE_MS / MS_PER_SECOND
+
 SHORTEST_LOOK_GAP_S: Final = 0.045
 """Pause between looks, so that ends that come together share one look."""
 
@@ -206,8 +212,10 @@
             self._office.resign(exc.text)
         except WorkerError as exc:
             self._note_trouble('stops', exc)
-            self._closed.wait(RETRY_PAUSE_S)
-            self._orders.put(QueuedOrder(order, since_ms))
+            again_ms = deadline_in(RETRY_PAUSE_MS)
+            self._orders.put_later(
+                DelayedStop(QueuedOrder(order, since_ms), again_ms)
+            )
         else:
             self._office.stopped(order)
 
--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -25,11 +25,13 @@
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.jobs.spec import TaskId
+from gentianpulley.errors import WorkerUnreachableError
 from gentianpulley.logs import EventLog
 from standins.grid_site import wait_until
 from tests.scheduling.site import JOB_ID, hand_site, job, step
 
 WAIT_S = 5.0
+TRIES = 3
 SHORT_WAIT_MS = 100
 LOOK_S = 0.02
 
@@ -49,6 +51,7 @@
         self.looks = threading.Event()
         self.looks.set()
         self.closed_in = ''
+        self.fails_stops = False
 
     def look(self, order: LookOrder) -> Listing:
         """List what runs, until looks are held too."""
@@ -67,6 +70,8 @@
     def stop(self, order: StopOrder, sent: Sent) -> None:
         """Note the stop."""
         self._note(f'stop {order.key.task_id.ordinal}')
+        if self.fails_stops:
+            raise WorkerUnreachableError('connection reset')
 
     def pace(self, order: PaceOrder, sent: Sent) -> None:
         """Note the pace."""
@@ -158,6 +163,32 @@
     assert bench.link.sent[1:] == ['stop 2', 'start 1', 'start 3']
 
 
+def test_a_stop_that_keeps_failing_does_not_hold_up_starts(
+    bench: Bench,
+) -> None:
+    """The starts behind it waited until they were barred."""
+    bench.link.fails_stops = True
+    bench.stop(2)
+    bench.link.released.set()
+    wait_until(lambda: bench.link.sent.count('stop 2') > TRIES)
+    sent = bench.link.sent
+    starts = [text for text in sent if text.startswith('start')]
+    assert starts == ['start 0', 'start 1', 'start 3']
+    assert sent.index('start 3') < _nth(sent, 'stop 2', 2)
+
+
+def test_a_stop_that_failed_is_sent_again(bench: Bench) -> None:
+    bench.link.fails_stops = True
+    key = bench.key_of(2)
+    bench.stop(2)
+    bench.link.released.set()
+    wait_until(lambda: 'stop 2' in bench.link.sent)
+    assert bench.session.backlog()[0]
+    bench.link.fails_stops = False
+    wait_until(lambda: not bench.session.backlog()[0])
+    wait_until(lambda: key not in bench.worker.charges)
+
+
 def test_a_pace_does_not_overtake_the_start_of_its_run(bench: Bench) -> None:
     bench.session.send(PaceOrder('w', bench.key_of(2), 40))
     bench.link.released.set()
@@ -225,5 +256,11 @@
     wait_until(lambda: bench.session.reached.is_set())
 
 
+def _nth(sent: list[str], text: str, number: int) -> int:
+    """Return where a text stands for the nth time."""
+    places = [place for place, each in enumerate(sent) if each == text]
+    return places[number - 1]
+
+
 def _is_alive(thread_name: str) -> bool:
     return any(each.name == thread_name for each in threading.enumerate())
