Renew the leader's key at a fixed rate, whatever else is under way

Cause: the renewal, the look for offers and a pause of half a second came one after the other in one thread. Their time adds up, and with calls that wait behind the leader's own starts it passes the lease of 2 s.

Renewals took 7 ms before the traffic, 350 to 600 ms from second 7 to 30 and 0.5 to 1.6 s after that. They went out 1.0 to 1.1 s apart, 1.3 to 1.7 s with a look for offers between, and the last two 3.27 s apart (a renewal of 1,294 ms, a look of 1,518 ms, pauses): the store answered that the lease was gone, at 48.3 s.

Ruled out: renewals that failed (none did), and renewals that waited for a connection (the pool opens another one).

Now threads take turns: the next renewal is due half a second after the last one was sent, and one without an answer holds up no other. Renewals have connections of their own, so a call that fails closes none of them. A tenure is extended only by an answer of success, from when its renewal was sent, and never shortened by answers that come out of order. A leader whose renewals are never answered gives up as before.

The new stand-in lets all calls wait 0.46 s each way, so that each is still answered within its second. Test before the fix: the key was gone within 7 s, in two runs of two. After it: kept. Beside it, tests of the rate with and without answers, of what each answer does to the tenure, and of the connections.

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -7,35 +7,34 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
-from contextlib import closing, contextmanager
+from collections.abc import Callable
+from contextlib import ExitStack
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
 from gentianpulley.cluster.candidacy import Candidate, encode_candidate
 from gentianpulley.cluster.candidature import Candidature
 from gentianpulley.cluster.job_book import LEADER_KEY
-from gentianpulley.cluster.key_keeper import KeyKeeper
-from gentianpulley.cluster.leader import (
-    Leader,
-    LeaderParts,
-    certain_end_ms,
-    open_tenure,
-    tenure_end_ms,
+from gentianpulley.cluster.key_keeper import (
+    RENEW_MS,
+    KeyKeeper,
+    KeyRenewal,
 )
+from gentianpulley.cluster.leader import Leader, LeaderParts, open_tenure
 from gentianpulley.cluster.machines import WaveRequest
 from gentianpulley.cluster.office import Tenure
 from gentianpulley.cluster.offers import create_leased_key
 from gentianpulley.cluster.operators import OperatorListener
-from gentianpulley.cluster.timing import LEADER_TTL_S, RENEWALS_IN_TTL, Timing
-from gentianpulley.deadline import now_ms
-from gentianpulley.errors import StoreAnswerLostError, StoreError
+from gentianpulley.cluster.timing import LEADER_TTL_S
+from gentianpulley.deadline import MS_PER_SECOND, now_ms
+from gentianpulley.errors import StoreError
 from gentianpulley.store import Guard, StoreLease
 
-RENEW_S: Final = LEADER_TTL_S / RENEWALS_IN_TTL
+STEP_S: Final = RENEW_MS / MS_PER_SECOND
+"""Time from one look at the own tenure to the next."""
 
-OFFER_LOOK_RENEWALS: Final = 3
-"""A leader looks for an offer with each so many renewals of its key."""
+OFFER_LOOK_STEPS: Final = 3
+"""A leader looks for an offer with each so many steps."""
 
 
 class Campaign(BackgroundLoop, OperatorListener):
@@ -48,14 +47,16 @@
         is_healthy: Callable[[], bool],
     ) -> None:
         """Prepare the thread; `own` stands in the key while leading."""
-        super().__init__('campaign', RENEW_S, parts.log)
+        super().__init__('campaign', STEP_S, parts.log)
         self._candidature = Candidature(own, parts, is_healthy)
-        self._renewals = 0
         self._parts = parts
         self._store = parts.store
+        self._key_store = parts.store.with_own_conns()
+        self._keeper: KeyKeeper | None = None
         self._lease: StoreLease | None = None
         self._tenure: Tenure | None = None
         self._leader: Leader | None = None
+        self._steps = 0
         self._token = 0
         self._domains: frozenset[str] = frozenset()
         self._waves: tuple[WaveRequest, ...] = ()
@@ -80,12 +81,12 @@
             leader.open_waves(requests)
 
     def step(self) -> None:
-        """Renew while leading; campaign otherwise."""
+        """Hold the office while leading; campaign otherwise."""
         try:
             if self._leader is None:
                 self._campaign()
             else:
-                self._renew(self._leader)
+                self._hold(self._leader)
         except StoreError as exc:
             self.log.store_trouble(exc.text)
 
@@ -131,53 +132,45 @@
             return
         self._lease = made.lease
         self._token = made.revision
-        self._lead(sent_ms)
+        self._lead(made.lease, sent_ms)
         self._candidature.withdraw()
         if self.is_stopping:
             self._free_key()
 
-    def _lead(self, sent_ms: int) -> None:
-        tenure = open_tenure(sent_ms, self._parts.timing)
+    def _lead(self, lease: StoreLease, sent_ms: int) -> None:
+        """Lead under a lease that was asked for at `sent_ms`."""
+        timing = self._parts.timing
+        tenure = open_tenure(sent_ms, timing)
+        renewal = KeyRenewal(self._key_store, lease, tenure, timing)
         leader = Leader(self._parts, Guard(LEADER_KEY, self._token), tenure)
         leader.close_domains(self._domains)
         self._tenure = tenure
-        keeper = KeyKeeper(lambda: self._extend(tenure), RENEW_S, self.log)
+        with ExitStack() as undo:
+            undo.callback(self._end_lease)
+            self._keeper = KeyKeeper(renewal.send, sent_ms, self.log)
+            self._open(leader)
+            undo.pop_all()
+        self._leader = leader
+        leader.close_domains(self._domains)
+        leader.open_waves(self._waves)
+
+    def _open(self, leader: Leader) -> None:
         try:
-            with closing(keeper):
-                leader.open()
+            leader.open()
         except StoreError:
             leader.close()
             self._candidature.rest()
-            self._end_lease()
             raise
-        self._leader = leader
-        leader.close_domains(self._domains)
-        leader.open_waves(self._waves)
 
-    def _renew(self, leader: Leader) -> None:
+    def _hold(self, leader: Leader) -> None:
         tenure = self._tenure
-        if tenure is not None and not tenure.is_over():
-            with _giving_up_late(tenure, self._parts.timing):
-                self._extend(tenure)
         if tenure is None or tenure.is_over():
             self._step_down(leader)
             return
-        self._renewals += 1
-        if self._renewals % OFFER_LOOK_RENEWALS == 0:
+        self._steps += 1
+        if self._steps % OFFER_LOOK_STEPS == 0:
             self._answer_offer()
 
-    def _extend(self, tenure: Tenure) -> None:
-        """Renew the key; the tenure ends if its lease has lapsed."""
-        sent_ms = now_ms()
-        if self._lease is not None:
-            self._lease = self._store.keep_alive(self._lease)
-        if self._lease is None:
-            tenure.resign('the lease of the key has lapsed')
-            return
-        tenure.extend(
-            tenure_end_ms(sent_ms, self._parts.timing), certain_end_ms(sent_ms)
-        )
-
     def _answer_offer(self) -> None:
         """Hand over to a much larger candidate that has offered."""
         offer = self._candidature.accept_offer()
@@ -191,9 +184,13 @@
         if self._tenure is not None and self._tenure.is_given_up:
             self._candidature.rest()
         self._end_lease()
-        self.pause(RENEW_S)
+        self.pause(STEP_S)
 
     def _end_lease(self) -> None:
+        keeper = self._keeper
+        self._keeper = None
+        if keeper is not None:
+            keeper.close()
         lease = self._lease
         self._lease = None
         if lease is None:
@@ -202,19 +199,3 @@
             self._store.revoke(lease)
         except StoreError as exc:
             self.log.store_trouble(exc.text)
-
-
-@contextmanager
-def _giving_up_late(tenure: Tenure, timing: Timing) -> Iterator[None]:
-    """Give a tenure up whose renewals have not been answered for long.
-
-    The store may have taken them, and keeps the key from all others. Nothing
-    of the reign is left to be kept once its leases are over.
-    """
-    try:
-        yield
-    except StoreAnswerLostError:
-        left_ms = timing.handover_ms - timing.tenure_ms
-        if tenure.overdue_ms(now_ms()) > left_ms:
-            tenure.give_up('no renewal of the key was answered')
-        raise
--- a/src/gentianpulley/cluster/key_keeper.py
+++ b/src/gentianpulley/cluster/key_keeper.py
@@ -1,40 +1,105 @@
-"""Keeps the leader's key while a new leader loads.
+"""Keeps the leader's key: its lease is renewed at a fixed rate.
 
-Loading takes as long as the link to the store makes it, which may be longer
-than the lease of the key.
+Nothing else that the instance does holds a renewal up, nor does one that is
+still without an answer.
 """
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
 
-from gentianpulley.errors import StoreError
+from gentianpulley.cluster.leader import certain_end_ms, tenure_end_ms
+from gentianpulley.cluster.office import Tenure
+from gentianpulley.cluster.timing import LEADER_TTL_S, RENEWALS_IN_TTL, Timing
+from gentianpulley.deadline import MS_PER_SECOND, now_ms, seconds_left
+from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.logs import EventLog
+from gentianpulley.store import Store, StoreLease
+
+RENEW_MS: Final = LEADER_TTL_S * MS_PER_SECOND // RENEWALS_IN_TTL
+"""Time from one renewal to the next."""
+
+RENEWALS_UNDER_WAY: Final = 5
+"""Renewals without an answer at a time, one of them still to be sent: a call
+that fails to connect and to be answered takes as long as four intervals."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRenewal:
+    """Renews the key of one tenure, over connections of its own."""
+
+    store: Store
+    lease: StoreLease
+    tenure: Tenure
+    timing: Timing
+
+    def send(self) -> None:
+        """Renew the key once, and extend the tenure if that succeeds.
+
+        The tenure ends if the lease has lapsed. Raises `StoreError`.
+        """
+        if self.tenure.is_over():
+            return
+        sent_ms = now_ms()
+        try:
+            renewed = self.store.keep_alive(self.lease)
+        except StoreAnswerLostError:
+            self._give_up_late()
+            raise
+        if renewed is None:
+            self.tenure.resign('the lease of the key has lapsed')
+            return
+        self.tenure.extend(
+            tenure_end_ms(sent_ms, self.timing), certain_end_ms(sent_ms)
+        )
+
+    def _give_up_late(self) -> None:
+        """Give a tenure up whose renewals have not been answered for long.
+
+        The store may have taken them, and keeps the key from all others.
+        Nothing of the reign is left to be kept once its leases are over.
+        """
+        left_ms = self.timing.handover_ms - self.timing.tenure_ms
+        if self.tenure.overdue_ms(now_ms()) > left_ms:
+            self.tenure.give_up('no renewal of the key was answered')
 
 
 class KeyKeeper:
-    """A thread that renews the key until it is closed."""
+    """Threads that take turns in renewing the key until it is closed.
+
+    The next renewal is due one interval after the last one was sent.
+    """
 
     def __init__(
-        self, renew: Callable[[], None], interval_s: float, log: EventLog
+        self, renew: Callable[[], None], sent_ms: int, log: EventLog
     ) -> None:
-        """Begin; the first renewal is due after one interval."""
+        """Begin; the lease of the key was asked for at `sent_ms`."""
         self._renew = renew
-        self._interval_s = interval_s
+        self._next_ms = sent_ms + RENEW_MS
         self._log = log
         self._closed = threading.Event()
-        self._thread = threading.Thread(
-            target=self._keep, name='keep-key', daemon=True
-        )
-        self._thread.start()
+        self._turn = threading.Lock()
+        for _ in range(RENEWALS_UNDER_WAY):
+            threading.Thread(
+                target=self._keep, name='keep-key', daemon=True
+            ).start()
 
     def close(self) -> None:
-        """End the thread; returns once no renewal is under way."""
+        """Send nothing more; does not wait for what is under way."""
         self._closed.set()
-        self._thread.join()
 
     def _keep(self) -> None:
-        while not self._closed.wait(self._interval_s):
+        while self._await_turn():
             try:
                 self._renew()
             except StoreError as exc:
                 self._log.store_trouble(exc.text)
+
+    def _await_turn(self) -> bool:
+        """Return when a renewal is due; False once this is closed."""
+        with self._turn:
+            if self._closed.wait(seconds_left(self._next_ms)):
+                return False
+            self._next_ms = now_ms() + RENEW_MS
+        return True
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -69,14 +69,18 @@
         """Hold the office until a deadline."""
         self._until_ms = until_ms
         self._certain_until_ms = certain_until_ms
+        self._extending = threading.Lock()
         self._resigned = threading.Event()
         self.reason = ''
         self.is_given_up = False
 
     def extend(self, until_ms: int, certain_until_ms: int) -> None:
-        """Move the deadlines."""
-        self._until_ms = until_ms
-        self._certain_until_ms = certain_until_ms
+        """Move the deadlines; answers may come in any order."""
+        with self._extending:
+            self._until_ms = max(self._until_ms, until_ms)
+            self._certain_until_ms = max(
+                self._certain_until_ms, certain_until_ms
+            )
 
     def is_certain(self, at_ms: int) -> bool:
         """Tell whether no other instance can lead at a time."""
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -106,6 +106,10 @@
         self._conn = HttpConn(address, MAX_CONNS)
         self._counters = counters
 
+    def with_own_conns(self) -> 'KvStore':
+        """Return a client of the same store with connections of its own."""
+        return type(self)(self._conn.address, self._counters)
+
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
         answer = self._call('GET', f'kv-key?key={quote(key, safe="")}')
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -141,6 +141,13 @@
     when the effect is not known.
     """
 
+    def with_own_conns(self) -> 'Store':
+        """Return a client whose calls share no connection with this one's.
+
+        A store for which that makes no difference returns itself.
+        """
+        return self
+
     @abstractmethod
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
--- a/standins/tcp_proxy.py
+++ b/standins/tcp_proxy.py
@@ -54,11 +54,17 @@
         self._generation = 0
         self._silenced_below = 0
         self._lanes: dict[bool, _Lane] = {}
+        self._queued_s: float = 0
         self._listener = socket.create_server((HOST, 0), backlog=128)
         self.port = int(self._listener.getsockname()[1])
         self._open: set[socket.socket] = set()
         threading.Thread(target=self._accept_all, daemon=True).start()
 
+    @property
+    def opened(self) -> int:
+        """Return how many connections were ever accepted."""
+        return self._generation
+
     def switch(self, state: LinkState) -> None:
         """Change what the link does from now on."""
         self._state = state
@@ -72,6 +78,10 @@
             is_request: _Lane(bytes_per_s) for is_request in (True, False)
         }
 
+    def queue(self, seconds: float) -> None:
+        """Let all wait, each way, behind other traffic from now on."""
+        self._queued_s = seconds
+
     def retarget(self, port: int) -> None:
         """Carry new connections to another port."""
         self._target = port
@@ -129,6 +139,7 @@
                     other[conn].sendall(body)
 
     def _carries(self, is_request: bool, generation: int, size: int) -> bool:
+        time.sleep(self._queued_s)
         lane = self._lanes.get(is_request)
         if lane is not None:
             lane.pass_through(size)
--- a/tests/scheduling/model_leader.py
+++ b/tests/scheduling/model_leader.py
@@ -48,4 +48,7 @@
 
     def depose(self, at_ms: int) -> None:
         """Lose the key: nothing is certain, old work goes on for a while."""
-        self.tenure.extend(at_ms + TIMING.tenure_ms, at_ms)
+        deposed = Tenure(at_ms + TIMING.tenure_ms, at_ms)
+        if self.tenure.is_over():
+            deposed.resign(self.tenure.reason)
+        self.tenure = deposed
