Follow cancellations apart from jobs

Cause: one thread read cancellations and pages of jobs in turn, and one page of jobs took from about 9.6 to 16.5 s behind the lists of the workers. What was cancelled meanwhile was learned only after it, and a job that the page held was taken up without its cancellation.

Change: cancellations have a watch and a thread of their own. One that comes before its job is kept until the job is taken up, or both are deleted. As events of one prefix are all of one kind, JobEvent goes, and the watches of jobs move to a module of their own.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -39,7 +39,6 @@
 )
 
 ROOT: Final = 'gp/'
-JOB_PREFIX: Final = 'gp/job/'
 SPEC_PREFIX: Final = 'gp/job/spec/'
 CANCEL_PREFIX: Final = 'gp/job/cancelled/'
 RECORD_PREFIX: Final = 'gp/record/'
@@ -56,11 +55,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JobEvent:
-    """A job or its cancellation as it appears in the store."""
+class LoadedJobs:
+    """All jobs that go on, and the revisions to watch from.
 
-    job_id: str
-    spec: JobSpec | None
+    `cancelled` names all jobs with a cancellation, also those that have ended.
+    """
+
+    jobs: tuple[Job, ...]
+    cancelled: frozenset[str]
+    jobs_revision: int
+    cancels_revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,33 +138,25 @@
         self._ended: dict[str, tuple[int, str]] = {}
         self._forgotten: set[str] = set()
 
-    def load(self) -> tuple[list[Job], int]:
-        """Return all jobs that go on, and the revision to watch from."""
+    def load(self) -> LoadedJobs:
+        """Read all records, cancellations and jobs; raises `StoreError`."""
         records = self._load_records()
-        # Read before the jobs, so that the watch shows what comes in between.
         cancels = PrefixRead(self._store.reader, CANCEL_PREFIX)
-        cancelled = {
-            entry.key.removeprefix(CANCEL_PREFIX)
-            for entry in self._read_all(cancels)
-        }
+        cancelled = frozenset(
+            cancelled_id(entry.key) for entry in self._read_all(cancels)
+        )
         specs = PrefixRead(self._store.reader, SPEC_PREFIX)
-        jobs = [
+        jobs = tuple(
             job
             for entry in self._read_all(specs)
             if (job := self._loaded(entry, records)) is not None
-        ]
-        for job in jobs:
-            if job.spec.job_id in cancelled:
-                job.cancel()
-        return jobs, cancels.revision
-
-    def event_of(self, entry: Entry) -> JobEvent | None:
-        """Decode an entry below the jobs' prefix; None if it is damaged."""
-        if entry.key.startswith(CANCEL_PREFIX):
-            return JobEvent(entry.key.removeprefix(CANCEL_PREFIX), None)
-        job_id = entry.key.removeprefix(SPEC_PREFIX)
+        )
+        return LoadedJobs(jobs, cancelled, specs.revision, cancels.revision)
+
+    def spec_of(self, entry: Entry) -> JobSpec | None:
+        """Decode a stored job; None if it is damaged."""
         try:
-            return JobEvent(job_id, decode_job(entry.body))
+            return decode_job(entry.body)
         except msgspec.DecodeError as exc:
             self._log.document_damaged(entry.key, str(exc))
         return None
@@ -204,13 +200,11 @@
         self, entry: Entry, records: Mapping[str, JobRecord]
     ) -> Job | None:
         """Return a stored job, None if it has ended or is damaged."""
-        event = self.event_of(entry)
-        if event is None or event.spec is None:
-            return None
-        record = records.get(event.job_id)
-        if record is not None and record.state.is_final:
+        spec = self.spec_of(entry)
+        record = records.get(spec.job_id) if spec else None
+        if spec is None or (record is not None and record.state.is_final):
             return None
-        job = create_job(event.spec, is_inherited=True)
+        job = create_job(spec, is_inherited=True)
         if record is not None:
             restore(job, record)
         return job
@@ -319,6 +313,11 @@
     return f'{CANCEL_PREFIX}{job_id}'
 
 
+def cancelled_id(key: str) -> str:
+    """Return which job a cancellation is of."""
+    return key.removeprefix(CANCEL_PREFIX)
+
+
 def record_key(job_id: str) -> str:
     """Return where the leader's record of a job stands."""
     return f'{RECORD_PREFIX}{job_id}'
--- /dev/null
+++ b/src/gentianpulley/cluster/job_watches.py
@@ -0,0 +1,114 @@
+"""Threads of a leader that follow the jobs and their cancellations.
+
+Each follows a prefix of its own. A cancellation is due within seconds, and to
+read all jobs again may take longer than that on a narrow link.
+"""
+
+from threading import Event
+from typing import Final
+
+from gentianpulley.cluster.job_book import (
+    CANCEL_PREFIX,
+    SPEC_PREFIX,
+    JobBook,
+    cancelled_id,
+)
+from gentianpulley.cluster.leader_watches import LeaderWatch
+from gentianpulley.cluster.office import Office
+from gentianpulley.deadline import now_ms
+from gentianpulley.jobs.job import create_job
+from gentianpulley.prefix_read import PrefixRead
+from gentianpulley.store import Change, Entry, Store
+
+CERTAINTY_S: Final = 0.02
+"""Pause before the leader's key is looked at again; it is renewed twice a
+second."""
+
+
+class JobWatch(LeaderWatch):
+    """Takes up jobs as entry instances store them."""
+
+    def __init__(self, office: Office, store: Store, book: JobBook) -> None:
+        """Read from a store."""
+        super().__init__(office, 'jobs')
+        self._store = store
+        self._book = book
+        self._reading = PrefixRead(store, SPEC_PREFIX)
+
+    def follow(self, revision: int) -> None:
+        """Report jobs that are new."""
+        for batch in self._store.watch(SPEC_PREFIX, revision):
+            self._note_entries(
+                tuple(each.entry for each in batch.changes if each.entry)
+            )
+            self.note_followed(batch.revision)
+            if self.office.tenure.is_over():
+                break
+
+    def read_all(self) -> int:
+        """Report all jobs; known ones stay as they are.
+
+        Goes on where the last read broke.
+        """
+        for page in self._reading.pages():
+            self.note_seen()
+            self._note_entries(page)
+            if self.office.tenure.is_over():
+                break
+        revision = self._reading.revision
+        self._reading = PrefixRead(self._store, SPEC_PREFIX)
+        return revision
+
+    def _note_entries(self, entries: tuple[Entry, ...]) -> None:
+        self._await_certainty()
+        if self.office.tenure.is_over():
+            return
+        for entry in entries:
+            spec = self._book.spec_of(entry)
+            if spec is None or self._book.has_ended(spec.job_id):
+                continue
+            self.office.add_job(create_job(spec, is_inherited=False))
+
+    def _await_certainty(self) -> None:
+        """Wait until no other instance can have led since the batch came.
+
+        A successor takes jobs that came after its start for nobody else's.
+        Whatever this leader sees while its key is certain was there before.
+        """
+        tenure = self.office.tenure
+        while not tenure.is_certain(now_ms()) and not tenure.is_over():
+            Event().wait(CERTAINTY_S)
+
+
+class CancelWatch(LeaderWatch):
+    """Cancels jobs as entry instances store their cancellations."""
+
+    def __init__(self, office: Office, store: Store) -> None:
+        """Read from a store."""
+        super().__init__(office, 'cancellations')
+        self._store = store
+
+    def follow(self, revision: int) -> None:
+        """Report cancellations that are new, and those that were deleted."""
+        for batch in self._store.watch(CANCEL_PREFIX, revision):
+            for change in batch.changes:
+                self._note_change(change)
+            self.note_followed(batch.revision)
+            if self.office.tenure.is_over():
+                break
+
+    def read_all(self) -> int:
+        """Report all cancellations; those that are known change nothing."""
+        reading = PrefixRead(self._store, CANCEL_PREFIX)
+        for page in reading.pages():
+            self.note_seen()
+            for entry in page:
+                self.office.cancel(cancelled_id(entry.key))
+        return reading.revision
+
+    def _note_change(self, change: Change) -> None:
+        job_id = cancelled_id(change.key)
+        if change.entry is None:
+            self.office.forget_cancel(job_id)
+        else:
+            self.office.cancel(job_id)
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -15,7 +15,12 @@
 from gentianpulley.cluster.advice import Adviser
 from gentianpulley.cluster.advice_loop import AdviceLoop
 from gentianpulley.cluster.directory import WorkerDirectory
-from gentianpulley.cluster.job_book import JobBook, save_batches
+from gentianpulley.cluster.job_book import (
+    JobBook,
+    LoadedJobs,
+    save_batches,
+)
+from gentianpulley.cluster.job_watches import CancelWatch, JobWatch
 from gentianpulley.cluster.leader_notes import HARM_KEY, LeaderNotes
 from gentianpulley.cluster.leader_store import (
     DeposedError,
@@ -23,7 +28,6 @@
 )
 from gentianpulley.cluster.leader_watches import (
     RETRY_S,
-    JobWatch,
     WorkerWatch,
 )
 from gentianpulley.cluster.link import WorkerLinks
@@ -126,15 +130,20 @@
         timing = self._parts.timing
         reign = _begin_reign(self._token, now_ms(), timing, self._notes)
         page = self._parts.directory.read()
-        jobs, revision = self._book.load()
+        loaded = self._book.load()
         office = self._open_office(reign)
-        office.take_over(jobs, [facts.worker_id for facts in page.facts])
+        office.take_over(
+            loaded.jobs,
+            loaded.cancelled,
+            [facts.worker_id for facts in page.facts],
+        )
         workers = self._watch_workers(office)
         workers.take(page)
-        loaded = f'{len(jobs)} jobs'
-        self._log.leader_state('leads', self._token, loaded)
+        detail = f'{len(loaded.jobs)} jobs'
+        self._log.leader_state('leads', self._token, detail)
         _start('workers', lambda: workers.run(page.revision))
-        self._start_loops(office, workers, revision)
+        _follow_jobs(office, self._parts.store, self._book, loaded)
+        self._start_loops(office, workers)
 
     def close_domains(self, domains: frozenset[str]) -> None:
         """Start nothing in these failure domains from now on."""
@@ -198,11 +207,7 @@
             # The leader learns the harm anew, as the first one does.
             self._log.document_damaged(HARM_KEY, str(exc))
 
-    def _start_loops(
-        self, office: Office, workers: WorkerWatch, job_revision: int
-    ) -> None:
-        jobs = JobWatch(office, self._parts.store, self._book)
-        _start('jobs', lambda: jobs.run(job_revision))
+    def _start_loops(self, office: Office, workers: WorkerWatch) -> None:
         park = self._parts.park
         if park is not None:
             upkeep_ms = self._parts.upkeep_ms
@@ -296,6 +301,15 @@
     return Reign(token, since_ms, roster.worker_ids, timing, runs_until_ms)
 
 
+def _follow_jobs(
+    office: Office, store: Store, book: JobBook, loaded: LoadedJobs
+) -> None:
+    jobs = JobWatch(office, store, book)
+    cancels = CancelWatch(office, store)
+    _start('jobs', lambda: jobs.run(loaded.jobs_revision))
+    _start('cancels', lambda: cancels.run(loaded.cancels_revision))
+
+
 def _plan_gap_s(office: Office) -> float:
     """Return the pause after a plan; dear plans are made less often."""
     return max(PLAN_GAP_S, office.plan_cost_s * PLAN_PAUSES)
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -1,4 +1,4 @@
-"""Threads of a leader that follow the workers' directory and the jobs.
+"""Threads of a leader that follow parts of the store, and the directory.
 
 A watch that broke goes on where it was. Once the store has dropped that
 history, everything is read anew: what is known already stays, so reading twice
@@ -15,13 +15,6 @@
     WorkerDirectory,
     WorkerNews,
 )
-from gentianpulley.cluster.job_book import (
-    CANCEL_PREFIX,
-    JOB_PREFIX,
-    SPEC_PREFIX,
-    JobBook,
-    JobEvent,
-)
 from gentianpulley.cluster.leader_notes import LeaderNotes
 from gentianpulley.cluster.leader_store import DeposedError
 from gentianpulley.cluster.link import WorkerFacts, WorkerLinks
@@ -29,9 +22,6 @@
 from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreCompactedError, StoreError
-from gentianpulley.jobs.job import create_job
-from gentianpulley.prefix_read import PrefixRead
-from gentianpulley.store import ChangeBatch, Entry, Store
 
 RETRY_S: Final = 0.2
 """Pause after a failed call to the store."""
@@ -40,10 +30,6 @@
 """Shortest time between two writes of a roster that shrinks. A leader that
 dies leaves its successor as much to wait for again."""
 
-CERTAINTY_S: Final = 0.02
-"""Pause before the leader's key is looked at again; it is renewed twice a
-second."""
-
 
 class LeaderWatch(ABC):
     """Follows one part of the store until the tenure is over."""
@@ -206,109 +192,3 @@
             office.attach(facts.worker_id, session)
         office.dispatch(orders)
         office.work_came.set()
-
-
-class JobReading:
-    """One read of all jobs, which may be taken up again after it broke.
-
-    Cancellations are due within seconds, and the jobs may take longer than
-    that on a narrow link: the cancellations are read before each page of jobs.
-    """
-
-    def __init__(self, store: Store) -> None:
-        """Read nothing yet."""
-        self.revision = 0
-        self._store = store
-        self._jobs = PrefixRead(store, SPEC_PREFIX)
-
-    @property
-    def is_over(self) -> bool:
-        """Tell whether all pages of jobs were read."""
-        return self._jobs.is_over
-
-    def next_cancelled(self) -> frozenset[str]:
-        """Return the ids of all cancelled jobs; raises `StoreError`."""
-        reading = PrefixRead(self._store, CANCEL_PREFIX)
-        entries = [entry for page in reading.pages() for entry in page]
-        self.revision = self.revision or reading.revision
-        return frozenset(
-            entry.key.removeprefix(CANCEL_PREFIX) for entry in entries
-        )
-
-    def next_page(self) -> tuple[Entry, ...]:
-        """Return the next page of jobs; raises `StoreError`."""
-        return self._jobs.next_page()
-
-
-class JobWatch(LeaderWatch):
-    """Takes up jobs and cancellations as entry instances store them."""
-
-    def __init__(self, office: Office, store: Store, book: JobBook) -> None:
-        """Read from a store."""
-        super().__init__(office, 'jobs')
-        self._store = store
-        self._book = book
-        self._reading = JobReading(store)
-
-    def follow(self, revision: int) -> None:
-        """Report jobs and cancellations that are new."""
-        for batch in self._store.watch(JOB_PREFIX, revision):
-            self._note_changes(batch)
-            self.note_followed(batch.revision)
-            if self.office.tenure.is_over():
-                break
-
-    def read_all(self) -> int:
-        """Report all jobs; known ones stay as they are.
-
-        Goes on where the last read broke.
-        """
-        reading = self._reading
-        while not reading.is_over:
-            cancelled = reading.next_cancelled()
-            for job_id in cancelled:
-                self.office.cancel(job_id)
-            page = reading.next_page()
-            self.note_seen()
-            self._await_certainty()
-            if self.office.tenure.is_over():
-                break
-            self._note_page(page, cancelled)
-        self._reading = JobReading(self._store)
-        return reading.revision
-
-    def _note_page(
-        self, page: tuple[Entry, ...], cancelled: frozenset[str]
-    ) -> None:
-        for entry in page:
-            event = self._book.event_of(entry)
-            if event is None or self._book.has_ended(event.job_id):
-                continue
-            self._note_event(event)
-            if event.job_id in cancelled:
-                self.office.cancel(event.job_id)
-
-    def _await_certainty(self) -> None:
-        """Wait until no other instance can have led since the batch came.
-
-        A successor takes jobs that came after its start for nobody else's.
-        Whatever this leader sees while its key is certain was there before.
-        """
-        tenure = self.office.tenure
-        while not tenure.is_certain(now_ms()) and not tenure.is_over():
-            Event().wait(CERTAINTY_S)
-
-    def _note_changes(self, batch: ChangeBatch) -> None:
-        self._await_certainty()
-        if self.office.tenure.is_over():
-            return
-        for change in batch.changes:
-            event = self._book.event_of(change.entry) if change.entry else None
-            if event is not None:
-                self._note_event(event)
-
-    def _note_event(self, event: JobEvent) -> None:
-        if event.spec is None:
-            self.office.cancel(event.job_id)
-        else:
-            self.office.add_job(create_job(event.spec, is_inherited=False))
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -271,10 +271,16 @@
 
     # What the leader's own threads do.
 
-    def take_over(self, jobs: list[Job], worker_ids: list[str]) -> None:
+    def take_over(
+        self,
+        jobs: Iterable[Job],
+        cancelled: Iterable[str],
+        worker_ids: list[str],
+    ) -> None:
         """Take up inherited jobs; these workers have to be listed first."""
         with self.lock:
             self.scheduler.expect_workers(worker_ids)
+            self.scheduler.note_cancelled(cancelled)
             for job in jobs:
                 self.scheduler.add_job(job)
 
@@ -300,6 +306,11 @@
         self.dispatch(orders)
         self.ends_came.set()
 
+    def forget_cancel(self, job_id: str) -> None:
+        """Note that a job and its cancellation were deleted."""
+        with self.lock:
+            self.scheduler.forget_cancelled(job_id)
+
     def plan(self) -> None:
         """Place what can be placed and send the starts."""
         at_ms = now_ms()
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -69,6 +69,7 @@
         self.log = log
         self.jobs: dict[str, Job] = {}
         self.live_jobs: dict[str, Job] = {}
+        self._cancelled_unknown: set[str] = set()
         self.workers: dict[str, Worker] = {}
         self.closed_domains: frozenset[str] = frozenset()
         self.change_number = 0
@@ -82,9 +83,20 @@
         if job_id in self.jobs:
             return
         self.jobs[job_id] = job
+        if job_id in self._cancelled_unknown:
+            self._cancelled_unknown.discard(job_id)
+            job.cancel()
         if job.is_changed or not job.state.is_final:
             self.live_jobs[job_id] = job
 
+    def note_cancelled(self, job_ids: Iterable[str]) -> None:
+        """Note cancelled jobs that are not known, as they may come later."""
+        self._cancelled_unknown.update(job_ids)
+
+    def forget_cancelled(self, job_id: str) -> None:
+        """Note that a job is not stored any more."""
+        self._cancelled_unknown.discard(job_id)
+
     def changed_jobs(self) -> list[Job]:
         """Return the jobs whose records have to be written.
 
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -92,8 +92,10 @@
                 self._forget_unanswered(worker_id)
 
     def cancel(self, job_id: str) -> list[Order]:
-        """Cancel a job and stop what runs of it."""
+        """Cancel a job and stop what runs of it, also if it comes later."""
         job = self.jobs.get(job_id)
+        if job is None:
+            self.note_cancelled((job_id,))
         if job is None or job.state.is_final:
             return []
         job.cancel()
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -1,6 +1,7 @@
 """An instance whose link to the store is narrow, with many stored jobs."""
 
 import json
+import threading
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -15,9 +16,11 @@
 from standins.tcp_proxy import TcpProxy
 
 NARROW_BYTES_PER_S = 250_000
+CROWDED_BYTES_PER_S = 100_000
 STORED_JOBS = 150
-STORED_BYTES = 5000
+STORED_BYTES = 9000
 CANCEL_S = 3
+READ_BEGUN_S = 0.5
 RUNNING_ID = '00000000000000a1'
 NEW_ID = '00000000000000a2'
 FITTING = 'fitting'
@@ -86,8 +89,9 @@
     assert node.is_leading
 
 
-def test_a_cancellation_is_learned_before_all_jobs_are_read_again(
-    narrow: NarrowSite,
+@pytest.mark.parametrize('is_read_before', [True, False])
+def test_a_cancellation_is_learned_while_all_jobs_are_read_again(
+    narrow: NarrowSite, *, is_read_before: bool
 ) -> None:
     """The read of all jobs takes longer here than a cancellation may."""
     store = narrow.site.store
@@ -95,13 +99,31 @@
     wait_until(lambda: node.is_leading)
     _store_long_job(store, RUNNING_ID)
     wait_until(lambda: narrow.running() == [RUNNING_ID])
-    narrow.link.narrow(NARROW_BYTES_PER_S)
+    narrow.link.narrow(CROWDED_BYTES_PER_S)
     store.forget_history()
+    if is_read_before:
+        threading.Event().wait(READ_BEGUN_S)
     store.put(cancel_key(RUNNING_ID), b'')
-    store.forget_history()
     wait_until(lambda: not narrow.running(), CANCEL_S, 'the job is stopped')
 
 
+def test_a_job_that_is_read_after_its_cancellation_never_runs(
+    narrow: NarrowSite,
+) -> None:
+    store = narrow.site.store
+    node = narrow.add_node()
+    wait_until(lambda: node.is_leading)
+    narrow.link.narrow(NARROW_BYTES_PER_S)
+    store.put(cancel_key(RUNNING_ID), b'')
+    store.forget_history()
+    threading.Event().wait(READ_BEGUN_S)
+    _store_long_job(store, RUNNING_ID)
+    _store_long_job(store, NEW_ID)
+    wait_until(lambda: narrow.running() == [NEW_ID], 12, 'jobs are learned')
+    started = narrow.site.workers['w1'].started
+    assert {name.partition('.')[0] for name, _ in started} == {NEW_ID}
+
+
 def test_an_instance_behind_a_narrow_link_takes_over(
     narrow: NarrowSite,
 ) -> None:
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -5,7 +5,8 @@
 import pytest
 
 from gentianpulley.cluster.job_book import (
-    JOB_PREFIX,
+    CANCEL_PREFIX,
+    SPEC_PREFIX,
     JOBS_IN_TRANSACTION,
     LARGEST_TRANSACTION_BYTES,
     LEADER_KEY,
@@ -97,7 +98,8 @@
     book.load()
     while book.forget_ended(deadline_in(1000)):
         assert all(map(book.has_ended, JOB_IDS))
-    assert not server.keys(JOB_PREFIX)
+    assert not server.keys(SPEC_PREFIX)
+    assert not server.keys(CANCEL_PREFIX)
     assert all(map(book.has_ended, JOB_IDS))
 
 
