Count waiting jobs within the caller's deadline, once for all who ask

Callers would see no answer in time, or a long wait, when they ask how many jobs of a queue wait: each of them read all marks of the queue, page by page, without regard to its deadline, on a link that carries one page a second at worst.

Ruled out: a counter in the store, which every acceptance would have to write; asking the leader, as instances never talk to each other.

Why it works: callers share the read of a queue. It may have begun a second before a caller came, as the pages allow 2 s; it ends at the deadline of the last one who waits. Who gets no answer in 0.8 of its time is told to come again. A failure is told only to those who waited for that read.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from gentianpulley.cluster.leader_store import LeaderStore
+from gentianpulley.cluster.waiting_counts import WaitingCounts
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.jobs.job import Job, JobState, create_job
@@ -76,6 +77,7 @@
         """Use one store."""
         self._store = store
         self._log = log
+        self._counts = WaitingCounts(store)
 
     def create(self, spec: JobSpec) -> bool:
         """Store a job; returns False if its id was already there."""
@@ -110,9 +112,12 @@
         self._store.commit(Transaction((unset,), (Put(key, b''),)))
         return view
 
-    def count_waiting(self, queue: str) -> int:
-        """Return how many jobs of a queue have not begun."""
-        return len(self._store.read_prefix(waiting_key(queue, '')).entries)
+    def count_waiting(self, queue: str, deadline_ms: int) -> int:
+        """Return how many jobs of a queue have not begun.
+
+        Raises `StoreError` if the store does not tell before the deadline.
+        """
+        return self._counts.count(waiting_key(queue, ''), deadline_ms)
 
     def _record(self, entry: Entry) -> JobRecord | None:
         try:
--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -95,10 +95,10 @@
                 return received
             _pause(backoff, deadline_ms)
 
-    def count_waiting(self, queue: str) -> Received:
+    def count_waiting(self, queue: str, deadline_ms: int) -> Received:
         """Return how many jobs of a queue have not begun."""
         try:
-            waiting = self._desk.count_waiting(queue)
+            waiting = self._desk.count_waiting(queue, deadline_ms)
         except StoreError as exc:
             self._log.store_trouble(exc.text)
             return _later()
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -42,6 +42,9 @@
 CANCEL_MARGIN: Final = 0.8
 """Share of a caller's deadline within which a cancellation is tried."""
 
+COUNT_MARGIN: Final = 0.8
+"""The same for a count of waiting jobs."""
+
 SUBMIT_MARGIN: Final = 0.45
 """The same for a submission: a caller that hears in half of its time that the
 store does not answer can still try another instance."""
@@ -154,11 +157,16 @@
         job_id = path[len(rule.address.prefix) :]
         method = environ['REQUEST_METHOD']
         if not job_id and method == 'GET':
-            return _waiting(self._submissions.count_waiting(rule.policy.queue))
+            return self._count_waiting(environ, rule)
         if not _is_job_id(job_id):
             return Answer(NOT_FOUND)
         return self._answer_for_job(environ, rule, job_id, cfg)
 
+    def _count_waiting(self, environ: Environ, rule: QueueRule) -> Answer:
+        deadline_ms = _deadline_ms(environ, rule, COUNT_MARGIN)
+        queue = rule.policy.queue
+        return _waiting(self._submissions.count_waiting(queue, deadline_ms))
+
     def _answer_for_job(
         self, environ: Environ, rule: QueueRule, job_id: str, cfg: QueueCfg
     ) -> Answer:
