Forget jobs once nothing of them can arrive any more

Operators would see a leader's memory grow with every job of its reign: jobs that had ended stayed, with all their tasks, until the reign was over.

Why it works: a job leaves 15 s after its end, longer than an order without an answer may take to arrive, and not while its record is unwritten or a run of it is to be stopped. Late runs are then unknown ones, which are stopped, and nothing is placed on their worker before that.

Ruled out: forgetting when the record is written, as late ends of other runs would be logged as unknown and block their workers; going by a job's wish to be written, which late failures leave set for good.

--- /dev/null
+++ b/src/gentianpulley/cluster/ended_jobs.py
@@ -0,0 +1,57 @@
+"""Jobs that have ended, until nothing of them can arrive any more.
+
+A leader may serve for days, so it cannot keep every job. An end that is listed
+late, or a run that comes up late, belongs to an unknown job after that: the end
+is acknowledged, and the run is stopped.
+"""
+
+from collections import deque
+from collections.abc import Container
+from typing import Final
+
+from gentianpulley.jobs.job import Job
+
+KEPT_MS: Final = 15_000
+"""How long a job is kept after its end: orders without an answer may arrive for
+up to twelve seconds."""
+
+
+class EndedJobs:
+    """Tells which jobs can be forgotten, and which were."""
+
+    def __init__(self) -> None:
+        """Hold nothing yet."""
+        self._new: list[Job] = []
+        self._leaving: deque[tuple[int, Job]] = deque()
+        self._forgotten: set[str] = set()
+
+    def note(self, job: Job) -> None:
+        """Hold a job whose final record is being written."""
+        self._new.append(job)
+
+    def is_forgotten(self, job_id: str) -> bool:
+        """Tell whether a job was there and must not come back."""
+        return job_id in self._forgotten
+
+    def forget(self, live: Container[str], now_ms: int) -> list[Job]:
+        """Return the jobs to be dropped now; asked repeatedly.
+
+        Live ones stay: their ends are not written yet.
+        """
+        due = []
+        while self._leaving and self._leaving[0][0] <= now_ms:
+            job = self._leaving.popleft()[1]
+            if job.spec.job_id in live or _is_at_work(job):
+                self._new.append(job)
+            else:
+                due.append(job)
+                self._forgotten.add(job.spec.job_id)
+        forget_ms = now_ms + KEPT_MS
+        self._leaving.extend((forget_ms, job) for job in self._new)
+        self._new.clear()
+        return due
+
+
+def _is_at_work(job: Job) -> bool:
+    """Tell whether a run of the job is still to be stopped."""
+    return any(step.per_worker for step in job.steps.values())
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -59,6 +59,7 @@
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent."""
+        self.forget_ended(now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
         full = FullShapes()
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from gentianpulley.cluster.advice import Tickets
+from gentianpulley.cluster.ended_jobs import EndedJobs
 from gentianpulley.cluster.harm import create_harm_model
 from gentianpulley.cluster.link import (
     LookOrder,
@@ -56,12 +57,13 @@
         self.change_number = 0
         self.harm = create_harm_model()
         self.tickets = Tickets()
+        self._ended = EndedJobs()
         self.unsettled = set(reign.roster)
 
     def add_job(self, job: Job) -> None:
         """Take up an accepted job; a known one stays as it is."""
         job_id = job.spec.job_id
-        if job_id in self.jobs:
+        if job_id in self.jobs or self._ended.is_forgotten(job_id):
             return
         self.jobs[job_id] = job
         if job.is_changed or not job.state.is_final:
@@ -78,8 +80,14 @@
             if job.state.is_final:
                 self.live_jobs.pop(job.spec.job_id, None)
                 self.tickets.forget_job(job.spec.job_id)
+                self._ended.note(job)
         return changed
 
+    def forget_ended(self, now_ms: int) -> None:
+        """Drop the jobs of which nothing can arrive any more."""
+        for job in self._ended.forget(self.live_jobs, now_ms):
+            self.jobs.pop(job.spec.job_id, None)
+
     def note_unsaved(self, jobs: list[Job]) -> None:
         """Ask again for the writes of records that were not written."""
         for job in jobs:
