--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -137,7 +137,8 @@
 
 def test_failed_tasks_are_tried_until_the_last_attempt(site: Site) -> None:
     path = '/quick/00000000000000b1'
-    call(site.nodes[0], 'POST', path, job_body(ms=20, fail=1))
+    work = job_body(ms=20, fail=1)
+    assert call(site.nodes[0], 'POST', path, work)[0] == 200
     wait_until(lambda: state_of(site.nodes[0], path) == 'failed')
     runs = [run for worker in site.workers.values() for run in worker.started]
     assert len(runs) == 2
@@ -154,19 +155,23 @@
 
 
 def test_the_successor_adopts_what_runs(site: Site) -> None:
-    call(site.nodes[0], 'POST', JOB, job_body({'count': 4}, ms=2500))
+    work = job_body({'count': 4}, ms=2500)
+    assert call(site.nodes[0], 'POST', JOB, work)[0] == 200
     wait_until(
         lambda: (
             sum(len(worker.running()) for worker in site.workers.values()) == 4
-        )
+        ),
+        what='four tasks at work',
     )
     leading = [node for node in site.nodes if node.is_leading]
     assert len(leading) == 1
     other = site.nodes[1] if leading[0] is site.nodes[0] else site.nodes[0]
     site.nodes.remove(leading[0])
     leading[0].shut_down()
-    wait_until(lambda: other.is_leading)
-    wait_until(lambda: state_of(other, JOB) == 'completed')
+    wait_until(lambda: other.is_leading, what='a successor leads')
+    wait_until(
+        lambda: state_of(other, JOB) == 'completed', what='the job completed'
+    )
     assert sum(len(worker.started) for worker in site.workers.values()) == 4
 
 
