Place no more starts than the leader's own link carries

Cause: a plan placed all that the workers had room for. Its starts carry payloads (1.3 KB each with their heads, measured), and nothing bounded how many were under way, so that the leader's own link was a queue before all that it sends.

A renewal took 7 ms before and 350 to 600 ms then.

Now a plan places starts only while those without an answer take less than a tenth of a second of the link; the rest waits in order of priority, and is placed where there is room by then (reason `link`). An answer, a loss or 2 s make room again. Stops, paces, looks and renewals are not counted and never wait. A gang goes as a whole. A bound on bytes under way was taken rather than a rate: it uses what other calls leave, and holds on a link that carries less than the settings say.

Test before the fix (test_shared_link, one link of 0.5 Mbit/s for store and 24 workers): a cancelled task still ran after 1 s, in two runs of two; after it: ended in time, and starts go on. With the bound taken out, 13 of the 24 tests of it fail; with answers not counted, 13 of the other 23.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -14,6 +14,7 @@
 
 from gentianpulley.cluster.advice import Adviser
 from gentianpulley.cluster.advice_loop import AdviceLoop
+from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
 from gentianpulley.cluster.directory import WorkerDirectory
 from gentianpulley.cluster.job_book import JobBook, save_batches
 from gentianpulley.cluster.leader_notes import HARM_KEY, LeaderNotes
@@ -74,7 +75,7 @@
     """What a leader works with.
 
     `status_ms` is how long ends are kept, `upkeep_ms` how long a machine is
-    down for upkeep.
+    down for upkeep, `link_bytes_s` what the own link carries.
 
     A site without queues that need tickets has no `adviser`, one whose
     machines cannot be asked for has no `park`.
@@ -90,6 +91,7 @@
     upkeep_ms: int
     counters: Counters
     log: EventLog
+    link_bytes_s: int = DEFAULT_LINK_BYTES_S
 
 
 class Leader:
@@ -178,7 +180,10 @@
         return WorkerWatch(office, parts.directory, parts.links, self._notes)
 
     def _open_office(self, roster: frozenset[str], since_ms: int) -> Office:
-        reign = Reign(self._token, since_ms, roster, self._parts.timing)
+        parts = self._parts
+        reign = Reign(
+            self._token, since_ms, roster, parts.timing, parts.link_bytes_s
+        )
         scheduler = create_scheduler(reign, self._log)
         scheduler.closed_domains = self._closed_domains
         office = Office(
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -28,6 +28,7 @@
 )
 from gentianpulley.cluster.run_tracker import RunTracker
 from gentianpulley.cluster.scheduler_state import Reign
+from gentianpulley.cluster.start_bound import create_start_bound
 from gentianpulley.cluster.waiting import WaitReason, Waits
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
@@ -51,9 +52,14 @@
         self._first_run = reign.token << RUN_BITS
         self._next_moves_ms = 0
         self._waits = Waits()
+        self._under_way = create_start_bound(reign.link_bytes_s)
 
     def plan(self, now_ms: int) -> list[StartOrder]:
-        """Place waiting tasks and return the starts to be sent."""
+        """Place waiting tasks and return the starts to be sent.
+
+        No more than the leader's link carries; the rest goes on waiting.
+        """
+        self._under_way.forget_answered(self.workers, now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
         full = FullShapes()
@@ -146,11 +152,15 @@
         full: FullShapes,
     ) -> list[StartOrder]:
         """Place these tasks of a step, unless that is hopeless."""
+        if not self._under_way.has_room:
+            self._waits.note(step, WaitReason.LINK)
+            return []
         if full.covers(step) and not is_starving(step, view):
             self._waits.note(step, WaitReason.ALIKE)
             return []
         orders = self._place_step(step, indexes, view)
-        if indexes & step.waiting and not _is_special(step):
+        is_tried = self._under_way.has_room and not _is_special(step)
+        if is_tried and indexes & step.waiting:
             full.add(step)
         return orders
 
@@ -165,7 +175,8 @@
             orders = self._place_each(step, indexes, choice, view)
         if step.waiting:
             reason = choice.reason if allowed else self._lack(step, view)
-            self._waits.note(step, reason)
+            is_tried = self._under_way.has_room
+            self._waits.note(step, reason if is_tried else WaitReason.LINK)
         return orders
 
     def _lack(self, step: StepRun, view: PlacingView) -> WaitReason:
@@ -183,6 +194,8 @@
     ) -> list[StartOrder]:
         orders = []
         for index in sorted(indexes):
+            if not self._under_way.has_room:
+                break
             task = step.tasks[index]
             worker = choice.take(task)
             if worker is None:
@@ -218,6 +231,7 @@
     def _undo(self, step: StepRun, orders: Iterable[StartOrder]) -> None:
         for order in orders:
             self.workers[order.worker_id].release(order.key)
+            self._under_way.forget(order.key)
             step.give_back(step.tasks[order.key.task_id.ordinal])
 
     def _order_start(
@@ -231,13 +245,15 @@
         key = RunKey(task.task_id, run)
         worker.charge(key, step.spec, view.now_ms)
         step.place(task, worker.worker_id, run)
-        return StartOrder(
+        order = StartOrder(
             worker.worker_id,
             key,
             step.job.spec.payload,
             task.checkpoint,
             view.ticket(step, worker),
         )
+        self._under_way.add(order, view.now_ms)
+        return order
 
 
 def _is_special(step: StepRun) -> bool:
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from gentianpulley.cluster.advice import Tickets
+from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
 from gentianpulley.cluster.harm import create_harm_model
 from gentianpulley.cluster.link import (
     LookOrder,
@@ -30,13 +31,14 @@
     """One leader's time in office.
 
     `token` fences off earlier leaders. `roster` names the workers that they
-    may have sent orders to.
+    may have sent orders to. `link_bytes_s` is what the leader's link carries.
     """
 
     token: int
     since_ms: int
     roster: frozenset[str]
     timing: Timing
+    link_bytes_s: int = DEFAULT_LINK_BYTES_S
 
 
 class SchedulerState:
--- a/src/gentianpulley/cluster/waiting.py
+++ b/src/gentianpulley/cluster/waiting.py
@@ -9,7 +9,8 @@
     """Why tasks of a step were not placed by the latest plan.
 
     ALIKE means that a step of the same shape found no place in the same plan,
-    so that this one was not looked at.
+    so that this one was not looked at. LINK means that the leader's link is
+    taken by starts under way.
     """
 
     NO_ROOM = 'no_room'
@@ -19,6 +20,7 @@
     ALIKE = 'alike'
     INHERITED = 'inherited'
     TICKET = 'ticket'
+    LINK = 'link'
 
 
 class Waits:
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -92,6 +92,7 @@
             upkeep_ms=bounds.upkeep_ms,
             counters=counters,
             log=log,
+            link_bytes_s=settings.capacity.link_bytes_s,
         )
         own = Candidate(settings.instance, settings.capacity)
         self._campaign = Campaign(own, parts, self.is_ready)
--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -68,8 +68,9 @@
         threading.Thread(target=self._work, daemon=True).start()
         self.register('ready')
 
-    def register(self, state: str) -> None:
-        """Write the registration with a state."""
+    def register(self, state: str, **facts: Any) -> None:
+        """Write the registration with a state, and other facts than so far."""
+        self._facts.update(facts)
         entry = {
             'addr': f'{HOST}:{self.port}',
             'version': 'v1',
--- a/standins/tcp_proxy.py
+++ b/standins/tcp_proxy.py
@@ -78,6 +78,10 @@
             is_request: _Lane(bytes_per_s) for is_request in (True, False)
         }
 
+    def share(self, other: 'TcpProxy') -> None:
+        """Carry over the bandwidth of another link from now on."""
+        self._lanes = other._lanes
+
     def queue(self, seconds: float) -> None:
         """Let all wait, each way, behind other traffic from now on."""
         self._queued_s = seconds
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
 from gentianpulley.cluster.link import (
     EndCause,
     EndedRow,
@@ -146,9 +147,13 @@
         return found.tasks[task_id.ordinal]
 
 
-def hand_site(*worker_ids: str, roster: frozenset[str] = NOBODY) -> HandSite:
+def hand_site(
+    *worker_ids: str,
+    roster: frozenset[str] = NOBODY,
+    link_bytes_s: int = DEFAULT_LINK_BYTES_S,
+) -> HandSite:
     """Return a site with listed workers under a leader with token 7."""
-    reign = Reign(7, START_MS, roster, TIMING)
+    reign = Reign(7, START_MS, roster, TIMING, link_bytes_s)
     site = HandSite(create_scheduler(reign, EventLog()))
     for worker_id in worker_ids:
         site.add_worker(worker_id)
