--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -14,6 +14,7 @@
 
 from gentianpulley.cluster.advice import Adviser
 from gentianpulley.cluster.advice_loop import AdviceLoop
+from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
 from gentianpulley.cluster.directory import WorkerDirectory
 from gentianpulley.cluster.job_book import (
     JobBook,
@@ -78,7 +79,7 @@
     """What a leader works with.
 
     `status_ms` is how long ends are kept, `upkeep_ms` how long a machine is
-    down for upkeep.
+    down for upkeep, `link_bytes_s` what the own link carries.
 
     A site without queues that need tickets has no `adviser`, one whose
     machines cannot be asked for has no `park`.
@@ -94,6 +95,7 @@
     upkeep_ms: int
     counters: Counters
     log: EventLog
+    link_bytes_s: int = DEFAULT_LINK_BYTES_S
 
 
 class Leader:
@@ -127,8 +129,7 @@
 
         Raises `StoreError` when something could not be read.
         """
-        timing = self._parts.timing
-        reign = _begin_reign(self._token, now_ms(), timing, self._notes)
+        reign = _begin_reign(self._token, self._parts, self._notes)
         page = self._parts.directory.read()
         loaded = self._book.load()
         office = self._open_office(reign)
@@ -293,12 +294,17 @@
     return Tenure(tenure_end_ms(sent_ms, timing), certain_end_ms(sent_ms))
 
 
-def _begin_reign(
-    token: int, since_ms: int, timing: Timing, notes: LeaderNotes
-) -> Reign:
+def _begin_reign(token: int, parts: LeaderParts, notes: LeaderNotes) -> Reign:
+    since_ms = now_ms()
     roster = notes.load_roster()
-    runs_until_ms = roster.deadlines(now_ms())
-    return Reign(token, since_ms, roster.worker_ids, timing, runs_until_ms)
+    return Reign(
+        token,
+        since_ms,
+        roster.worker_ids,
+        parts.timing,
+        roster.deadlines(now_ms()),
+        parts.link_bytes_s,
+    )
 
 
 def _follow_jobs(
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from gentianpulley.cluster.advice import Tickets
+from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
 from gentianpulley.cluster.ended_jobs import EndedJobs
 from gentianpulley.cluster.harm import create_harm_model
 from gentianpulley.cluster.link import (
@@ -32,7 +33,8 @@
 
     `token` fences off earlier leaders. `roster` names the workers that they
     may have sent orders to; where they have told so, `runs_until_ms` is until
-    when runs of theirs may go on.
+    when runs of theirs may go on. `link_bytes_s` is what the leader's link
+    carries.
     """
 
     token: int
@@ -40,6 +42,7 @@
     roster: frozenset[str]
     timing: Timing
     runs_until_ms: Mapping[str, int] = field(default_factory=dict)
+    link_bytes_s: int = DEFAULT_LINK_BYTES_S
 
     @property
     def handover_until_ms(self) -> int:
