Renew leases before the jobs are loaded

Cause: a new leader read all jobs first and looked at the workers after that.

Why it works: the roster and the directory are small. They are read first, the workers are fenced and looked at, and jobs load meanwhile. Lists are held until then: nothing is adopted, stopped as unknown or acknowledged. Once jobs are there the latest list of each worker is read, unless the worker went silent or was born anew since, so fencing is over when the jobs are. The records are complete: a former leader wrote none after the key had changed.

Looks pause for 2 s meanwhile, as lists take their part of the same link.

Tests: on the code before, test_narrow_link's loading that takes longer than a lease ended the run ([] in place of the job). test_takeover fails where lists are not held, and test_session's test of rare looks where sessions do not pause.

Ruled out: setting ends_came at each end of loading, which wrote the harm before a test had taught it; it is set only if lists show ends.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -1,7 +1,9 @@
 """Leading: the threads of one reign, from loading to handing over.
 
-The order matters: the leader's key first, then all jobs and workers, then a
-fence at each worker, which returns what runs there.
+The order matters: the leader's key first, then the workers, then a fence at
+each, which returns what runs there and renews its lease. Jobs are loaded
+meanwhile, as that takes the longer the more is stored. Only then are the lists
+read.
 """
 
 import threading
@@ -119,18 +121,19 @@
         return self._office
 
     def open(self) -> None:
-        """Load everything, fence the workers and start to schedule.
+        """Fence the workers, load the jobs and start to schedule.
 
         Raises `StoreError` when something could not be read.
         """
         timing = self._parts.timing
         reign = _begin_reign(self._token, now_ms(), timing, self._notes)
         page = self._parts.directory.read()
-        jobs, revision = self._book.load()
         office = self._open_office(reign)
-        office.take_over(jobs, [facts.worker_id for facts in page.facts])
+        office.await_jobs()
         workers = self._watch_workers(office)
         workers.take(page)
+        jobs, revision = self._book.load()
+        office.take_over(jobs, [facts.worker_id for facts in page.facts])
         loaded = f'{len(jobs)} jobs'
         self._log.leader_state('leads', self._token, loaded)
         _start('workers', lambda: workers.run(page.revision))
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -125,6 +125,8 @@
         self.work_came = WorkSignal()
         self._meter = PlanMeter(counters, log)
         self.ends_came = threading.Event()
+        self.jobs_loaded = threading.Event()
+        self.jobs_loaded.set()
         self.plan_cost_s: float = 0
         self._sinks: dict[str, OrderSink] = {}
 
@@ -267,12 +269,24 @@
 
     # What the leader's own threads do.
 
+    def await_jobs(self) -> None:
+        """Hold what workers list until the inherited jobs are there."""
+        with self.lock:
+            self.scheduler.hold_lists()
+        self.jobs_loaded.clear()
+
     def take_over(self, jobs: list[Job], worker_ids: list[str]) -> None:
         """Take up inherited jobs; these workers have to be listed first."""
         with self.lock:
             self.scheduler.expect_workers(worker_ids)
             for job in jobs:
                 self.scheduler.add_job(job)
+            orders = self.scheduler.read_held_lists()
+            has_ends = self.scheduler.change_number > 0
+        self.jobs_loaded.set()
+        self.dispatch(orders)
+        if has_ends:
+            self.ends_came.set()
 
     def add_job(self, job: Job) -> None:
         """Take up a job."""
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -1,11 +1,70 @@
 """What a leader takes over, and what it leaves to the next one."""
 
+from typing import NamedTuple
+
+from gentianpulley.cluster.link import Listing
 from gentianpulley.cluster.roster import Roster
 from gentianpulley.cluster.run_tracker import RunTracker
+from gentianpulley.cluster.scheduler_state import Order, Reign
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.logs import EventLog
+
+
+class _HeldList(NamedTuple):
+    """A worker's list that came before the jobs were loaded."""
+
+    worker: Worker
+    listing: Listing
+    sent_ms: int
+    received_ms: int
 
 
 class Takeover(RunTracker):
-    """Follows what runs of earlier leaders may still go on."""
+    """Follows what runs of earlier leaders may still go on.
+
+    While jobs load, lists are held: they renew leases and fence former
+    leaders off. What they show cannot be told from what nobody asked for yet,
+    so nothing is adopted, stopped or acknowledged.
+    """
+
+    def __init__(self, reign: Reign, log: EventLog) -> None:
+        """Read lists at once."""
+        super().__init__(reign, log)
+        self._held: dict[str, _HeldList] = {}
+        self._holds_lists = False
+
+    def hold_lists(self) -> None:
+        """Hold the lists of workers until jobs are loaded."""
+        self._holds_lists = True
+
+    def read_held_lists(self) -> list[Order]:
+        """Bring the ledger in line with the latest lists that were held.
+
+        Not with that of a worker that has gone silent or was born anew since.
+        """
+        self._holds_lists = False
+        orders: list[Order] = []
+        for held in self._held.values():
+            worker = held.worker
+            is_current = self.workers.get(worker.worker_id) is worker
+            if is_current and not worker.silent_since_ms:
+                orders.extend(self.note_listing(*held))
+        self._held.clear()
+        return orders
+
+    def note_listing(
+        self, worker: Worker, listing: Listing, sent_ms: int, now_ms: int
+    ) -> list[Order]:
+        """Bring the ledger in line with a list, or hold it."""
+        if not self._holds_lists:
+            return super().note_listing(worker, listing, sent_ms, now_ms)
+        worker.clock.note(listing.clock_worker_ms, now_ms)
+        self.lease_for(worker)
+        worker.heard_ms = now_ms
+        worker.silent_since_ms = 0
+        held = _HeldList(worker, listing, sent_ms, now_ms)
+        self._held[worker.worker_id] = held
+        return []
 
     def roster(
         self, former: frozenset[str], used: frozenset[str], now_ms: int
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -37,6 +37,10 @@
 """Longest pause for ends that are not written yet. While the store is away,
 looks go on: they renew leases."""
 
+LOADING_LOOK_GAP_S: Final = 2.0
+"""Pause between looks while jobs load: they only renew leases, and lists take
+their part of the link."""
+
 LONGEST_START_WAIT_MS: Final = 2000
 """A start that waited longer behind other orders is placed again, where there
 is room by then."""
@@ -56,6 +60,7 @@
         self._closed = threading.Event()
         self._acknowledged = threading.Event()
         self.reached = threading.Event()
+        self._is_leased = False
         self._threads = [
             threading.Thread(
                 target=self._run, args=(loop,), name=name, daemon=True
@@ -109,6 +114,8 @@
             if self._look(wait_ms):
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
+                if self._is_leased:
+                    self._office.jobs_loaded.wait(LOADING_LOOK_GAP_S)
                 # Ends are listed at once, until they are acknowledged.
                 if self.worker.unsaved_ends:
                     self._acknowledged.wait(LONGEST_LOOK_GAP_S)
@@ -141,6 +148,7 @@
             self._office.unreached(self.worker)
             return False
         self.reached.set()
+        self._is_leased = order.lease_worker_ms > 0
         self._acknowledged.clear()
         self._office.listed(self.worker, listing, sent_ms)
         return True
--- a/tests/scheduling/model_leader.py
+++ b/tests/scheduling/model_leader.py
@@ -38,13 +38,15 @@
 class ModelLeader:
     """A scheduler with its queue of orders, acting until its tenure ends.
 
-    `news` are jobs that its watch of the store has yet to take up.
+    `news` are jobs that its watch of the store has yet to take up. It places
+    nothing before it has loaded the jobs that are stored.
     """
 
     scheduler: Scheduler
     tenure: Tenure
     queue: list[Order] = field(default_factory=list)
     news: list[JobSpec] = field(default_factory=list)
+    has_loaded: bool = False
 
     def depose(self, at_ms: int) -> None:
         """Lose the key: nothing is certain, old work goes on for a while."""
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -154,3 +154,14 @@
     bench.office.dispatch(orders)
     threading.Event().wait(SETTLE_S)
     assert not bench.link.started
+
+
+def test_looks_are_rare_while_jobs_load(bench: Bench) -> None:
+    """Lists take their part of the link, and none is read before."""
+    bench.office.await_jobs()
+    looks = bench.link.looks
+    bench.link.answers.put(None)
+    threading.Event().wait(SETTLE_S)
+    assert bench.link.looks == looks
+    bench.office.take_over([], [])
+    wait_until(lambda: bench.link.looks > looks, SETTLE_S)
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -68,8 +68,9 @@
 class World:
     """Everything, with one clock and one source of chance."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, short_reigns: bool = False) -> None:
         """Start with one leader, some workers and some jobs."""
+        self._short_reigns = short_reigns
         self.chance = random.Random(seed)
         self.at_ms = START_MS
         self.broken: list[str] = []
@@ -114,7 +115,9 @@
     def take_up_jobs(self) -> None:
         """Let a leader take up what its watch brought, while it may."""
         _, leader = self._acting_leader()
-        if leader is None or not leader.tenure.is_certain(self.at_ms):
+        if leader is None or not leader.has_loaded:
+            return
+        if not leader.tenure.is_certain(self.at_ms):
             return
         for spec in leader.news:
             leader.scheduler.add_job(create_job(spec, is_inherited=False))
@@ -182,7 +185,7 @@
     def plan(self) -> None:
         """Let a leader place what waits."""
         _, leader = self._acting_leader()
-        if leader is not None:
+        if leader is not None and leader.has_loaded:
             leader.scheduler.note_lapses(self.at_ms)
             leader.queue.extend(leader.scheduler.plan(self.at_ms))
 
@@ -244,17 +247,30 @@
             roster.deadlines(self.at_ms),
         )
         scheduler = create_scheduler(reign, RunSilently())
-        for job_id, spec in self.specs.items():
-            loaded = self._loaded(job_id, spec)
-            if loaded is not None:
-                scheduler.add_job(loaded)
+        scheduler.hold_lists()
         forever_ms = self.at_ms + FOREVER_MS
         tenure = Tenure(forever_ms, forever_ms)
         self.leaders.append(ModelLeader(scheduler, tenure))
         self.read_directory()
+        if not self._short_reigns:
+            self._load(self.leader)
         if self._happens(JOB_AT_CHANGE_IN_PERCENT):
             self.add_job()
 
+    def load_jobs(self) -> None:
+        """Let a leader end its loading."""
+        _, leader = self._acting_leader()
+        if leader is not None and not leader.has_loaded:
+            self._load(leader)
+
+    def _load(self, leader: ModelLeader) -> None:
+        for job_id, spec in self.specs.items():
+            loaded = self._loaded(job_id, spec)
+            if loaded is not None:
+                leader.scheduler.add_job(loaded)
+        leader.queue.extend(leader.scheduler.read_held_lists())
+        leader.has_loaded = True
+
     def _save_roster(self, used: frozenset[str]) -> None:
         former = decode_roster(self.roster).worker_ids
         roster = self.leader.scheduler.roster(former, used, self.at_ms)
@@ -408,9 +424,10 @@
 def play(seed: int, steps: int, *, short_reigns: bool = False) -> World:
     """Let things happen at random, then return the world.
 
-    In short reigns leaders change often, and workers leave the directory.
+    In short reigns leaders change often, load their jobs after the first lists
+    have come, and workers leave the directory.
     """
-    world = World(seed)
+    world = World(seed, short_reigns=short_reigns)
     happenings: list[Happening] = [
         (world.pass_time, 30),
         (world.look, 40),
@@ -429,6 +446,7 @@
             (world.change_leader, 3),
             (world.change_directory, 5),
             (world.save_roster, 10),
+            (world.load_jobs, 20),
         ]
     actions, weights = zip(*happenings, strict=True)
     for action in world.chance.choices(actions, weights, k=steps):
--- a/tests/test_narrow_link.py
+++ b/tests/test_narrow_link.py
@@ -1,20 +1,30 @@
 """An instance whose link to the store is narrow, with many stored jobs."""
 
 import json
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 import pytest
 
 from gentianpulley.cluster.job_book import cancel_key, job_key
+from gentianpulley.cluster.office import Tenure
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in
+from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.spec import JobSpec, QueuePolicy, StepSpec, encode_job
 from gentianpulley.platform.daemon import Node
+from gentianpulley.platform.kv_store import connect_kv_store
 from gentianpulley.resources import Resources
+from gentianpulley.store import Store
 from standins.grid_site import Site, cfg_document, wait_until
-from standins.grid_store import GridStore
+from standins.grid_store import HOST, GridStore
 from standins.tcp_proxy import TcpProxy
+from tests.leader_bench import TIMING, create_leader
 
 NARROW_BYTES_PER_S = 250_000
+NARROWER_BYTES_PER_S = 100_000
+REIGN_MS = 60_000
 STORED_JOBS = 150
 STORED_BYTES = 5000
 RUNNING_ID = '00000000000000a1'
@@ -93,3 +103,33 @@
     node = narrow.add_node()
     wait_until(lambda: narrow.running() == [NEW_ID], 12, 'the job runs')
     assert node.is_leading
+
+
+def _client(port: int) -> Store:
+    return connect_kv_store(HttpAddress(HOST, port), create_counters())
+
+
+def _long_tenure() -> Tenure:
+    until_ms = deadline_in(REIGN_MS)
+    return Tenure(until_ms, until_ms)
+
+
+def test_what_runs_outlasts_a_loading_longer_than_its_lease(
+    narrow: NarrowSite,
+) -> None:
+    """Leases were renewed after the loading, and work lapsed meanwhile."""
+    store = narrow.site.store
+    _store_long_job(store, RUNNING_ID)
+    first = create_leader(store, _client(store.port), _long_tenure())
+    first.open()
+    wait_until(lambda: narrow.running() == [RUNNING_ID])
+    first.close()
+    narrow.link.narrow(NARROWER_BYTES_PER_S)
+    second = create_leader(store, _client(narrow.link.port), _long_tenure())
+    began_s = time.monotonic()
+    second.open()
+    took_ms = (time.monotonic() - began_s) * MS_PER_SECOND
+    second.close()
+    assert took_ms > TIMING.lease_ms
+    assert narrow.running() == [RUNNING_ID]
+    assert len(narrow.site.workers['w1'].started) == 1
