Renew leases with the second look of a loading leader, not at once

The first look learns a worker's clock, the second carries the lease. Looks now lie 1.5 s apart from the start, which is one round of lists less for a loading of 4 s. A lease counts from the clock of the look before, so two gaps and an answer have to fit into it (5.5 s).

--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -37,9 +37,10 @@
 """Longest pause for ends that are not written yet. While the store is away,
 looks go on: they renew leases."""
 
-LOADING_LOOK_GAP_S: Final = 2.0
+LOADING_LOOK_GAP_S: Final = 1.5
 """Pause between looks while jobs load: they only renew leases, and lists take
-their part of the link."""
+their part of the link. The first look learns the worker's clock and the second
+renews, so this stays below what is left of a dead leader's leases."""
 
 LONGEST_START_WAIT_MS: Final = 2000
 """A start that waited longer behind other orders is placed again, where there
@@ -60,7 +61,6 @@
         self._closed = threading.Event()
         self._acknowledged = threading.Event()
         self.reached = threading.Event()
-        self._is_leased = False
         self._threads = [
             threading.Thread(
                 target=self._run, args=(loop,), name=name, daemon=True
@@ -114,8 +114,7 @@
             if self._look(wait_ms):
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
-                if self._is_leased:
-                    self._office.jobs_loaded.wait(LOADING_LOOK_GAP_S)
+                self._office.jobs_loaded.wait(LOADING_LOOK_GAP_S)
                 # Ends are listed at once, until they are acknowledged.
                 if self.worker.unsaved_ends:
                     self._acknowledged.wait(LONGEST_LOOK_GAP_S)
@@ -148,7 +147,6 @@
             self._office.unreached(self.worker)
             return False
         self.reached.set()
-        self._is_leased = order.lease_worker_ms > 0
         self._acknowledged.clear()
         self._office.listed(self.worker, listing, sent_ms)
         return True
