--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from gentianpulley.cluster.gangs import GangKeeper
+from gentianpulley.cluster.cancellations import Cancellations
 from gentianpulley.cluster.link import (
     StartOrder,
     StopOrder,
@@ -15,7 +15,6 @@
 )
 from gentianpulley.cluster.scheduler_state import Order, Reign
 from gentianpulley.cluster.worker import Charge, Worker, create_worker
-from gentianpulley.jobs.job import Job
 from gentianpulley.logs import EventLog
 
 LATE_ORDER_MS: Final = 12_500
@@ -23,7 +22,7 @@
 carry such orders out up to twelve seconds later."""
 
 
-class WorkerLives(GangKeeper):
+class WorkerLives(Cancellations):
     """Follows the workers' lives and gives back what ended with them."""
 
     def __init__(self, reign: Reign, log: EventLog) -> None:
@@ -91,26 +90,6 @@
             if now_ms > charges[0].sent_ms + LATE_ORDER_MS:
                 self._forget_unanswered(worker_id)
 
-    def cancel(self, job_id: str) -> list[Order]:
-        """Cancel a job and stop what runs of it, also if it comes later."""
-        job = self.jobs.get(job_id)
-        if job is None:
-            self.note_cancelled((job_id,))
-        if job is None or job.state.is_final:
-            return []
-        job.cancel()
-        return self.stop_runs(job)
-
-    def stop_runs(self, job: Job) -> list[Order]:
-        """Stop every run of a job that has come to its end."""
-        orders: list[Order] = []
-        for step in job.steps.values():
-            for worker_id in tuple(step.per_worker):
-                worker = self.workers.get(worker_id)
-                if worker is not None:
-                    orders.extend(_stops(worker, job.spec.job_id))
-        return orders
-
     def return_all(self, worker: Worker, reason: str) -> None:
         """Give back all runs of a worker."""
         for key in tuple(worker.charges):
@@ -200,12 +179,3 @@
     if facts.born_ms and known.born_ms:
         return facts.born_ms != known.born_ms
     return facts.address != known.address
-
-
-def _stops(worker: Worker, job_id: str) -> list[StopOrder]:
-    orders = []
-    for charge in worker.charges.values():
-        if charge.key.task_id.job_id == job_id and not charge.is_stopping:
-            charge.is_stopping = True
-            orders.append(StopOrder(worker.worker_id, charge.key))
-    return orders
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -43,6 +43,11 @@
 """Longest pause for ends that are not written yet. While the store is away,
 looks go on: they renew leases."""
 
+LOADING_LOOK_GAP_S: Final = 1.5
+"""Pause between looks while jobs load: they only renew leases, and lists take
+their part of the link. The first look learns the worker's clock and the second
+renews, so this stays below what is left of a dead leader's leases."""
+
 LONGEST_START_WAIT_MS: Final = 2000
 """A start that waited longer behind other orders is placed again, where there
 is room by then."""
@@ -115,6 +120,7 @@
             if self._look(wait_ms):
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
+                self._office.jobs_loaded.wait(LOADING_LOOK_GAP_S)
                 # Ends are listed at once, until they are acknowledged.
                 if self.worker.unsaved_ends:
                     self._acknowledged.wait(LONGEST_LOOK_GAP_S)
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -153,7 +153,7 @@
     link_bytes_s: int = DEFAULT_LINK_BYTES_S,
 ) -> HandSite:
     """Return a site with listed workers under a leader with token 7."""
-    reign = Reign(7, START_MS, roster, TIMING, link_bytes_s)
+    reign = Reign(7, START_MS, roster, TIMING, link_bytes_s=link_bytes_s)
     site = HandSite(create_scheduler(reign, EventLog()))
     for worker_id in worker_ids:
         site.add_worker(worker_id)
