Give background loops a random generator of their own

The summary of the test suite showed one warning: hypothesis saw the process's random sequence move while it drew examples in test_ledger_admits_only_what_fits.

Cause: loops and delays in the background draw from the `random` module, and loops of earlier tests may still run in the process. Shown by a thread that draws from it beside that test: the same warning.

That the warning is gone from the whole suite is not shown: it depends on what runs beside what, and campaigns, routes and pacing still draw from the module.

--- a/src/gentianpulley/background.py
+++ b/src/gentianpulley/background.py
@@ -11,6 +11,10 @@
 JITTER_SHARE: Final = 0.2
 BACKOFF_FACTOR: Final = 2.0
 
+_CHANCE: Final = random.Random()
+"""A generator of the loops' own: they would draw from the process's one while
+others rely on its sequence."""
+
 
 class Backoff:
     """Exponential delays with full jitter, reset by a success."""
@@ -23,7 +27,7 @@
 
     def next_delay_s(self) -> float:
         """Return a random delay and raise the ceiling of the next one."""
-        delay_s = random.uniform(0, self._ceiling_s)
+        delay_s = _CHANCE.uniform(0, self._ceiling_s)
         self._ceiling_s = min(self._ceiling_s * BACKOFF_FACTOR, self._longest_s)
         return delay_s
 
@@ -83,5 +87,5 @@
                 self.log.internal_fault(f'{type(exc).__name__}: {exc.text}')
             except Exception as fault:
                 self.log.internal_fault(repr(fault))
-            jitter = random.uniform(-JITTER_SHARE, JITTER_SHARE)
+            jitter = _CHANCE.uniform(-JITTER_SHARE, JITTER_SHARE)
             self.pause(self._interval_s * (1 + jitter))
