Let any thrift service use the server of the peer service

The server behind the peer service accepts connections and serves each on its own thread; the relay service needs the same with a handler for each connection and with short numbers. PeerServer keeps its name and arguments. Verified by tests/contracts/test_thrift_peer.py, unchanged.

--- a/src/gentianpulley/peer_client.py
+++ b/src/gentianpulley/peer_client.py
@@ -35,14 +35,13 @@
 )
 from gentianpulley.peer_gen.Peer import Client
 from gentianpulley.task import TaskOrder, TaskReport
+from gentianpulley.thrift_server import BUFFER_BYTES, MAX_MESSAGE_BYTES
 
 CONNECT_TIMEOUT_MS: Final = 1000
 CALL_TIMEOUT_MS: Final = 1500
 SILENCE_MARGIN_MS: Final = 3000
 IDLE_FOR_MS: Final = 20_000
 MAX_IDLE: Final = 8
-MAX_MESSAGE_BYTES: Final = 67_108_864
-BUFFER_BYTES: Final = 65536
 
 _Answer = TypeVar('_Answer')
 
--- a/src/gentianpulley/peer_server.py
+++ b/src/gentianpulley/peer_server.py
@@ -1,20 +1,13 @@
-"""The thrift server of the peer service: one thread for each connection."""
+"""The thrift server of the peer service."""
 
-import threading
 from typing import Any, Final
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
-from thrift.transport.TSocket import TServerSocket
-from thrift.transport.TTransport import (
-    TBufferedTransport,
-    TTransportException,
-)
 
 from gentianpulley.document import DocumentKind, encode_document
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog
 from gentianpulley.peer import Peer
-from gentianpulley.peer_client import BUFFER_BYTES, MAX_MESSAGE_BYTES
 from gentianpulley.peer_codec import (
     document_to_wire,
     order_from_wire,
@@ -24,8 +17,12 @@
 )
 from gentianpulley.peer_gen import ttypes
 from gentianpulley.peer_gen.Peer import Processor
+from gentianpulley.thrift_server import (
+    MAX_MESSAGE_BYTES,
+    ThriftServer,
+    ThriftService,
+)
 
-IDLE_TIMEOUT_MS: Final = 60_000
 MAX_WAIT_MS: Final = 2000
 
 
@@ -68,78 +65,34 @@
         return document_to_wire(kind, document, body)
 
 
-class PeerServer:
-    """Accepts connections and serves each on its own thread."""
+class PeerService(ThriftService):
+    """Serves a connection of the peer service."""
 
-    def __init__(self, address: HttpAddress, peer: Peer, log: EventLog) -> None:
-        """Listen at once; raises `OSError` if the address is taken."""
-        self.address = address
-        self._log = log
+    def __init__(self, peer: Peer) -> None:
+        """Serve `peer`."""
         self._processor = Processor(PeerHandler(peer))
-        self._listener = TServerSocket(address.host, address.port)
-        self._listener.listen()
-        self._closing = False
-        self._lock = threading.Lock()
-        self._open: set[Any] = set()
-
-    def start(self) -> None:
-        """Accept connections on a background thread."""
-        threading.Thread(
-            target=self._accept_all, name='peer-accept', daemon=True
-        ).start()
+
+    @property
+    def processor(self) -> Any:
+        """Return the generated processor around the handler."""
+        return self._processor
 
     def close(self) -> None:
-        """Stop accepting and close all connections."""
-        self._closing = True
-        self._listener.close()
-        with self._lock:
-            conns = tuple(self._open)
-        for conn in conns:
-            conn.close()
-
-    def open_conns(self) -> int:
-        """Return the number of open connections."""
-        with self._lock:
-            return len(self._open)
-
-    def _accept_all(self) -> None:
-        while not self._closing:
-            try:
-                conn = self._listener.accept()
-            except (OSError, TTransportException):
-                continue
-            if conn is not None:
-                threading.Thread(
-                    target=self._serve, args=(conn,), daemon=True
-                ).start()
-
-    def _serve(self, conn: Any) -> None:
-        conn.setTimeout(IDLE_TIMEOUT_MS)
-        with self._lock:
-            self._open.add(conn)
-        transport = TBufferedTransport(conn, BUFFER_BYTES)
-        protocol = TBinaryProtocolAccelerated(
-            transport,
-            string_length_limit=MAX_MESSAGE_BYTES,
-            container_length_limit=MAX_MESSAGE_BYTES,
-        )
-        is_usable = True
-        while is_usable and not self._closing:
-            is_usable = self._serve_call(protocol)
-        transport.close()
-        self._forget(conn)
-
-    def _serve_call(self, protocol: TBinaryProtocolAccelerated) -> bool:
-        """Answer one call; False once the connection is of no more use."""
-        try:
-            self._processor.process(protocol, protocol)
-        except (TTransportException, OSError):
-            return False
-        except Exception as exc:
-            self._log.peer_trouble('malformed message', repr(exc))
-            return False
-        return True
-
-    def _forget(self, conn: Any) -> None:
-        with self._lock:
-            self._open.discard(conn)
+        """Do nothing: a connection holds nothing."""
+
+
+class PeerServer(ThriftServer):
+    """Serves a peer to other entry instances."""
+
+    def __init__(self, address: HttpAddress, peer: Peer, log: EventLog) -> None:
+        """Listen at once; raises `OSError` if the address is taken."""
+        service = PeerService(peer)
+        super().__init__(address, lambda: service, _create_protocol, log)
+
+
+def _create_protocol(transport: Any) -> TBinaryProtocolAccelerated:
+    return TBinaryProtocolAccelerated(
+        transport,
+        string_length_limit=MAX_MESSAGE_BYTES,
+        container_length_limit=MAX_MESSAGE_BYTES,
+    )
