--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -108,6 +108,21 @@
                 repeated=repeated,
             )
 
+    def relay_state(self, relay: str, state: str) -> None:
+        """A relay was gained or lost, or rests as it gave no answer."""
+        _write('relay_state', relay=relay, state=state)
+
+    def worker_relayed(self, worker: str, relay: str) -> None:
+        """Calls to a worker go through another relay, or directly.
+
+        `repeated` counts lines left out for the same relay.
+        """
+        repeated = self._gate.repeats('worker_relayed', relay)
+        if repeated is not None:
+            _write(
+                'worker_relayed', worker=worker, relay=relay, repeated=repeated
+            )
+
     def job_stored(self, job_id: str, queue: str, cfg_version: int) -> None:
         """A job was accepted under a version of the cfg."""
         self._gate.report()
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -44,7 +44,7 @@
     load_node_settings,
 )
 from gentianpulley.platform.operator_watch import OperatorWatch
-from gentianpulley.platform.worker_link import HttpWorkerLinks
+from gentianpulley.platform.relays import Relays
 
 SETTINGS_VARIABLE: Final = 'GENTIANPULLEY_NODE_FILE'
 
@@ -81,10 +81,11 @@
             bounds.restore_ms,
             bounds.harm_ms,
         )
+        self._relays = Relays(settings, store, counters, log)
         parts = LeaderParts(
             store=store,
             directory=create_directory(store, log),
-            links=HttpWorkerLinks(timing.longest_slack_ms),
+            links=self._relays.links(timing.longest_slack_ms),
             adviser=create_adviser(settings.adviser),
             park=create_machine_park(settings.machines, settings.instance),
             timing=timing,
@@ -135,6 +136,7 @@
         for server in self._servers():
             server.prepare()
             _run(partial(_serve, server, self._log))
+        self._relays.start()
         self._watch.start()
         self._campaign.start()
         self._log.process_state('started')
@@ -159,11 +161,13 @@
         closing_ms = started_ms + int(grace_ms * CLOSING_SHARE)
         ending_ms = started_ms + int(grace_ms * ENDING_SHARE)
         # Each of these may wait for a store that does not answer.
+        withdrawing = _run(self._relays.withdraw)
         handing_over = _run(self._campaign.hand_over)
         threading.Event().wait(seconds_left(closing_ms))
         stops = [_run(server.stop) for server in self._servers()]
-        for thread in (handing_over, *stops):
+        for thread in (withdrawing, handing_over, *stops):
             thread.join(seconds_left(ending_ms))
+        self._relays.close()
         self._log.process_state('stopped')
 
     def reload(self) -> None:
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -108,10 +108,11 @@
 
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
-        answer = self._call('GET', f'kv-key?key={quote(key, safe="")}')
-        if answer.status == _NOT_FOUND:
-            return None
-        return _entry(_decoded(answer, WireItem))
+        return self._entry_at(f'kv-key?key={quote(key, safe="")}')
+
+    def read_stale(self, key: str) -> Entry | None:
+        """Return what any copy holds at `key`, for a tenth of the price."""
+        return self._entry_at(f'kv-key?key={quote(key, safe="")}&stale_ok=1')
 
     def read_prefix(self, prefix: str) -> Snapshot:
         """Return all entries whose keys start with `prefix`.
@@ -208,6 +209,12 @@
         """Return the number of calls sent so far."""
         return self._counters.count('store_calls')
 
+    def _entry_at(self, path: str) -> Entry | None:
+        answer = self._call('GET', path)
+        if answer.status == _NOT_FOUND:
+            return None
+        return _entry(_decoded(answer, WireItem))
+
     def _call(
         self,
         method: str,
--- a/src/gentianpulley/platform/node_file.py
+++ b/src/gentianpulley/platform/node_file.py
@@ -44,8 +44,8 @@
     """What a process is told at its start.
 
     `instance` and `failure_domain` name it; `front`, `ready`, `store` and
-    `metrics` are addresses, and so are `adviser` and `machines` where the
-    site has them.
+    `metrics` are addresses, and so are `adviser`, `machines` and `relay` (where
+    it relays calls of a leader) where the site has them.
     """
 
     instance: str
@@ -56,6 +56,7 @@
     metrics: HttpAddress
     adviser: HttpAddress | None
     machines: HttpAddress | None
+    relay: HttpAddress | None
     bounds: SiteBounds
     capacity: InstanceCapacity
 
@@ -81,6 +82,7 @@
         metrics=_metrics_address(told_settings),
         adviser=_optional_address(told_settings, 'advice'),
         machines=_optional_address(told_settings, 'cloud_api.addr'),
+        relay=_relay_address(told_settings),
         bounds=SiteBounds(
             contact_ms=_number(told_settings, 'bounds.contact_ms'),
             grace_ms=int(_number(told_settings, 'bounds.grace_s', 1000)),
@@ -171,6 +173,18 @@
     return HttpAddress(_text(told_settings, 'ip'), METRICS_PORT)
 
 
+def _relay_address(told_settings: Mapping[str, str]) -> HttpAddress | None:
+    """Return the first port that instances may use between themselves."""
+    host = told_settings.get('ip', '')
+    first, _, _ = told_settings.get('port_range', '').partition(',')
+    if not host or not first:
+        return None
+    try:
+        return HttpAddress(host, int(first))
+    except ValueError as exc:
+        raise SettingsError(bad_setting('port_range', first)) from exc
+
+
 def _number(
     told_settings: Mapping[str, str],
     name: str,
--- /dev/null
+++ b/src/gentianpulley/relay_gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Relay']
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -145,6 +145,13 @@
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
 
+    def read_stale(self, key: str) -> Entry | None:
+        """Return what any copy holds at `key`, which may be seconds old.
+
+        A store without cheaper reads returns the entry of now.
+        """
+        return self.read(key)
+
     @abstractmethod
     def read_prefix(self, prefix: str) -> Snapshot:
         """Return all entries whose keys start with `prefix`."""
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -53,6 +53,8 @@
             f'listen.front={HOST}:{free_port()}',
             f'listen.ready={HOST}:{free_port()}',
             f'listen.metrics={HOST}:{free_port()}',
+            f'ip={HOST}',
+            f'port_range={free_port()},65535',
             f'platform.addr={HOST}:{store_port}',
             f'advice={adviser}',
             f'cloud_api.addr={machines}',
@@ -109,8 +111,13 @@
         self.workers[worker_id] = worker
         return worker
 
-    def add_node(self, store_port: int = 0, cpu_share: float = 1.0) -> Node:
-        """Start a node with a part of a core and wait until it is ready.
+    def add_node(
+        self,
+        store_port: int = 0,
+        cpu_share: float = 1.0,
+        link_mbps: float = 1000.0,
+    ) -> Node:
+        """Start a node with these limits and wait until it is ready.
 
         `store_port` is that of a link to the store, if there is one between.
         """
@@ -120,7 +127,7 @@
             _address_of(self.adviser),
             _address_of(self.machines),
         )
-        limits = f'limits.cpu_share={cpu_share}'
+        limits = f'limits.cpu_share={cpu_share}\nlimits.link_mbps={link_mbps}'
         node = Node(parse_node_settings(f'{text}\n{limits}'), EventLog())
         node.start()
         self.nodes.append(node)
--- a/tests/contracts/store_contract.py
+++ b/tests/contracts/store_contract.py
@@ -45,6 +45,15 @@
     def test_absent_key_reads_as_none(self, store: Store) -> None:
         assert store.read('/none') is None
 
+    def test_a_stale_read_returns_an_entry_as_it_was(
+        self, store: Store
+    ) -> None:
+        assert store.read_stale('/none') is None
+        revision = put_one(store, '/a', b'one', ABSENT).revision
+        entry = store.read_stale('/a')
+        assert entry is not None
+        assert (entry.body, entry.revision) == (b'one', revision)
+
     def test_write_is_read_back_at_its_revision(self, store: Store) -> None:
         verdict = put_one(store, '/a', b'one', ABSENT)
         entry = store.read('/a')
--- a/tests/test_node_file.py
+++ b/tests/test_node_file.py
@@ -40,6 +40,20 @@
     assert settings.bounds.status_ms == 120_000
 
 
+@pytest.mark.parametrize(
+    ('name', 'told', 'relay'),
+    [
+        ('port_range', '7720,7735', HttpAddress('10.1.0.13', 7720)),
+        ('port_range', '', None),
+        ('some.new.field', 'x', None),
+    ],
+)
+def test_the_first_free_port_is_for_relaying(
+    name: str, told: str, relay: HttpAddress | None
+) -> None:
+    assert parse_node_settings(_text(name, told)).relay == relay
+
+
 def test_fractions_are_allowed_where_lengths_are_told() -> None:
     settings = parse_node_settings(_text('bounds.grace_s', '1.5'))
     assert settings.bounds.grace_ms == 1500
@@ -75,6 +89,7 @@
         ('bounds.grace_s', 'six'),
         ('bounds.stop_ms', '0'),
         ('bounds.contact_ms', '-1'),
+        ('port_range', 'some'),
     ],
 )
 def test_a_faulty_setting_is_named(name: str, told: str) -> None:
