--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -89,6 +89,10 @@
         )
         return self._store.commit(txn).applied
 
+    def is_stored(self, job_id: str) -> bool:
+        """Tell whether a job was accepted before."""
+        return self._store.read(job_key(job_id)) is not None
+
     def view(self, job_id: str) -> JobView | None:
         """Return a job's state, or None if there is no such job."""
         entry = self._store.read(record_key(job_id))
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -14,6 +14,7 @@
 
 from gentianpulley.cluster.advice import Adviser
 from gentianpulley.cluster.advice_loop import AdviceLoop
+from gentianpulley.cluster.backlog_publisher import BacklogPublisher
 from gentianpulley.cluster.directory import WorkerDirectory
 from gentianpulley.cluster.job_book import JobBook, save_batches
 from gentianpulley.cluster.leader_notes import HARM_KEY, LeaderNotes
@@ -111,6 +112,7 @@
         self._closed_domains: frozenset[str] = frozenset()
         self._next_harm_ms = 0
         self._saved_harm = b''
+        self._backlog = BacklogPublisher(self._notes)
         self._upkeep: UpkeepLoop | None = None
 
     @property
@@ -244,6 +246,7 @@
         self._save(office)
         workers.shrink_roster()
         self._save_harm(office)
+        self._backlog.publish(office.backlog, now_ms())
         self._book.forget_ended(now_ms() - self._parts.status_ms)
 
     def _save_harm(self, office: Office) -> None:
--- a/src/gentianpulley/cluster/leader_notes.py
+++ b/src/gentianpulley/cluster/leader_notes.py
@@ -1,7 +1,7 @@
 """What a leader leaves to the next one beside the jobs.
 
 The roster of workers that may hold runs, the learned harm between images, and
-how far waves of upkeep are.
+how far waves of upkeep are; and, for entry instances, how long work waits.
 """
 
 from typing import Final
@@ -13,6 +13,7 @@
 
 ROSTER_KEY: Final = 'gp/roster'
 HARM_KEY: Final = 'gp/harm'
+BACKLOG_KEY: Final = 'gp/backlog'
 WAVE_PREFIX: Final = 'gp/wave/'
 
 
@@ -43,6 +44,10 @@
         entry = self.store.read(HARM_KEY)
         return entry.body if entry else None
 
+    def save_backlog(self, body: bytes) -> None:
+        """Publish how long work waits."""
+        self._put(BACKLOG_KEY, body)
+
     def save_wave(self, number: int, begun: tuple[str, ...]) -> None:
         """Write which machines of a wave have begun their upkeep."""
         self._put(f'{WAVE_PREFIX}{number}', msgspec.json.encode(begun))
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -11,6 +11,11 @@
 from types import MappingProxyType
 from typing import Final
 
+from gentianpulley.cluster.backlog import (
+    Backlog,
+    BacklogMeter,
+    line_of_run,
+)
 from gentianpulley.cluster.link import (
     Listing,
     LookOrder,
@@ -127,6 +132,8 @@
         self.ends_came = threading.Event()
         self.plan_cost_s: float = 0
         self._sinks: dict[str, OrderSink] = {}
+        self._backlog_meter = BacklogMeter()
+        self.backlog = Backlog()
 
     @property
     def reign(self) -> Reign:
@@ -219,6 +226,7 @@
         """Return a start that was never sent; False if it was."""
         with self.lock:
             is_back = self.scheduler.take_back(order)
+            self._count_returned(order, is_back=is_back)
         self.work_came.set()
         return is_back
 
@@ -226,6 +234,7 @@
         """Return a start that waited for long; False if it is sent now."""
         with self.lock:
             is_back = self.scheduler.take_back_late(order)
+            self._count_returned(order, is_back=is_back)
         self.work_came.set()
         return is_back
 
@@ -309,6 +318,7 @@
             orders = self.scheduler.plan(at_ms)
             self.counters.set('jobs_waiting', self.scheduler.waiting_jobs())
             places = [self._place_of(order) for order in orders]
+            self._count_placed(orders)
         self.plan_cost_s = time.monotonic() - began_s
         self._meter.note_plan(self.plan_cost_s, lag_s)
         self.dispatch((*stops, *orders))
@@ -316,6 +326,17 @@
         if self._meter.is_due():
             self._report(at_ms)
 
+    def _count_placed(self, orders: list[StartOrder]) -> None:
+        for order in orders:
+            line = line_of_run(self.scheduler, order.key)
+            if line is not None:
+                self._backlog_meter.note_placed(line)
+
+    def _count_returned(self, order: StartOrder, *, is_back: bool) -> None:
+        line = line_of_run(self.scheduler, order.key)
+        if is_back and line is not None:
+            self._backlog_meter.note_returned(line)
+
     def _log_starts(
         self,
         orders: list[StartOrder],
@@ -334,6 +355,7 @@
     def _report(self, at_ms: int) -> None:
         with self.lock:
             report = self.scheduler.report(at_ms)
+        self.backlog = self._backlog_meter.measure(report.pending, at_ms)
         sinks = tuple(self._sinks.values())
         self._meter.tell(report, [sink.backlog() for sink in sinks])
 
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from gentianpulley.cluster.backlog import Line, Pending, pending_tasks
 from gentianpulley.cluster.scheduler_state import SchedulerState
 from gentianpulley.cluster.waiting import Waits
 from gentianpulley.cluster.worker import Charge, Worker
@@ -41,7 +42,8 @@
 class PlanReport:
     """Waiting tasks by reason, reserved room by certainty, workers by state.
 
-    Reserved room is in thousandths of a processor.
+    Reserved room is in thousandths of a processor. `pending` are the tasks
+    that go before those of a new job.
     """
 
     waiting: Mapping[str, int]
@@ -50,6 +52,7 @@
     reserved_milli: Mapping[str, int]
     workers: Mapping[str, int]
     list_ages: ListAges
+    pending: Mapping[Line, Pending]
 
 
 def create_plan_report(
@@ -68,6 +71,7 @@
         _reserved(workers),
         Counter(condition_of(worker, now_ms) for worker in workers),
         _list_ages(workers, now_ms),
+        pending_tasks(state, waits, now_ms),
     )
 
 
--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -12,11 +12,20 @@
 from typing import Final
 
 from gentianpulley.background import Backoff
+from gentianpulley.cluster.admission import Verdict, judge, spread_return_s
+from gentianpulley.cluster.backlog_follower import BacklogFollower
 from gentianpulley.cluster.job_book import JobDesk, JobView
-from gentianpulley.deadline import has_passed, ms_left, seconds_left
+from gentianpulley.counters import Counters
+from gentianpulley.deadline import (
+    has_passed,
+    ms_left,
+    now_ms,
+    seconds_left,
+)
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.jobs.spec import JobSpec
 from gentianpulley.logs import EventLog
+from gentianpulley.store import Store
 
 RETRY_AFTER_S: Final = (1, 3)
 """Range of the seconds after which a refused caller may return, spread so
@@ -52,15 +61,33 @@
 class Submissions:
     """Serves callers from the store, within their deadlines."""
 
-    def __init__(self, desk: JobDesk, log: EventLog) -> None:
+    def __init__(
+        self,
+        desk: JobDesk,
+        backlog: BacklogFollower,
+        counters: Counters,
+        log: EventLog,
+    ) -> None:
         """Use one desk."""
         self._desk = desk
+        self._backlog = backlog
+        self._counters = counters
         self._log = log
 
+    def start(self) -> None:
+        """Follow how long work waits."""
+        self._backlog.start()
+
     def submit(
         self, spec: JobSpec, cfg_version: int, deadline_ms: int
     ) -> Received:
-        """Store a job; retried while the store may yet answer in time."""
+        """Store a job; retried while the store may yet answer in time.
+
+        A job that could not be done in time is refused.
+        """
+        verdict = judge(spec, self._backlog.ask(), now_ms(), random.random())
+        if not verdict.is_accepted and self._is_new(spec.job_id):
+            return self._turn_away(spec, verdict)
         backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
         is_uncertain = False
         while True:
@@ -104,6 +131,32 @@
             return _later()
         return Received(Reception.OK, waiting=waiting)
 
+    def _is_new(self, job_id: str) -> bool:
+        """Tell whether a job is surely not stored.
+
+        A caller may send an accepted job again, which stays accepted.
+        """
+        try:
+            return not self._desk.is_stored(job_id)
+        except StoreError as exc:
+            self._log.store_trouble(exc.text)
+        return False
+
+    def _turn_away(self, spec: JobSpec, verdict: Verdict) -> Received:
+        return_s = spread_return_s(verdict.return_s)
+        self._counters.add('jobs_turned_away')
+        self._log.job_turned_away(
+            spec.job_id,
+            spec.policy.queue,
+            {
+                'wait_ms': verdict.wait_ms,
+                'slack_ms': verdict.slack_ms,
+                'age_ms': verdict.age_ms,
+                'return_s': return_s,
+            },
+        )
+        return Received(Reception.REFUSED, retry_after_s=return_s)
+
     def _try_to_store(self, spec: JobSpec, cfg_version: int) -> '_Attempt':
         try:
             self._desk.create(spec)
@@ -128,6 +181,14 @@
         return Received(Reception.OK, view)
 
 
+def create_submissions(
+    store: Store, counters: Counters, log: EventLog
+) -> Submissions:
+    """Return what serves callers from a store."""
+    desk = JobDesk(store, log)
+    return Submissions(desk, BacklogFollower(store, log), counters, log)
+
+
 class _Attempt(Enum):
     """What became of one attempt to store a job."""
 
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -120,6 +120,12 @@
         """A submission could not be read; nothing was stored."""
         _write('job_refused', job_id=job_id, reason=reason)
 
+    def job_turned_away(
+        self, job_id: str, queue: str, figures: Mapping[str, int]
+    ) -> None:
+        """A job was refused, as it would have waited for too long."""
+        _write('job_turned_away', job_id=job_id, queue=queue, **figures)
+
     def job_not_stored(self, job_id: str, outcome: str, detail: str) -> None:
         """An attempt to store a job was refused, or its answer was lost."""
         _write('job_not_stored', job_id=job_id, outcome=outcome, detail=detail)
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -15,10 +15,9 @@
 
 from gentianpulley.cluster.campaign import Campaign
 from gentianpulley.cluster.candidacy import Candidate
-from gentianpulley.cluster.job_book import JobDesk
 from gentianpulley.cluster.leader import LeaderParts
 from gentianpulley.cluster.queues import QueueTable
-from gentianpulley.cluster.submissions import Submissions
+from gentianpulley.cluster.submissions import create_submissions
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms, seconds_left
@@ -96,9 +95,9 @@
         own = Candidate(settings.instance, settings.capacity)
         self._campaign = Campaign(own, parts, self.is_ready)
         self._watch = OperatorWatch(store, self._table, self._campaign, log)
-        submissions = Submissions(JobDesk(store, log), log)
+        self._submissions = create_submissions(store, counters, log)
         ingress = Ingress(
-            self._table, submissions, self._stopping, counters, log
+            self._table, self._submissions, self._stopping, counters, log
         )
         self._front_server = create_server(
             settings.front, ingress, FRONT_THREADS
@@ -136,6 +135,7 @@
             server.prepare()
             _run(partial(_serve, server, self._log))
         self._watch.start()
+        self._submissions.start()
         self._campaign.start()
         self._log.process_state('started')
 
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -108,10 +108,11 @@
 
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
-        answer = self._call('GET', f'kv-key?key={quote(key, safe="")}')
-        if answer.status == _NOT_FOUND:
-            return None
-        return _entry(_decoded(answer, WireItem))
+        return self._read(f'kv-key?key={quote(key, safe="")}')
+
+    def read_stale(self, key: str) -> Entry | None:
+        """Return the entry at a tenth of the price, maybe an older one."""
+        return self._read(f'kv-key?key={quote(key, safe="")}&stale_ok=1')
 
     def read_prefix(self, prefix: str) -> Snapshot:
         """Return all entries whose keys start with `prefix`.
@@ -208,6 +209,12 @@
         """Return the number of calls sent so far."""
         return self._counters.count('store_calls')
 
+    def _read(self, path: str) -> Entry | None:
+        answer = self._call('GET', path)
+        if answer.status == _NOT_FOUND:
+            return None
+        return _entry(_decoded(answer, WireItem))
+
     def _call(
         self,
         method: str,
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -145,6 +145,13 @@
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
 
+    def read_stale(self, key: str) -> Entry | None:
+        """Return an entry as it was some seconds ago at most, or None.
+
+        For stores where that is cheaper than a read of what is in force.
+        """
+        return self.read(key)
+
     @abstractmethod
     def read_prefix(self, prefix: str) -> Snapshot:
         """Return all entries whose keys start with `prefix`."""
--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -5,7 +5,8 @@
 payload says how it goes: `{"ms": 200}` ends as done after 200 ms, and
 `{"ms": 50, "fail": 1}` fails. `faults`: `lose_orders` carries out the next N
 orders without an answer, `late_orders` carries them out `LATE_S` later,
-`silent` answers nothing. With `needs_tickets`, only the tickets of
+`silent` answers nothing, `slow_starts` takes `SLOW_START_S` for each start.
+With `needs_tickets`, only the tickets of
 `grid_adviser` start a task.
 """
 
@@ -21,6 +22,7 @@
 HOST: Final = '127.0.0.1'
 HANG_S: Final = 2.0
 LATE_S: Final = 1.2
+SLOW_START_S: Final = 0.2
 TICK_S: Final = 0.01
 STOP_S: Final = 0.05
 MS: Final = 1000
@@ -116,6 +118,8 @@
         if verb != 'hold' and self._takes('late_orders'):
             threading.Timer(LATE_S, self._carry_out, (verb, order)).start()
             time.sleep(HANG_S)
+        if verb == 'run-start' and self.faults.get('slow_starts'):
+            time.sleep(SLOW_START_S)
         reply = self._carry_out(verb, order)
         if verb != 'hold' and self._takes('lose_orders'):
             time.sleep(HANG_S)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,10 +1,11 @@
 """The path of a job through nodes, store and workers, with their failures."""
 
+import json
 import threading
 import time
 from collections.abc import Iterator
 from contextlib import suppress
-from http.client import HTTPException
+from http.client import HTTPConnection, HTTPException
 
 import pytest
 
@@ -297,6 +298,40 @@
     waiting.join()
 
 
+def _submit(node: Node, path: str, body: object) -> tuple[int, int]:
+    """Submit a job; returns the status and when to return, 0 if not told."""
+    conn = HTTPConnection(node.front.host, node.front.port, timeout=5)
+    conn.request('POST', path, json.dumps(body), {'Host': 'fit.example'})
+    resp = conn.getresponse()
+    resp.read()
+    conn.close()
+    return resp.status, int(resp.headers.get('Retry-After', 0))
+
+
+def test_an_overloaded_leader_refuses_and_keeps_what_is_accepted(
+    site: Site,
+) -> None:
+    """Everything was accepted, and most of it came to nothing."""
+    for worker in site.workers.values():
+        worker.faults = {'slow_starts': 1}
+    body = job_body({'cpu': 100}, ms=20)
+    answers: list[tuple[str, int, int]] = []
+    deadline_s = time.monotonic() + 30
+    while sum(status == 503 for _, status, _ in answers) < 3:
+        assert time.monotonic() < deadline_s, 'nothing was refused'
+        path = f'/quick/{len(answers):016x}'
+        answers.append((path, *_submit(site.nodes[0], path, body)))
+        time.sleep(0.02)
+    accepted = [path for path, status, _ in answers if status == 200]
+    refused = [path for path, status, _ in answers if status == 503]
+    assert len(accepted) + len(refused) == len(answers)
+    assert all(again_s for _, status, again_s in answers if status == 503)
+    resent = {_submit(site.nodes[0], path, body)[0] for path in accepted[-50:]}
+    assert resent == {200}
+    known = [call(site.nodes[1], 'GET', path)[0] for path in refused]
+    assert set(known) == {410}
+
+
 def _ignore_answer(node: Node) -> None:
     with suppress(OSError, HTTPException):
         call(node, 'GET', JOB)
