Close only the sessions of lives that are over

Cause: sessions of workers that are gone were named under the lock and taken off after it. A life that began in between had opened its session under the same id, and that one was closed. The worker was known then, so nobody opened another: no look, no order, until its next life.

test_the_session_of_a_life_that_begins_meanwhile_stays_open failed before ([True, False] == [False, False]).

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -158,11 +158,16 @@
             former.close()
 
     def detach_gone(self) -> None:
-        """Close the sessions of workers that are no longer known."""
+        """Close the sessions of workers that are no longer known.
+
+        They are taken off before the lock is let go: a new life that begins
+        after it opens a session under the same id.
+        """
         with self.lock:
             gone = self._sinks.keys() - self.scheduler.workers.keys()
-        for worker_id in gone:
-            self.detach(worker_id)
+            former = [self._sinks.pop(worker_id) for worker_id in gone]
+        for sink in former:
+            sink.close()
 
     def close(self) -> None:
         """Close all sessions."""
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -2,7 +2,7 @@
 
 import queue
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -17,7 +17,8 @@
     StopOrder,
     WorkerLink,
 )
-from gentianpulley.cluster.office import Office, Tenure
+from gentianpulley.cluster.office import Office, OrderSink, Tenure
+from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker_session import WorkerSession, open_session
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
@@ -28,7 +29,7 @@
 )
 from gentianpulley.logs import EventLog
 from standins.grid_site import wait_until
-from tests.scheduling.site import JOB_ID, hand_site, job, step
+from tests.scheduling.site import JOB_ID, facts, hand_site, job, step
 
 WAIT_S = 5.0
 SETTLE_S = 0.5
@@ -69,6 +70,30 @@
         """Do nothing."""
 
 
+class QuietSink(OrderSink):
+    """A session that does nothing; others may act when it is closed."""
+
+    def __init__(self, on_close: Callable[[], None]) -> None:
+        """Be open."""
+        self._on_close = on_close
+        self.is_closed = False
+
+    def send(self, order: Order) -> None:
+        """Do nothing."""
+
+    def backlog(self) -> tuple[int, int]:
+        """Hold nothing."""
+        return 0, 0
+
+    def note_acknowledged(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Note it, and let the others act."""
+        self.is_closed = True
+        self._on_close()
+
+
 class Bench:
     """A scheduler with one worker behind a scripted link."""
 
@@ -156,6 +181,28 @@
     assert not bench.link.started
 
 
+def test_the_session_of_a_life_that_begins_meanwhile_stays_open() -> None:
+    """It was closed in place of the former one, and nobody opened another:
+    the worker was known, and got no look any more."""
+    tenure = Tenure(now_ms() + 60_000, now_ms() + 60_000)
+    site = hand_site()
+    office = Office(site.scheduler, tenure, create_counters(), EventLog())
+    begun: list[QuietSink] = []
+
+    def begin_lives() -> None:
+        if begun:
+            return
+        for worker_id in ('w1', 'w2'):
+            begun.append(QuietSink(lambda: None))
+            site.scheduler.update_worker(facts(worker_id), now_ms())
+            office.attach(worker_id, begun[-1])
+
+    office.attach('w1', QuietSink(begin_lives))
+    office.attach('w2', QuietSink(begin_lives))
+    office.detach_gone()
+    assert [sink.is_closed for sink in begun] == [False, False]
+
+
 def test_looks_are_rare_while_jobs_load(bench: Bench) -> None:
     """Lists take their part of the link, and none is read before."""
     bench.office.await_jobs()
