Let a count that fails by a fault hold up no later one

Cause: only errors of the store ended a shared read. After any other one, also a thread that could not be started, the read counted as under way for good, and no caller got a count of that queue any more. Found by reading.

test_a_read_that_ends_by_a_fault_holds_up_no_later_one failed before (the answer came at the caller's deadline).

--- a/src/gentianpulley/cluster/waiting_counts.py
+++ b/src/gentianpulley/cluster/waiting_counts.py
@@ -66,8 +66,8 @@
 
     def _ensure_read(self) -> None:
         if not self._is_reading:
-            self._is_reading = True
             threading.Thread(target=self._read, daemon=True).start()
+            self._is_reading = True
 
     def _read(self) -> None:
         began_ms = now_ms()
@@ -75,6 +75,10 @@
             entries = self._count()
         except StoreError as exc:
             outcome = _Outcome(began_ms, now_ms(), fault=exc)
+        except Exception as fault:
+            # Callers tell of it; a read that never ends would stop all later.
+            failed = StoreError(f'the count failed: {fault!r}')
+            outcome = _Outcome(began_ms, now_ms(), fault=failed)
         else:
             outcome = _Outcome(began_ms, now_ms(), entries)
         with self._changed:
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -41,6 +41,7 @@
         super().__init__(HttpAddress('127.0.0.1', 1), create_counters())
         self.pages = 0
         self.fails = False
+        self.is_faulty = False
         self.lock = threading.Lock()
         self.answers = threading.Event()
         self.answers.set()
@@ -53,6 +54,8 @@
             self.pages += 1
         if self.fails:
             raise StoreRefusedError('busy')
+        if self.is_faulty:
+            raise ValueError('a fault of the program')
         number = int(after.removeprefix(prefix) or '0') + 1
         mark = Entry(f'{prefix}{number}', b'', 1)
         return Page((mark,), 1, is_last=number == PAGES)
@@ -135,6 +138,18 @@
     assert store.pages == 1 + PAGES
 
 
+def test_a_read_that_ends_by_a_fault_holds_up_no_later_one(
+    store: SlowStore, submissions: Submissions
+) -> None:
+    """Nothing was ever counted again, as that read never ended."""
+    store.is_faulty = True
+    latest_ms = deadline_in(LONG_MS // 2)
+    assert _ask(submissions).reception is Reception.REFUSED
+    assert not has_passed(latest_ms)
+    store.is_faulty = False
+    wait_until(lambda: _ask(submissions).waiting == PAGES)
+
+
 def test_queues_are_counted_apart(
     store: SlowStore, submissions: Submissions
 ) -> None:
