Let renewals and watches go on after a fault of the program

Cause: the threads ended at whatever is no error of the store. A watch that ended left a leader in office that learned of no more jobs, cancellations or workers. Found by reading.

test_renewals_that_end_by_faults_end_no_thread and test_a_watch_goes_on_after_a_fault failed before (not in time).

--- a/src/gentianpulley/cluster/key_keeper.py
+++ b/src/gentianpulley/cluster/key_keeper.py
@@ -95,6 +95,9 @@
                 self._renew()
             except StoreError as exc:
                 self._log.store_trouble(exc.text)
+            except Exception as fault:
+                # The key lapses once no thread is left.
+                self._log.internal_fault(repr(fault))
 
     def _await_turn(self) -> bool:
         """Return when a renewal is due; False once this is closed."""
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -46,15 +46,10 @@
         self._revision = revision
         while not self.office.tenure.is_over():
             try:
-                self.follow(self._revision)
-            except DeposedError as exc:
-                self.office.resign(exc.text)
-            except StoreCompactedError as gone:
-                self._note_trouble(gone)
-                Event().wait(RETRY_S)
-                self._read_again()
-            except StoreError as broken:
-                self._note_trouble(broken)
+                self._follow_on()
+            except Exception as fault:
+                # Without this thread the leader would see nothing more.
+                self.office.log.internal_fault(repr(fault))
                 Event().wait(RETRY_S)
 
     def note_seen(self) -> None:
@@ -74,6 +69,20 @@
     def read_all(self) -> int:
         """Report everything that is there; returns the revision."""
 
+    def _follow_on(self) -> None:
+        """Follow until the watch breaks; read all once history is gone."""
+        try:
+            self.follow(self._revision)
+        except DeposedError as exc:
+            self.office.resign(exc.text)
+        except StoreCompactedError as gone:
+            self._note_trouble(gone)
+            Event().wait(RETRY_S)
+            self._read_again()
+        except StoreError as broken:
+            self._note_trouble(broken)
+            Event().wait(RETRY_S)
+
     def _note_trouble(self, exc: StoreError) -> None:
         """Resign once nothing was seen for as long as a succession takes.
 
--- a/tests/test_blind_leader.py
+++ b/tests/test_blind_leader.py
@@ -14,6 +14,7 @@
 from gentianpulley.deadline import deadline_in, now_ms
 from gentianpulley.errors import StoreAnswerLostError, StoreCompactedError
 from gentianpulley.logs import EventLog
+from standins.grid_site import wait_until
 
 TIMING = Timing(
     lease_ms=100, max_lease_ms=100, tenure_ms=100, stop_ms=50, look_ms=50
@@ -41,6 +42,41 @@
         raise StoreAnswerLostError('lost')
 
 
+class FaultyWatch(LeaderWatch):
+    """A watch whose first changes meet a fault of the program."""
+
+    def __init__(self, office: Office) -> None:
+        """Follow nothing yet."""
+        super().__init__(office, 'jobs')
+        self.followed = 0
+
+    def follow(self, revision: int) -> None:
+        """Fail once."""
+        self.followed += 1
+        if self.followed == 1:
+            raise ValueError('a fault of the program')
+        raise StoreAnswerLostError('cut')
+
+    def read_all(self) -> int:
+        """Return a revision."""
+        return 1
+
+
+def _office(tenure: Tenure) -> Office:
+    log = EventLog()
+    reign = Reign(1, now_ms(), frozenset(), TIMING)
+    return Office(create_scheduler(reign, log), tenure, create_counters(), log)
+
+
+def test_a_watch_goes_on_after_a_fault() -> None:
+    """Its thread ended, and the leader stayed in office and saw nothing."""
+    tenure = Tenure(deadline_in(LONG_MS), 0)
+    watch = FaultyWatch(_office(tenure))
+    threading.Thread(target=watch.run, args=(1,), daemon=True).start()
+    wait_until(lambda: watch.followed > 1, WATCHED_S)
+    tenure.resign('the test is over')
+
+
 @pytest.mark.parametrize(
     ('can_read', 'certain_ms', 'resigns'),
     [
@@ -53,13 +89,8 @@
 def test_a_leader_resigns_only_if_another_may_see_more(
     can_read: bool, certain_ms: int, resigns: bool
 ) -> None:
-    log = EventLog()
     tenure = Tenure(deadline_in(LONG_MS), deadline_in(certain_ms))
-    reign = Reign(1, now_ms(), frozenset(), TIMING)
-    office = Office(
-        create_scheduler(reign, log), tenure, create_counters(), log
-    )
-    watch = GoneWatch(office, can_read=can_read)
+    watch = GoneWatch(_office(tenure), can_read=can_read)
     threading.Thread(target=watch.run, args=(1,), daemon=True).start()
     time.sleep(WATCHED_S)
     assert tenure.is_over() is resigns
--- a/tests/test_key_renewals.py
+++ b/tests/test_key_renewals.py
@@ -118,6 +118,23 @@
     assert max(gaps_ms) < RENEW_MS + LATE_MS
 
 
+class FaultyRenewals(Renewals):
+    """Renewals that end by a fault of the program."""
+
+    def send(self) -> None:
+        """Note when a renewal is sent, and fail."""
+        self.sent_ms.append(now_ms())
+        raise ValueError('a fault of the program')
+
+
+def test_renewals_that_end_by_faults_end_no_thread() -> None:
+    """Each took one of the threads along, and the key lapsed."""
+    renewals = FaultyRenewals()
+    keeper = KeyKeeper(renewals.send, now_ms(), EventLog())
+    wait_until(lambda: len(renewals.sent_ms) > RENEWALS_UNDER_WAY)
+    keeper.close()
+
+
 def test_a_closed_keeper_sends_no_renewal() -> None:
     renewals = Renewals()
     keeper = KeyKeeper(renewals.send, now_ms(), EventLog())
