Close a reign that a fault keeps from opening

Cause: since sessions are open before jobs are read, and a reign was closed only after an error of the store. After any other one the sessions' threads stayed, two for each worker, and each further try added as many. Found by reading.

test_one_that_cannot_load_by_a_fault_calls_no_worker_any_more failed before (its threads were alive after 5 s).

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -155,12 +155,12 @@
         leader.open_waves(self._waves)
 
     def _open(self, leader: Leader) -> None:
-        try:
+        """Open a reign; one that cannot be opened leaves nothing open."""
+        with ExitStack() as undo:
+            undo.callback(self._candidature.rest)
+            undo.callback(leader.close)
             leader.open()
-        except StoreError:
-            leader.close()
-            self._candidature.rest()
-            raise
+            undo.pop_all()
 
     def _hold(self, leader: Leader) -> None:
         tenure = self._tenure
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -1,5 +1,6 @@
 """Elections between instances of different sizes, over a stand-in store."""
 
+import threading
 import time
 from base64 import b64decode
 from collections.abc import Iterator
@@ -32,6 +33,7 @@
     wait_until,
 )
 from standins.grid_store import HOST, GridStore
+from standins.grid_worker import GridWorker
 
 SMALL = 516
 LARGEST = 8000
@@ -54,6 +56,17 @@
         return super().read_page(prefix, after)
 
 
+class FaultyStore(KvStore):
+    """A store whose jobs meet a fault of the program."""
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return a page, or fail if it holds jobs."""
+        if prefix == SPEC_PREFIX:
+            time.sleep(0.3)
+            raise ValueError(prefix)
+        return super().read_page(prefix, after)
+
+
 class DeafStore(KvStore):
     """A store that renews leases, while its answers never come."""
 
@@ -222,6 +235,25 @@
     wait_until(lambda: race.store.item(LEADER_KEY) not in (None, first), 5)
 
 
+def test_one_that_cannot_load_by_a_fault_calls_no_worker_any_more(
+    race: Race,
+) -> None:
+    """Sessions are open before the jobs are read, and stayed open."""
+    worker = GridWorker(race.store, 'w1')
+    worker.run_in_background()
+    race.join_impaired('faulty', LARGEST, FaultyStore)
+    wait_until(lambda: _sessions('w1'))
+    opened = _sessions('w1')
+    wait_until(lambda: not any(each.is_alive() for each in opened), 5)
+    worker.shutdown()
+    worker.server_close()
+
+
+def _sessions(worker_id: str) -> list[threading.Thread]:
+    name = f'look-{worker_id}'
+    return [each for each in threading.enumerate() if each.name == name]
+
+
 def test_an_offer_whose_owner_died_is_not_acted_on(race: Race) -> None:
     leader = race.join('small', SMALL)
     wait_until(lambda: leader.is_leading)
