--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -2,8 +2,8 @@
 
 A watch that broke goes on where it was. Once the store has dropped that
 history, everything is read anew: what is known already stays, so reading twice
-does no harm. A leader that can do neither for long,
-while the store answers the renewals of its key, leaves the office to another.
+does no harm. A leader that can do neither for long, while the store answers the
+renewals of its key, leaves the office to another.
 """
 
 from abc import ABC, abstractmethod
