Free the key at once when an instance stops while it loads

Cause: stopping hands over what a leader holds, and one that still reads the jobs is none yet. It went on reading, for seconds on a narrow link, and kept the key meanwhile for a reign that ended as soon as it began. Found by reading.

Why it works: nothing of the reign has acted yet, so its tenure ends and the key goes; what is still read ends in a store that refuses its writes, or is closed after it.

test_one_that_stops_while_it_loads_frees_the_key failed before (the key was still held after 1 s, with jobs that take 4 s to read).

--- a/src/gentianpulley/cluster/campaign.py
+++ b/src/gentianpulley/cluster/campaign.py
@@ -91,8 +91,14 @@
             self.log.store_trouble(exc.text)
 
     def hand_over(self) -> None:
-        """Stop campaigning; a leader writes its state and frees the key."""
+        """Stop campaigning; a leader writes its state and frees the key.
+
+        One that still loads has nothing to write.
+        """
         self.stop()
+        if self._leader is None and self._tenure is not None:
+            self._tenure.resign('stopped before it led')
+            self._end_lease()
         self._free_key()
         self._candidature.withdraw()
 
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -40,6 +40,7 @@
 LARGE = 2151
 JOB = '/batch/00000000000000a1'
 TAKE_OVER_S = 18
+LOADING_S = 4.0
 SHORT_TIMING = Timing(
     lease_ms=500, max_lease_ms=500, tenure_ms=2500, stop_ms=50, look_ms=50
 )
@@ -67,6 +68,16 @@
         return super().read_page(prefix, after)
 
 
+class SlowStore(KvStore):
+    """A store whose jobs take long to read."""
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return a page, late if it holds jobs."""
+        if prefix == SPEC_PREFIX:
+            time.sleep(LOADING_S)
+        return super().read_page(prefix, after)
+
+
 class DeafStore(KvStore):
     """A store that renews leases, while its answers never come."""
 
@@ -254,6 +265,18 @@
     return [each for each in threading.enumerate() if each.name == name]
 
 
+def test_one_that_stops_while_it_loads_frees_the_key(race: Race) -> None:
+    """It went on loading, and kept the key for a reign that never came."""
+    stopping = race.join_impaired('stopping', LARGEST, SlowStore)
+    wait_until(race.leader)
+    time.sleep(0.5)
+    stopping.hand_over()
+    wait_until(lambda: not race.leader(), 1)
+    time.sleep(LOADING_S)
+    assert not race.leader()
+    assert not stopping.is_leading
+
+
 def test_an_offer_whose_owner_died_is_not_acted_on(race: Race) -> None:
     leader = race.join('small', SMALL)
     wait_until(lambda: leader.is_leading)
