Let records be written after a fault of the program

What callers would see: after one unexpected exception in the thread that writes records, or in detach_gone in the thread that plans, that thread was gone: no end was written or acknowledged any more, or nothing was placed, while the leader's key went on to be renewed.

The test failed before (no second write within its wait) and passes now.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -228,16 +228,17 @@
             office.work_came.clear()
             try:
                 office.plan()
+                office.detach_gone()
             except Exception as fault:
                 # One faulty plan must not end the thread that plans.
                 self._log.internal_fault(repr(fault))
-            office.detach_gone()
             threading.Event().wait(_plan_gap_s(office))
 
     def _save_loop(self, office: Office, workers: WorkerWatch) -> None:
         while not self._tenure.is_over():
             office.ends_came.wait(IDLE_SAVE_S)
             office.ends_came.clear()
+            gap_s = SAVE_GAP_S
             try:
                 self._save_and_tidy(office, workers)
             except DeposedError as exc:
@@ -245,8 +246,12 @@
             except StoreError as exc:
                 self._log.store_trouble(exc.text)
                 office.ends_came.set()
-                threading.Event().wait(RETRY_S)
-            threading.Event().wait(SAVE_GAP_S)
+                gap_s = RETRY_S
+            except Exception as fault:
+                # Without this thread nothing is written or acknowledged.
+                self._log.internal_fault(repr(fault))
+                gap_s = RETRY_S
+            threading.Event().wait(gap_s)
 
     def _save_and_tidy(self, office: Office, workers: WorkerWatch) -> None:
         self._save(office)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from gentianpulley.cluster.job_book import LEADER_KEY, job_key
+from gentianpulley.cluster.job_book import LEADER_KEY, JobBook, job_key
 from gentianpulley.cluster.leader import (
     Leader,
     certain_end_ms,
@@ -118,6 +118,23 @@
     assert office.scheduler.harm.harm('serves', 'fill') > 0
 
 
+def test_records_are_written_after_a_fault(
+    store: GridStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The thread that writes ended, and no end was acknowledged any more."""
+    tidied: list[int] = []
+
+    def faulty(book: JobBook, before_ms: int) -> int:
+        tidied.append(before_ms)
+        raise ValueError('a fault of the program')
+
+    monkeypatch.setattr(JobBook, 'forget_ended', faulty)
+    leader = _leader(store)
+    leader.open()
+    wait_until(lambda: len(tidied) > 1)
+    leader.close()
+
+
 def test_a_short_reign_leaves_what_it_waited_out(store: GridStore) -> None:
     """Inherited work waited for workers that had left before both reigns."""
     store.put(ROSTER_KEY, [WORKER_ID])
