Keep caring for a worker after a fault of the program

What callers would see: one unexpected exception in a call to a worker, or in what its answer brings about, ended the thread that looks at it or the one that orders. Its lease ran out, or its orders piled up and no stop left any more (UNASKED), until its next life.

Both tests failed before: the worker got no further look, and a stop that met the fault was never sent again. The threads go on now. A start that a fault has lost is barred and placed again as one without an answer, a pace is told again by the next look; a stop is held back and sent again.

--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -107,7 +107,13 @@
 
         A call of the other one may be under way until then.
         """
-        loop()
+        while not self._closed.is_set():
+            try:
+                loop()
+            except Exception as fault:
+                # One faulty call must not end the care for this worker.
+                self._office.log.internal_fault(repr(fault))
+                self._closed.wait(RETRY_PAUSE_S)
         with self._ending:
             self._running -= 1
             is_last = not self._running
@@ -149,7 +155,7 @@
             self.close()
             return False
         except WorkerError as exc:
-            self._note_trouble('looks', exc)
+            _note_trouble(self._office, self.worker, 'looks', exc)
             self._office.unreached(self.worker)
             return False
         self._acknowledged.clear()
@@ -162,11 +168,24 @@
             queued = self._orders.get()
             if queued is None:
                 return
-            is_sent = self._office.may_act(now_ms()) and self._try(queued)
-            if not is_sent:
+            if not self._carry_out(queued):
                 self._closed.wait(RETRY_PAUSE_S)
                 self._orders.put(queued)
 
+    def _carry_out(self, queued: QueuedOrder) -> bool:
+        """Send an order if that may be; False if it has to wait.
+
+        What becomes of a start that a fault has lost is asked for anyway,
+        and paces are told again; a stop would be missed.
+        """
+        try:
+            return self._office.may_act(now_ms()) and self._try(queued)
+        except Exception as fault:
+            self._office.log.internal_fault(repr(fault))
+            if isinstance(queued.order, StopOrder):
+                self._orders.put_later(_again(queued))
+        return True
+
     def _try(self, queued: QueuedOrder) -> bool:
         """Send an order; False if it has to wait.
 
@@ -217,11 +236,8 @@
         except WorkerFencedError as exc:
             self._office.resign(exc.text)
         except WorkerError as exc:
-            self._note_trouble('stops', exc)
-            again_ms = deadline_in(RETRY_PAUSE_MS)
-            self._orders.put_later(
-                DelayedStop(QueuedOrder(order, since_ms), again_ms)
-            )
+            _note_trouble(self._office, self.worker, 'stops', exc)
+            self._orders.put_later(_again(QueuedOrder(order, since_ms)))
         else:
             self._office.stopped(order)
 
@@ -232,15 +248,10 @@
             self._office.resign(exc.text)
         except WorkerError as exc:
             # The next look shows the old pace, which asks for it again.
-            self._note_trouble('paces', exc)
+            _note_trouble(self._office, self.worker, 'paces', exc)
         else:
             self._office.paced(order)
 
-    def _note_trouble(self, kind: str, exc: WorkerError) -> None:
-        """Count and tell a call without a useful answer."""
-        self._office.counters.add(f'{kind}_failed_{trouble_of(exc)}')
-        self._office.log.worker_trouble(self.worker.worker_id, exc.text)
-
 
 def open_session(
     office: Office, worker: Worker, link: WorkerLink
@@ -249,3 +260,16 @@
     session = WorkerSession(office, worker, link)
     session.start()
     return session
+
+
+def _again(stop: QueuedOrder) -> DelayedStop:
+    """Return a stop that failed, to be sent after a pause."""
+    return DelayedStop(stop, deadline_in(RETRY_PAUSE_MS))
+
+
+def _note_trouble(
+    office: Office, worker: Worker, kind: str, exc: WorkerError
+) -> None:
+    """Count and tell a call without a useful answer."""
+    office.counters.add(f'{kind}_failed_{trouble_of(exc)}')
+    office.log.worker_trouble(worker.worker_id, exc.text)
--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -34,6 +34,7 @@
 TRIES = 3
 SHORT_WAIT_MS = 100
 LOOK_S = 0.02
+RESET = WorkerUnreachableError('connection reset')
 
 
 class HeldLink(WorkerLink):
@@ -51,7 +52,7 @@
         self.looks = threading.Event()
         self.looks.set()
         self.closed_in = ''
-        self.fails_stops = False
+        self.stop_trouble: Exception | None = None
 
     def look(self, order: LookOrder) -> Listing:
         """List what runs, until looks are held too."""
@@ -70,8 +71,8 @@
     def stop(self, order: StopOrder, sent: Sent) -> None:
         """Note the stop."""
         self._note(f'stop {order.key.task_id.ordinal}')
-        if self.fails_stops:
-            raise WorkerUnreachableError('connection reset')
+        if self.stop_trouble is not None:
+            raise self.stop_trouble
 
     def pace(self, order: PaceOrder, sent: Sent) -> None:
         """Note the pace."""
@@ -167,7 +168,7 @@
     bench: Bench,
 ) -> None:
     """The starts behind it waited until they were barred."""
-    bench.link.fails_stops = True
+    bench.link.stop_trouble = RESET
     bench.stop(2)
     bench.link.released.set()
     wait_until(lambda: bench.link.sent.count('stop 2') > TRIES)
@@ -177,14 +178,17 @@
     assert sent.index('start 3') < _nth(sent, 'stop 2', 2)
 
 
-def test_a_stop_that_failed_is_sent_again(bench: Bench) -> None:
-    bench.link.fails_stops = True
+@pytest.mark.parametrize('trouble', [RESET, ValueError('a fault')])
+def test_a_stop_that_failed_is_sent_again(
+    bench: Bench, trouble: Exception
+) -> None:
+    bench.link.stop_trouble = trouble
     key = bench.key_of(2)
     bench.stop(2)
     bench.link.released.set()
     wait_until(lambda: 'stop 2' in bench.link.sent)
     assert bench.session.backlog()[0]
-    bench.link.fails_stops = False
+    bench.link.stop_trouble = None
     wait_until(lambda: not bench.session.backlog()[0])
     wait_until(lambda: key not in bench.worker.charges)
 
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -42,7 +42,7 @@
 
     def __init__(self) -> None:
         """Answer nothing yet."""
-        self.answers: queue.Queue[WorkerError | None] = queue.Queue()
+        self.answers: queue.Queue[Exception | None] = queue.Queue()
         self.looks = 0
         self.started: list[StartOrder] = []
         self.verdict = StartVerdict.ACCEPTED
@@ -203,6 +203,13 @@
     assert [sink.is_closed for sink in begun] == [False, False]
 
 
+def test_a_session_goes_on_after_a_fault(bench: Bench) -> None:
+    """Its thread ended, and the worker got no look any more."""
+    looks = bench.link.looks
+    bench.link.answers.put(ValueError('a fault of the program'))
+    wait_until(lambda: bench.link.looks > looks, WAIT_S)
+
+
 def test_looks_are_rare_while_jobs_load(bench: Bench) -> None:
     """Lists take their part of the link, and none is read before."""
     bench.office.await_jobs()
