Renew leases soon after the first look of a leader that loads

What callers would see: tasks that lapse after a change of the leader. While jobs load, the second look came 1.5 s after the first, and only the second renews the lease, as the first learns the worker's clock. A dead leader's lease of 5.5 s may have 1.5 s left by then or less: up to 2.0 s until its key lapses, up to 1.1 s until it is taken, and up to a look since the last renewal.

The looks after that stay 1.5 s apart, so the link carries one more list a worker.

--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -45,8 +45,11 @@
 
 LOADING_LOOK_GAP_S: Final = 1.5
 """Pause between looks while jobs load: they only renew leases, and lists take
-their part of the link. The first look learns the worker's clock and the second
-renews, so this stays below what is left of a dead leader's leases."""
+their part of the link."""
+
+FIRST_LEASE_GAP_S: Final = 0.3
+"""The same until a look has renewed the lease: the first one only learns the
+worker's clock, and up to three seconds of a dead leader's lease have passed."""
 
 LONGEST_START_WAIT_MS: Final = 2000
 """A start that waited longer behind other orders is placed again, where there
@@ -64,6 +67,7 @@
         self._office = office
         self._link = link
         self._orders = OrderQueue()
+        self._has_renewed = False
         self._closed = threading.Event()
         self._acknowledged = threading.Event()
         self.reached = threading.Event()
@@ -126,7 +130,11 @@
             if self._look(wait_ms):
                 wait_ms = self._office.look_ms
                 self._closed.wait(SHORTEST_LOOK_GAP_S)
-                self._office.jobs_loaded.wait(LOADING_LOOK_GAP_S)
+                self._office.jobs_loaded.wait(
+                    LOADING_LOOK_GAP_S
+                    if self._has_renewed
+                    else FIRST_LEASE_GAP_S
+                )
                 # Ends are listed at once, until they are acknowledged.
                 if self.worker.unsaved_ends:
                     self._acknowledged.wait(LONGEST_LOOK_GAP_S)
@@ -158,6 +166,7 @@
             _note_trouble(self._office, self.worker, 'looks', exc)
             self._office.unreached(self.worker)
             return False
+        self._has_renewed |= order.lease_worker_ms > 0
         self._acknowledged.clear()
         self._office.listed(self.worker, listing, sent_ms)
         self.reached.set()
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -44,12 +44,14 @@
         """Answer nothing yet."""
         self.answers: queue.Queue[Exception | None] = queue.Queue()
         self.looks = 0
+        self.leases: list[int] = []
         self.started: list[StartOrder] = []
         self.verdict = StartVerdict.ACCEPTED
 
     def look(self, order: LookOrder) -> Listing:
         """Wait for the next answer."""
         self.looks += 1
+        self.leases.append(order.lease_worker_ms)
         trouble = self.answers.get(timeout=WAIT_S)
         if trouble is not None:
             raise trouble
@@ -210,6 +212,21 @@
     wait_until(lambda: bench.link.looks > looks, WAIT_S)
 
 
+def test_the_first_lease_is_given_soon_while_jobs_load() -> None:
+    """Leases of a dead leader ran out in the pause before the second look."""
+    tenure = Tenure(now_ms() + 60_000, now_ms() + 60_000)
+    site = hand_site()
+    office = Office(site.scheduler, tenure, create_counters(), EventLog())
+    office.await_jobs()
+    site.scheduler.update_worker(facts('w1'), now_ms())
+    link = ScriptedLink()
+    session = open_session(office, site.scheduler.workers['w1'], link)
+    link.answers.put(None)
+    wait_until(lambda: any(link.leases), SETTLE_S)
+    session.close()
+    link.answers.put(REBORN)
+
+
 def test_looks_are_rare_while_jobs_load(bench: Bench) -> None:
     """Lists take their part of the link, and none is read before."""
     bench.office.await_jobs()
