--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 lint:
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 src standins tests demo bench
+	$(BIN)/flake8 src standins tests demo bench soak
 
 types:
 	$(BIN)/mypy
@@ -42,6 +42,12 @@
 	$(BIN)/python -m pytest -n $(LANES) $(foreach id,$(KNOWN_RED),--deselect '$(id)')
 	-$(foreach id,$(KNOWN_RED),$(BIN)/python -m pytest -q '$(id)';)
 
+# Random faults against real processes; without SEED a new one is drawn.
+SECONDS ?= 60
+.PHONY: soak
+soak: setup
+	$(BIN)/python -m soak --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
 format: setup
 	$(BIN)/ruff format .
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,281 @@
+"""Callers of a soak: they submit jobs, ask for them and cancel some.
+
+A caller keeps its connection to an instance until that breaks, also while the
+instance stops, and remembers every answer.
+"""
+
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from typing import Any, Final
+
+from soak.site import Instance, SoakSite
+
+ANSWER_S: Final = 3.5
+DEADLINE_MS: Final = 3000
+PAUSE_S: Final = (0.05, 0.35)
+ID_BITS: Final = 64
+PROCESSORS_MILLI: Final = (1000, 2000, 4000)
+HOST_NAME: Final = 'fit.example'
+COMPLETED: Final = 'completed'
+FINAL_STATES: Final = frozenset((COMPLETED, 'failed'))
+ACCEPTED: Final = 200
+GONE: Final = 410
+REFUSALS: Final = frozenset((404, 429, 503))
+ENDLESS_MS: Final = 10_000_000
+ENDLESS_SHARE: Final = 0.12
+HOPELESS_SHARE: Final = 0.06
+CANCEL_SHARE: Final = 0.15
+SUBMIT_SHARE: Final = 0.4
+MOST_ENDLESS: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class StepPlan:
+    """Equal tasks; `after` holds the numbers of earlier steps."""
+
+    count: int
+    processors_milli: int
+    after: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class JobPlan:
+    """What a caller submits."""
+
+    job_id: str
+    path: str
+    payload: str
+    steps: tuple[StepPlan, ...]
+    is_endless: bool = False
+    is_hopeless: bool = False
+
+    @property
+    def task_count(self) -> int:
+        """Return how many tasks the job has."""
+        return sum(step.count for step in self.steps)
+
+    @property
+    def expected_end(self) -> str:
+        """Return the state that the job has to come to."""
+        return 'failed' if self.is_hopeless else 'completed'
+
+    def first_tasks(self) -> list[str]:
+        """Return the names of the first step's tasks."""
+        count = self.steps[0].count
+        return [f'{self.job_id}.0.0.{ordinal}' for ordinal in range(count)]
+
+    def body(self) -> bytes:
+        """Return the submission."""
+        phases = [_phase(step, self.is_endless) for step in self.steps]
+        return json.dumps(
+            {'task_spec': self.payload, 'phases': phases}
+        ).encode()
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One call as its caller saw it; status 0 stands for no answer."""
+
+    instance: str
+    method: str
+    sent_s: float
+    heard_s: float
+    status: int
+    state: str = ''
+
+
+@dataclass
+class Story:
+    """A job and all answers about it."""
+
+    plan: JobPlan
+    answers: list[Answer] = field(default_factory=list)
+
+    @property
+    def accepted_s(self) -> float:
+        """Return when the job was accepted, 0 if it never was."""
+        return self._first('POST')
+
+    @property
+    def cancelled_s(self) -> float:
+        """Return when its cancellation was answered, 0 if it never was."""
+        return self._first('DELETE')
+
+    @property
+    def completed_s(self) -> float:
+        """Return when it was first shown as completed, 0 if never."""
+        heard = [
+            each.heard_s for each in self.answers if each.state == COMPLETED
+        ]
+        return min(heard, default=0)
+
+    @property
+    def is_cancel_sent(self) -> bool:
+        """Tell whether anybody tried to cancel it."""
+        return any(each.method == 'DELETE' for each in self.answers)
+
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether every attempt to submit it was refused."""
+        posts = [each for each in self.answers if each.method == 'POST']
+        return bool(posts) and all(each.status in REFUSALS for each in posts)
+
+    def _first(self, method: str) -> float:
+        heard = [
+            each.heard_s
+            for each in self.answers
+            if each.method == method and each.status == ACCEPTED
+        ]
+        return min(heard, default=0)
+
+
+class Caller:
+    """One caller with one connection to each instance."""
+
+    def __init__(self, site: SoakSite, seed: int) -> None:
+        """Begin with no job."""
+        self.stories: list[Story] = []
+        self._site = site
+        self._rng = random.Random(seed)
+        self._conns: dict[str, HTTPConnection] = {}
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._work, daemon=True)
+
+    def start(self) -> None:
+        """Begin to call."""
+        self._thread.start()
+
+    def finish(self) -> None:
+        """Submit nothing more, and wait for the call under way."""
+        self._stopping.set()
+        self._thread.join()
+
+    def ask(self, story: Story) -> str:
+        """Return the state that some instance shows of a job."""
+        return self._call(story, 'GET').state
+
+    def _work(self) -> None:
+        while not self._stopping.wait(self._rng.uniform(*PAUSE_S)):
+            open_stories = [story for story in self.stories if _is_open(story)]
+            if not open_stories or self._rng.random() < SUBMIT_SHARE:
+                self._submit(sum(_is_endless(each) for each in open_stories))
+            elif self._rng.random() < CANCEL_SHARE:
+                self._call(self._rng.choice(open_stories), 'DELETE')
+            else:
+                self._call(self._rng.choice(open_stories), 'GET')
+
+    def _submit(self, endless: int) -> None:
+        plan = draw_job(self._rng)
+        while plan.is_endless and endless >= MOST_ENDLESS:
+            plan = draw_job(self._rng)
+        story = Story(plan)
+        self.stories.append(story)
+        answer = self._call(story, 'POST')
+        while answer.status not in {ACCEPTED, *REFUSALS}:
+            if self._stopping.wait(self._rng.uniform(*PAUSE_S)):
+                return
+            answer = self._call(story, 'POST')
+
+    def _call(self, story: Story, method: str) -> Answer:
+        instance = self._rng.choice(self._site.instances)
+        sent_s = time.monotonic()
+        status, state = self._exchange(instance, story.plan, method)
+        heard_s = time.monotonic()
+        answer = Answer(instance.name, method, sent_s, heard_s, status, state)
+        story.answers.append(answer)
+        return answer
+
+    def _exchange(
+        self, instance: Instance, plan: JobPlan, method: str
+    ) -> tuple[int, str]:
+        body = plan.body() if method == 'POST' else None
+        headers = {'Host': HOST_NAME, 'X-Deadline-Ms': str(DEADLINE_MS)}
+        conn = self._conn_to(instance)
+        try:
+            conn.request(method, plan.path, body, headers)
+            resp = conn.getresponse()
+            told = resp.read()
+        except (OSError, HTTPException):
+            self._drop_conn(instance)
+            return 0, ''
+        state = json.loads(told or b'{}').get('state', '')
+        return resp.status, str(state)
+
+    def _conn_to(self, instance: Instance) -> HTTPConnection:
+        conn = self._conns.get(instance.name)
+        if conn is None:
+            front = instance.front
+            conn = HTTPConnection(front.host, front.port, timeout=ANSWER_S)
+            self._conns[instance.name] = conn
+        return conn
+
+    def _drop_conn(self, instance: Instance) -> None:
+        conn = self._conns.pop(instance.name, None)
+        if conn is not None:
+            conn.close()
+
+
+def draw_job(rng: random.Random) -> JobPlan:
+    """Return a job of one of the kinds that sites have."""
+    kind = rng.random()
+    if kind < ENDLESS_SHARE:
+        return _endless_job(rng)
+    if kind < ENDLESS_SHARE + HOPELESS_SHARE:
+        return _hopeless_job(rng)
+    job_id = _draw_id(rng)
+    milli = rng.choice(PROCESSORS_MILLI)
+    steps = (
+        StepPlan(rng.randint(1, 5), milli),
+        StepPlan(rng.randint(1, 3), milli, (0,)),
+    )
+    payload = json.dumps({'ms': rng.randint(50, 900), 'of': job_id})
+    path = rng.choice(('/quick/', '/batch/')) + job_id
+    return JobPlan(job_id, path, payload, steps)
+
+
+def _endless_job(rng: random.Random) -> JobPlan:
+    job_id = _draw_id(rng)
+    steps = (StepPlan(rng.randint(1, 3), rng.choice(PROCESSORS_MILLI)),)
+    payload = json.dumps({'ms': ENDLESS_MS, 'of': job_id})
+    return JobPlan(job_id, f'/batch/{job_id}', payload, steps, is_endless=True)
+
+
+def _hopeless_job(rng: random.Random) -> JobPlan:
+    job_id = _draw_id(rng)
+    steps = (StepPlan(1, rng.choice(PROCESSORS_MILLI)),)
+    work = {'ms': rng.randint(20, 200), 'fail': 1, 'of': job_id}
+    return JobPlan(
+        job_id, f'/quick/{job_id}', json.dumps(work), steps, is_hopeless=True
+    )
+
+
+def _draw_id(rng: random.Random) -> str:
+    return f'{rng.getrandbits(ID_BITS):016x}'
+
+
+def _phase(step: StepPlan, is_endless: bool) -> dict[str, Any]:
+    phase: dict[str, Any] = {
+        'count': step.count,
+        'cpu': step.processors_milli,
+        'mem_mb': 1,
+    }
+    if step.after:
+        phase['after'] = list(step.after)
+    if is_endless:
+        phase['long_running'] = True
+    return phase
+
+
+def _is_open(story: Story) -> bool:
+    """Tell whether a caller still has an interest in a job."""
+    if not story.accepted_s or story.is_cancel_sent:
+        return False
+    return story.answers[-1].state not in FINAL_STATES
+
+
+def _is_endless(story: Story) -> bool:
+    return story.plan.is_endless
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,111 @@
+"""An instance as a process of its own, stopped and started by signals."""
+
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Final
+
+SETTINGS_VARIABLE: Final = 'GENTIANPULLEY_NODE_FILE'
+ENTRY_PROGRAM: Final = 'src/gentianpulley_node.py'
+POLL_S: Final = 0.05
+
+
+class InstanceProcess:
+    """One instance; it is ended by its own process id only.
+
+    `own_ends` counts how often the process ended without being told to, and
+    `late_stops` how often it had to be killed after a planned stop.
+    """
+
+    def __init__(self, settings: Path, log: Path, program: str) -> None:
+        """Prepare; output is added to a log file."""
+        self.log = log
+        self.own_ends = 0
+        self.late_stops = 0
+        self._settings = settings
+        self._program = program
+        self._popen: subprocess.Popen[bytes] | None = None
+        self._is_wanted = False
+        self._is_frozen = False
+        self._holders = 0
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        with self._lock:
+            self._is_wanted = True
+            if self._popen is None or self._popen.poll() is not None:
+                self._popen = self._launch()
+
+    def hold_down(self) -> None:
+        """Keep the process from being started; faults may overlap."""
+        with self._lock:
+            self._holders += 1
+            self._is_wanted = False
+
+    def let_up(self) -> None:
+        """Start the process again once no fault holds it down."""
+        with self._lock:
+            self._holders -= 1
+            is_free = not self._holders
+        if is_free:
+            self.start()
+
+    def tell(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if there is one."""
+        if number in {signal.SIGSTOP, signal.SIGCONT}:
+            self._is_frozen = number is signal.SIGSTOP
+        popen = self._popen
+        if popen is not None and popen.poll() is None:
+            popen.send_signal(number)
+
+    def is_running(self) -> bool:
+        """Tell whether the process is there."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def revive(self) -> None:
+        """Start a process again that ended although nobody told it to."""
+        with self._lock:
+            has_ended = self._is_wanted and not self.is_running()
+            self.own_ends += has_ended
+        if has_ended:
+            self.start()
+
+    def await_end(self, most_s: float) -> None:
+        """Wait until a process that was told to stop has ended.
+
+        The time during which it stands still does not count.
+        """
+        deadline_s = time.monotonic() + most_s
+        while self.is_running():
+            if self._is_frozen:
+                deadline_s = time.monotonic() + most_s
+            if time.monotonic() > deadline_s:
+                self.late_stops += 1
+                self.tell(signal.SIGKILL)
+                return
+            time.sleep(POLL_S)
+
+    def end(self, most_s: float) -> None:
+        """Stop the process for good."""
+        with self._lock:
+            self._is_wanted = False
+        self.tell(signal.SIGCONT)
+        self.tell(signal.SIGTERM)
+        self.await_end(most_s)
+        if self._popen is not None:
+            self._popen.wait()
+
+    def _launch(self) -> subprocess.Popen[bytes]:
+        env = {**os.environ, SETTINGS_VARIABLE: str(self._settings)}
+        with self.log.open('ab') as output:
+            return subprocess.Popen(
+                [sys.executable, *self._program.split()],
+                env=env,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
--- /dev/null
+++ b/soak/run_promises.py
@@ -0,0 +1,163 @@
+"""Promises about runs, checked from what workers recorded.
+
+Each check yields a line for every breach and nothing when the promise held.
+Bounds in time hold where no fault was near, as the sites' rules have it.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from typing import Final
+
+from soak.callers import Story
+from soak.record import Runs, SoakRecord, follow, place_of
+from soak.site import WORKER_MILLI
+from standins.grid_worker import EventKind, WorkerEvent
+
+CANCEL_S: Final = 3.0
+CLOSE_S: Final = 5.0
+MOST_ATTEMPTS: Final = 3
+
+
+def ran_twice_at_once(record: SoakRecord) -> Iterator[str]:
+    """Find starts of tasks that run elsewhere (TWICE)."""
+    runs: Runs = defaultdict(set)
+    for event in record.events:
+        if event.kind is EventKind.STARTED and runs[event.task]:
+            yield f'TWICE: {_told(event)}, while on {runs[event.task]}'
+        follow(runs, event)
+
+
+def started_after_done(record: SoakRecord) -> Iterator[str]:
+    """Find starts after an end as done that was acknowledged (TWICE)."""
+    done_s: dict[str, float] = {}
+    for end in record.noted_ends('done'):
+        done_s.setdefault(end.task, end.at_s)
+    for event in record.starts():
+        if event.at_s > done_s.get(event.task, event.at_s):
+            yield f'TWICE: {_told(event)}, after its end'
+
+
+def started_too_often(record: SoakRecord) -> Iterator[str]:
+    """Find starts after the last attempt has failed (BUDGET)."""
+    failed: dict[str, list[float]] = defaultdict(list)
+    for end in record.noted_ends('failed'):
+        failed[end.task].append(end.at_s)
+    for event in record.starts():
+        before = [at_s for at_s in failed[event.task] if at_s < event.at_s]
+        if len(before) >= MOST_ATTEMPTS:
+            yield f'BUDGET: {_told(event)}, after {len(before)} failures'
+
+
+def overfilled(record: SoakRecord) -> Iterator[str]:
+    """Find starts that bring a worker over its processors (LIMIT)."""
+    runs: Runs = defaultdict(set)
+    for event in record.events:
+        follow(runs, event)
+        if event.kind is EventKind.STARTED:
+            milli = _processors(record, runs, event.worker_id)
+            if milli > WORKER_MILLI:
+                yield f'LIMIT: {_told(event)}, {milli} of {WORKER_MILLI}'
+
+
+def out_of_order(record: SoakRecord) -> Iterator[str]:
+    """Find starts before the steps that they wait for are done (ORDER)."""
+    first_done: dict[str, float] = {}
+    for end in record.done():
+        first_done.setdefault(end.task, end.at_s)
+    for event in record.starts():
+        story = record.story_of(event.task)
+        if story is not None and not _is_due(story, event, first_done):
+            yield f'ORDER: {_told(event)}'
+
+
+def unasked(record: SoakRecord) -> Iterator[str]:
+    """Find starts that nobody asked for, or not any more (UNASKED, REFUSED)."""
+    for event in record.starts():
+        story = record.story_of(event.task)
+        if story is None or event.detail != story.plan.payload:
+            yield f'UNASKED: {_told(event)}'
+        elif story.is_refused:
+            yield f'REFUSED: {_told(event)}'
+        elif _is_late(record, story, event):
+            yield f'UNASKED: {_told(event)}, after its job was cancelled'
+
+
+def running_in_vain(record: SoakRecord) -> Iterator[str]:
+    """Find tasks of cancelled jobs that run at the end (UNASKED)."""
+    for task, places in record.last_runs().items():
+        story = record.story_of(task)
+        if places and story is not None and story.cancelled_s:
+            yield f'UNASKED: {task} still runs on {places}'
+
+
+def sent_where_closed(record: SoakRecord) -> Iterator[str]:
+    """Find starts on workers that drain or are evacuated (DRAIN, EVAC)."""
+    closed: dict[str, list[float]] = defaultdict(list)
+    for event in record.events:
+        since_s = closed[event.worker_id]
+        if event.kind is EventKind.CLOSED:
+            since_s.append(event.at_s)
+        elif event.kind is EventKind.OPENED:
+            since_s.pop(0)
+        elif _is_late_there(record, event, since_s):
+            yield f'DRAIN or EVAC: {_told(event)}'
+
+
+def _told(event: WorkerEvent) -> str:
+    return f'{event.task} run {event.run} on {event.worker_id}'
+
+
+def _processors(record: SoakRecord, runs: Runs, worker_id: str) -> int:
+    """Return what the tasks on a worker reserve, in thousandths."""
+    steps = [
+        record.step_of(task)
+        for task, places in runs.items()
+        if worker_id in places
+    ]
+    return sum(step.processors_milli for step in steps if step)
+
+
+def _is_due(
+    story: Story, event: WorkerEvent, first_done: dict[str, float]
+) -> bool:
+    """Tell whether the steps before an event's step were done by then."""
+    place = place_of(event.task)
+    done = Counter(
+        place_of(task).step
+        for task, at_s in first_done.items()
+        if task.startswith(place.job_id) and at_s <= event.at_s
+    )
+    steps = story.plan.steps
+    return all(
+        done[before] >= steps[before].count
+        for before in steps[place.step].after
+    )
+
+
+def _is_late(record: SoakRecord, story: Story, event: WorkerEvent) -> bool:
+    cancelled_s = story.cancelled_s
+    if not cancelled_s or event.at_s < cancelled_s + CANCEL_S:
+        return False
+    return record.is_calm(cancelled_s, event.at_s)
+
+
+def _is_late_there(
+    record: SoakRecord, event: WorkerEvent, since_s: list[float]
+) -> bool:
+    """Tell whether an event is a start on a worker closed for long."""
+    if event.kind is not EventKind.STARTED or not since_s:
+        return False
+    is_late = event.at_s > since_s[0] + CLOSE_S
+    return is_late and record.is_calm(since_s[0], event.at_s)
+
+
+RUN_CHECKS: Final = (
+    ran_twice_at_once,
+    started_after_done,
+    started_too_often,
+    overfilled,
+    out_of_order,
+    unasked,
+    running_in_vain,
+    sent_where_closed,
+)
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,151 @@
+"""A series of faults, drawn from a seed, that overlap."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from types import MappingProxyType
+from typing import Final
+
+from soak.fault import Fault
+from soak.instance_faults import (
+    Freeze,
+    HerdKill,
+    Kill,
+    NarrowLink,
+    PlannedStop,
+    SettingsSignal,
+    StaleConns,
+    StoreLink,
+)
+from soak.site import SoakSite
+from soak.site_faults import (
+    CfgChange,
+    Evacuation,
+    ForgottenHistory,
+    StoreFault,
+)
+from soak.worker_faults import (
+    Drain,
+    StaleWorkerConns,
+    UnansweredOrders,
+    WorkerCrash,
+    WorkerLink,
+)
+
+MEAN_GAP_S: Final = 1.5
+SHORTEST_S: Final = 0.2
+LONGEST_S: Final = 6.0
+FIRST_S: Final = 2.0
+SEED_BITS: Final = 32
+
+FAULTS: Final = MappingProxyType(
+    {
+        kind.__name__: kind
+        for kind in (
+            Kill,
+            PlannedStop,
+            Freeze,
+            SettingsSignal,
+            StoreLink,
+            StaleConns,
+            NarrowLink,
+            HerdKill,
+            StoreFault,
+            ForgottenHistory,
+            WorkerCrash,
+            WorkerLink,
+            StaleWorkerConns,
+            UnansweredOrders,
+            Drain,
+            Evacuation,
+            CfgChange,
+        )
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Episode:
+    """A fault that begins and ends at given seconds of the soak."""
+
+    begins_s: float
+    ends_s: float
+    kind: str
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """A fault as it was struck, in steady time; `target` names what it met."""
+
+    kind: str
+    target: str
+    begins_s: float
+    ends_s: float = inf
+
+
+def draw_episodes(rng: random.Random, seconds: float) -> list[Episode]:
+    """Return the faults of a soak; all begin within its time."""
+    episodes = []
+    at_s = FIRST_S
+    kinds = sorted(FAULTS)
+    while at_s < seconds:
+        ends_s = at_s + rng.uniform(SHORTEST_S, LONGEST_S)
+        kind = rng.choice(kinds)
+        episodes.append(Episode(at_s, ends_s, kind, rng.getrandbits(SEED_BITS)))
+        at_s += rng.expovariate(1 / MEAN_GAP_S)
+    return episodes
+
+
+class FaultRunner:
+    """Plays the episodes, a thread each, and remembers what they met."""
+
+    def __init__(
+        self,
+        site: SoakSite,
+        episodes: list[Episode],
+        tell: Callable[[str], None],
+    ) -> None:
+        """Prepare; `tell` takes a line for each fault."""
+        self.disruptions: dict[Episode, Disruption] = {}
+        self._site = site
+        self._tell = tell
+        self._began_s = time.monotonic()
+        self._threads = [
+            threading.Thread(target=self._play, args=(episode,), daemon=True)
+            for episode in episodes
+        ]
+
+    def start(self) -> None:
+        """Begin."""
+        self._began_s = time.monotonic()
+        for thread in self._threads:
+            thread.start()
+
+    def join(self) -> None:
+        """Wait until all faults are healed."""
+        for thread in self._threads:
+            thread.join()
+
+    def _play(self, episode: Episode) -> None:
+        rng = random.Random(episode.seed)
+        self._sleep_until(episode.begins_s)
+        fault: Fault = FAULTS[episode.kind](self._site, rng)
+        begins_s = time.monotonic()
+        target = fault.strike()
+        self._tell(f'{episode.begins_s:6.1f} {episode.kind}: {target}')
+        struck = Disruption(episode.kind, target, begins_s)
+        self.disruptions[episode] = struck
+        self._sleep_until(episode.ends_s)
+        fault.heal()
+        ends_s = time.monotonic()
+        self.disruptions[episode] = Disruption(
+            episode.kind, target, begins_s, ends_s
+        )
+
+    def _sleep_until(self, at_s: float) -> None:
+        left_s = self._began_s + at_s - time.monotonic()
+        time.sleep(max(0, left_s))
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,183 @@
+"""The site of a soak: instances as processes, all else in this one.
+
+Every instance reaches the store, and every worker is reached, through a proxy
+of its own that can fail alone.
+"""
+
+import random
+import signal
+import tempfile
+import time
+from dataclasses import dataclass, field
+from http.client import HTTPException
+from pathlib import Path
+from typing import Final
+
+from gentianpulley.cluster.job_book import LEADER_KEY
+from gentianpulley.http_conn import HttpAddress
+from soak.process import ENTRY_PROGRAM, InstanceProcess
+from standins.grid_site import Route, cfg_document, fetch, node_file
+from standins.grid_store import HOST, GridStore
+from standins.grid_worker import GridWorker
+from standins.http_server import OK
+from standins.site import free_port
+from standins.tcp_proxy import LinkState, TcpProxy
+
+DOMAINS: Final = ('a', 'b')
+SLOWEST_CLOCK: Final = 0.98
+WORKER_MILLI: Final = 16_000
+GRACE_S: Final = 3
+STOP_S: Final = GRACE_S + 1.0
+"""How long a planned stop may take, with a second for a busy machine."""
+
+READY_S: Final = 15.0
+POLL_S: Final = 0.05
+READY_PATH: Final = '/gentianpulley/ready'
+
+ROUTES: Final[tuple[Route, ...]] = (
+    ('r-quick', 'fit.example', '/quick/', 0, 3, {}),
+    ('r-batch', 'fit.example', '/batch/', 2, 3, {}),
+)
+NEW_ROUTE: Final[Route] = ('r-new', 'new.example', '/new/', 1, 3, {})
+
+
+@dataclass(frozen=True, slots=True)
+class SiteSize:
+    """How many instances and workers a site has."""
+
+    instances: int = 4
+    workers: int = 6
+
+
+@dataclass
+class Instance:
+    """An instance, its link to the store, and where it serves callers."""
+
+    name: str
+    front: HttpAddress
+    ready: HttpAddress
+    link: TcpProxy
+    process: InstanceProcess
+
+    def is_ready(self) -> bool:
+        """Ask whether it welcomes connections."""
+        try:
+            status, _ = fetch(self.ready, READY_PATH)
+        except (OSError, HTTPException):
+            return False
+        return status == OK
+
+
+@dataclass
+class LinkedWorker:
+    """A worker and the link through which it is reached."""
+
+    worker: GridWorker
+    link: TcpProxy
+
+
+@dataclass
+class SoakSite:
+    """All parts of the site."""
+
+    store: GridStore
+    folder: Path
+    cfg_version: int = 1
+    instances: list[Instance] = field(default_factory=list)
+    workers: list[LinkedWorker] = field(default_factory=list)
+
+    @property
+    def leader(self) -> Instance | None:
+        """Return the instance that the leader's key names."""
+        told = self.store.text(LEADER_KEY)
+        named = (each for each in self.instances if f'"{each.name}"' in told)
+        return next(named, None)
+
+    def write_cfg(self, *more: Route) -> None:
+        """Write the next version of the configuration."""
+        self.cfg_version += 1
+        routes = (*ROUTES, *more)
+        self.store.put('op/config', cfg_document(self.cfg_version, routes))
+
+    def start(self) -> None:
+        """Start the instances; raises `TimeoutError` if one is not ready."""
+        for instance in self.instances:
+            instance.process.start()
+        deadline_s = time.monotonic() + READY_S
+        while not all(each.is_ready() for each in self.instances):
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f'not ready in time; logs in {self.folder}')
+            time.sleep(POLL_S)
+
+    def heal(self) -> None:
+        """End every fault that may still be there."""
+        self.store.faults = {}
+        for instance in self.instances:
+            instance.link.switch(LinkState.UP)
+            instance.process.tell(signal.SIGCONT)
+        for linked in self.workers:
+            linked.worker.faults = {}
+            linked.link.switch(LinkState.UP)
+
+    def close(self) -> None:
+        """End all processes, one after the other."""
+        for instance in self.instances:
+            instance.process.end(STOP_S)
+        for linked in self.workers:
+            linked.link.close()
+            linked.worker.shutdown()
+        self.store.shutdown()
+
+
+def create_soak_site(
+    size: SiteSize, rng: random.Random, program: str = ENTRY_PROGRAM
+) -> SoakSite:
+    """Return a site whose instances are not started yet."""
+    store = GridStore()
+    store.run_in_background()
+    site = SoakSite(store, Path(tempfile.mkdtemp(prefix='soak-')))
+    site.write_cfg()
+    site.workers = [
+        _start_worker(store, number, rng) for number in range(size.workers)
+    ]
+    site.instances = [
+        _create_instance(site, number, program)
+        for number in range(size.instances)
+    ]
+    return site
+
+
+def _start_worker(
+    store: GridStore, number: int, rng: random.Random
+) -> LinkedWorker:
+    rate = rng.uniform(SLOWEST_CLOCK, 1)
+    worker = GridWorker(
+        store,
+        f'w{number}',
+        DOMAINS[number % len(DOMAINS)],
+        rate,
+        capacity={'cpu': WORKER_MILLI, 'mem_mb': WORKER_MILLI, 'gpus': 0},
+    )
+    worker.run_in_background()
+    link = TcpProxy(worker.port)
+    worker.register('ready', addr=f'{HOST}:{link.port}')
+    return LinkedWorker(worker, link)
+
+
+def _create_instance(site: SoakSite, number: int, program: str) -> Instance:
+    name = f'n{number}'
+    front = HttpAddress(HOST, free_port())
+    ready = HttpAddress(HOST, free_port())
+    link = TcpProxy(site.store.port)
+    # What is told last holds.
+    settings = (
+        node_file(name, link.port, '', ''),
+        f'zone={DOMAINS[number % len(DOMAINS)]}',
+        f'listen.front={HOST}:{front.port}',
+        f'listen.ready={HOST}:{ready.port}',
+        f'bounds.grace_s={GRACE_S}',
+    )
+    path = site.folder / f'{name}.conf'
+    path.write_text('\n'.join(settings))
+    process = InstanceProcess(path, site.folder / f'{name}.log', program)
+    return Instance(name, front, ready, link, process)
--- a/standins/grid_store.py
+++ b/standins/grid_store.py
@@ -11,8 +11,10 @@
 import json
 import threading
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
+from bisect import bisect_right
 from dataclasses import dataclass, field
+from operator import itemgetter
 from typing import Any, Final
 
 from standins.http_server import NOT_FOUND, OK, Call, Reply, StandinServer
@@ -106,6 +108,11 @@
         with self._changed:
             return self._items.get(key)
 
+    def text(self, key: str) -> str:
+        """Return what stands under a key, nothing if there is no such key."""
+        item = self.item(key)
+        return b64decode(item['value']).decode() if item else ''
+
     def keys(self, prefix: str) -> list[str]:
         """Return the keys below a prefix."""
         with self._changed:
@@ -142,11 +149,13 @@
                 self._expire()
                 if after < self._forgotten:
                     return _reply({}, GONE)
+                newer = bisect_right(
+                    self._history, after, key=itemgetter('revision')
+                )
                 events = [
                     event
-                    for event in self._history
-                    if event['revision'] > after
-                    and event['key'].startswith(query['prefix'])
+                    for event in self._history[newer:]
+                    if event['key'].startswith(query['prefix'])
                 ]
                 left_s = deadline_s - time.monotonic()
                 if events or left_s <= 0:
--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -6,9 +6,11 @@
 `{"ms": 50, "fail": 1}` fails. `faults`: `lose_orders` carries out the next N
 orders without an answer, `late_orders` carries them out `LATE_S` later,
 `silent` answers nothing. With `needs_tickets`, only the tickets of
-`grid_adviser` start a task.
+`grid_adviser` start a task. `events` is the worker's append-only record; its
+steady clock runs at `clock_rate`.
 """
 
+import enum
 import json
 import threading
 import time
@@ -31,6 +33,38 @@
 Json = dict[str, Any]
 
 
+class EventKind(enum.Enum):
+    """What happened at a worker.
+
+    `NOTED` is the acknowledgement of an end, `LAPSED` the end of the lease,
+    `CRASHED` the end of a life, `CLOSED` and `OPENED` a change of whether the
+    worker should be sent anything.
+    """
+
+    STARTED = 'started'
+    ENDED = 'ended'
+    NOTED = 'noted'
+    LAPSED = 'lapsed'
+    CRASHED = 'crashed'
+    CLOSED = 'closed'
+    OPENED = 'opened'
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerEvent:
+    """One event; `at_s` is the machine's steady time.
+
+    `detail` is the payload of a start and the cause of an end.
+    """
+
+    at_s: float
+    worker_id: str
+    kind: EventKind
+    task: str = ''
+    run: int = 0
+    detail: str = ''
+
+
 @dataclass
 class _Run:
     task: str
@@ -45,16 +79,24 @@
     """One worker; `started` records every run that ever began."""
 
     def __init__(
-        self, store: GridStore, worker_id: str, zone: str = 'a', **facts: Any
+        self,
+        store: GridStore,
+        worker_id: str,
+        zone: str = 'a',
+        clock_rate: float = 1.0,
+        **facts: Any,
     ) -> None:
         """Listen and register."""
         super().__init__(HOST, 0)
         self.worker_id = worker_id
+        self.events: list[WorkerEvent] = []
         self.faults: Json = {}
         self.started: list[tuple[str, int]] = []
         self.needs_tickets = False
         self.done: list[str] = []
         self._store = store
+        self._clock_rate = clock_rate
+        self._has_lapsed = True
         self._facts = {'service': 'fitting', 'zone': zone, **facts}
         self._lock = threading.Condition()
         self._born_s = time.monotonic()
@@ -68,6 +110,11 @@
         threading.Thread(target=self._work, daemon=True).start()
         self.register('ready')
 
+    @property
+    def zone(self) -> str:
+        """Return the failure domain that the worker stands in."""
+        return str(self._facts['zone'])
+
     def register(self, state: str, **facts: Any) -> None:
         """Write the registration with a state, and other facts than so far."""
         self._facts.update(facts)
@@ -84,9 +131,18 @@
         }
         self._store.put(f'servers/{self.worker_id}', entry)
 
+    def note(
+        self, kind: EventKind, task: str = '', run: int = 0, detail: str = ''
+    ) -> None:
+        """Add to the record."""
+        at_s = time.monotonic()
+        event = WorkerEvent(at_s, self.worker_id, kind, task, run, detail)
+        self.events.append(event)
+
     def crash(self) -> None:
         """Forget everything and start a new life at the same address."""
         with self._lock:
+            self.note(EventKind.CRASHED)
             self._runs.clear()
             self._barred.clear()
             self._ended.clear()
@@ -160,6 +216,7 @@
         ends_s = time.monotonic() + work.get('ms', 100) / MS
         self._runs[task] = _Run(task, number, work, ends_s)
         self.started.append((task, number))
+        self.note(EventKind.STARTED, task, number, order['task_spec'])
         return self._reply({})
 
     def _stop(self, order: Json) -> Reply:
@@ -173,6 +230,9 @@
     def _hold(self, order: Json) -> Reply:
         self._lease_ms = max(self._lease_ms, order.get('deadline_ms', 0))
         acked = order.get('acked_upto', 0)
+        for number, task, ended_run, how, _ in self._ended:
+            if number <= acked:
+                self.note(EventKind.NOTED, task, ended_run, how)
         self._ended = [row for row in self._ended if row[0] > acked]
         ends_s = time.monotonic() + order.get('wait_ms', 0) / MS
         while not self._ended and time.monotonic() < ends_s:
@@ -190,6 +250,9 @@
 
     def _end_due(self) -> None:
         has_lapsed = self._clock() > self._lease_ms
+        if has_lapsed and not self._has_lapsed:
+            self.note(EventKind.LAPSED)
+        self._has_lapsed = has_lapsed
         for run in tuple(self._runs.values()):
             how = 'lapsed' if has_lapsed else _how_it_ends(run)
             if how:
@@ -199,6 +262,7 @@
         self._runs.pop(run.task)
         self._barred[run.task] = max(self._barred.get(run.task, 0), run.run)
         self._count += 1
+        self.note(EventKind.ENDED, run.task, run.run, how)
         if how == 'done':
             self.done.append(run.task)
         saved = f'saved-{run.run}' if run.work.get('saves') else ''
@@ -206,7 +270,8 @@
         self._lock.notify_all()
 
     def _clock(self) -> int:
-        return int((time.monotonic() - self._born_s) * MS) + 1
+        lived_s = time.monotonic() - self._born_s
+        return int(lived_s * MS * self._clock_rate) + 1
 
     def _takes(self, fault: str) -> bool:
         with self._lock:
--- a/standins/tcp_proxy.py
+++ b/standins/tcp_proxy.py
@@ -78,6 +78,10 @@
             is_request: _Lane(bytes_per_s) for is_request in (True, False)
         }
 
+    def widen(self) -> None:
+        """Carry as much as there is from now on."""
+        self._lanes = {}
+
     def share(self, other: 'TcpProxy') -> None:
         """Carry over the bandwidth of another link from now on."""
         self._lanes = other._lanes
--- /dev/null
+++ b/tests/guarded_node.py
@@ -0,0 +1,8 @@
+"""Runs an instance on the platform with one guard switched off."""
+
+from gentianpulley.platform.daemon import main
+from tests.guards import switch_off_named
+
+if __name__ == '__main__':
+    switch_off_named()
+    main()
