--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -8,6 +8,7 @@
 
 from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.office import Office, Tenure
+from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.task_follower import MAX_RUN_TRIES, TaskFollower
 
 
@@ -36,6 +37,11 @@
     replace(Office, 'take_back', take_back)
 
 
+def handover() -> None:
+    """Start inherited tasks at once, whatever may still run unseen."""
+    replace(Scheduler, 'is_handover_over', lambda *_: True)
+
+
 def rests() -> None:
     """Pace by the model alone."""
     replace(pacing, 'rests', lambda *_: False)
@@ -56,6 +62,7 @@
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'certainty': certainty,
     'earlier-sending': earlier_sending,
+    'handover': handover,
     'look-before-start': look_before_start,
     'rests': rests,
     'silent-sending': silent_sending,
