--- a/src/gentianpulley/cli_report.py
+++ b/src/gentianpulley/cli_report.py
@@ -8,8 +8,9 @@
 from gentianpulley.burn_report import build_burn_report
 from gentianpulley.cli_command import COMMON_OPTIONS, SiteCommand
 from gentianpulley.cli_domain import stored_cfg
-from gentianpulley.messages import burn_header, burn_line, problem_line
+from gentianpulley.messages import problem_line
 from gentianpulley.operator_site import OperatorSite
+from gentianpulley.report_lines import burn_header, burn_line
 from gentianpulley.result_code import OK, PARTIAL_REPORT, ResultCode
 
 
--- a/src/gentianpulley/cli_requests.py
+++ b/src/gentianpulley/cli_requests.py
@@ -14,14 +14,13 @@
 from gentianpulley.errors import RequestRefusedError
 from gentianpulley.front_messages import CancelRequest, RequestAnswer
 from gentianpulley.messages import (
-    answer_line,
     file_unreadable,
-    instance_line,
     not_a_number,
     problem_line,
     unknown_class,
 )
 from gentianpulley.operator_site import OperatorSite
+from gentianpulley.report_lines import answer_line, instance_line
 from gentianpulley.request import Request
 from gentianpulley.resources import Resources
 from gentianpulley.result_code import (
