Take registrations that go and come in one answer in their order

What callers would see: workers that get nothing any more for the rest of a reign, and so work that waits beside idle machines, after the store was away or the leader was cut off from it. Registrations expire meanwhile and are back within seconds; a watch that goes on after both tells of them in one answer.

Cause: the leader first took all workers of an answer, then left out all that the same answer told to be gone. One that was removed and written again ended as gone. Its entry does not change after that, so nothing brought it back, and ten seconds later it was forgotten.

The test failed before, for a worker that lives on and for one that was born anew: its leader held it for unlisted 0.3 s after a third event of the same answer was carried out.

Ruled out: reading the whole directory after each broken watch, which costs a large answer each time and hides the order instead of keeping it.

Why it works: the roster is written for all workers of an answer first, as before, then each change is applied where it stands, and the last one counts.

--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -7,6 +7,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from threading import Event, Lock
 from typing import Final
 
@@ -149,7 +150,10 @@
 
     def take(self, page: DirectoryPage) -> None:
         """Open sessions with all workers of a page."""
-        self._take_all(page.facts)
+        with self._roster_lock:
+            self._note_used(page.facts)
+            for facts in page.facts:
+                self._take_one(facts)
 
     def shrink_roster(self) -> None:
         """Write how long runs may go on unseen at workers that are gone.
@@ -171,23 +175,24 @@
         self._notes.save_roster(roster)
 
     def _note_news(self, batch: tuple[WorkerNews, ...]) -> None:
-        self._take_all(
-            tuple(news.facts for news in batch if news.facts is not None)
-        )
-        for news in batch:
-            if news.facts is None:
-                with self.office.lock:
-                    self.office.scheduler.unlist_worker(
-                        news.worker_id, now_ms()
-                    )
-
-    def _take_all(self, all_facts: tuple[WorkerFacts, ...]) -> None:
-        ids = frozenset(facts.worker_id for facts in all_facts)
+        """Take the news in their order: who has left may be back by now."""
         with self._roster_lock:
-            if not self._notes.are_used(ids):
-                self._save_roster(ids)
-            for facts in all_facts:
-                self._take_one(facts)
+            self._note_used(news.facts for news in batch if news.facts)
+            for news in batch:
+                if news.facts is None:
+                    self._unlist(news.worker_id)
+                else:
+                    self._take_one(news.facts)
+
+    def _note_used(self, all_facts: Iterable[WorkerFacts]) -> None:
+        """Let the stored roster show these workers as used."""
+        ids = frozenset(facts.worker_id for facts in all_facts)
+        if not self._notes.are_used(ids):
+            self._save_roster(ids)
+
+    def _unlist(self, worker_id: str) -> None:
+        with self.office.lock:
+            self.office.scheduler.unlist_worker(worker_id, now_ms())
 
     def _take_one(self, facts: WorkerFacts) -> None:
         office = self.office
--- /dev/null
+++ b/tests/test_directory_news.py
@@ -0,0 +1,86 @@
+"""What a leader makes of registrations that come and go between two looks."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+
+from gentianpulley.cluster.leader import Leader
+from gentianpulley.cluster.office import Tenure
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.platform.kv_store import (
+    WATCH_WAIT_MS,
+    connect_kv_store,
+)
+from standins.grid_site import wait_until
+from standins.grid_store import HOST, GridStore
+from standins.grid_worker import GridWorker
+from tests.leader_bench import create_leader
+
+WORKER_ID = 'w1'
+LATER_ID = 'w2'
+KEY = f'servers/{WORKER_ID}'
+REIGN_MS = 60_000
+SETTLING_S = 0.3
+WATCH_ENDS_S = WATCH_WAIT_MS / MS_PER_SECOND + 0.2
+
+
+@pytest.fixture
+def store() -> Iterator[GridStore]:
+    """Return a running store."""
+    running = GridStore()
+    running.run_in_background()
+    yield running
+    running.shutdown()
+    running.server_close()
+
+
+@contextmanager
+def _worker(store: GridStore, worker_id: str) -> Iterator[GridWorker]:
+    """Give a running worker."""
+    worker = GridWorker(store, worker_id)
+    worker.run_in_background()
+    yield worker
+    worker.shutdown()
+    worker.server_close()
+
+
+@contextmanager
+def _leader(store: GridStore) -> Iterator[Leader]:
+    """Give a running leader."""
+    client = connect_kv_store(HttpAddress(HOST, store.port), create_counters())
+    until_ms = deadline_in(REIGN_MS)
+    running = create_leader(store, client, Tenure(until_ms, until_ms))
+    running.open()
+    yield running
+    running.close()
+
+
+def _accepts(leader: Leader, worker_id: str) -> bool:
+    office = leader.office
+    found = office.scheduler.workers.get(worker_id) if office else None
+    return found is not None and found.accepts(now_ms())
+
+
+@pytest.mark.parametrize('is_reborn', [False, True])
+def test_a_worker_whose_entry_expired_and_came_back_is_used(
+    store: GridStore, *, is_reborn: bool
+) -> None:
+    """Both events in one answer left it out for the rest of the reign."""
+    with _worker(store, WORKER_ID) as worker, _leader(store) as leader:
+        wait_until(lambda: _accepts(leader, WORKER_ID))
+        store.faults['down'] = 1
+        time.sleep(WATCH_ENDS_S)
+        store.remove(KEY)
+        if is_reborn:
+            worker.crash()
+        else:
+            worker.register('ready')
+        with _worker(store, LATER_ID):
+            store.faults['down'] = 0
+            wait_until(lambda: _accepts(leader, LATER_ID))
+            time.sleep(SETTLING_S)
+            assert _accepts(leader, WORKER_ID)
