Take late answers of a worker's former life for that life only

What callers would see: a task that shows as running and never runs again in a reign (LOST), or tasks that start a second time on a worker that has been well all along (TWICE), after a leader stood still or was late while a worker was born anew under its id.

Cause: a look or a start that the former life answered may be read after the directory told of the next one. Its running rows were adopted at a life that is no longer known, whose lease nobody watches, so the task stayed placed for good. The answer to its start, barred at the next life by then, set that life's clock far ahead: no later answer counted, and each lease of it was taken for lapsed. If the answer carried a birth, the next life was dropped, and as its entry in the directory does not change, nobody took it up again.

Ruled out: asking in the sessions whether their life goes on, as it may end between the question and the report; dropping late lists whole, as an end that was listed counts.

Why it works: under the lock that replaces lives, rows of what runs count for the life that is known only, and answers to starts only for a run that this life was sent. A run that was barred there before is settled by its stop.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -243,7 +243,7 @@
     def life_over(self, worker: Worker) -> None:
         """Report that the worker's life has ended."""
         with self.lock:
-            if self.scheduler.workers.get(worker.worker_id) is worker:
+            if self.scheduler.is_current_life(worker):
                 self.scheduler.drop_life(worker.worker_id, now_ms())
         self.work_came.set()
 
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -5,6 +5,7 @@
 of a run that it does not list, or its lease is provably over.
 """
 
+from dataclasses import replace
 from typing import Final
 
 from gentianpulley.cluster.link import (
@@ -62,7 +63,12 @@
     def note_listing(
         self, worker: Worker, listing: Listing, sent_ms: int, now_ms: int
     ) -> list[Order]:
-        """Bring the ledger in line with what a worker lists."""
+        """Bring the ledger in line with what a worker lists.
+
+        Of a life that is over only the ends still count.
+        """
+        if not self.is_current_life(worker):
+            return self._note_rows(worker, replace(listing, running=()), now_ms)
         worker.clock.note(listing.clock_worker_ms, now_ms)
         # A former leader is fenced off from here on, and it gave no longer
         # leases: whatever runs there is over by the lease that starts now.
@@ -92,7 +98,7 @@
         """Note the answer to a start; returns what has to be sent next."""
         worker = self.workers.get(order.worker_id)
         charge = worker.charges.get(order.key) if worker else None
-        if worker is None or charge is None:
+        if worker is None or charge is None or _was_sent_before(charge):
             return []
         if _is_other_life(worker, charge, reply):
             # It may hold the run.
@@ -337,6 +343,11 @@
         _avoid(worker, verdict, now_ms)
 
 
+def _was_sent_before(charge: Charge) -> bool:
+    """Tell whether a run was sent to an earlier life only, and is barred."""
+    return charge.is_stopping and not charge.last_sent_ms
+
+
 def _is_other_life(worker: Worker, charge: Charge, reply: StartReply) -> bool:
     """Tell whether a life answered that is not the one that was meant.
 
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -46,8 +46,7 @@
         orders: list[Order] = []
         for held in self._held.values():
             worker = held.worker
-            is_current = self.workers.get(worker.worker_id) is worker
-            if is_current and not worker.silent_since_ms:
+            if self.is_current_life(worker) and not worker.silent_since_ms:
                 orders.extend(self.note_listing(*held))
         self._held.clear()
         return orders
@@ -56,7 +55,7 @@
         self, worker: Worker, listing: Listing, sent_ms: int, now_ms: int
     ) -> list[Order]:
         """Bring the ledger in line with a list, or hold it."""
-        if not self._holds_lists:
+        if not self._holds_lists or not self.is_current_life(worker):
             return super().note_listing(worker, listing, sent_ms, now_ms)
         worker.clock.note(listing.clock_worker_ms, now_ms)
         self.lease_for(worker)
--- a/src/gentianpulley/cluster/worker_lives.py
+++ b/src/gentianpulley/cluster/worker_lives.py
@@ -45,6 +45,10 @@
             return self._clear_draining(known, now_ms)
         return []
 
+    def is_current_life(self, worker: Worker) -> bool:
+        """Tell whether a life of a worker is the one that is known."""
+        return self.workers.get(worker.worker_id) is worker
+
     def unlist_worker(self, worker_id: str, now_ms: int) -> None:
         """Note that a worker left the directory; its runs may go on."""
         worker = self.workers.get(worker_id)
--- a/tests/scheduling/test_late_answers.py
+++ b/tests/scheduling/test_late_answers.py
@@ -3,16 +3,29 @@
 import pytest
 
 from gentianpulley.cluster.link import (
+    EndCause,
+    EndedRow,
     Listing,
+    RunningRow,
     StartOrder,
     StartReply,
     StartVerdict,
 )
-from tests.scheduling.site import HandSite, facts, hand_site, job, step
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.jobs.job import JobState, TaskPhase
+from tests.scheduling.site import (
+    JOB_ID,
+    HandSite,
+    facts,
+    hand_site,
+    job,
+    step,
+)
 
 BORN_MS = 1
 CLOCK_MS = 50_000
 WAITED_MS = 4000
+NEXT_CLOCK_MS = 700
 
 
 def _sent_start() -> tuple[HandSite, StartOrder]:
@@ -58,3 +71,56 @@
     site.scheduler.note_start(order, reply, site.at_ms)
     assert (site.scheduler.workers.get('w') is worker) == is_same
     assert (order.key in worker.charges) == is_same
+
+
+def _reborn_while_it_answers(site: HandSite, order: StartOrder) -> Worker:
+    """Let the run be listed and the worker be born anew; returns the former
+    life."""
+    former = site.scheduler.workers['w']
+    site.list_runs('w', (RunningRow(order.key, '', 30, 0),))
+    site.scheduler.update_worker(facts('w', born_ms=BORN_MS + 1), site.at_ms)
+    return former
+
+
+@pytest.mark.parametrize('is_loading', [False, True])
+def test_what_a_former_life_ran_is_not_taken_for_running(
+    *, is_loading: bool
+) -> None:
+    """The task waited for a run that nobody saw, and never ran again."""
+    site, order = _sent_start()
+    former = _reborn_while_it_answers(site, order)
+    if is_loading:
+        site.scheduler.hold_lists()
+    row = RunningRow(order.key, '', 30, 0)
+    late = Listing(CLOCK_MS + WAITED_MS, BORN_MS, (row,))
+    assert not site.scheduler.note_listing(former, late, site.at_ms, site.at_ms)
+    assert not site.scheduler.read_held_lists()
+    assert site.task(order.key.task_id).phase is TaskPhase.WAITING
+    assert not former.charges
+
+
+def test_an_end_that_a_former_life_listed_counts() -> None:
+    site, order = _sent_start()
+    former = _reborn_while_it_answers(site, order)
+    row = EndedRow(1, order.key, EndCause.DONE, '')
+    late = Listing(CLOCK_MS + WAITED_MS, BORN_MS, (), (row,))
+    site.scheduler.note_listing(former, late, site.at_ms, site.at_ms)
+    assert site.scheduler.jobs[JOB_ID].state is JobState.COMPLETED
+
+
+@pytest.mark.parametrize('born_ms', [0, BORN_MS])
+def test_an_answer_of_a_former_life_tells_nothing_of_the_next_one(
+    born_ms: int,
+) -> None:
+    """Its clock made each lease of the next life look as if it had lapsed,
+    and its birth ended that life."""
+    site, order = _sent_start()
+    site.scheduler.update_worker(facts('w', born_ms=BORN_MS + 1), site.at_ms)
+    current = site.scheduler.workers['w']
+    _look(site, NEXT_CLOCK_MS)
+    late = StartReply(
+        StartVerdict.ACCEPTED, CLOCK_MS + WAITED_MS, born_ms=born_ms
+    )
+    assert not site.scheduler.note_start(order, late, site.at_ms)
+    assert site.scheduler.workers['w'] is current
+    assert current.clock.seen_worker_ms == NEXT_CLOCK_MS
