Check before each sending of a start that its worker is open

What callers would see: tasks that start on a worker that drains, in an evacuated failure domain or on a machine that goes down for upkeep, seconds after the site was told (DRAIN, EVAC), and are lost with it.

Cause: whether a worker may get runs was asked when a run was placed. A start waits up to two seconds in its session after that, that of a gang for longer, and one without an answer was sent again each 150 ms for as long as the worker listed neither the run nor its end.

All six cases of the tests failed before: the start left, and a lost one was sent again without end.

Ruled out: stops for such starts when a worker closes, as that bars runs that never left and costs a call each.

Why it works: the question is asked under the lock right before each sending. What never left is placed elsewhere; what may be there is barred after three seconds, unless a list shows it before.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -122,12 +122,17 @@
             charge.percent = order.percent
 
     def wants_start(self, order: StartOrder, now_ms: int) -> bool:
-        """Tell whether a start has still to be sent (again), and note it."""
+        """Tell whether a start has still to be sent (again), and note it.
+
+        The worker may have closed since the run was placed there.
+        """
         charge = self.charge_of(order)
         if charge is None or charge.settled_ms or charge.is_stopping:
             return False
-        # Sending on to a silent worker would put off the end of its lease.
         worker = self.workers[order.worker_id]
+        if worker.is_closing or self.is_closed(worker):
+            return False
+        # Sending on to a silent worker would put off the end of its lease.
         quiet_ms = now_ms - worker.heard_ms
         if quiet_ms > self.reign.timing.look_ms + SILENT_MS:
             return False
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -171,6 +171,10 @@
         """Tell whether nothing of an earlier leader can run unseen."""
         return all(now_ms > until for until in self.unsettled.values())
 
+    def is_closed(self, worker: Worker) -> bool:
+        """Tell whether nothing may start in the worker's failure domain."""
+        return worker.facts.failure_domain in self.closed_domains
+
     def step_of(self, task_id: TaskId) -> StepRun | None:
         job = self.jobs.get(task_id.job_id)
         return job.step_of(task_id) if job else None
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -161,6 +161,11 @@
         """Return the worker's id."""
         return self.facts.worker_id
 
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether the worker's life is about to end as planned."""
+        return self.facts.is_draining or self.is_leaving
+
     def serving_images(self) -> set[str]:
         """Return the images of the endless tasks on the worker."""
         return {
@@ -172,7 +177,7 @@
     def accepts(self, now_ms: int) -> bool:
         """Tell whether new runs may be sent there."""
         is_known = self.is_fenced and self.is_listed and not self.foreign
-        if self.facts.is_draining or self.is_leaving or self.silent_since_ms:
+        if self.is_closing or self.silent_since_ms:
             return False
         return is_known and now_ms >= self.quarantined_until_ms
 
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -18,6 +18,7 @@
     WorkerLink,
 )
 from gentianpulley.cluster.office import Office, OrderSink, Tenure
+from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker_session import WorkerSession, open_session
 from gentianpulley.counters import create_counters
@@ -157,6 +158,48 @@
     assert not bench.link.started
 
 
+def _drain(scheduler: Scheduler) -> None:
+    scheduler.update_worker(facts('w', is_draining=True), now_ms())
+
+
+def _close_domain(scheduler: Scheduler) -> None:
+    worker = scheduler.workers['w']
+    scheduler.closed_domains = frozenset((worker.facts.failure_domain,))
+
+
+def _begin_upkeep(scheduler: Scheduler) -> None:
+    scheduler.workers['w'].is_leaving = True
+
+
+@pytest.mark.parametrize('close', [_drain, _close_domain, _begin_upkeep])
+def test_a_start_that_waits_while_its_worker_closes_goes_elsewhere(
+    bench: Bench, close: Callable[[Scheduler], None]
+) -> None:
+    """It left seconds later, when nothing might start there any more."""
+    scheduler = bench.office.scheduler
+    orders = scheduler.plan(now_ms())
+    close(scheduler)
+    bench.office.dispatch(orders)
+    (step_run,) = scheduler.jobs[JOB_ID].steps.values()
+    wait_until(lambda: step_run.waiting, SETTLE_S)
+    assert not bench.link.started
+
+
+@pytest.mark.parametrize('close', [_drain, _close_domain, _begin_upkeep])
+def test_a_lost_start_is_not_sent_again_while_its_worker_closes(
+    bench: Bench, close: Callable[[Scheduler], None]
+) -> None:
+    bench.link.verdict = StartVerdict.LOST
+    bench.office.plan()
+    wait_until(lambda: bench.link.started)
+    close(bench.office.scheduler)
+    threading.Event().wait(SETTLE_S)
+    sent = len(bench.link.started)
+    threading.Event().wait(SETTLE_S)
+    assert len(bench.link.started) == sent
+    assert bench.session.worker.charges
+
+
 def test_a_start_without_an_answer_waits_for_a_look(bench: Bench) -> None:
     """It may be there: only the same run may be sent, to the same life."""
     bench.link.verdict = StartVerdict.LOST
