Forget old jobs in one write instead of ten

What callers would see: ends that are acknowledged late and states that are told late, by up to ten calls of the store each time, for as long as jobs are old enough to be deleted; under a slow store that is seconds. A leader that takes over many old jobs also uses up the site's budget of writes, and submissions are refused.

Cause: the thread that writes records deleted up to ten old jobs after each write, with a transaction each.

The test failed before: ten transactions a pass.

Ruled out: a thread of its own for deletions, as one small write each pass is enough: seven jobs every 25 ms are more than a site ends.

Why it works: seven jobs of four keys and the guard are within the 32 entries that the store takes at once.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final
 from urllib.parse import quote
 
@@ -49,6 +50,8 @@
 JOBS_IN_TRANSACTION: Final = 10
 """A job takes a guard, a put and a delete; the store allows 32 entries."""
 
+OLD_JOBS_IN_TRANSACTION: Final = 7
+"""A job that is deleted takes four entries."""
 
 LARGEST_TRANSACTION_BYTES: Final = 100_000
 """Records in one transaction: a link of 5 Mbit/s carries them, as base64, in a
@@ -182,25 +185,34 @@
             batches.popleft()
 
     def forget_ended(self, before_ms: int) -> int:
-        """Delete jobs that ended before a time; returns how many."""
+        """Delete some of the jobs that ended before a time.
+
+        One write, as records wait for it; returns how many there were.
+        """
         old = [
             job_id
             for job_id, (ended_ms, _) in self._ended.items()
             if ended_ms < before_ms
         ]
-        for job_id in old[:JOBS_IN_TRANSACTION]:
-            queue = self._ended[job_id][1]
-            keys = (
-                job_key(job_id),
-                cancel_key(job_id),
-                record_key(job_id),
-                waiting_key(queue, job_id),
-            )
-            self._commit(Transaction((), deletes=keys))
+        batch = old[:OLD_JOBS_IN_TRANSACTION]
+        if batch:
+            keys = (self._keys_of(job_id) for job_id in batch)
+            self._commit(Transaction((), deletes=tuple(chain(*keys))))
+        for job_id in batch:
             self._forgotten.add(job_id)
             self._ended.pop(job_id)
         return len(old)
 
+    def _keys_of(self, job_id: str) -> tuple[str, ...]:
+        """Return all keys of a job that has ended."""
+        queue = self._ended[job_id][1]
+        return (
+            job_key(job_id),
+            cancel_key(job_id),
+            record_key(job_id),
+            waiting_key(queue, job_id),
+        )
+
     def _loaded(
         self, entry: Entry, records: Mapping[str, JobRecord]
     ) -> Job | None:
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -10,6 +10,7 @@
     JOBS_IN_TRANSACTION,
     LARGEST_TRANSACTION_BYTES,
     LEADER_KEY,
+    OLD_JOBS_IN_TRANSACTION,
     RECORD_PREFIX,
     JobBook,
     cancel_key,
@@ -32,6 +33,7 @@
 from tests.leader_bench import create_leader
 from tests.scheduling.site import job, step
 
+LARGEST_TRANSACTION = 32
 JOB_IDS = tuple(f'{number:016x}' for number in range(3 * JOBS_IN_TRANSACTION))
 
 
@@ -103,6 +105,28 @@
     assert all(map(book.has_ended, JOB_IDS))
 
 
+def test_old_jobs_are_forgotten_in_few_writes() -> None:
+    """Records waited behind ten writes each time, for as long as old jobs were
+    left."""
+    store = KeptStore()
+    book = JobBook(store, EventLog())
+    jobs = [job(step(), job_id=job_id) for job_id in JOB_IDS]
+    for each in jobs:
+        each.cancel()
+    book.save(save_batches(jobs))
+    store.transactions.clear()
+    passes = 0
+    while book.forget_ended(deadline_in(1000)):
+        passes += 1
+    assert len(store.transactions) == passes
+    assert passes <= len(JOB_IDS) // OLD_JOBS_IN_TRANSACTION + 1
+    deleted = [key for txn in store.transactions for key in txn.deletes]
+    assert len(deleted) == len(set(deleted)) == 4 * len(JOB_IDS)
+    # The leader's key is guarded as well.
+    longest = max(len(txn.deletes) for txn in store.transactions)
+    assert longest + 1 <= LARGEST_TRANSACTION
+
+
 class KeptStore(LeaderStore):
     """Keeps the transactions that it is asked for."""
 
