Remember jobs that are gone for minutes, not for a whole reign

What callers would see: a leader that grows with each job it ever served, until the limit of its memory ends it.

Cause: the ids of deleted jobs, those of jobs that were dropped from the ledger, and the revisions of deleted records were kept for good.

Both tests failed before: 255,948 bytes left by 1,800 jobs, and an id that was known hours later.

Ruled out: forgetting an id when the watch tells of the deletion, as a watch that lost its history does not tell.

Why it works: an id keeps a page that was read before the deletion from bringing the job back. Such a page is taken up within seconds, or with the end of the tenure never; ten minutes are remembered.

--- a/src/gentianpulley/cluster/ended_jobs.py
+++ b/src/gentianpulley/cluster/ended_jobs.py
@@ -9,12 +9,17 @@
 from collections.abc import Container
 from typing import Final
 
+from gentianpulley.cluster.recent_ids import RecentIds
 from gentianpulley.jobs.job import Job
 
 KEPT_MS: Final = 15_000
 """How long a job is kept after its end: orders without an answer may arrive for
 up to twelve seconds."""
 
+REMEMBERED_MS: Final = 600_000
+"""How long the id of a job that was dropped is remembered. A record tells of
+its end for as long as it is stored."""
+
 
 class EndedJobs:
     """Tells which jobs can be forgotten, and which were."""
@@ -23,14 +28,14 @@
         """Hold nothing yet."""
         self._new: list[Job] = []
         self._leaving: deque[tuple[int, Job]] = deque()
-        self._forgotten: set[str] = set()
+        self._forgotten = RecentIds(REMEMBERED_MS)
 
     def note(self, job: Job) -> None:
         """Hold a job whose final record is being written."""
         self._new.append(job)
 
     def is_forgotten(self, job_id: str) -> bool:
-        """Tell whether a job was there and must not come back."""
+        """Tell whether a job was there lately and must not come back."""
         return job_id in self._forgotten
 
     def forget(self, live: Container[str], now_ms: int) -> list[Job]:
@@ -45,7 +50,7 @@
                 self._new.append(job)
             else:
                 due.append(job)
-                self._forgotten.add(job.spec.job_id)
+                self._forgotten.add(job.spec.job_id, now_ms)
         forget_ms = now_ms + KEPT_MS
         self._leaving.extend((forget_ms, job) for job in self._new)
         self._new.clear()
--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from gentianpulley.cluster.leader_store import LeaderStore, insist
+from gentianpulley.cluster.recent_ids import RecentIds
 from gentianpulley.cluster.waiting_counts import WaitingCounts
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
@@ -52,6 +53,9 @@
 
 OLD_JOBS_IN_TRANSACTION: Final = 7
 """A job that is deleted takes four entries."""
+FORGOTTEN_MS: Final = 600_000
+"""How long a deleted job still counts as ended. What was read of it before is
+taken up, or given up, within seconds."""
 
 LARGEST_TRANSACTION_BYTES: Final = 100_000
 """Records in one transaction: a link of 5 Mbit/s carries them, as base64, in a
@@ -144,7 +148,7 @@
         self._log = log
         self._revisions: dict[str, int] = {}
         self._ended: dict[str, tuple[int, str]] = {}
-        self._forgotten: set[str] = set()
+        self._forgotten = RecentIds(FORGOTTEN_MS)
 
     def load(self) -> LoadedJobs:
         """Read all records, cancellations and jobs; raises `StoreError`."""
@@ -170,7 +174,7 @@
         return None
 
     def has_ended(self, job_id: str) -> bool:
-        """Tell whether a final record of a job is known, or was."""
+        """Tell whether a final record of a job is known, or was lately."""
         return job_id in self._ended or job_id in self._forgotten
 
     def save(self, batches: deque[list[Job]]) -> None:
@@ -199,8 +203,9 @@
             keys = (self._keys_of(job_id) for job_id in batch)
             self._commit(Transaction((), deletes=tuple(chain(*keys))))
         for job_id in batch:
-            self._forgotten.add(job_id)
+            self._forgotten.add(job_id, now_ms())
             self._ended.pop(job_id)
+            self._revisions.pop(job_id, None)
         return len(old)
 
     def _keys_of(self, job_id: str) -> tuple[str, ...]:
--- a/tests/scheduling/test_ended_jobs.py
+++ b/tests/scheduling/test_ended_jobs.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gentianpulley.cluster.ended_jobs import EndedJobs
 from gentianpulley.cluster.link import (
     EndCause,
     EndedRow,
@@ -17,6 +18,7 @@
 from tests.scheduling.site import JOB_ID, HandSite, hand_site, job, step
 
 LATE_MS = 20_000
+LONG_MS = 3_600_000
 LATE_KEY = RunKey(TaskId(JOB_ID, 0, 0, 0), 99)
 
 
@@ -127,3 +129,16 @@
     site.scheduler.note_saved(site.scheduler.change_number)
     worker = site.scheduler.workers['w1']
     assert worker.acked_number == row.number
+
+
+def test_a_long_reign_remembers_only_the_latest_jobs() -> None:
+    ended = EndedJobs()
+    at_ms = 0
+    for number in range(3):
+        ended.note(job(step(), job_id=f'{number:016x}'))
+        ended.forget((), at_ms)
+        at_ms += LATE_MS
+        assert ended.forget((), at_ms)
+        assert ended.is_forgotten(f'{number:016x}')
+        at_ms += LONG_MS
+    assert not ended.is_forgotten(f'{0:016x}')
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -1,9 +1,12 @@
 """How a leader writes records while writes fail."""
 
+import gc
+import tracemalloc
 from collections.abc import Iterator
 
 import pytest
 
+from gentianpulley.cluster import job_book
 from gentianpulley.cluster.job_book import (
     CANCEL_PREFIX,
     SPEC_PREFIX,
@@ -34,6 +37,10 @@
 from tests.scheduling.site import job, step
 
 LARGEST_TRANSACTION = 32
+ROUNDS = 8
+JOBS_A_ROUND = 300
+ROUND_MS = 3_600_000
+BYTES_LEFT = 30
 JOB_IDS = tuple(f'{number:016x}' for number in range(3 * JOBS_IN_TRANSACTION))
 
 
@@ -162,3 +169,43 @@
     keys = [put.key for txn in store.transactions for put in txn.puts]
     assert keys == [record_key(job_id) for job_id in JOB_IDS]
     assert not batches
+
+
+class SilentLog(EventLog):
+    """Writes no ends of jobs: lines without a reader are kept in memory."""
+
+    def job_state(self, job_id: str, state: str, waited_ms: int) -> None:
+        """Write nothing."""
+
+
+def _end_and_forget(book: JobBook, round_number: int) -> None:
+    """Let some jobs end, and be deleted at once."""
+    ids = [f'{round_number:08x}{number:08x}' for number in range(JOBS_A_ROUND)]
+    jobs = [job(step(), job_id=job_id) for job_id in ids]
+    for each in jobs:
+        each.cancel()
+    book.save(save_batches(jobs))
+    while book.forget_ended(deadline_in(1000 + round_number * ROUND_MS)):
+        assert book.has_ended(ids[0])
+
+
+def test_a_long_reign_keeps_nothing_of_jobs_that_were_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each left its id and a revision behind."""
+    store = KeptStore()
+    book = JobBook(store, SilentLog())
+    sizes = []
+    tracemalloc.start()
+    for number in range(ROUNDS):
+        late_ms = number * ROUND_MS
+        monkeypatch.setattr(
+            job_book, 'now_ms', lambda late_ms=late_ms: deadline_in(late_ms)
+        )
+        _end_and_forget(book, number)
+        store.transactions.clear()
+        gc.collect()
+        sizes.append(tracemalloc.get_traced_memory()[0])
+    tracemalloc.stop()
+    grown = sizes[-1] - sizes[1]
+    assert grown < BYTES_LEFT * JOBS_A_ROUND * (ROUNDS - 2)
