Acknowledge no end whose record met a fault of the program

What callers would see: a job whose last task is done and that never shows as completed, in any reign, or tasks that are done and run again under the next leader (LOST, TWICE).

Cause: only a failure of the store asked for the same records again. After any other exception while records are written, their jobs counted as written; the next write, of other jobs, acknowledged their ends, and the workers forgot them. Since the thread that writes goes on after a fault, so that next write comes.

The test failed before: with one fault in the first write, its 30 records were never written.

Ruled out: to stop acknowledging once a fault was met, as workers list 500 ends at a time and the site would fill up with them.

Why it works: whatever fails, what was not written is asked for again, and no end is acknowledged before a write of all that had changed by then.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -286,7 +286,8 @@
             batches = save_batches(changed)
             try:
                 self._book.save(batches)
-            except StoreError:
+            except Exception:
+                # Whatever failed, the next write acknowledges these ends too.
                 with office.lock:
                     office.scheduler.note_unsaved(list(chain(*batches)))
                 raise
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -27,6 +27,7 @@
 from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.job import Job
+from gentianpulley.jobs.record import JobRecord, record_of
 from gentianpulley.jobs.spec import encode_job
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.kv_store import KvStore, connect_kv_store
@@ -94,6 +95,35 @@
     leader.close()
 
 
+@pytest.mark.parametrize('is_handed_over', [False, True])
+def test_records_that_met_a_fault_are_written_later(
+    server: GridStore,
+    monkeypatch: pytest.MonkeyPatch,
+    *,
+    is_handed_over: bool,
+) -> None:
+    """Their ends were acknowledged with the next write, and never written."""
+    faults = ['steps changed during iteration']
+
+    def faulty(known: Job, saved_ms: int) -> JobRecord:
+        if faults:
+            raise RuntimeError(faults.pop())
+        return record_of(known, saved_ms)
+
+    monkeypatch.setattr(job_book, 'record_of', faulty)
+    leader = create_leader(server, _client(server))
+    leader.open()
+    wait_until(lambda: not faults)
+    if is_handed_over:
+        leader.hand_over()
+    wait_until(
+        lambda: len(server.keys(RECORD_PREFIX)) == len(JOB_IDS),
+        3,
+        'all records are written',
+    )
+    leader.close()
+
+
 def test_a_job_that_is_forgotten_still_counts_as_ended(
     server: GridStore,
 ) -> None:
