Take the record of a job while its occurrences open

Cause: records are taken without the lock, so that plans and looks need not wait for them, and walked through the steps of a job, to which plans and answers of workers add those of further occurrences. Python ends such a walk with a RuntimeError.

Ruled out: taking records under the lock, which holds up plans and looks by as long as the encoding takes.

Why it works: the steps are copied in one operation of the interpreter first. What a step shows by then may be newer than what is acknowledged, never older.

--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -46,7 +46,10 @@
 
 
 def record_of(job: Job, now_ms: int) -> JobRecord:
-    """Return what has to be kept of a job now."""
+    """Return what has to be kept of a job now.
+
+    Others may go on to change the job meanwhile.
+    """
     queue = job.spec.policy.queue
     if job.state.is_final:
         return JobRecord(job.state, queue, now_ms)
@@ -85,7 +88,7 @@
 
 def _ends_of(job: Job) -> list[StepEnds]:
     kept = []
-    for step in job.steps.values():
+    for step in tuple(job.steps.values()):
         mask = sum(
             1 << task.task_id.ordinal
             for task in step.tasks
@@ -105,7 +108,7 @@
             tuple(task.failed_runs),
             task.checkpoint,
         )
-        for step in job.steps.values()
+        for step in tuple(job.steps.values())
         for task in step.tasks
         if task.phase is not TaskPhase.DONE
         and (task.failed_runs or task.checkpoint)
