Give a write of the store the time that its size takes

What callers would see: after a job of thousands of tasks that checkpoint, behind a narrow link, no end of any job is acknowledged any more and no state goes on. A state of such a job is refused.

Cause: a write had 600 ms and a read of one key a second, whatever their size. Records of several jobs are split since, one record cannot be: that of 4,000 tasks takes 1.7 s on the slowest link. All ends wait for the write in which it stands, and it was sent again five times a second.

The test failed before, at the write (no answer within 0.6 s); with the write mended and the read as before it failed at the read.

Ruled out: to acknowledge the ends of other jobs apart, which needs the number of the latest change for each job and leaves this one's ends for good.

Why it works: a write has 600 ms beside the time in which the slowest link carries it, some 30 ms more for a usual submission. A read goes on for as long as parts of its answer come, as a page does.

--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -71,14 +71,18 @@
 """What a link of 5 Mbit/s leaves to one answer, as half of it may serve other
 calls."""
 
-LARGE_ANSWER_MS: Final = (
-    QUIET_MS + LARGEST_ANSWER_BYTES * MS_PER_SECOND // SLOWEST_LINK_BYTES_PER_S
-)
+
+def _carried_ms(size_bytes: int) -> int:
+    """Return how long the slowest link carries so much."""
+    return size_bytes * MS_PER_SECOND // SLOWEST_LINK_BYTES_PER_S
+
+
+LARGE_ANSWER_MS: Final = QUIET_MS + _carried_ms(LARGEST_ANSWER_BYTES)
 """How long the largest answer takes on the slowest link."""
 
 COMMIT_TIMEOUT_MS: Final = 600
-"""A write is one small call; twice as long as the store takes when it is slow.
-Callers wait for two of them."""
+"""How long a write may take beside the time in which the link carries it: twice
+as long as the store takes when it is slow. Callers wait for two of them."""
 
 WATCH_WAIT_MS: Final = 1800
 """How long a watch waits: a silent connection must be noticed, and the cfg be
@@ -112,7 +116,8 @@
 
     def read(self, key: str) -> Entry | None:
         """Return the entry at `key`, or None."""
-        answer = self._call('GET', f'kv-key?key={quote(key, safe="")}')
+        path = f'kv-key?key={quote(key, safe="")}'
+        answer = self._fetch(path, CALL_TIMEOUT_MS)
         if answer.status == _NOT_FOUND:
             return None
         return _entry(_decoded(answer, WireItem))
@@ -160,7 +165,8 @@
             txn.deletes,
         )
         body = msgspec.json.encode(wire)
-        answer = self._call('POST', 'kv-txn', body, COMMIT_TIMEOUT_MS)
+        timeout_ms = COMMIT_TIMEOUT_MS + _carried_ms(len(body))
+        answer = self._call('POST', 'kv-txn', body, timeout_ms)
         if answer.status == _NOT_FOUND:
             raise StoreRefusedError(store_refused('kv-txn', answer.status))
         commit = _decoded(answer, WireCommit)
