--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -9,12 +9,14 @@
 from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final
 from urllib.parse import quote
 
 import msgspec
 
-from gentianpulley.cluster.leader_store import LeaderStore
+from gentianpulley.cluster.leader_store import LeaderStore, insist
+from gentianpulley.cluster.recent_ids import RecentIds
 from gentianpulley.cluster.waiting_counts import WaitingCounts
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
@@ -49,6 +51,11 @@
 JOBS_IN_TRANSACTION: Final = 10
 """A job takes a guard, a put and a delete; the store allows 32 entries."""
 
+OLD_JOBS_IN_TRANSACTION: Final = 7
+"""A job that is deleted takes four entries."""
+FORGOTTEN_MS: Final = 600_000
+"""How long a deleted job still counts as ended. What was read of it before is
+taken up, or given up, within seconds."""
 
 LARGEST_TRANSACTION_BYTES: Final = 100_000
 """Records in one transaction: a link of 5 Mbit/s carries them, as base64, in a
@@ -141,7 +148,7 @@
         self._log = log
         self._revisions: dict[str, int] = {}
         self._ended: dict[str, tuple[int, str]] = {}
-        self._forgotten: set[str] = set()
+        self._forgotten = RecentIds(FORGOTTEN_MS)
 
     def load(self) -> LoadedJobs:
         """Read all records, cancellations and jobs; raises `StoreError`."""
@@ -167,7 +174,7 @@
         return None
 
     def has_ended(self, job_id: str) -> bool:
-        """Tell whether a final record of a job is known, or was."""
+        """Tell whether a final record of a job is known, or was lately."""
         return job_id in self._ended or job_id in self._forgotten
 
     def save(self, batches: deque[list[Job]]) -> None:
@@ -182,25 +189,35 @@
             batches.popleft()
 
     def forget_ended(self, before_ms: int) -> int:
-        """Delete jobs that ended before a time; returns how many."""
+        """Delete some of the jobs that ended before a time.
+
+        One write, as records wait for it; returns how many there were.
+        """
         old = [
             job_id
             for job_id, (ended_ms, _) in self._ended.items()
             if ended_ms < before_ms
         ]
-        for job_id in old[:JOBS_IN_TRANSACTION]:
-            queue = self._ended[job_id][1]
-            keys = (
-                job_key(job_id),
-                cancel_key(job_id),
-                record_key(job_id),
-                waiting_key(queue, job_id),
-            )
-            self._commit(Transaction((), deletes=keys))
-            self._forgotten.add(job_id)
+        batch = old[:OLD_JOBS_IN_TRANSACTION]
+        if batch:
+            keys = (self._keys_of(job_id) for job_id in batch)
+            self._commit(Transaction((), deletes=tuple(chain(*keys))))
+        for job_id in batch:
+            self._forgotten.add(job_id, now_ms())
             self._ended.pop(job_id)
+            self._revisions.pop(job_id, None)
         return len(old)
 
+    def _keys_of(self, job_id: str) -> tuple[str, ...]:
+        """Return all keys of a job that has ended."""
+        queue = self._ended[job_id][1]
+        return (
+            job_key(job_id),
+            cancel_key(job_id),
+            record_key(job_id),
+            waiting_key(queue, job_id),
+        )
+
     def _loaded(
         self, entry: Entry, records: Mapping[str, JobRecord]
     ) -> Job | None:
@@ -232,15 +249,7 @@
 
     def _read_all(self, reading: PrefixRead) -> Iterator[Entry]:
         while not reading.is_over:
-            yield from self._insist(reading)
-
-    def _insist(self, reading: PrefixRead) -> tuple[Entry, ...]:
-        """Return the next page; raises `StoreError` if it fails again."""
-        try:
-            return reading.next_page()
-        except StoreError as exc:
-            self._log.store_trouble(exc.text)
-        return reading.next_page()
+            yield from insist(reading.next_page, self._log)
 
     def _save_batch(self, batch: list[Job]) -> None:
         saved_ms = now_ms()
