Run the sources of the own tree in the processes of a stand-in site

Seen: tests that start processes, run in a clone, passed and failed by the sources that the virtual environment points at, those of the main repository: a change to the daemon in a clone was not under test at all, and a change to the main repository beside a run was.

Cause: `Site._spawn` set PYTHONPATH to the root of the tree only, over the one that the tests were called with; `src` then came from the installed package.

Why it works: `own_env` names both folders, before what is installed, and the command line of tests is run with it as well.

--- a/standins/site.py
+++ b/standins/site.py
@@ -18,6 +18,7 @@
 from urllib3 import PoolManager, Timeout
 
 from standins.network import Network
+from standins.process import Process, own_env, read_lines, start_process
 
 HOST: Final = '127.0.0.1'
 READY_TIMEOUT_S: Final = 15.0
@@ -44,31 +45,6 @@
 _PORTS: Final = _own_ports()
 
 
-@dataclass
-class Process:
-    """One process of the site, with its output in files."""
-
-    name: str
-    popen: subprocess.Popen[bytes]
-    output: Path
-    port: int
-    peer_port: int = 0
-
-    def kill(self) -> None:
-        """End the process without any warning."""
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    def signal(self, signum: int) -> None:
-        """Send a signal if the process still runs."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(signum)
-
-    def lines(self) -> list[dict[str, Any]]:
-        """Return the JSON lines that the process has written."""
-        return read_lines(self.output)
-
-
 @dataclass
 class Site:
     """A running site; `stop` ends every process that it started."""
@@ -193,6 +169,7 @@
                 *words,
             ],
             cwd=self.folder,
+            env=own_env(),
             capture_output=True,
             text=True,
             timeout=HTTP_TIMEOUT_S,
@@ -210,7 +187,7 @@
 
     def is_running(self, name: str) -> bool:
         """Tell whether a process has not ended."""
-        return self.processes[name].popen.poll() is None
+        return self.processes[name].is_running()
 
     def answers(self, name: str, path: str) -> bool:
         """Tell whether a process answers a path with 200."""
@@ -241,7 +218,7 @@
         running = [
             process
             for process in self.processes.values()
-            if process.popen.poll() is None
+            if process.is_running()
         ]
         for process in running:
             process.signal(signal.SIGCONT)
@@ -272,7 +249,7 @@
     def _owned(self) -> int:
         owned = 0
         for name, process in self.processes.items():
-            is_entry = process.peer_port and process.popen.poll() is None
+            is_entry = process.peer_port and process.is_running()
             if is_entry and not self.answers(name, '/readyz'):
                 return -1
             if is_entry:
@@ -281,30 +258,11 @@
         return owned
 
     def _spawn(self, name: str, words: list[str], port: int) -> Process:
-        output = self.folder / f'{name}.{time.time_ns()}.out'
-        errors = output.with_suffix('.err')
-        with output.open('wb') as out, errors.open('wb') as err:
-            popen = subprocess.Popen(
-                [sys.executable, *words],
-                stdout=out,
-                stderr=err,
-                stdin=subprocess.DEVNULL,
-                env={**os.environ, 'PYTHONPATH': str(_root())},
-            )
-        process = Process(name, popen, output, port)
+        process = start_process(self.folder, name, words, port)
         self.processes[name] = process
         return process
 
 
-def read_lines(output: Path) -> list[dict[str, Any]]:
-    """Return the whole JSON lines of a file that may be growing."""
-    text = output.read_text()
-    whole = text[: text.rfind('\n') + 1]
-    return [
-        json.loads(line) for line in whole.splitlines() if line.startswith('{')
-    ]
-
-
 def free_port() -> int:
     """Return a port that is free at the moment.
 
@@ -331,7 +289,3 @@
         if time.monotonic() > until:
             raise TimeoutError('condition was not met in time')
         time.sleep(POLL_S)
-
-
-def _root() -> Path:
-    return Path(__file__).resolve().parent.parent
