Give each test process a range of ports that no other one has

Cause, by reading: a port is taken by a process of the site a second after it is handed out. The ranges of ports went by the id of the lanes' parent modulo 16, so two runs whose ids lay near each other modulo 16 walked through the same ports from the same beginning: at three lanes each, five pairs of runs in sixteen. Then a daemon met a taken port and ended, or a site was content with its neighbour's platform, which answers alike.

Ruled out: ports chosen by the system (port 0), as outgoing connections take them in between, and a daemon has to be told its ports before it starts.

--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -20,7 +20,7 @@
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
 from standins.http_server import StandinServer
-from standins.site import free_port
+from standins.ports import free_port
 
 ADVICE: Final = MappingProxyType(
     {'decide_ms': 20, 'each_ms': 1, 'valid_ms': 2000}
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,50 +1,30 @@
 """Starts a whole site as processes on loopback, for tests and the demo."""
 
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
-from contextlib import suppress
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import cycle
 from pathlib import Path
 from typing import Any, Final, TypeVar
 
 from urllib3 import PoolManager, Timeout
 
 from standins.network import Network
+from standins.ports import HOST, free_port
 from standins.process import Process, own_env, read_lines, start_process
 
-HOST: Final = '127.0.0.1'
 READY_TIMEOUT_S: Final = 15.0
 POLL_S: Final = 0.05
 HTTP_TIMEOUT_S: Final = 40.0
 STOP_TIMEOUT_S: Final = 20.0
 
-FIRST_PORT: Final = 12_000
-PORTS_EACH: Final = 1200
-PORT_RANGES: Final = 16
-
 _Found = TypeVar('_Found')
 
 
-def _own_ports() -> Iterator[int]:
-    """Yield the ports of this process's range, over and over."""
-    lane = os.environ.get('PYTEST_XDIST_WORKER', '')
-    # Lanes of one run have one parent, whose id keeps two runs apart.
-    number = int(lane[2:]) + os.getppid() if lane else os.getpid()
-    first = FIRST_PORT + number % PORT_RANGES * PORTS_EACH
-    return cycle(range(first, first + PORTS_EACH))
-
-
-_PORTS: Final = _own_ports()
-
-
 @dataclass
 class Site:
     """A running site; `stop` ends every process that it started."""
@@ -263,20 +243,6 @@
         return process
 
 
-def free_port() -> int:
-    """Return a port that is free at the moment.
-
-    Ports come in turn from a range of the process's own, below those that
-    the system gives to outgoing connections, so that test processes running
-    side by side never take each other's.
-    """
-    while True:
-        port = next(_PORTS)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((HOST, port))
-            return port
-
-
 def wait_for(
     probe: Callable[[], _Found], timeout_s: float = READY_TIMEOUT_S
 ) -> _Found:
--- a/tests/contracts/test_endpoint_slices.py
+++ b/tests/contracts/test_endpoint_slices.py
@@ -14,7 +14,7 @@
     Presence,
 )
 from standins.http_server import Call, Reply, StandinServer
-from standins.site import HOST, free_port
+from standins.ports import HOST, free_port
 from tests.contracts.instance_list_contract import InstanceListContract
 
 REPLIES = {
--- a/tests/contracts/test_etcd_store.py
+++ b/tests/contracts/test_etcd_store.py
@@ -8,7 +8,7 @@
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.store import Store
 from standins.platform import HOST, Platform
-from standins.site import free_port
+from standins.ports import free_port
 from tests.contracts.store_contract import StoreContract
 
 
--- a/tests/contracts/test_http_front.py
+++ b/tests/contracts/test_http_front.py
@@ -5,7 +5,8 @@
 import pytest
 
 from gentianpulley.http_conn import HttpAddress
-from standins.site import HOST, Site
+from standins.ports import HOST
+from standins.site import Site
 from tests.contracts.front_contract import FrontContract
 from tests.site_client import start_site
 
--- a/tests/contracts/test_http_worker.py
+++ b/tests/contracts/test_http_worker.py
@@ -7,7 +7,7 @@
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.http_worker import HttpWorkerConnector
 from gentianpulley.worker import WorkerConn
-from standins.site import HOST, free_port
+from standins.ports import HOST, free_port
 from standins.tcp_proxy import LinkState, TcpProxy
 from standins.worker import Worker, WorkerSettings
 from tests.contracts.worker_contract import WorkerContract
--- a/tests/contracts/test_kv_store.py
+++ b/tests/contracts/test_kv_store.py
@@ -15,7 +15,7 @@
 from gentianpulley.store import ABSENT, Guard, Put, Store, Transaction
 from standins.grid_store import HOST, PAGE, GridStore
 from standins.http_server import Reply
-from standins.site import free_port
+from standins.ports import free_port
 from tests.contracts.store_contract import StoreContract
 
 
--- a/tests/contracts/test_thrift_peer.py
+++ b/tests/contracts/test_thrift_peer.py
@@ -11,7 +11,7 @@
 from gentianpulley.peer import Peer
 from gentianpulley.peer_client import ThriftPeer
 from gentianpulley.peer_server import PeerServer
-from standins.site import HOST, free_port
+from standins.ports import HOST, free_port
 from standins.tcp_proxy import LinkState, TcpProxy
 from tests.contracts.peer_contract import STATUS, FakePeer, PeerContract
 
--- a/tests/proofs/test_answers.py
+++ b/tests/proofs/test_answers.py
@@ -16,7 +16,8 @@
 from gentianpulley.worker import TaskState, TaskStatus
 from standins.http_server import Call, Reply, StandinServer
 from standins.network import DomainView
-from standins.site import HOST, Site
+from standins.ports import HOST
+from standins.site import Site
 from tests.contracts.worker_contract import command
 from tests.site_client import Ask, answer_bytes, start_site, submit
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,7 +12,8 @@
 
 from gentianpulley.control_keys import CONTROL_PREFIX
 from gentianpulley.store import ABSENT, GuardedWrite, Put
-from standins.site import HOST, Site, wait_for
+from standins.ports import HOST
+from standins.site import Site, wait_for
 from tests.site_client import Ask, start_site, store_of, submit
 
 LIMIT = 200_000
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from standins.site import HOST, STOP_TIMEOUT_S, Site, wait_for
+from standins.ports import HOST
+from standins.site import STOP_TIMEOUT_S, Site, wait_for
 from tests.site_client import (
     Ask,
     put_cfg,
