Tell why a stand-in site did not start, and leave nothing of it running

A process that ended at its start was waited for for 15 s, and nobody saw its output. And what a set-up had started ran on when it failed, a platform and two workers in a trial, beside all tests that followed.

Now the wait for a start ends at once when a process ended by itself, and either way the error shows, for each process, whether it runs and what it wrote last. `start_site`, and the fixture that adds to it, stop what they had started.

The wait is no longer than before, 15 s.

--- a/standins/process.py
+++ b/standins/process.py
@@ -10,6 +10,9 @@
 from pathlib import Path
 from typing import Any, Final
 
+TOLD_BYTES: Final = 2000
+"""How much of the end of a process's output is told of a failure."""
+
 ROOT: Final = Path(__file__).resolve().parent.parent
 
 
@@ -37,10 +40,22 @@
         """Tell whether the process has not ended."""
         return self.popen.poll() is None
 
+    def has_failed(self) -> bool:
+        """Tell whether the process ended by itself, and not well."""
+        status = self.popen.poll()
+        return status is not None and status > 0
+
     def lines(self) -> list[dict[str, Any]]:
         """Return the JSON lines that the process has written."""
         return read_lines(self.output)
 
+    def account(self) -> str:
+        """Return how the process is and what it wrote last, for people."""
+        status = self.popen.poll()
+        state = 'runs' if status is None else f'ended with {status}'
+        told = _tail(self.output) + _tail(self.output.with_suffix('.err'))
+        return f'{self.name} on port {self.port} {state}\n{told}'
+
 
 def start_process(
     folder: Path, name: str, words: list[str], port: int
@@ -75,3 +90,7 @@
     return [
         json.loads(line) for line in whole.splitlines() if line.startswith('{')
     ]
+
+
+def _tail(path: Path) -> str:
+    return path.read_bytes()[-TOLD_BYTES:].decode(errors='replace')
--- a/standins/site.py
+++ b/standins/site.py
@@ -12,6 +12,7 @@
 from typing import Any, Final, TypeVar
 
 from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
 
 from standins.network import Network
 from standins.ports import HOST, free_port
@@ -25,6 +26,10 @@
 _Found = TypeVar('_Found')
 
 
+class SiteStartError(Exception):
+    """A site did not start; its text tells what each process wrote."""
+
+
 @dataclass
 class Site:
     """A running site; `stop` ends every process that it started."""
@@ -48,7 +53,7 @@
         process = self._spawn(
             'platform', ['-m', 'standins.platform', str(port)], port
         )
-        wait_for(lambda: self.answers('platform', '/standin/calls'))
+        self._await(lambda: self.answers('platform', '/standin/calls'))
         return process
 
     def start_worker(self, name: str, domain: str, **offer: Any) -> Process:
@@ -64,7 +69,7 @@
         process = self._spawn(
             name, ['-m', 'standins.worker', json.dumps(settings)], port
         )
-        wait_for(lambda: self.answers(name, '/v1/worker'))
+        self._await(lambda: self.answers(name, '/v1/worker'))
         self.domains[name] = domain
         self.list_instance(name, 'worker')
         return process
@@ -181,7 +186,7 @@
 
     def wait_until_serving(self, owned_workers: int) -> None:
         """Wait until all entries are ready and own that many workers."""
-        wait_for(lambda: self._owned() == owned_workers)
+        self._await(lambda: self._owned() == owned_workers)
 
     def record(self) -> list[dict[str, Any]]:
         """Return what all workers recorded, in the order of time."""
@@ -242,6 +247,25 @@
         self.processes[name] = process
         return process
 
+    def _await(self, holds: Callable[[], bool]) -> None:
+        """Wait for a part of the start; tells what each process wrote.
+
+        Raises `SiteStartError` in time, and at once when a process ended.
+        """
+        try:
+            wait_for(lambda: self._has_failed() or holds(), READY_TIMEOUT_S)
+        except (TimeoutError, HTTPError) as exc:
+            raise SiteStartError(self._account(f'{exc}')) from exc
+        if self._has_failed():
+            raise SiteStartError(self._account('a process ended'))
+
+    def _has_failed(self) -> bool:
+        return any(process.has_failed() for process in self.processes.values())
+
+    def _account(self, what: str) -> str:
+        accounts = [process.account() for process in self.processes.values()]
+        return '\n'.join((what, *accounts))
+
 
 def wait_for(
     probe: Callable[[], _Found], timeout_s: float = READY_TIMEOUT_S
--- a/tests/site_client.py
+++ b/tests/site_client.py
@@ -3,6 +3,7 @@
 import json
 import time
 from base64 import b64decode, b64encode
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -13,7 +14,8 @@
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.store import Store
 from standins.network import Network
-from standins.site import HOST, Site
+from standins.ports import HOST
+from standins.site import Site
 
 CFG_FOLDER: Final = Path(__file__).parent / 'cfg'
 DAEMON: Final = 'tests.guarded_daemon'
@@ -91,14 +93,17 @@
     """Start a site with that many workers and entries in each domain."""
     network = Network(DOMAINS) if partitioned else None
     site = Site(network=network, daemon_module=DAEMON)
-    site.start_platform()
-    put_cfg(site)
-    for domain in DOMAINS:
-        for number in range(workers):
-            site.start_worker(f'w-{domain}-{number}', domain, **offer)
-        for number in range(entries):
-            site.start_entry(f'e-{domain}-{number}', domain)
-    site.wait_until_serving(workers * len(DOMAINS))
+    with ExitStack() as undo:
+        undo.callback(site.stop)
+        site.start_platform()
+        put_cfg(site)
+        for domain in DOMAINS:
+            for number in range(workers):
+                site.start_worker(f'w-{domain}-{number}', domain, **offer)
+            for number in range(entries):
+                site.start_entry(f'e-{domain}-{number}', domain)
+        site.wait_until_serving(workers * len(DOMAINS))
+        undo.pop_all()
     return site
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from contextlib import ExitStack
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -23,10 +24,11 @@
 @pytest.fixture(scope='module')
 def site() -> Iterator[Site]:
     running = start_site(workers=1, entries=1)
-    running.start_entry('e-small', 'leith', max_body_bytes=LIMIT)
-    running.wait_until_serving(2)
-    yield running
-    running.stop()
+    with ExitStack() as undo:
+        undo.callback(running.stop)
+        running.start_entry('e-small', 'leith', max_body_bytes=LIMIT)
+        running.wait_until_serving(2)
+        yield running
 
 
 GOOD = Ask('good', 'fit-preview', {'run_ms': 1})
--- a/tests/test_site_start.py
+++ b/tests/test_site_start.py
@@ -9,8 +9,10 @@
 
 import pytest
 
-from standins.process import own_env
-from standins.site import Site, wait_for
+from standins.process import Process, own_env
+from standins.site import Site, SiteStartError, wait_for
+from tests import site_client
+from tests.site_client import start_site
 
 SOURCES: Final = Path(__file__).resolve().parent.parent / 'src'
 FIRST_PORT: Final = (
@@ -52,3 +54,39 @@
     told = site.start_entry('e', 'leith')
     wait_for(told.lines)
     assert told.lines()[0]['sources'] == str(SOURCES / 'gentianpulley')
+
+
+def test_a_process_that_ends_at_its_start_is_told_of(site: Site) -> None:
+    """The test waited for fifteen seconds, and nobody saw the output."""
+    site.daemon_module = 'tests.no_such_module'
+    site.start_entry('e-lost', 'leith')
+    with pytest.raises(SiteStartError, match='No module named') as failed:
+        site.wait_until_serving(0)
+    assert 'a process ended' in str(failed.value)
+    assert 'e-lost on port' in str(failed.value)
+
+
+def test_a_start_that_takes_too_long_is_told_of(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr('standins.site.READY_TIMEOUT_S', 0.2)
+    with pytest.raises(SiteStartError, match='platform on port') as failed:
+        site.wait_until_serving(1)
+    assert 'not met in time' in str(failed.value)
+
+
+def test_a_site_that_does_not_start_leaves_nothing_running(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What had started ran on, beside all tests that followed."""
+    started: list[Process] = []
+    monkeypatch.setattr(site_client, 'DAEMON', 'tests.no_such_module')
+    monkeypatch.setattr(
+        site_client,
+        'put_cfg',
+        lambda site: started.extend(site.processes.values()),
+    )
+    with pytest.raises(SiteStartError):
+        start_site(workers=1, entries=1)
+    assert started
+    assert not any(process.is_running() for process in started)
