Call a size impossible only if every worker is known to be too small

Callers would hear IMPOSSIBLE_SIZE, "no worker could ever hold the declared size", of work that fits in a worker that starts again, changes its owner or stands in a domain that is out; they would not come again. And a size that is impossible was taken for possible while any instance on the list was not heard, also one that owns nothing.

Cause: the check looked at the workers that were open just then, in domains in which a start is allowed now, and took the silence of a peer for a sign of more.

The tests in tests/test_sizes.py failed before: - test_a_peer_without_workers_need_not_be_heard: assert not True - test_work_for_a_worker_that_starts_again_is_not_refused: assert False - test_work_for_a_worker_between_two_owners_is_not_refused: assert False - test_work_for_a_domain_that_is_out_is_not_impossible: assert False

Why it works: False is said only if, for each listed worker in a domain that no rule forbids for good, the owner by the records is heard, takes work and counts as many open workers as the records give it. Otherwise the request waits until its deadline as for room. Shapes are compared first, so that requests that fit cost what they did.

Ruled out: shapes by worker in the heartbeat, which would change the protocol between instances of two releases; what is left open without them is an owner whose last heartbeat, a second old, counts a worker that it has lost in place of one that it has just got.

--- a/src/gentianpulley/routing.py
+++ b/src/gentianpulley/routing.py
@@ -2,7 +2,10 @@
 
 import random
 from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final
 
 from gentianpulley.document import DocumentShelf
@@ -10,7 +13,11 @@
 from gentianpulley.peer import Headroom
 from gentianpulley.peer_directory import PeerDirectory
 from gentianpulley.resources import Resources
-from gentianpulley.ruling import Subject, allowed_domains
+from gentianpulley.ruling import (
+    Subject,
+    allowed_domains,
+    possible_domains,
+)
 from gentianpulley.start_gate import StartGate
 from gentianpulley.worker_fleet import WorkerFleet
 
@@ -82,18 +89,27 @@
         return self._policy.choose(routes, self._gate.failure_domain)
 
     def could_ever_fit(self, subject: Subject, need: Resources) -> bool:
-        """Tell whether an idle worker would have room for such a task.
+        """Tell whether an idle worker may have room for such a task.
 
-        True also while an owner that might know better is not heard.
+        False only if all listed workers are known to be too small. While one
+        starts again, or changes its owner, or its owner is not heard, it may
+        be the one that is not.
         """
-        if any(not view.is_heard for view in self._membership.peers()):
+        cfg = self._shelf.cfg
+        if cfg is None:
             return True
-        shapes = {
-            shape
-            for route in self._routes(subject)
-            for shape in route.headroom.shapes
+        domains = possible_domains(cfg, subject)
+        headrooms = {
+            route.instance: route.headroom
+            for route in self._known_routes()
+            if route.failure_domain in domains
         }
-        return not shapes or any(need.fits_in(shape) for shape in shapes)
+        shapes = chain.from_iterable(
+            headroom.shapes for headroom in headrooms.values()
+        )
+        if any(need.fits_in(shape) for shape in set(shapes)):
+            return True
+        return not self._are_all_seen(domains, headrooms)
 
     def owner_of(self, worker: str) -> str:
         """Return the instance that owns a worker now, or an empty string."""
@@ -101,6 +117,20 @@
             return self._membership.myself.instance
         return instance_of(self._directory.owner_of(worker))
 
+    def _are_all_seen(
+        self, domains: frozenset[str], headrooms: Mapping[str, Headroom]
+    ) -> bool:
+        """Tell whether the owner of each listed worker counts it as open."""
+        counts = Counter(
+            self.owner_of(worker.name)
+            for worker in self._membership.all_workers()
+            if worker.failure_domain in domains
+        )
+        return bool(counts) and all(
+            headrooms.get(owner, Headroom()).owned_workers >= count
+            for owner, count in counts.items()
+        )
+
     def _routes(self, subject: Subject) -> tuple[Route, ...]:
         cfg = self._shelf.cfg
         if cfg is None:
--- a/src/gentianpulley/ruling.py
+++ b/src/gentianpulley/ruling.py
@@ -61,6 +61,15 @@
     )
 
 
+def possible_domains(cfg: SiteCfg, subject: Subject) -> frozenset[str]:
+    """Return the failure domains in which no rule forbids it for good."""
+    return frozenset(
+        domain
+        for domain in cfg.failure_domains
+        if rule_on_start(cfg, subject, domain).verdict is not Verdict.FORBIDDEN
+    )
+
+
 def rule_anywhere(cfg: SiteCfg, subject: Subject) -> Ruling:
     """Return the mildest ruling over all failure domains."""
     mildest = Ruling(Verdict.FORBIDDEN, rule_forbids('failure_domains'))
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,190 @@
+"""Which sizes of tasks are refused for good, by what is known of workers."""
+
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import pytest
+
+from gentianpulley.cfg import encode_cfg
+from gentianpulley.cfg_folder import load_cfg_folder
+from gentianpulley.control_keys import owners_key
+from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.document import (
+    Document,
+    DocumentKind,
+    DocumentShelf,
+    DomainStates,
+)
+from gentianpulley.http_conn import HttpAddress
+from gentianpulley.instance_list import ListedInstance, Presence, Role
+from gentianpulley.logs import EventLog
+from gentianpulley.membership import Membership
+from gentianpulley.ownership import Ownership, encode_ownership
+from gentianpulley.peer import Headroom, PeerStatus
+from gentianpulley.peer_directory import PeerDirectory
+from gentianpulley.resources import NOTHING, Resources
+from gentianpulley.routing import Router
+from gentianpulley.ruling import Subject
+from gentianpulley.store import Change, Entry
+from tests.owner_bench import CFG_FOLDER
+
+SMALL = Resources(4000, 4000)
+LARGE = Resources(64_000, 64_000)
+MIDDLE = Resources(8000, 8000)
+HUGE = Resources(1_000_000, 1000)
+SUBJECT = Subject('fit-preview', ())
+DOMAIN_OF = {'e-own': 'leith', 'e-peer': 'gorgie', 'e-idle': 'leith'}
+
+
+@dataclass
+class OwnParts:
+    """Stands for the gate and the fleet: one small worker, open."""
+
+    failure_domain: str = 'leith'
+    is_draining: bool = False
+    shapes: dict[str, Resources] = field(default_factory=dict)
+
+    def headroom(self) -> Headroom:
+        """Return what the open workers have."""
+        return headroom_of(*self.shapes.values())
+
+    def find(self, name: str) -> object:
+        """Return an open worker."""
+        return self.shapes.get(name)
+
+
+class Known:
+    """What the instance e-own knows of two domains with a worker each.
+
+    Its own worker is small; the one of e-peer is large.
+    """
+
+    def __init__(self) -> None:
+        """Hear everybody."""
+        self.shelf = DocumentShelf(EventLog())
+        body = encode_cfg(load_cfg_folder(CFG_FOLDER)).decode()
+        self.shelf.offer(Document(DocumentKind.CFG, 1, 'test', body))
+        state = ControlState(self.shelf, EventLog())
+        myself = member('e-own')
+        self.membership = Membership(state, myself)
+        self.membership.note_listed(
+            (
+                listed('w-small', 'leith', Role.WORKER),
+                listed('w-large', 'gorgie', Role.WORKER),
+                *(listed(name, DOMAIN_OF[name]) for name in DOMAIN_OF),
+            )
+        )
+        self.own = OwnParts(shapes={'w-small': SMALL})
+        self.state = state
+        self.give('w-small', 'e-own')
+        self.give('w-large', 'e-peer')
+        self.hear('e-peer', LARGE)
+        self.hear('e-idle')
+        self.router = Router(
+            self.shelf,
+            self.membership,
+            PeerDirectory(self.membership, state),
+            cast('Any', self.own),
+            cast('Any', self.own),
+        )
+
+    def give(self, worker: str, instance: str) -> None:
+        """Let the records say who owns the worker of a domain."""
+        domain = 'leith' if worker == 'w-small' else 'gorgie'
+        owned = Ownership().claim((worker,), member(instance).member_id)
+        key = owners_key(domain)
+        entry = Entry(key, encode_ownership(owned), 1)
+        self.state.apply((Change(key, entry, 1),))
+
+    def hear(self, instance: str, *shapes: Resources, **facts: Any) -> None:
+        """Take a heartbeat of a peer whose open workers have such shapes."""
+        told = {
+            'boot_id': 'boot',
+            'failure_domain': DOMAIN_OF[instance],
+            'cfg_revision': 1,
+            'domains_revision': 0,
+            'draining': False,
+            'store_heard_ms': 0,
+            'headroom': headroom_of(*shapes),
+            **facts,
+        }
+        self.membership.note_heartbeat(PeerStatus(instance, **told))
+
+    def may_fit(self, need: Resources) -> bool:
+        """Ask the router."""
+        return self.router.could_ever_fit(SUBJECT, need)
+
+
+def member(instance: str) -> MemberRecord:
+    """Return the record of an instance."""
+    return MemberRecord(instance, 'boot', DOMAIN_OF[instance], 'h:1', 'h:2')
+
+
+def listed(name: str, domain: str, role: Role = Role.ENTRY) -> ListedInstance:
+    """Return an entry of the instance list."""
+    address = HttpAddress('h', 1)
+    peer = address if role is Role.ENTRY else None
+    return ListedInstance(name, role, domain, Presence.LIVE, address, peer)
+
+
+def headroom_of(*shapes: Resources) -> Headroom:
+    """Return the headroom of full workers with such shapes."""
+    return Headroom(NOTHING, NOTHING, 0, len(shapes), shapes)
+
+
+@pytest.fixture
+def known() -> Known:
+    return Known()
+
+
+def test_a_size_that_no_worker_has_is_impossible(known: Known) -> None:
+    assert not known.may_fit(HUGE)
+    assert known.may_fit(MIDDLE)
+
+
+def test_a_peer_without_workers_need_not_be_heard(
+    known: Known, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A dead instance still on the list made every size possible."""
+    monkeypatch.setattr('gentianpulley.membership.HEARD_FOR_MS', -1)
+    known.hear('e-idle')
+    assert not known.may_fit(HUGE)
+
+
+def test_a_worker_whose_owner_is_not_heard_may_be_large(
+    known: Known, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr('gentianpulley.membership.HEARD_FOR_MS', -1)
+    known.hear('e-peer', SMALL)
+    assert known.may_fit(HUGE)
+
+
+def test_work_for_a_worker_that_starts_again_is_not_refused(
+    known: Known,
+) -> None:
+    """Its owner had closed it for a moment, and the caller heard that no
+    worker could ever hold what fits in it."""
+    known.hear('e-peer')
+    assert known.may_fit(MIDDLE)
+
+
+def test_work_for_a_worker_between_two_owners_is_not_refused(
+    known: Known,
+) -> None:
+    """The same in a planned stop of its owner, and before the next one has
+    taken it over."""
+    known.hear('e-peer', LARGE, draining=True)
+    assert known.may_fit(MIDDLE)
+    known.hear('e-peer')
+    known.give('w-large', 'e-idle')
+    assert known.may_fit(MIDDLE)
+
+
+def test_work_for_a_domain_that_is_out_is_not_impossible(
+    known: Known, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A domain comes back; the caller was told to never ask again."""
+    out = DomainStates().with_out('gorgie', 1)
+    monkeypatch.setattr(DocumentShelf, 'domains', out)
+    assert known.may_fit(MIDDLE)
+    assert not known.may_fit(HUGE)
