Tell an impossible size as soon as it is known, not to come again

So callers would hear, at their deadline, to come again with a size that no worker can ever hold.

Cause: the size was checked once, when the request came. While an owner is not heard the size may be possible, so the request was taken, and after that it only waited for room. A peer is not heard for up to a second after a start, and when nothing runs for 3 s.

Why it works: a request without a route asks again, before it waits. It is not refused once it may have run. While it is not known, it is told NO_ROOM as before (test_a_size_that_may_fit_is_told_to_come_again).

--- a/src/gentianpulley/quick_requests.py
+++ b/src/gentianpulley/quick_requests.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from gentianpulley.deadline import MS_PER_SECOND, has_passed, ms_left
+from gentianpulley.messages import impossible_size
 from gentianpulley.request import Request
 from gentianpulley.request_report import (
     RequestReport,
@@ -21,6 +22,7 @@
 from gentianpulley.result_code import (
     CANCELLED,
     DEADLINE_PASSED,
+    IMPOSSIBLE_SIZE,
     KEY_CONFLICT,
     NO_ROOM,
     OUTCOME_UNKNOWN,
@@ -129,6 +131,8 @@
                 return _cancelled(mine)
             route = self._pick(mine)
             if route is None:
+                if self._is_impossible(mine):
+                    return _impossible(mine)
                 _wait_for_room(mine.req.deadline_ms)
                 continue
             incarnation += 1
@@ -146,6 +150,12 @@
             mine.excluded.clear()
         return route
 
+    def _is_impossible(self, mine: _InFlight) -> bool:
+        """Ask again: at first an owner may not have been heard."""
+        subject = Subject(mine.req.work_class, mine.req.data_tags)
+        fits = self._router.could_ever_fit(subject, mine.req.need)
+        return not (fits or mine.may_have_run)
+
     def _attempt(
         self, mine: _InFlight, route: Route, incarnation: int
     ) -> RequestReport | None:
@@ -202,6 +212,12 @@
     return shared.report or plain_report(req.request_key, OUTCOME_UNKNOWN)
 
 
+def _impossible(mine: _InFlight) -> RequestReport:
+    return plain_report(
+        mine.req.request_key, IMPOSSIBLE_SIZE, impossible_size()
+    )
+
+
 def _cancelled(mine: _InFlight) -> RequestReport:
     code = STOPPED if mine.may_have_run else CANCELLED
     return plain_report(mine.req.request_key, code)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,9 +1,11 @@
 """Bad input at the HTTP front: a numbered code, and nothing lost or leaked."""
 
 import json
+import signal
 import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from dataclasses import replace
 from pathlib import Path
@@ -142,6 +144,26 @@
     assert site.answers(ENTRY, '/readyz')
 
 
+def test_impossible_size_is_told_once_its_peers_are_heard(site: Site) -> None:
+    """The caller was told at the deadline to come again with it."""
+    peer = site.processes['e-gorgie-0']
+    peer.signal(signal.SIGSTOP)
+    wait_for(lambda: not hears(site, peer.name))
+    ask = replace(GOOD, key='late', processors_milli=1_000_000)
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(submit, site, ENTRY, ask)
+        time.sleep(0.5)
+        peer.signal(signal.SIGCONT)
+        answer = fut.result()
+    assert answer['name'] == 'IMPOSSIBLE_SIZE'
+
+
+def hears(site: Site, name: str) -> bool:
+    """Tell whether the entry instance hears a peer."""
+    peers = site.call(ENTRY, 'GET', '/v1/status')['peers']
+    return any(each['instance'] == name and each['is_heard'] for each in peers)
+
+
 def port(site: Site) -> int:
     """Return the HTTP port of the entry instance."""
     return site.processes[ENTRY].port
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -1,6 +1,7 @@
 """Which sizes of tasks are refused for good, by what is known of workers."""
 
 from dataclasses import dataclass, field
+from threading import Timer
 from typing import Any, cast
 
 import pytest
@@ -9,6 +10,7 @@
 from gentianpulley.cfg_folder import load_cfg_folder
 from gentianpulley.control_keys import owners_key
 from gentianpulley.control_state import ControlState, MemberRecord
+from gentianpulley.deadline import deadline_in
 from gentianpulley.document import (
     Document,
     DocumentKind,
@@ -22,7 +24,10 @@
 from gentianpulley.ownership import Ownership, encode_ownership
 from gentianpulley.peer import Headroom, PeerStatus
 from gentianpulley.peer_directory import PeerDirectory
+from gentianpulley.quick_requests import QuickRequests
+from gentianpulley.request import Request
 from gentianpulley.resources import NOTHING, Resources
+from gentianpulley.result_code import IMPOSSIBLE_SIZE, NO_ROOM
 from gentianpulley.routing import Router
 from gentianpulley.ruling import Subject
 from gentianpulley.store import Change, Entry
@@ -34,6 +39,8 @@
 HUGE = Resources(1_000_000, 1000)
 SUBJECT = Subject('fit-preview', ())
 DOMAIN_OF = {'e-own': 'leith', 'e-peer': 'gorgie', 'e-idle': 'leith'}
+WAIT_MS = 1000
+SOON_S = 0.1
 
 
 @dataclass
@@ -132,11 +139,29 @@
     return Headroom(NOTHING, NOTHING, 0, len(shapes), shapes)
 
 
+def ask(need: Resources) -> Request:
+    """Return a request of such a size that waits for a short while."""
+    return Request(
+        request_key='k',
+        work_class='fit-preview',
+        team='clinic',
+        need=need,
+        deadline_ms=deadline_in(WAIT_MS),
+        idempotent=True,
+        payload=b'',
+    )
+
+
 @pytest.fixture
 def known() -> Known:
     return Known()
 
 
+@pytest.fixture
+def quick(known: Known) -> QuickRequests:
+    return QuickRequests('e-own', known.router, cast('Any', None))
+
+
 def test_a_size_that_no_worker_has_is_impossible(known: Known) -> None:
     assert not known.may_fit(HUGE)
     assert known.may_fit(MIDDLE)
@@ -188,3 +213,22 @@
     monkeypatch.setattr(DocumentShelf, 'domains', out)
     assert known.may_fit(MIDDLE)
     assert not known.may_fit(HUGE)
+
+
+def test_an_impossible_size_is_told_as_soon_as_it_is_known(
+    known: Known, quick: QuickRequests
+) -> None:
+    """A request that came while an owner was not heard was told at its
+    deadline to come again, although no worker could ever hold it."""
+    known.hear('e-peer')
+    assert known.may_fit(HUGE)
+    Timer(SOON_S, known.hear, ('e-peer', LARGE)).start()
+    assert quick.serve(ask(HUGE)).code is IMPOSSIBLE_SIZE
+
+
+def test_a_size_that_may_fit_is_told_to_come_again(
+    known: Known, quick: QuickRequests
+) -> None:
+    assert quick.serve(ask(MIDDLE)).code is NO_ROOM
+    known.hear('e-peer')
+    assert quick.serve(ask(HUGE)).code is NO_ROOM
