Place starts again that came back in the set-up of test_order_queue

Cause: the set-up planned once. A start that waited for two seconds, or whose worker was quiet for two, is given back to be placed again, which nobody did there, unlike the leader's thread. So if the machine stands still for two seconds between the plan and the first start, no start is ever sent, and the set-up fails 10 s later: "not in time".

Why it works: the set-up plans until a start was sent; starts that are placed already are not placed again. No wait is longer.

--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -107,9 +107,8 @@
             self.office, self.worker, self.link
         )
         self.office.attach('w', self.session)
-        wait_until(lambda: self.session.reached.is_set())
-        self.office.plan()
-        wait_until(lambda: self.link.sent)
+        wait_until(lambda: self.session.reached.is_set(), what='a look')
+        wait_until(self._has_sent, what='the first start')
 
     def key_of(self, ordinal: int) -> RunKey:
         """Return the run of a task."""
@@ -134,6 +133,12 @@
         known = self.scheduler.jobs[JOB_ID]
         return sum(len(each.waiting) for each in known.steps.values())
 
+    def _has_sent(self) -> bool:
+        """Tell whether a start was sent; places those that came back."""
+        if not self.link.sent:
+            self.office.plan()
+        return bool(self.link.sent)
+
 
 @pytest.fixture
 def bench() -> Iterator[Bench]:
@@ -237,6 +242,22 @@
     assert bench.link.sent == ['start 0']
 
 
+def test_starts_that_come_back_in_set_up_are_placed_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Where the machine stood still for two seconds, none was ever sent."""
+    monkeypatch.setattr(worker_session, 'LONGEST_START_WAIT_MS', -1)
+    moves_on = threading.Timer(
+        LOOK_S * 5,
+        monkeypatch.setattr,
+        (worker_session, 'LONGEST_START_WAIT_MS', SHORT_WAIT_MS * 100),
+    )
+    moves_on.start()
+    bench = Bench()
+    bench.close()
+    assert bench.link.sent[0] == 'start 0'
+
+
 def test_the_link_is_closed_once_no_call_is_under_way(bench: Bench) -> None:
     bench.session.close()
     wait_until(lambda: not _is_alive('look-w'))
