--- a/standins/site.py
+++ b/standins/site.py
@@ -1,72 +1,33 @@
 """Starts a whole site as processes on loopback, for tests and the demo."""
 
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
-from contextlib import suppress
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import cycle
 from pathlib import Path
 from typing import Any, Final, TypeVar
 
 from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
 
 from standins.network import Network
+from standins.ports import HOST, free_port
+from standins.process import Process, own_env, read_lines, start_process
 
-HOST: Final = '127.0.0.1'
 READY_TIMEOUT_S: Final = 15.0
 POLL_S: Final = 0.05
 HTTP_TIMEOUT_S: Final = 40.0
 STOP_TIMEOUT_S: Final = 20.0
 
-FIRST_PORT: Final = 12_000
-PORTS_EACH: Final = 1200
-PORT_RANGES: Final = 16
-
 _Found = TypeVar('_Found')
 
 
-def _own_ports() -> Iterator[int]:
-    """Yield the ports of this process's range, over and over."""
-    lane = os.environ.get('PYTEST_XDIST_WORKER', '')
-    # Lanes of one run have one parent, whose id keeps two runs apart.
-    number = int(lane[2:]) + os.getppid() if lane else os.getpid()
-    first = FIRST_PORT + number % PORT_RANGES * PORTS_EACH
-    return cycle(range(first, first + PORTS_EACH))
-
-
-_PORTS: Final = _own_ports()
-
-
-@dataclass
-class Process:
-    """One process of the site, with its output in files."""
-
-    name: str
-    popen: subprocess.Popen[bytes]
-    output: Path
-    port: int
-    peer_port: int = 0
-
-    def kill(self) -> None:
-        """End the process without any warning."""
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    def signal(self, signum: int) -> None:
-        """Send a signal if the process still runs."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(signum)
-
-    def lines(self) -> list[dict[str, Any]]:
-        """Return the JSON lines that the process has written."""
-        return read_lines(self.output)
+class SiteStartError(Exception):
+    """A site did not start; its text tells what each process wrote."""
 
 
 @dataclass
@@ -92,7 +53,7 @@
         process = self._spawn(
             'platform', ['-m', 'standins.platform', str(port)], port
         )
-        wait_for(lambda: self.answers('platform', '/standin/calls'))
+        self._await(lambda: self.answers('platform', '/standin/calls'))
         return process
 
     def start_worker(self, name: str, domain: str, **offer: Any) -> Process:
@@ -108,7 +69,7 @@
         process = self._spawn(
             name, ['-m', 'standins.worker', json.dumps(settings)], port
         )
-        wait_for(lambda: self.answers(name, '/v1/worker'))
+        self._await(lambda: self.answers(name, '/v1/worker'))
         self.domains[name] = domain
         self.list_instance(name, 'worker')
         return process
@@ -193,6 +154,7 @@
                 *words,
             ],
             cwd=self.folder,
+            env=own_env(),
             capture_output=True,
             text=True,
             timeout=HTTP_TIMEOUT_S,
@@ -210,7 +172,7 @@
 
     def is_running(self, name: str) -> bool:
         """Tell whether a process has not ended."""
-        return self.processes[name].popen.poll() is None
+        return self.processes[name].is_running()
 
     def answers(self, name: str, path: str) -> bool:
         """Tell whether a process answers a path with 200."""
@@ -224,7 +186,7 @@
 
     def wait_until_serving(self, owned_workers: int) -> None:
         """Wait until all entries are ready and own that many workers."""
-        wait_for(lambda: self._owned() == owned_workers)
+        self._await(lambda: self._owned() == owned_workers)
 
     def record(self) -> list[dict[str, Any]]:
         """Return what all workers recorded, in the order of time."""
@@ -241,7 +203,7 @@
         running = [
             process
             for process in self.processes.values()
-            if process.popen.poll() is None
+            if process.is_running()
         ]
         for process in running:
             process.signal(signal.SIGCONT)
@@ -272,7 +234,7 @@
     def _owned(self) -> int:
         owned = 0
         for name, process in self.processes.items():
-            is_entry = process.peer_port and process.popen.poll() is None
+            is_entry = process.peer_port and process.is_running()
             if is_entry and not self.answers(name, '/readyz'):
                 return -1
             if is_entry:
@@ -281,42 +243,28 @@
         return owned
 
     def _spawn(self, name: str, words: list[str], port: int) -> Process:
-        output = self.folder / f'{name}.{time.time_ns()}.out'
-        errors = output.with_suffix('.err')
-        with output.open('wb') as out, errors.open('wb') as err:
-            popen = subprocess.Popen(
-                [sys.executable, *words],
-                stdout=out,
-                stderr=err,
-                stdin=subprocess.DEVNULL,
-                env={**os.environ, 'PYTHONPATH': str(_root())},
-            )
-        process = Process(name, popen, output, port)
+        process = start_process(self.folder, name, words, port)
         self.processes[name] = process
         return process
 
+    def _await(self, holds: Callable[[], bool]) -> None:
+        """Wait for a part of the start; tells what each process wrote.
 
-def read_lines(output: Path) -> list[dict[str, Any]]:
-    """Return the whole JSON lines of a file that may be growing."""
-    text = output.read_text()
-    whole = text[: text.rfind('\n') + 1]
-    return [
-        json.loads(line) for line in whole.splitlines() if line.startswith('{')
-    ]
-
+        Raises `SiteStartError` in time, and at once when a process ended.
+        """
+        try:
+            wait_for(lambda: self._has_failed() or holds(), READY_TIMEOUT_S)
+        except (TimeoutError, HTTPError) as exc:
+            raise SiteStartError(self._account(f'{exc}')) from exc
+        if self._has_failed():
+            raise SiteStartError(self._account('a process ended'))
 
-def free_port() -> int:
-    """Return a port that is free at the moment.
+    def _has_failed(self) -> bool:
+        return any(process.has_failed() for process in self.processes.values())
 
-    Ports come in turn from a range of the process's own, below those that
-    the system gives to outgoing connections, so that test processes running
-    side by side never take each other's.
-    """
-    while True:
-        port = next(_PORTS)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((HOST, port))
-            return port
+    def _account(self, what: str) -> str:
+        accounts = [process.account() for process in self.processes.values()]
+        return '\n'.join((what, *accounts))
 
 
 def wait_for(
@@ -331,7 +279,3 @@
         if time.monotonic() > until:
             raise TimeoutError('condition was not met in time')
         time.sleep(POLL_S)
-
-
-def _root() -> Path:
-    return Path(__file__).resolve().parent.parent
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,9 +1,12 @@
 """Bad input at the HTTP front: a numbered code, and nothing lost or leaked."""
 
 import json
+import signal
 import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -12,7 +15,8 @@
 
 from gentianpulley.control_keys import CONTROL_PREFIX
 from gentianpulley.store import ABSENT, GuardedWrite, Put
-from standins.site import HOST, Site, wait_for
+from standins.ports import HOST
+from standins.site import Site, wait_for
 from tests.site_client import Ask, start_site, store_of, submit
 
 LIMIT = 200_000
@@ -22,10 +26,11 @@
 @pytest.fixture(scope='module')
 def site() -> Iterator[Site]:
     running = start_site(workers=1, entries=1)
-    running.start_entry('e-small', 'leith', max_body_bytes=LIMIT)
-    running.wait_until_serving(2)
-    yield running
-    running.stop()
+    with ExitStack() as undo:
+        undo.callback(running.stop)
+        running.start_entry('e-small', 'leith', max_body_bytes=LIMIT)
+        running.wait_until_serving(2)
+        yield running
 
 
 GOOD = Ask('good', 'fit-preview', {'run_ms': 1})
@@ -139,6 +144,26 @@
     assert site.answers(ENTRY, '/readyz')
 
 
+def test_impossible_size_is_told_once_its_peers_are_heard(site: Site) -> None:
+    """The caller was told at the deadline to come again with it."""
+    peer = site.processes['e-gorgie-0']
+    peer.signal(signal.SIGSTOP)
+    wait_for(lambda: not hears(site, peer.name))
+    ask = replace(GOOD, key='late', processors_milli=1_000_000)
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(submit, site, ENTRY, ask)
+        time.sleep(0.5)
+        peer.signal(signal.SIGCONT)
+        answer = fut.result()
+    assert answer['name'] == 'IMPOSSIBLE_SIZE'
+
+
+def hears(site: Site, name: str) -> bool:
+    """Tell whether the entry instance hears a peer."""
+    peers = site.call(ENTRY, 'GET', '/v1/status')['peers']
+    return any(each['instance'] == name and each['is_heard'] for each in peers)
+
+
 def port(site: Site) -> int:
     """Return the HTTP port of the entry instance."""
     return site.processes[ENTRY].port
