--- a/soak/process.py
+++ b/soak/process.py
@@ -1,6 +1,5 @@
 """An instance as a process of its own, stopped and started by signals."""
 
-import os
 import signal
 import subprocess
 import sys
@@ -9,6 +8,8 @@
 from pathlib import Path
 from typing import Final
 
+from standins.process import own_env
+
 SETTINGS_VARIABLE: Final = 'GENTIANPULLEY_NODE_FILE'
 ENTRY_PROGRAM: Final = 'src/gentianpulley_node.py'
 POLL_S: Final = 0.05
@@ -101,7 +102,7 @@
             self._popen.wait()
 
     def _launch(self) -> subprocess.Popen[bytes]:
-        env = {**os.environ, SETTINGS_VARIABLE: str(self._settings)}
+        env = {**own_env(), SETTINGS_VARIABLE: str(self._settings)}
         with self.log.open('ab') as output:
             return subprocess.Popen(
                 [sys.executable, *self._program.split()],
--- a/soak/site.py
+++ b/soak/site.py
@@ -20,7 +20,7 @@
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
 from standins.http_server import OK
-from standins.site import free_port
+from standins.ports import free_port
 from standins.tcp_proxy import LinkState, TcpProxy
 
 DOMAINS: Final = ('a', 'b')
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -163,9 +163,13 @@
         at_ms = now_ms()
         if at_ms < self._next_roster_ms:
             return
+        self.save_roster()
+        self._next_roster_ms = at_ms + ROSTER_SAVE_MS
+
+    def save_roster(self) -> None:
+        """Write what a successor has to expect now."""
         with self._roster_lock:
             self._save_roster(frozenset())
-        self._next_roster_ms = at_ms + ROSTER_SAVE_MS
 
     def _save_roster(self, used: frozenset[str]) -> None:
         """Write the roster, with these among the workers in use."""
@@ -177,7 +181,7 @@
     def _note_news(self, batch: tuple[WorkerNews, ...]) -> None:
         """Take the news in their order: who has left may be back by now."""
         with self._roster_lock:
-            self._note_used(news.facts for news in batch if news.facts)
+            self._note_used([news.facts for news in batch if news.facts])
             for news in batch:
                 if news.facts is None:
                     self._unlist(news.worker_id)
@@ -186,7 +190,7 @@
 
     def _note_used(self, all_facts: Iterable[WorkerFacts]) -> None:
         """Let the stored roster show these workers as used."""
-        ids = frozenset(facts.worker_id for facts in all_facts)
+        ids = self._to_expect(all_facts)
         if not self._notes.are_used(ids):
             self._save_roster(ids)
 
@@ -194,6 +198,16 @@
         with self.office.lock:
             self.office.scheduler.unlist_worker(worker_id, now_ms())
 
+    def _to_expect(self, all_facts: Iterable[WorkerFacts]) -> frozenset[str]:
+        """Return the workers on which something may run from now on."""
+        with self.office.lock:
+            scheduler = self.office.scheduler
+            return frozenset(
+                facts.worker_id
+                for facts in all_facts
+                if not scheduler.is_vacated(facts)
+            )
+
     def _take_one(self, facts: WorkerFacts) -> None:
         office = self.office
         with office.lock:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from standins.process import own_env
+
 LONGEST_S = 150
 
 SEEDS = (
@@ -25,6 +27,7 @@
             f'--seed={seed}',
             f'--seconds={seconds}',
         ],
+        env=own_env(),
         capture_output=True,
         text=True,
         timeout=LONGEST_S,
