Let the stand-in of a worker shorten leases as the published rules say

The leader had taken w1's lease for lapsed 5.7 s after its last list, as it may; the worker, born anew eight seconds before, ran on for two seconds more.

Cause: in the stand-in. An order for the former life, whose clock stood at eleven seconds, met the next life and set its lease by that clock. A worker shortens each lease to the site's longest, which the stand-in did not, so that one lasted for seventeen seconds. The scheduler counts on it (`Timing.longest_run_ms`).

--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -18,7 +18,7 @@
 from standins.grid_adviser import GridAdviser
 from standins.grid_machines import GridMachines
 from standins.grid_store import HOST, GridStore
-from standins.grid_worker import GridWorker
+from standins.grid_worker import MAX_LEASE_MS, GridWorker
 from standins.http_server import StandinServer
 from standins.ports import free_port
 
@@ -59,7 +59,7 @@
             'bounds.upkeep_s=0.4',
             'bounds.contact_ms=3000',
             f'bounds.grace_s={GRACE_S}',
-            'bounds.max_hold_ms=6000',
+            f'bounds.max_hold_ms={MAX_LEASE_MS}',
             'bounds.stop_ms=900',
             'bounds.harm_ms=4000',
             'bounds.status_s=120',
--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -25,6 +25,7 @@
 LATE_S: Final = 1.2
 TICK_S: Final = 0.01
 STOP_S: Final = 0.05
+MAX_LEASE_MS: Final = 6000
 MS: Final = 1000
 CONFLICT: Final = 409
 BAD_REQUEST: Final = 400
@@ -207,7 +208,7 @@
             return self._reply({'reason': 'ticket'}, CONFLICT)
         if order['deadline_ms'] <= self._clock():
             return self._reply({'reason': 'late'}, CONFLICT)
-        self._lease_ms = max(self._lease_ms, order['deadline_ms'])
+        self._extend_lease(order['deadline_ms'])
         if known is not None and known.run == number:
             return self._reply({})
         if known is not None or number <= self._barred.get(task, 0):
@@ -228,7 +229,7 @@
         return self._reply({})
 
     def _hold(self, order: Json) -> Reply:
-        self._lease_ms = max(self._lease_ms, order.get('deadline_ms', 0))
+        self._extend_lease(order.get('deadline_ms', 0))
         acked = order.get('acked_upto', 0)
         for number, task, ended_run, how, _ in self._ended:
             if number <= acked:
@@ -242,6 +243,11 @@
         ]
         return self._reply({'running': running, 'ended': self._ended})
 
+    def _extend_lease(self, until_ms: int) -> None:
+        """Take a lease, shortened to the longest that the site allows."""
+        longest_ms = self._clock() + MAX_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(until_ms, longest_ms))
+
     def _work(self) -> None:
         while True:
             time.sleep(TICK_S)
