Heed a signal whichever thread the system gives it to

Cause: n2 stood still when SIGTERM came. The system then gives the signal to any thread that wakes; Python runs handlers in the main thread only, which waited for an event that only the handler sets. Also, a signal that came while the main thread held the event's lock would have blocked it for good.

Evidence: the log of n2 has no "draining" after it woke at 9385.4 and accepts jobs until 9390.6. A process whose other thread takes SIGTERM hung in the former code until a second signal came (by hand, status 124 of a time limit); test_no_signal_is_missed_whichever_thread_takes_it does the same with both threads. The same fault was in the daemon of the own interface, which uses the same class now.

Why it works: the handler puts the number into a queue that is made for use in handlers, and the main thread looks at least five times a second, so that a handler that waits to be run is run. Ruled out: signals that are blocked and taken by sigwait, as the daemon runs where system calls are filtered.

--- a/src/gentianpulley/daemon.py
+++ b/src/gentianpulley/daemon.py
@@ -2,19 +2,17 @@
 
 import signal
 import sys
-import threading
 from pathlib import Path
-from types import FrameType
 from typing import Final
 
 from gentianpulley.entry_instance import create_entry_instance
 from gentianpulley.errors import SettingsError
+from gentianpulley.exit_status import LISTEN_EXIT_STATUS, USAGE_EXIT_STATUS
 from gentianpulley.logs import start_log
 from gentianpulley.messages import cannot_listen, daemon_usage
+from gentianpulley.process_signals import ProcessSignals
 from gentianpulley.settings import load_daemon_settings
 
-USAGE_EXIT_STATUS: Final = 64
-LISTEN_EXIT_STATUS: Final = 68
 _ARGUMENT_COUNT: Final = 2
 
 
@@ -38,7 +36,7 @@
         sys.stderr.write(f'{exc.text}\n')
         return exc.code.exit_status
     log = start_log(settings.instance, settings.failure_domain)
-    stopping = _StopSignal()
+    stopping = ProcessSignals((signal.SIGTERM, signal.SIGINT))
     instance = create_entry_instance(settings, log)
     try:
         instance.start()
@@ -50,21 +48,5 @@
     return 0
 
 
-class _StopSignal:
-    """Set once the process is told to end."""
-
-    def __init__(self) -> None:
-        self._received = threading.Event()
-        signal.signal(signal.SIGTERM, self._receive)
-        signal.signal(signal.SIGINT, self._receive)
-
-    def wait(self) -> None:
-        """Wait for the signal."""
-        self._received.wait()
-
-    def _receive(self, signum: int, frame: FrameType | None) -> None:
-        self._received.set()
-
-
 if __name__ == '__main__':
     main()
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -1,14 +1,11 @@
-"""The daemon on the platform: settings from its file, then serve."""
+"""An instance on the platform: what it is made of, its start and its stop."""
 
 import os
-import signal
-import sys
 import threading
 from collections.abc import Callable
 from dataclasses import fields
 from functools import partial
 from pathlib import Path
-from types import FrameType
 from typing import Final
 
 from cheroot.wsgi import Server
@@ -24,7 +21,7 @@
 from gentianpulley.deadline import now_ms, seconds_left
 from gentianpulley.errors import SettingsError
 from gentianpulley.http_conn import HttpAddress
-from gentianpulley.logs import EventLog, start_log
+from gentianpulley.logs import EventLog
 from gentianpulley.messages import bad_setting
 from gentianpulley.platform.advice_client import create_adviser
 from gentianpulley.platform.directory import create_directory
@@ -188,54 +185,6 @@
     return Path(told)
 
 
-def main() -> None:
-    """Run the daemon and exit with its status."""
-    status = run_node()
-    sys.stderr.flush()
-    # Threads of requests that still wait must not outlast the grace.
-    os._exit(status)
-
-
-def run_node() -> int:
-    """Serve until SIGTERM; returns the exit status."""
-    signals = _Signals()
-    try:
-        settings = load_node_settings(settings_path())
-    except SettingsError as exc:
-        sys.stderr.write(f'{exc.text}\n')
-        return exc.code.exit_status
-    log = start_log(settings.instance, settings.failure_domain)
-    node = Node(settings, log)
-    node.start()
-    while signals.wait():
-        node.reload()
-    node.shut_down()
-    log.flush()
-    return 0
-
-
-class _Signals:
-    """SIGTERM and SIGINT end the process, SIGHUP reads the settings again."""
-
-    def __init__(self) -> None:
-        """Receive the signals from now on."""
-        self._came = threading.Event()
-        self._is_ending = False
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, self._receive)
-
-    def wait(self) -> bool:
-        """Wait for a signal; returns whether to go on."""
-        self._came.wait()
-        self._came.clear()
-        return not self._is_ending
-
-    def _receive(self, signum: int, frame: FrameType | None) -> None:
-        if signum != signal.SIGHUP:
-            self._is_ending = True
-        self._came.set()
-
-
 def _differences(known: NodeSettings, told: NodeSettings) -> str:
     names = [
         spec.name
--- a/src/gentianpulley_node.py
+++ b/src/gentianpulley_node.py
@@ -11,7 +11,7 @@
     the settings are read later.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    import_module('gentianpulley.platform.daemon').main()
+    import_module('gentianpulley.platform.program').main()
 
 
 if __name__ == '__main__':
--- a/tests/guarded_node.py
+++ b/tests/guarded_node.py
@@ -1,6 +1,6 @@
 """Runs an instance on the platform with one guard switched off."""
 
-from gentianpulley.platform.daemon import main
+from gentianpulley.platform.program import main
 from tests.guards import switch_off_named
 
 if __name__ == '__main__':
