End an instance that cannot listen, or meets a fault at its start

An instance whose address was taken raised in the main thread; the threads of the servers that listened already kept the process, which served nothing, heeded no signal and was not started again.

--- a/src/gentianpulley/platform/program.py
+++ b/src/gentianpulley/platform/program.py
@@ -3,17 +3,25 @@
 import os
 import signal
 import sys
+import traceback
 
 from gentianpulley.errors import SettingsError
+from gentianpulley.exit_status import LISTEN_EXIT_STATUS
 from gentianpulley.logs import start_log
+from gentianpulley.messages import cannot_listen
 from gentianpulley.platform.daemon import Node, settings_path
 from gentianpulley.platform.node_file import load_node_settings
 from gentianpulley.process_signals import ProcessSignals
+from gentianpulley.result_code import INTERNAL
 
 
 def main() -> None:
     """Run the daemon and exit with its status."""
-    status = run_node()
+    try:
+        status = run_node()
+    except Exception:
+        traceback.print_exc()
+        status = INTERNAL.exit_status
     sys.stderr.flush()
     # Threads of requests that still wait must not outlast the grace.
     os._exit(status)
@@ -29,7 +37,11 @@
         return exc.code.exit_status
     log = start_log(settings.instance, settings.failure_domain)
     node = Node(settings, log)
-    node.start()
+    try:
+        node.start()
+    except OSError as failed:
+        sys.stderr.write(cannot_listen(failed))
+        return LISTEN_EXIT_STATUS
     while signals.wait() is signal.SIGHUP:
         node.reload()
     node.shut_down()
