--- a/src/gentianpulley/platform/program.py
+++ b/src/gentianpulley/platform/program.py
@@ -1,4 +1,4 @@
-"""The program of an instance on the platform: serves until it is told to end."""
+"""The program of an instance on the platform: serves until told to end."""
 
 import os
 import signal
