Wait until a node says that it leads before a test stops the leader

Seen: test_the_successor_adopts_what_runs failed twice in 15 runs in a process that was stopped (SIGSTOP) now and then for 0.8 and 1.6 s: "assert 0 == 1", no node led while four tasks ran.

Cause, in the tests: a campaign notes its leader once all parts of that run, and the first orders go out before. The test looked in between. Seen in two more places by reading, tests/test_platform_upkeep.py and demo/steps.py.

Why it works: `take_leader` waits until one leads, and still demands that it is the only one.

--- a/demo/steps.py
+++ b/demo/steps.py
@@ -45,9 +45,7 @@
     status, _ = call(site.nodes[0], 'POST', JOB, job_body(*steps, ms=RUN_MS))
     print(f'accepted with {status}')
     wait_until(lambda: _started(site))
-    former = next(node for node in site.nodes if node.is_leading)
-    site.nodes.remove(former)
-    former.shut_down()
+    site.take_leader().shut_down()
     print('the leader was stopped; its successor goes on')
     successor = site.nodes[0]
     wait_until(lambda: state_of(successor, JOB) == 'completed')
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -132,6 +132,21 @@
         wait_until(node.is_ready)
         return node
 
+    def take_leader(self) -> Node:
+        """Take the node that leads off the list, once there is one.
+
+        It says so only when all of its parts run; its first orders may have
+        gone out by then.
+        """
+        wait_until(
+            lambda: any(node.is_leading for node in self.nodes),
+            what='a leader',
+        )
+        leading = [node for node in self.nodes if node.is_leading]
+        assert len(leading) == 1
+        self.nodes.remove(leading[0])
+        return leading[0]
+
     def close(self) -> None:
         """Stop everything."""
         for node in self.nodes:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -163,11 +163,8 @@
         ),
         what='four tasks at work',
     )
-    leading = [node for node in site.nodes if node.is_leading]
-    assert len(leading) == 1
-    other = site.nodes[1] if leading[0] is site.nodes[0] else site.nodes[0]
-    site.nodes.remove(leading[0])
-    leading[0].shut_down()
+    site.take_leader().shut_down()
+    (other,) = site.nodes
     wait_until(lambda: other.is_leading, what='a successor leads')
     wait_until(
         lambda: state_of(other, JOB) == 'completed', what='the job completed'
@@ -288,9 +285,7 @@
     site: Site,
 ) -> None:
     """A day stopped instances that were cut off: one had to be killed."""
-    wait_until(lambda: any(node.is_leading for node in site.nodes))
-    (leading,) = [node for node in site.nodes if node.is_leading]
-    site.nodes.remove(leading)
+    leading = site.take_leader()
     site.store.faults = {'silent': 1}
     waiting = threading.Thread(target=_ignore_answer, args=(leading,))
     waiting.start()
--- a/tests/test_platform_upkeep.py
+++ b/tests/test_platform_upkeep.py
@@ -75,9 +75,7 @@
     _ask(site, 'm-w1', 'm-w2', 'm-w3')
     wait_until(lambda: site.machines and site.machines.begun)
     assert _status(site) == 'running'
-    (leading,) = [node for node in site.nodes if node.is_leading]
-    site.nodes.remove(leading)
-    leading.shut_down()
+    site.take_leader().shut_down()
     wait_until(lambda: _status(site) == 'completed', 20)
     assert sorted(site.machines.begun) == ['w1', 'w2', 'w3']
     assert site.machines.most_down == 1
