Tell what an entry instance answered when it was no JSON

Seen: in a whole run of the tests with two lanes, at a load of 30, the set-up of tests/contracts/test_http_front.py failed: "Expecting value: line 1 column 1", ten errors of one site. An entry instance answered /readyz with 200 and then /v1/status with an empty body; its status and headers were not kept.

Not traced; tried: 36 sites, three beside each other at a load of 30, each asked for both paths without a pause while it started: no odd answer. Ruled out by reading and by calls to a front alone: a fault of the program, an unknown path and a refused body all have a JSON body. What is left is an answer by the HTTP server itself (500 without a text), whose log goes nowhere, or an answer from another process at that port.

Now the error tells the call, the status, the headers and the body, and in the start of a site what all processes wrote, too. The tests failed before, with JSONDecodeError.

--- a/standins/site.py
+++ b/standins/site.py
@@ -26,6 +26,10 @@
 _Found = TypeVar('_Found')
 
 
+class OddAnswerError(Exception):
+    """An answer was no JSON; the text tells what it was."""
+
+
 class SiteStartError(Exception):
     """A site did not start; its text tells what each process wrote."""
 
@@ -168,7 +172,11 @@
             self._url(name, path),
             body=None if body is None else json.dumps(body).encode(),
         )
-        return json.loads(resp.data)
+        try:
+            return json.loads(resp.data)
+        except ValueError as exc:
+            told = f'{method} {path} of {name}: {resp.status} {resp.headers}'
+            raise OddAnswerError(f'{told} {resp.data!r}') from exc
 
     def is_running(self, name: str) -> bool:
         """Tell whether a process has not ended."""
@@ -254,7 +262,7 @@
         """
         try:
             wait_for(lambda: self._has_failed() or holds(), READY_TIMEOUT_S)
-        except (TimeoutError, HTTPError) as exc:
+        except (TimeoutError, HTTPError, OddAnswerError) as exc:
             raise SiteStartError(self._account(f'{exc}')) from exc
         if self._has_failed():
             raise SiteStartError(self._account('a process ended'))
--- a/tests/test_site_start.py
+++ b/tests/test_site_start.py
@@ -10,7 +10,7 @@
 import pytest
 
 from standins.process import Process, own_env
-from standins.site import Site, SiteStartError, wait_for
+from standins.site import OddAnswerError, Site, SiteStartError, wait_for
 from tests import site_client
 from tests.site_client import start_site
 
@@ -75,6 +75,23 @@
     assert 'not met in time' in str(failed.value)
 
 
+def test_an_answer_that_is_no_json_is_told_of(site: Site) -> None:
+    """A set-up said "Expecting value", and nothing of what it had got."""
+    with pytest.raises(OddAnswerError, match='GET /nope of platform: 404'):
+        site.call('platform', 'GET', '/nope')
+
+
+def test_a_start_that_gets_an_odd_answer_is_told_of(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(
+        site, '_owned', lambda: site.call('platform', 'GET', '/')
+    )
+    with pytest.raises(SiteStartError, match='404') as failed:
+        site.wait_until_serving(1)
+    assert 'platform on port' in str(failed.value)
+
+
 def test_a_site_that_does_not_start_leaves_nothing_running(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
