Log the faults that the HTTP server reports

Operators would see nothing of a fault behind /v1/status, /v1/documents, /metrics or the probes, nor of one in the HTTP server itself, whose answer has no body either: the caller got a 500, the log of the instance nothing.

Cause: the server's log to the screen is off, as it is not in the format of the logs, and nothing else took what it reports.

Evidence, in tests/test_front_faults.py, both failed before: - test_a_fault_behind_a_path_is_logged: not in time - test_a_fault_of_the_server_is_logged: list index out of range

Why it works: all that the server and its applications report goes to one logger; what is a warning or worse becomes an internal fault in the instance's log, with its traceback. test_what_is_no_fault_is_not_logged guards the rest.

--- a/src/gentianpulley/http_front.py
+++ b/src/gentianpulley/http_front.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from logging import WARNING, Handler, LogRecord
 from typing import Final
 
 import cherrypy
@@ -233,6 +234,19 @@
         self.readyz = ReadyResource(parts)
 
 
+class FaultHandler(Handler):
+    """Passes on what the server reports of faults, which has no other way."""
+
+    def __init__(self, log: EventLog) -> None:
+        """Write to the instance's log."""
+        super().__init__(WARNING)
+        self._log = log
+
+    def emit(self, record: LogRecord) -> None:
+        """Write one report, with its traceback."""
+        self._log.internal_fault(self.format(record))
+
+
 class HttpFront:
     """Runs the CherryPy server."""
 
@@ -256,6 +270,7 @@
                 'checker.on': False,
             }
         )
+        cherrypy.log.error_log.addHandler(FaultHandler(parts.log))
         cherrypy.tree.mount(
             FrontRoot(parts),
             '/',
