Let a stand-in worker refuse paths that it doesn't know

Cause: a stand-in worker answered every unknown path with 200, also /readyz and /v1/status, and began to leave on top of that. So a site took a neighbour's worker for its entry instance, and the neighbour's worker took no work any more.

Evidence: test_a_worker_does_not_answer_for_an_entry_instance; before, it answered /readyz with 200.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -140,7 +140,10 @@
         parts = call.path.removeprefix('/v1/').split('/')
         if parts[0] == 'tasks':
             return self._dispatch_task(call, parts)
-        match parts[0]:
+        return self._dispatch_command(call, parts[0])
+
+    def _dispatch_command(self, call: Call, name: str) -> Any:
+        match name:
             case 'worker':
                 return self._describe()
             case 'fence':
@@ -149,8 +152,9 @@
                 return self._renew(_decode(call.body, Renewal))
             case 'usage':
                 return UsageReport(())
-            case _:
+            case 'leaving':
                 return self._leave()
+        return None
 
     def _dispatch_task(self, call: Call, parts: list[str]) -> Any:
         wait_ms = int(call.query.get('wait_ms', 0))
--- a/tests/test_site_start.py
+++ b/tests/test_site_start.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
 import pytest
@@ -14,6 +15,9 @@
 from tests import site_client
 from tests.site_client import start_site
 
+RENEWAL: Final = MappingProxyType(
+    {'epoch': 0, 'lease_deadline_ms': 0, 'forget': ()}
+)
 SOURCES: Final = Path(__file__).resolve().parent.parent / 'src'
 FIRST_PORT: Final = (
     'from standins.ports import free_port;'
@@ -92,6 +96,15 @@
     assert 'platform on port' in str(failed.value)
 
 
+def test_a_worker_does_not_answer_for_an_entry_instance(site: Site) -> None:
+    """It said yes to any path, and left its site at that."""
+    site.start_worker('w', 'leith')
+    assert not site.answers('w', '/readyz')
+    assert not site.answers('w', '/v1/status')
+    listed = site.call('w', 'POST', '/v1/renewals', dict(RENEWAL))
+    assert not listed['leaving']
+
+
 def test_a_site_that_does_not_start_leaves_nothing_running(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
