Close a small site whose node does not become ready, and name the node

Evidence: test_a_node_that_does_not_start_leaves_nothing_running; without the closing, the node was still there. The wait is as long as before, 10 s.

--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections.abc import Callable, Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
 from types import MappingProxyType
@@ -26,6 +27,7 @@
     {'decide_ms': 20, 'each_ms': 1, 'valid_ms': 2000}
 )
 GRACE_S: Final = 1
+READY_S: Final = 10.0
 Route = tuple[str, str, str, int, int, Mapping[str, Any]]
 PLAIN: Final[Mapping[str, Any]] = MappingProxyType({})
 ROUTES: Final[tuple[Route, ...]] = (
@@ -117,19 +119,24 @@
     ) -> Node:
         """Start a node with such limits and wait until it is ready.
 
+        Where it does not become so, the whole site is closed.
         `store_port` is that of a link to the store, if there is one between.
         """
+        name = f'n{len(self.nodes)}'
         text = node_file(
-            f'n{len(self.nodes)}',
+            name,
             store_port or self.store.port,
             _address_of(self.adviser),
             _address_of(self.machines),
         )
         limits = f'limits.cpu_share={cpu_share}\nlimits.link_mbps={link_mbps}'
         node = Node(parse_node_settings(f'{text}\n{limits}'), EventLog())
-        node.start()
-        self.nodes.append(node)
-        wait_until(node.is_ready)
+        with ExitStack() as undo:
+            undo.callback(self.close)
+            self.nodes.append(node)
+            node.start()
+            wait_until(node.is_ready, READY_S, f'{name} is ready')
+            undo.pop_all()
         return node
 
     def take_leader(self) -> Node:
@@ -149,8 +156,8 @@
 
     def close(self) -> None:
         """Stop everything."""
-        for node in self.nodes:
-            node.shut_down()
+        while self.nodes:
+            self.nodes.pop().shut_down()
         servers: list[GridStore | GridWorker] = [self.store]
         servers.extend(self.workers.values())
         for server in servers:
--- a/tests/test_site_start.py
+++ b/tests/test_site_start.py
@@ -1,5 +1,6 @@
 """How a stand-in site starts: its ports, its sources, and what it tells."""
 
+import socket
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -10,6 +11,10 @@
 
 import pytest
 
+from standins import grid_site
+from standins.grid_site import Site as GridSite
+from standins.grid_store import GridStore
+from standins.ports import HOST
 from standins.process import Process, own_env
 from standins.site import OddAnswerError, Site, SiteStartError, wait_for
 from tests import site_client
@@ -120,3 +125,19 @@
         start_site(workers=1, entries=1)
     assert started
     assert not any(process.is_running() for process in started)
+
+
+def test_a_node_that_does_not_start_leaves_nothing_running(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its threads went on beside the tests that followed."""
+    monkeypatch.setattr(grid_site, 'READY_S', 0.2)
+    store = GridStore()
+    store.run_in_background()
+    store.faults = {'down': 1}
+    site = GridSite(store)
+    with pytest.raises(AssertionError, match='not in time: n0 is ready'):
+        site.add_node()
+    assert not site.nodes
+    with pytest.raises(OSError, match='refused'):
+        socket.create_connection((HOST, store.port))
