Close a session that opens after its reign has ended

What callers would see: an instance that led once and keeps what it knew then, all jobs among it, and two threads that wake seven times a second, for as long as its process lasts; again for each reign that ends this way.

Cause: a reign closes the sessions that there are. The thread that follows the directory takes what came last after that, and a worker that was born anew by then got a session that nobody closed.

The test failed before: the session was open.

Ruled out: asking for the end of the tenure before each session, as it may end between the question and the opening.

Why it works: the office notes that it is closed before it closes its sessions, and looks at the note after it took one up, so one of both closes it.

--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -133,6 +133,7 @@
         self.jobs_loaded.set()
         self.plan_cost_s: float = 0
         self._sinks: dict[str, OrderSink] = {}
+        self._is_closed = False
 
     @property
     def reign(self) -> Reign:
@@ -145,11 +146,16 @@
         return self.reign.timing.look_ms
 
     def attach(self, worker_id: str, sink: OrderSink) -> None:
-        """Send a worker's orders to a session; the former one is closed."""
+        """Send a worker's orders to a session; the former one is closed.
+
+        So is this one if the office was closed, as nobody else would do it.
+        """
         former = self._sinks.get(worker_id)
         self._sinks[worker_id] = sink
         if former is not None:
             former.close()
+        if self._is_closed:
+            sink.close()
 
     def detach(self, worker_id: str) -> None:
         """Close the session of a worker that is no longer known."""
@@ -170,7 +176,8 @@
             sink.close()
 
     def close(self) -> None:
-        """Close all sessions."""
+        """Close all sessions, also those that are attached from now on."""
+        self._is_closed = True
         for worker_id in tuple(self._sinks):
             self.detach(worker_id)
 
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -248,6 +248,17 @@
     assert [sink.is_closed for sink in begun] == [False, False]
 
 
+def test_a_session_that_opens_after_the_reign_is_closed() -> None:
+    """Its threads went on for as long as the process, and kept the ledger."""
+    tenure = Tenure(now_ms(), now_ms())
+    site = hand_site('w1')
+    office = Office(site.scheduler, tenure, create_counters(), EventLog())
+    office.close()
+    late = QuietSink(lambda: None)
+    office.attach('w1', late)
+    assert late.is_closed
+
+
 def test_a_session_goes_on_after_a_fault(bench: Bench) -> None:
     """Its thread ended, and the worker got no look any more."""
     looks = bench.link.looks
