Refuse a job of more tasks than a leader has memory for

What callers would see: one submission of 64 steps of 10,000 tasks, or of few tasks and very many occurrences in the past, ends the leader for want of memory (some 750 bytes a task, 480 MB), then its successor, which loads the same job, and so on.

Both cases of test_requests_that_cannot_be_served failed before: they were accepted. Such a job is refused at once with 400 and what is wrong with it, so it never runs.

--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -13,6 +13,9 @@
 NO_LIMIT: Final = 0
 MAX_STEPS: Final = 64
 MAX_TASKS_IN_STEP: Final = 10_000
+MAX_TASKS_IN_JOB: Final = 40_000
+"""Tasks of all occurrences. A leader holds each in some 750 bytes, and every
+successor loads the same job."""
 
 
 class TaskId(NamedTuple):
@@ -163,10 +166,17 @@
         return replace(self, policy=policy)
 
 
-def step_fault(steps: tuple[StepSpec, ...]) -> str:
-    """Return why the steps cannot make a job, or an empty text."""
+def job_fault(steps: tuple[StepSpec, ...], schedule: Schedule) -> str:
+    """Return why this cannot make a job, or an empty text."""
     if not 0 < len(steps) <= MAX_STEPS:
         return f'a job has 1 to {MAX_STEPS} steps'
+    tasks = schedule.rounds * sum(step.task_count for step in steps)
+    if tasks > MAX_TASKS_IN_JOB:
+        return f'{tasks} tasks; a job has up to {MAX_TASKS_IN_JOB}'
+    return _step_fault(steps)
+
+
+def _step_fault(steps: tuple[StepSpec, ...]) -> str:
     for number, step in enumerate(steps):
         if not 0 < step.task_count <= MAX_TASKS_IN_STEP:
             return f'step {number}: 1 to {MAX_TASKS_IN_STEP} tasks'
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -26,7 +26,7 @@
     JobSpec,
     Schedule,
     StepSpec,
-    step_fault,
+    job_fault,
 )
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.wire import JOB_DECODER, WireJob, WireStep
@@ -253,7 +253,8 @@
 def job_spec(job_id: str, wire: WireJob, rule: QueueRule) -> JobSpec:
     """Return the job of a submission; raises `ValueError` with the fault."""
     steps = tuple(map(_step, wire.steps))
-    fault = step_fault(steps)
+    schedule = Schedule(wire.first_due_ms, wire.interval_ms, wire.occurrences)
+    fault = job_fault(steps, schedule)
     if fault:
         raise ValueError(fault)
     return JobSpec(
@@ -262,9 +263,7 @@
         policy=rule.policy,
         steps=steps,
         submitted_ms=now_ms(),
-        schedule=Schedule(
-            wire.first_due_ms, wire.interval_ms, wire.occurrences
-        ),
+        schedule=schedule,
     )
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -98,6 +98,24 @@
             {'phases': [{'count': 1, 'cpu': 'many'}]},
             400,
         ),
+        # Tasks for which no leader has memory.
+        (
+            'POST',
+            '/batch/00000000000000ff',
+            {'phases': [{'count': 10_000} for _ in range(5)]},
+            400,
+        ),
+        (
+            'POST',
+            '/batch/00000000000000ff',
+            {
+                'phases': [{'count': 100}],
+                'times': 500,
+                'first_ms': 1,
+                'interval_ms': 1,
+            },
+            400,
+        ),
         ('POST', '/batch/00000000000000ff', b'x' * 10_001, 413),
     ],
 )
