Give a store that is down time to say so in its contract test

Seen: TestKvStore.test_failing_write_raises[down-StoreUnreachableError] failed in a whole run with two lanes at a load of about 46: StoreAnswerLostError, "Read timed out. (read timeout=0.6)".

Cause, in the test: it asks which error a refusal makes, but the stand-in's refusal took longer than the 0.6 s that a write is given. The product said what is true, as a write without an answer may have been carried out.

Evidence: test_a_late_refusal_of_a_write_is_a_refusal, whose stand-in answers after 0.8 s, fails each time at 0.6 s. Only this fault gets more time (10 s); writes whose answers are lost still have to end by the product's own bound.

--- a/tests/contracts/test_kv_store.py
+++ b/tests/contracts/test_kv_store.py
@@ -1,5 +1,6 @@
 """The adapter to the platform's store, under the contract of the store."""
 
+import time
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -9,14 +10,19 @@
     StoreAnswerLostError,
     StoreCompactedError,
     StoreError,
+    StoreUnreachableError,
 )
 from gentianpulley.http_conn import HttpAddress
+from gentianpulley.platform import kv_store
 from gentianpulley.platform.kv_store import connect_kv_store
 from gentianpulley.store import ABSENT, Guard, Put, Store, Transaction
 from standins.grid_store import HOST, PAGE, GridStore
-from standins.http_server import Reply
+from standins.http_server import Call, Reply
 from standins.ports import free_port
-from tests.contracts.store_contract import StoreContract
+from tests.contracts.store_contract import StoreContract, put_one
+
+PATIENCE_MS = 10_000
+LATE_S = 0.8
 
 
 @pytest.fixture
@@ -40,10 +46,15 @@
         )
 
     @pytest.fixture
-    def broken(self, server: GridStore) -> Callable[[str], Store]:
+    def broken(
+        self, server: GridStore, monkeypatch: pytest.MonkeyPatch
+    ) -> Callable[[str], Store]:
         """Return a factory of stores with the named fault."""
 
         def build(fault: str) -> Store:
+            if fault == 'down':
+                # A refusal that comes late proves nothing to a writer.
+                monkeypatch.setattr(kv_store, 'COMMIT_TIMEOUT_MS', PATIENCE_MS)
             if fault == 'unreachable':
                 return connect_kv_store(
                     HttpAddress(HOST, free_port()), create_counters()
@@ -85,6 +96,22 @@
             assert bodies == [b'newer']
             break
 
+    def test_a_late_refusal_of_a_write_is_a_refusal(
+        self,
+        broken: Callable[[str], Store],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """A slow machine made it an answer that was lost."""
+        serve = GridStore.serve
+
+        def serve_late(server: GridStore, call: Call) -> Reply:
+            time.sleep(LATE_S)
+            return serve(server, call)
+
+        monkeypatch.setattr(GridStore, 'serve', serve_late)
+        with pytest.raises(StoreUnreachableError):
+            put_one(broken('down'), '/a', b'one', ABSENT)
+
     @pytest.mark.parametrize('status', [400, 403, 500])
     def test_strange_answers_are_errors(
         self, store: Store, status: int, monkeypatch: pytest.MonkeyPatch
