Slow down filling tasks by what is at stake

Cause: a step ends with its slowest task, and a fifth of all runs was paced down and moved, with six tenths of the work done. Such a run loses 0.7 s at a low pace and 0.6 s until its stop is answered. Pacing cut the most harmful task first, whatever became of its job, and at 0.75 of the target, below the 0.85 up to which tasks are placed.

Now tasks of jobs that are late already give way first, and those of jobs that can be on time only where a tail is expected over its target. The rest of all neighbours, which keeps the site's bound on harm, is as before.

The new test fails on the code before.

--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -3,7 +3,10 @@
 Answers the pattern in which a harmful neighbour arrives, or a serving task's
 load rises, on a worker that was quiet: the fastest paces that keep every
 expected tail under its target are computed anew at each look. Harming a
-serving task costs many times what a filling task earns meanwhile.
+serving task costs many times what a filling task earns meanwhile. But a step
+ends with its slowest task, so one that is slowed down makes a whole wide job
+late: tasks of jobs that are late already give way first, those of jobs that
+can be on time only where a tail is expected over its target.
 """
 
 import math
@@ -19,6 +22,10 @@
 """Expected tail as a share of its target that is allowed: the figures are
 rough and half a second late."""
 
+ON_TIME_TARGET_SHARE: Final = 1.0
+"""The same beside tasks of jobs that can be on time. It lies above the share up
+to which tasks are placed, as tails swing."""
+
 BIAS_WEIGHT: Final = 0.35
 """Weight of the newest report in a serving task's deviation from the model."""
 
@@ -82,10 +89,7 @@
     if not filling:
         return []
     fastest: float = 0 if rests(worker, harm_ms, now_ms) else 1
-    paces = {charge.key: fastest for charge in filling}
-    for serving in worker.charges.values():
-        if is_serving(serving):
-            _slow_down(worker, model, serving, filling, paces)
+    paces = _safe_paces(worker, model, filling, fastest, now_ms)
     orders = []
     for charge in filling:
         wanted = _rounded(paces[charge.key])
@@ -101,24 +105,49 @@
     charge.bias = max(-MAX_BIAS, min(MAX_BIAS, mixed))
 
 
-def _slow_down(
+def _safe_paces(
     worker: Worker,
     model: HarmModel,
-    serving: Charge,
     filling: list[Charge],
+    fastest: float,
+    now_ms: int,
+) -> dict[RunKey, float]:
+    """Return the paces at which every serving task is safe."""
+    paces = {charge.key: fastest for charge in filling}
+    urgent = {charge.key for charge in filling if charge.can_be_on_time(now_ms)}
+    for serving in worker.charges.values():
+        if is_serving(serving):
+            harms = _harms(worker, model, serving, filling)
+            _slow_down(_own_margin(model, serving), harms, paces, urgent)
+    return paces
+
+
+def _own_margin(model: HarmModel, serving: Charge) -> float:
+    """Return the logarithm of a task's own expected tail over its target."""
+    own = model.predict(serving.spec.image, {}) + serving.bias
+    return own - math.log(serving.spec.tail_target_ms)
+
+
+def _slow_down(
+    margin: float,
+    harms: dict[RunKey, float],
     paces: dict[RunKey, float],
+    urgent: set[RunKey],
 ) -> None:
-    """Lower the most harmful paces until the serving task is safe."""
-    harms = _harms(worker, model, serving, filling)
-    excess = model.predict(serving.spec.image, {}) + serving.bias
-    excess += sum(harms[key] * paces[key] for key in harms)
-    excess -= math.log(TARGET_SHARE * serving.spec.tail_target_ms)
-    for key in sorted(harms, key=harms.__getitem__, reverse=True):
+    """Lower paces until a serving task with such a margin is safe.
+
+    The most harmful first, but those that are not urgent before all others.
+    """
+    margin += sum(harms[key] * paces[key] for key in harms)
+    in_turn = sorted(harms, key=harms.__getitem__, reverse=True)
+    in_turn.sort(key=urgent.__contains__)
+    for key in in_turn:
+        share = ON_TIME_TARGET_SHARE if key in urgent else TARGET_SHARE
         given = harms[key] * paces[key]
-        if excess > 0 and given > 0:
-            cut = min(given, excess)
+        cut = min(given, margin - math.log(share))
+        if cut > 0:
             paces[key] *= 1 - cut / given
-            excess -= cut
+            margin -= cut
 
 
 def _harms(
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -290,6 +290,7 @@
             self.log.run_unknown(row.key, worker.worker_id)
             return [stop]
         charge = worker.charge(row.key, step.spec, now_ms)
+        charge.due_ms = step.due_ms
         charge.settled_ms = now_ms
         charge.is_listed = True
         charge.percent = UNKNOWN_PERCENT
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -258,7 +258,7 @@
         view: PlacingView,
     ) -> StartOrder:
         key = RunKey(task.task_id, run)
-        worker.charge(key, step.spec, view.now_ms)
+        worker.charge(key, step.spec, view.now_ms).due_ms = step.due_ms
         step.place(task, worker.worker_id, run)
         order = StartOrder(
             worker.worker_id,
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -39,7 +39,8 @@
     `last_sent_ms` is when its start was last sent, `sent_worker_ms` what was
     known of the worker's clock by then.
     `sent_ms` is when the start was ordered, `progressed_ms` when its progress
-    was last seen to move.
+    was last seen to move, and `due_ms` until when the run has to end for its
+    job to be on time.
     `percent` is the pace that the worker was last told, `UNKNOWN_PERCENT` if
     somebody else told it, and `wanted_percent` the pace that it should have;
     `slowed_since_ms` is since when that is low, zero while it is not. `bias`
@@ -68,6 +69,13 @@
     bias: float = 0
     over_since_ms: int = 0
     checkpoint: str = ''
+    due_ms: int = 0
+
+    def can_be_on_time(self, now_ms: int) -> bool:
+        """Tell whether the run, at full speed, ends in time for its job."""
+        left = FULL_PERCENT - self.progress_percent
+        left_ms = self.spec.estimated_ms * left // FULL_PERCENT
+        return now_ms + left_ms <= self.due_ms
 
     def want_pace(self, percent: int, now_ms: int) -> None:
         """Note the pace that the run should have from now on."""
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -123,6 +123,12 @@
         """Return the id of the step."""
         return StepId(self.job.spec.job_id, self.occurrence, self.number)
 
+    @property
+    def due_ms(self) -> int:
+        """Return until when its runs have to end for the job to be on time."""
+        later_ms = self.chain_ms - self.spec.estimated_ms
+        return self.objective_ms - later_ms
+
     @property
     def is_done(self) -> bool:
         """Tell whether every task has ended as done."""
--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -238,3 +238,41 @@
     low = [15 for _ in range(8)]
     told = _looks_at(site, fill.key, serving.key, low)
     assert told[-1][1] > 50
+
+
+def _paced_beside_a_late_job(tail_ms: int) -> dict[str, int]:
+    """Return the paces told, by job, beside a task that reports a tail.
+
+    A late job and one that can be on time have a task each on one worker.
+    """
+    site = hand_site('w1')
+    late, timely = '2' * 16, '3' * 16
+    long_ago_ms = site.at_ms - 60_000
+    fill = _filling('fill')
+    site.scheduler.add_job(job(fill, job_id=late, submitted_ms=long_ago_ms))
+    site.scheduler.add_job(job(fill, job_id=timely))
+    fills = site.start_all()
+    site.scheduler.add_job(job(SERVING, job_id='1' * 16))
+    (serving,) = site.start_all()
+    _teach(site, 'fill', 22)
+    told: dict[str, int] = {}
+    for _ in range(2):
+        site.at_ms += 700
+        rows = (
+            *(RunningRow(order.key, '', 30, 9000) for order in fills),
+            RunningRow(serving.key, '', 100, tail_ms),
+        )
+        for order in site.list_runs('w1', rows):
+            if isinstance(order, PaceOrder):
+                told[order.key.task_id.job_id[0]] = order.percent
+    return told
+
+
+@pytest.mark.parametrize(
+    ('tail_ms', 'slowed'), [(30, set()), (55, {'2'}), (400, {'2', '3'})]
+)
+def test_tasks_of_late_jobs_give_way_first(
+    tail_ms: int, slowed: set[str]
+) -> None:
+    """Two of three jobs that ended late had waited for one slowed task."""
+    assert set(_paced_beside_a_late_job(tail_ms)) == slowed
