Measure what a leader's decisions cost, from a replay

It prints processor time by part, and a digest of all orders and records, so that a change that must not change decisions can be held against the code before it.

The link takes its two connections from outside, so that a replay can lay out answers.

--- /dev/null
+++ b/bench/leader_replay.py
@@ -0,0 +1,312 @@
+"""A leader's scheduler and office on a simulated clock, without sockets.
+
+Everything comes from one seed, so that a replay orders the same before and
+after a change that must not change any decision.
+"""
+
+import hashlib
+import random
+from collections import deque
+from collections.abc import Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import Final
+from unittest.mock import patch
+
+import msgspec
+
+from bench.leader_parts import Parts
+from bench.leader_work import Arrival, Callers
+from bench.leader_workers import QuietWorker, create_workers
+from gentianpulley.cluster.link import LookOrder, PaceOrder, StartOrder
+from gentianpulley.cluster.office import Office, OrderSink, Tenure
+from gentianpulley.cluster.scheduler import Scheduler, create_scheduler
+from gentianpulley.cluster.scheduler_state import Order, Reign
+from gentianpulley.cluster.timing import create_timing
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.counters import create_counters
+from gentianpulley.deadline import MS_PER_SECOND
+from gentianpulley.http_conn import HttpAnswer, parse_address
+from gentianpulley.jobs.job import create_job
+from gentianpulley.jobs.record import encode_record, record_of
+from gentianpulley.log_gate import SamplingGate
+from gentianpulley.logs import EventLog
+from gentianpulley.platform.worker_line import WorkerLine
+from gentianpulley.platform.worker_link import HttpWorkerLink
+
+BEGIN_MS: Final = 1_700_000_000_000
+TICK_MS: Final = 5
+PLAN_GAP_MS: Final = 20
+SAVE_GAP_MS: Final = 25
+LOOK_GAP_MS: Final = 45
+LONGEST_ACK_MS: Final = 250
+ANSWER_MS: Final = 5
+TIMING: Final = create_timing(
+    max_lease_ms=6000, contact_ms=4000, stop_ms=900, look_ms=1000
+)
+FOREVER_MS: Final = 10**15
+ACCEPTED: Final = HttpAnswer(200, b'{"clock_ms":0,"born":1}')
+
+
+@dataclass(frozen=True)
+class Shape:
+    """A site and its work: jobs that stand at the beginning, and the time."""
+
+    workers: int
+    endless_jobs: int
+    filling_jobs: int
+    settle_s: int
+    measured_s: int
+    seed: int
+
+
+class Digest:
+    """Sums up all orders and records, in their order."""
+
+    def __init__(self) -> None:
+        """Begin with nothing."""
+        self._sum = hashlib.sha256()
+
+    @property
+    def text(self) -> str:
+        """Return the digest of what was noted so far."""
+        return self._sum.hexdigest()
+
+    def note(self, told: bytes) -> None:
+        """Take one order or record in."""
+        self._sum.update(told)
+
+
+class _Line(WorkerLine):
+    """Encodes what is sent and gives the answer that was laid out."""
+
+    def __init__(self, worker: QuietWorker) -> None:
+        super().__init__(parse_address(worker.facts.address), (), 1)
+        self.answer = ACCEPTED
+
+    def call(
+        self, path: str, wire: msgspec.Struct, wait_ms: int = 0
+    ) -> HttpAnswer:
+        msgspec.json.encode(wire)
+        return self.answer
+
+
+@dataclass
+class Session(OrderSink):
+    """What the threads of a session would do, one step at a time."""
+
+    known: Worker
+    worker: QuietWorker
+    digest: Digest
+    looked: LookOrder | None = None
+    looked_ms: int = 0
+    rests_until_ms: int = 0
+
+    def __post_init__(self) -> None:
+        """Connect to the worker."""
+        self.looks = _Line(self.worker)
+        self.link = HttpWorkerLink(self.looks, _Line(self.worker), 1)
+
+    def send(self, order: Order) -> None:
+        """Queue an order, and take it into the digest."""
+        told = f'{order.worker_id} {type(order).__name__} {order.key}'
+        if isinstance(order, PaceOrder):
+            told = f'{told} {order.percent}'
+        elif isinstance(order, StartOrder):
+            told = f'{told} {order.checkpoint}'
+        self.digest.note(told.encode())
+        self.worker.orders.append(order)
+
+    def backlog(self) -> tuple[int, int]:
+        """Return how many orders wait."""
+        return len(self.worker.orders), 0
+
+    def note_acknowledged(self) -> None:
+        """Look again; a replay asks the ledger instead."""
+
+    def close(self) -> None:
+        """Forget what waits."""
+        self.worker.orders.clear()
+
+
+@dataclass
+class Outcome:
+    """What a replay did in the measured time."""
+
+    digest: str
+    starts: int = 0
+    looks: int = 0
+    plans: int = 0
+    waiting_tasks: list[int] = field(default_factory=list)
+
+
+class Replay:
+    """Plays one site."""
+
+    def __init__(self, shape: Shape, parts: Parts) -> None:
+        """Prepare the site; its work comes as time passes."""
+        self._shape = shape
+        self._parts = parts
+        self._at_ms = BEGIN_MS
+        self._digest = Digest()
+        log = EventLog(gate=SamplingGate(_say_nothing))
+        reign = Reign(7, BEGIN_MS, frozenset(), TIMING)
+        self._scheduler: Scheduler = create_scheduler(reign, log)
+        self._office = Office(
+            self._scheduler,
+            Tenure(FOREVER_MS, FOREVER_MS),
+            create_counters(),
+            log,
+        )
+        self._sessions = [
+            self._session(worker)
+            for worker in create_workers(shape.workers, shape.seed)
+        ]
+        self._outcome = Outcome('')
+
+    def play(self) -> Outcome:
+        """Settle, then measure."""
+        shape = self._shape
+        random.seed(shape.seed)
+        settled_ms = BEGIN_MS + shape.settle_s * MS_PER_SECOND
+        end_ms = settled_ms + shape.measured_s * MS_PER_SECOND
+        jobs = deque(_arrivals(shape, end_ms))
+        with ExitStack() as stack:
+            clock = 'gentianpulley.cluster.office.now_ms'
+            stack.enter_context(patch(clock, lambda: self._at_ms))
+            while self._at_ms < end_ms:
+                if self._at_ms == settled_ms:
+                    self._begin_measuring()
+                self._tick(jobs)
+        self._outcome.digest = self._digest.text
+        return self._outcome
+
+    def _begin_measuring(self) -> None:
+        self._parts.clear()
+        self._outcome = Outcome('')
+
+    def _session(self, worker: QuietWorker) -> Session:
+        self._scheduler.update_worker(worker.facts, BEGIN_MS)
+        known = self._scheduler.workers[worker.facts.worker_id]
+        session = Session(known, worker, self._digest)
+        self._office.attach(known.worker_id, session)
+        return session
+
+    def _tick(self, jobs: deque[Arrival]) -> None:
+        self._at_ms += TICK_MS
+        while jobs and jobs[0].at_ms <= self._at_ms:
+            job = create_job(jobs.popleft().spec, is_inherited=False)
+            self._parts.time('jobs', lambda: self._office.add_job(job))
+        for session in self._sessions:
+            self._advance(session)
+        if self._is_due(PLAN_GAP_MS):
+            self._plan()
+        if self._is_due(SAVE_GAP_MS):
+            self._parts.time('save', self._save)
+
+    def _is_due(self, gap_ms: int) -> bool:
+        return self._at_ms % gap_ms == 0
+
+    def _plan(self) -> None:
+        if self._office.work_came.is_set():
+            self._office.work_came.clear()
+            self._outcome.plans += 1
+            self._parts.time('plan', self._office.plan)
+            waiting = self._scheduler.report(self._at_ms).waiting
+            self._outcome.waiting_tasks.append(sum(waiting.values()))
+
+    def _save(self) -> None:
+        number = self._scheduler.change_number
+        for job in self._scheduler.changed_jobs():
+            self._digest.note(encode_record(record_of(job, self._at_ms)))
+        self._office.note_saved(number)
+
+    def _advance(self, session: Session) -> None:
+        worker = session.worker
+        if worker.next_ms <= self._at_ms:
+            worker.advance(self._at_ms)
+        if worker.orders:
+            self._carry_out(session, worker.orders.popleft())
+        if session.looked is not None:
+            self._answer_look(session, session.looked)
+        elif self._may_look(session):
+            self._look(session)
+
+    def _may_look(self, session: Session) -> bool:
+        if self._at_ms < session.rests_until_ms:
+            return False
+        late_ms = session.rests_until_ms + LONGEST_ACK_MS
+        return not session.known.unsaved_ends or self._at_ms >= late_ms
+
+    def _look(self, session: Session) -> None:
+        known = session.known
+        wait_ms = self._office.look_ms if known.is_fenced else 0
+        order = self._parts.time(
+            'look', lambda: self._office.look_order(known, wait_ms)
+        )
+        session.worker.acknowledge(order)
+        session.looked = order
+        session.looked_ms = self._at_ms
+
+    def _answer_look(self, session: Session, order: LookOrder) -> None:
+        waited_ms = self._at_ms - session.looked_ms
+        is_due = session.worker.has_ends or waited_ms >= order.wait_ms
+        if waited_ms < ANSWER_MS or not is_due:
+            return
+        body = session.worker.lists(self._at_ms)
+        session.looks.answer = HttpAnswer(200, body)
+        session.looked = None
+        session.rests_until_ms = self._at_ms + LOOK_GAP_MS
+        self._outcome.looks += 1
+        self._parts.time('look', lambda: self._take_list(session, order))
+
+    def _take_list(self, session: Session, order: LookOrder) -> None:
+        listing = session.link.look(order)
+        self._office.listed(session.known, listing, session.looked_ms)
+
+    def _carry_out(self, session: Session, order: Order) -> None:
+        charge = session.known.charges.get(order.key)
+        if charge is not None:
+            spec = charge.spec
+            name = type(order).__name__
+            self._parts.time(name, lambda: self._send(session, order))
+            session.worker.carry_out(order, spec, self._at_ms)
+
+    def _send(self, session: Session, order: Order) -> None:
+        if isinstance(order, StartOrder):
+            self._send_start(session, order)
+            return
+        sent = self._office.sent(session.known)
+        if isinstance(order, PaceOrder):
+            session.link.pace(order, sent)
+            self._office.paced(order)
+        elif self._office.wants_stop(order):
+            session.link.stop(order, sent)
+            self._office.stopped(order)
+
+    def _send_start(self, session: Session, order: StartOrder) -> None:
+        self._outcome.starts += 1
+        if self._office.wants_start(order):
+            sent = self._office.sent(session.known)
+            reply = session.link.start(order, sent)
+            self._office.started(order, reply)
+
+
+def _arrivals(shape: Shape, end_ms: int) -> Iterator[Arrival]:
+    """Yield the jobs that stand at the beginning, then those that come."""
+    callers = Callers(shape.seed)
+    standing = callers.standing(
+        shape.endless_jobs, shape.filling_jobs, BEGIN_MS
+    )
+    for spec in standing:
+        yield Arrival(BEGIN_MS, spec)
+    yield from callers.arrivals(BEGIN_MS, end_ms)
+
+
+def _say_nothing(*unused: object) -> None:
+    """Leave a report out."""
+
+
+def play(shape: Shape, parts: Parts) -> Outcome:
+    """Play one site from its beginning."""
+    return Replay(shape, parts).play()
--- /dev/null
+++ b/bench/leader_work.py
@@ -0,0 +1,127 @@
+"""Jobs as a loaded site's callers submit them, generated from a seed.
+
+Three queues: urgent steps that reserve their processors, wide steps that fill
+what others leave, and endless steps that serve users of their own.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from gentianpulley.deadline import MS_PER_SECOND
+from gentianpulley.jobs.spec import JobSpec, QueuePolicy, StepSpec
+from gentianpulley.resources import Resources
+
+SERVICE: Final = 'service'
+FILLING_IMAGES: Final = 18
+SERVING_IMAGES: Final = 10
+TAIL_TARGET_MS: Final = 50
+PAYLOAD_BYTES: Final = 1500
+DECIDING: Final = 1.5
+SPREAD: Final = 0.4
+APART_SHARE: Final = 0.15
+SAVING_SHARE: Final = 0.85
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One queue's jobs: how many come, and the mean of what they need."""
+
+    queue: str
+    priority: int
+    attempts: int
+    jobs_s: float
+    steps: float
+    tasks: float
+    processors_milli: int
+    memory_mib: int
+    run_ms: int
+
+
+URGENT: Final = Kind('urgent', 0, 2, 5.5, 1.6, 10, 11_000, 22_000, 1000)
+FILLING: Final = Kind('filling', 2, 3, 13, 2, 20, 7000, 13_000, 1700)
+ENDLESS: Final = Kind('endless', 0, 3, 0.45, 1, 14, 13_000, 26_000, 320)
+KINDS: Final = (URGENT, FILLING, ENDLESS)
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A job and when it is taken up."""
+
+    at_ms: int
+    spec: JobSpec
+
+
+class Callers:
+    """Draws jobs from one source of chance."""
+
+    def __init__(self, seed: int) -> None:
+        """Draw the same jobs for the same seed."""
+        self._chance = random.Random(seed)
+        self._count = 0
+
+    def standing(self, endless: int, filling: int, at_ms: int) -> list[JobSpec]:
+        """Return the jobs with which a site begins."""
+        kinds = (*(ENDLESS,) * endless, *(FILLING,) * filling)
+        return [self._job(kind, at_ms) for kind in kinds]
+
+    def arrivals(self, begin_ms: int, end_ms: int) -> Iterator[Arrival]:
+        """Yield the jobs of a stretch of time in their order."""
+        drawn: list[Arrival] = []
+        for kind in KINDS:
+            at_ms = float(begin_ms)
+            while at_ms < end_ms:
+                gap_s = self._chance.expovariate(kind.jobs_s)
+                at_ms += gap_s * MS_PER_SECOND
+                drawn.append(Arrival(int(at_ms), self._job(kind, int(at_ms))))
+        yield from sorted(drawn, key=lambda arrival: arrival.at_ms)
+
+    def _job(self, kind: Kind, at_ms: int) -> JobSpec:
+        self._count += 1
+        low = int(kind.steps)
+        steps = low + (self._chance.random() < kind.steps - low)
+        return JobSpec(
+            f'{self._chance.getrandbits(64):016x}',
+            'x' * self._around(PAYLOAD_BYTES),
+            QueuePolicy(
+                kind.queue,
+                SERVICE,
+                kind.priority,
+                kind.attempts,
+                DECIDING,
+                MS_PER_SECOND,
+            ),
+            tuple(self._step(kind, number) for number in range(steps)),
+            at_ms,
+        )
+
+    def _step(self, kind: Kind, number: int) -> StepSpec:
+        is_endless = kind is ENDLESS
+        is_apart = self._chance.random() < APART_SHARE
+        return StepSpec(
+            self._around(kind.tasks),
+            Resources(
+                self._around(kind.processors_milli),
+                self._around(kind.memory_mib),
+            ),
+            self._around(kind.run_ms),
+            after=(number - 1,) if number else (),
+            max_per_worker=int(is_apart and kind is not FILLING),
+            checkpoints=kind is FILLING
+            and self._chance.random() < SAVING_SHARE,
+            is_endless=is_endless,
+            fills_spare=kind is FILLING,
+            image=self._image(kind),
+            tail_target_ms=TAIL_TARGET_MS if is_endless else 0,
+        )
+
+    def _image(self, kind: Kind) -> str:
+        if kind is URGENT:
+            return ''
+        images = SERVING_IMAGES if kind is ENDLESS else FILLING_IMAGES
+        return f'{kind.queue}-{self._chance.randrange(images)}'
+
+    def _around(self, mean: float) -> int:
+        factor = self._chance.uniform(1 - SPREAD, 1 + SPREAD)
+        return max(1, round(mean * factor))
--- /dev/null
+++ b/bench/leader_workers.py
@@ -0,0 +1,212 @@
+"""Workers without sockets: they run what they are told and list it.
+
+Tasks that fill work at the share that others leave and at their pace; tasks
+that serve report a tail that their neighbours raise, by pair of images.
+"""
+
+import math
+import random
+import zlib
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from bench.leader_work import SERVICE
+from gentianpulley.cluster.link import (
+    LookOrder,
+    PaceOrder,
+    RunKey,
+    StartOrder,
+    StopOrder,
+    WorkerFacts,
+)
+from gentianpulley.cluster.open_workers import ENDLESS_USE
+from gentianpulley.cluster.scheduler_state import Order
+from gentianpulley.jobs.spec import StepSpec
+from gentianpulley.platform.task_names import task_name
+from gentianpulley.resources import Resources
+
+PROCESSORS_MILLI: Final = 64_000
+MEMORY_MIB: Final = 256_000
+SIZES: Final = (1.0, 1.0, 1.5)
+ZONES: Final = 4
+RACK: Final = 12
+FULL: Final = 100
+QUIET_TAIL_MS: Final = 10.0
+LARGEST_HARM: Final = 6.0
+HARMLESS_SHARE: Final = 0.4
+NOISE: Final = 0.3
+SWING: Final = 0.5
+SWING_MS: Final = 14_000
+SAVE_MS: Final = 2000
+FAILING_SHARE: Final = 0.03
+FOREVER_MS: Final = math.inf
+
+
+@dataclass
+class Run:
+    """A run that is present: what is left of its work, and its speed."""
+
+    key: RunKey
+    spec: StepSpec
+    name: str
+    left_ms: float
+    percent: int = FULL
+    speed: float = 1
+    checkpoint: str = ''
+
+    def row(self, gauge: int) -> tuple[object, ...]:
+        """Return what the worker lists of it."""
+        whole = max(1, self.spec.estimated_ms)
+        done = (
+            FULL if self.spec.is_endless else FULL * (1 - self.left_ms / whole)
+        )
+        progress = max(0, min(FULL, int(done)))
+        return self.name, self.key.run, self.checkpoint, progress, gauge
+
+
+class QuietWorker:
+    """One worker that never fails, and what it still has to list as ended."""
+
+    def __init__(self, facts: WorkerFacts, seed: int) -> None:
+        """Run nothing yet."""
+        self.facts = facts
+        self.orders: deque[Order] = deque()
+        self.next_ms: float = FOREVER_MS
+        self._chance = random.Random(seed)
+        self._runs: dict[RunKey, Run] = {}
+        self._ended: list[tuple[object, ...]] = []
+        self._number = 0
+        self._at_ms = 0
+
+    @property
+    def has_ends(self) -> bool:
+        """Tell whether a look is answered at once."""
+        return bool(self._ended)
+
+    def acknowledge(self, order: LookOrder) -> None:
+        """Drop the ends that a look acknowledges."""
+        while self._ended and int(str(self._ended[0][0])) <= order.acked_number:
+            self._ended.pop(0)
+
+    def carry_out(self, order: Order, spec: StepSpec, at_ms: int) -> None:
+        """Start, stop or pace a run."""
+        self.advance(at_ms)
+        if isinstance(order, StartOrder):
+            self._start(order, spec)
+        elif isinstance(order, StopOrder):
+            self._end(order.key, 'stopped')
+        elif isinstance(order, PaceOrder) and order.key in self._runs:
+            self._runs[order.key].percent = order.percent
+        self._set_speeds()
+
+    def advance(self, at_ms: int) -> None:
+        """Let the runs work until a time, and end."""
+        passed_ms = at_ms - self._at_ms
+        self._at_ms = at_ms
+        for run in tuple(self._runs.values()):
+            run.left_ms -= passed_ms * run.speed
+            if run.spec.checkpoints:
+                done_ms = run.spec.estimated_ms - run.left_ms
+                saved = int(done_ms // SAVE_MS)
+                run.checkpoint = f'{saved:016x}' if saved else run.checkpoint
+            if run.left_ms <= 0:
+                fails = self._chance.random() < FAILING_SHARE
+                self._end(run.key, 'failed' if fails else 'done')
+        self._set_speeds()
+
+    def lists(self, at_ms: int) -> bytes:
+        """Return the answer to a look."""
+        self.advance(at_ms)
+        return msgspec.json.encode(
+            {
+                'clock_ms': at_ms,
+                'born': self.facts.born_ms,
+                'running': [
+                    run.row(self._gauge(run)) for run in self._runs.values()
+                ],
+                'ended': self._ended,
+            }
+        )
+
+    def _start(self, order: StartOrder, spec: StepSpec) -> None:
+        left_ms = FOREVER_MS if spec.is_endless else spec.estimated_ms
+        name = task_name(order.key.task_id)
+        self._runs[order.key] = Run(order.key, spec, name, left_ms)
+
+    def _end(self, key: RunKey, how: str) -> None:
+        run = self._runs.pop(key, None)
+        if run is None:
+            return
+        self._number += 1
+        row = (self._number, run.name, key.run, how, run.checkpoint)
+        self._ended.append(row)
+
+    def _set_speeds(self) -> None:
+        spare = float(self.facts.capacity.processors_milli)
+        filling: float = 0
+        for run in self._runs.values():
+            need = run.spec.resources.processors_milli
+            if run.spec.fills_spare:
+                filling += need * run.percent / FULL
+            elif run.spec.is_endless:
+                spare -= need * ENDLESS_USE
+            else:
+                spare -= need
+        share = min(1, max(0, spare) / max(1, filling))
+        self.next_ms = FOREVER_MS
+        for each in self._runs.values():
+            if each.spec.fills_spare:
+                each.speed = share * each.percent / FULL
+            if each.speed > 0:
+                ends_ms = self._at_ms + each.left_ms / each.speed
+                self.next_ms = min(self.next_ms, ends_ms)
+
+    def _gauge(self, run: Run) -> int:
+        if run.spec.is_endless:
+            return self._tail_ms(run)
+        return int(run.spec.resources.processors_milli * run.speed)
+
+    def _tail_ms(self, serving: Run) -> int:
+        capacity = self.facts.capacity.processors_milli
+        raised = self._chance.gauss(0, NOISE) + self._swing(serving)
+        for run in self._runs.values():
+            if run.spec.fills_spare:
+                used = run.spec.resources.processors_milli * run.speed
+                harm = pair_harm(serving.spec.image, run.spec.image)
+                raised += harm * used / capacity
+        return max(1, round(QUIET_TAIL_MS * math.exp(raised)))
+
+    def _swing(self, serving: Run) -> float:
+        """Return how much a serving task's own load raises its tail now."""
+        phase = zlib.crc32(serving.name.encode()) + self._at_ms
+        return SWING * math.sin(math.tau * phase / SWING_MS)
+
+
+def pair_harm(serving: str, filling: str) -> float:
+    """Return how much one image raises the tail of another, from none on."""
+    drawn = zlib.crc32(f'{serving}/{filling}'.encode()) % FULL / FULL
+    if drawn < HARMLESS_SHARE:
+        return 0
+    return LARGEST_HARM * (drawn - HARMLESS_SHARE) / (1 - HARMLESS_SHARE)
+
+
+def create_workers(count: int, seed: int) -> Iterator[QuietWorker]:
+    """Yield workers in racks and failure domains."""
+    for number in range(count):
+        size = SIZES[number % len(SIZES)]
+        rack = f'r{number // RACK}'
+        facts = WorkerFacts(
+            f'i-{number:08x}',
+            SERVICE,
+            f'10.0.{number // FULL}.{number % FULL}:80',
+            f'zone-{number % ZONES}',
+            Resources(int(PROCESSORS_MILLI * size), int(MEMORY_MIB * size)),
+            frozenset(('a', rack)),
+            rack,
+            born_ms=1,
+        )
+        yield QuietWorker(facts, seed + number)
--- a/src/gentianpulley/platform/worker_link.py
+++ b/src/gentianpulley/platform/worker_link.py
@@ -79,13 +79,13 @@
     breaks no call of the other.
     """
 
-    def __init__(self, facts: WorkerFacts, longest_slack_ms: int) -> None:
-        """Connect at the first call."""
-        address = parse_address(facts.address)
-        headers = ((_EXPECTED_LIFE, facts.worker_id),)
-        self._looks = WorkerLine(address, headers, longest_slack_ms)
-        self._orders = WorkerLine(address, headers, longest_slack_ms)
-        self._born_ms = facts.born_ms
+    def __init__(
+        self, looks: WorkerLine, orders: WorkerLine, born_ms: int
+    ) -> None:
+        """Call over two connections; a life without a birth is any."""
+        self._looks = looks
+        self._orders = orders
+        self._born_ms = born_ms
 
     def look(self, order: LookOrder) -> Listing:
         """Renew, acknowledge and list."""
@@ -159,7 +159,14 @@
 
     def connect(self, facts: WorkerFacts) -> WorkerLink:
         """Return a link to one life of a worker."""
-        return HttpWorkerLink(facts, self._longest_slack_ms)
+        address = parse_address(facts.address)
+        headers = ((_EXPECTED_LIFE, facts.worker_id),)
+        slack_ms = self._longest_slack_ms
+        return HttpWorkerLink(
+            WorkerLine(address, headers, slack_ms),
+            WorkerLine(address, headers, slack_ms),
+            facts.born_ms,
+        )
 
 
 def _checked(path: str, answer: HttpAnswer) -> HttpAnswer:
