--- a/src/gentianpulley/cluster/moving.py
+++ b/src/gentianpulley/cluster/moving.py
@@ -54,8 +54,10 @@
     wait_ms = MOVE_AFTER_MS + restoring_ms
     for worker in state.workers.values():
         for charge in worker.charges.values():
+            if not _has_to_move(charge, now_ms, wait_ms):
+                continue
             step = state.step_of(charge.key.task_id)
-            if step and _has_to_move(charge, now_ms, wait_ms):
+            if step is not None:
                 yield worker, charge, step
 
 
