Work out once which steps of a job may start

Each plan walked over all steps of all live jobs and asked of each whether those before it are done. What may start changes only when a task moves, a step opens or the state changes, so a job keeps it until then; jobs with times of their own are asked anew, as time decides there too. The order of steps stays that of the jobs.

--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -144,9 +144,7 @@
     def _startable(self, now_ms: int) -> list[StepRun]:
         steps: list[StepRun] = []
         for job in self.live_jobs.values():
-            if job.state.is_final:
-                continue
-            if job.spec.schedule.occurrences:
+            if job.spec.schedule.occurrences and not job.state.is_final:
                 job.open_until(now_ms)
             steps.extend(job.startable_steps(now_ms))
         return steps
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -5,7 +5,6 @@
 """
 
 import enum
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -166,6 +165,7 @@
         if task.phase is TaskPhase.PLACED:
             self._leave(task)
         self.waiting.discard(index)
+        self.job.forget_ready()
         task.phase = TaskPhase.PLACED
         task.run = max(task.run, run)
         task.worker_id = worker_id
@@ -178,6 +178,7 @@
             self._leave(task)
             task.phase = TaskPhase.WAITING
             self.waiting.add(task.task_id.ordinal)
+            self.job.forget_ready()
 
     def finish(self, task: Task) -> None:
         """Note that a run ended as done; a gang's end counts for all."""
@@ -190,6 +191,7 @@
             self.waiting.discard(each.task_id.ordinal)
             each.phase = TaskPhase.DONE
             self.done_count += 1
+        self.job.forget_ready()
         self.job.is_changed = True
         self.job.refresh_state()
 
@@ -222,13 +224,15 @@
 
     `is_changed` asks for a write of the job's record, `has_begun` says that a
     task was started at some time. `idle_since_ms` is since when nothing of the
-    job runs although a task could start; zero while something runs.
+    job runs although a task could start; zero while something runs. Which
+    steps may start is worked out once until a task or the state changes.
     """
 
     def __init__(self, spec: JobSpec, *, is_inherited: bool = False) -> None:
         """Open the first occurrence; an inherited job was known before."""
         self.spec = spec
-        self.state = JobState.QUEUED
+        self._state = JobState.QUEUED
+        self._ready: tuple[StepRun, ...] | None = None
         self.is_inherited = is_inherited
         self.is_changed = False
         self.has_begun = False
@@ -237,6 +241,20 @@
         self._opened = 0
         self.open_until(0)
 
+    @property
+    def state(self) -> JobState:
+        """Return what callers are told of the job."""
+        return self._state
+
+    @state.setter
+    def state(self, state: JobState) -> None:
+        self._state = state
+        self.forget_ready()
+
+    def forget_ready(self) -> None:
+        """Let it be worked out anew which steps may start."""
+        self._ready = None
+
     def open_until(self, now_ms: int) -> None:
         """Open every occurrence that is due soon."""
         schedule = self.spec.schedule
@@ -253,6 +271,7 @@
                 place = (self._opened, number)
                 self.steps[place] = StepRun(self, self._opened, number)
             self._opened += 1
+            self.forget_ready()
 
     def step_of(self, task_id: TaskId) -> StepRun | None:
         """Return the step of a task, or None if the job has no such task."""
@@ -264,12 +283,15 @@
             return None
         return step
 
-    def startable_steps(self, now_ms: int) -> Iterator[StepRun]:
-        """Yield the steps with waiting tasks whose turn has come."""
-        for step in self.steps.values():
-            if step.waiting and self._may_start(step, now_ms):
+    def startable_steps(self, now_ms: int) -> tuple[StepRun, ...]:
+        """Return the steps with waiting tasks whose turn has come."""
+        ready = self._ready
+        if ready is None:
+            ready = self._find_ready(now_ms)
+        for step in ready:
+            if step.spec.is_endless:
                 step.set_deadlines(now_ms)
-                yield step
+        return ready
 
     def note_failure(
         self, step: StepRun, task: Task, run: int, worker_id: str
@@ -327,9 +349,21 @@
         elif self.has_begun and self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
 
-    def _may_start(self, step: StepRun, now_ms: int) -> bool:
+    def _find_ready(self, now_ms: int) -> tuple[StepRun, ...]:
+        """Work out which steps may start; kept unless time decides too."""
         if self.state.is_final:
-            return False
+            ready: tuple[StepRun, ...] = ()
+        else:
+            ready = tuple(
+                step
+                for step in self.steps.values()
+                if step.waiting and self._may_start(step, now_ms)
+            )
+        if not self.spec.schedule.occurrences:
+            self._ready = ready
+        return ready
+
+    def _may_start(self, step: StepRun, now_ms: int) -> bool:
         if self.spec.schedule.due_ms(step.occurrence) > now_ms:
             return False
         return all(
