Hold what found no place against changed workers only

Each plan tried the first step of each shape at all workers again. Between two plans only the workers that were looked at or given a task can have a place for what found none, and those that began or ceased to accept runs, or to rest. FullShapes now keeps what it knows from plan to plan while steps of the shape go on to wait. Workers that a plan charges are weighed anew within it, as before, so that what is remembered of harm stays the same.

The shape of a step is worked out once, and tasks that end have no deadline to be asked for.

test_full_site imports FullShapes from its new module; nothing else of it changed.

--- a/src/gentianpulley/cluster/moving.py
+++ b/src/gentianpulley/cluster/moving.py
@@ -76,6 +76,6 @@
     for worker in candidates(step, view):
         if worker.worker_id in excluded or not may_hold(worker, step):
             continue
-        if is_harmless(worker, step, view):
+        if is_harmless(worker, step.spec, view):
             return worker.worker_id
     return ''
--- a/src/gentianpulley/cluster/open_workers.py
+++ b/src/gentianpulley/cluster/open_workers.py
@@ -33,7 +33,7 @@
         now_ms: int,
     ) -> None:
         """Leave out workers in closed failure domains."""
-        self._workers = [
+        self.all = [
             worker
             for worker in workers
             if worker.accepts(now_ms)
@@ -49,10 +49,7 @@
         found = self._suitable.get(wanted)
         if found is None:
             found = [
-                worker
-                for worker in self._workers
-                if worker.facts.service == service
-                and label in {'', *worker.facts.labels}
+                worker for worker in self.all if suits(worker, service, label)
             ]
             self._suitable[wanted] = found
         return found
@@ -67,8 +64,8 @@
         wanted = (service, label)
         if wanted not in self._headroom:
             self._headroom[wanted] = self._by_headroom(service, label)
-        for headroom, place, worker in self._headroom[wanted]:
-            if headroom < processors:
+        for spare, place, worker in self._headroom[wanted]:
+            if spare < processors:
                 break
             yield place, worker
 
@@ -76,7 +73,7 @@
         """Return the workers that do not rest, the most to spare first."""
         return sorted(
             (
-                (_headroom(worker), place, worker)
+                (headroom(worker), place, worker)
                 for place, worker in enumerate(self.suitable(service, label))
                 if self._now_ms >= worker.rests_until_ms
             ),
@@ -85,13 +82,24 @@
         )
 
 
+def suits(worker: Worker, service: str, label: str) -> bool:
+    """Tell whether a worker is of a service and has a label, if any."""
+    facts = worker.facts
+    return facts.service == service and (not label or label in facts.labels)
+
+
 def spare_milli(worker: Worker) -> float:
     """Return the processors expected to be left by tasks that reserve."""
     busy = worker.processors - (1 - ENDLESS_USE) * worker.endless
     return worker.facts.capacity.processors_milli - busy
 
 
-def _headroom(worker: Worker) -> float:
+def free_milli(worker: Worker) -> int:
+    """Return the processors that nothing has reserved."""
+    return worker.facts.capacity.processors_milli - worker.processors
+
+
+def headroom(worker: Worker) -> float:
     """Return what is left to filling tasks; a worker without any takes one."""
     if not worker.filling:
         return math.inf
--- a/src/gentianpulley/cluster/placing.py
+++ b/src/gentianpulley/cluster/placing.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Final, NamedTuple
+from typing import Final
 
 from gentianpulley.cluster.advice import Tickets
 from gentianpulley.cluster.harm import HarmModel
@@ -24,7 +24,6 @@
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun, Task
 from gentianpulley.jobs.spec import NO_LIMIT, StepSpec
-from gentianpulley.resources import Resources
 
 FAR_COST: Final = 2.0
 """Cost of a worker off the data's rack, in full loads of a worker."""
@@ -79,52 +78,6 @@
         return self.tickets.ticket(step.step_id, worker, self.now_ms)
 
 
-class Shape(NamedTuple):
-    """What decides, beside its size, where a task may go."""
-
-    service: str
-    label: str
-    data_rack: str
-    image: str
-    fills_spare: bool
-    same_rack: bool
-
-
-class FullShapes:
-    """What found no place in one plan; what needs as much finds none either.
-
-    Room only shrinks within a plan, and a larger task harms no less.
-    """
-
-    def __init__(self) -> None:
-        """Take everything to find a place."""
-        self._needs: dict[Shape, list[Resources]] = {}
-
-    def add(self, step: StepRun) -> None:
-        """Note that a task of the step found no place."""
-        needs = self._needs.setdefault(shape_of(step), [])
-        needs.append(step.spec.resources)
-
-    def covers(self, step: StepRun) -> bool:
-        """Tell whether a task of the step can find no place either."""
-        need = step.spec.resources
-        smaller = self._needs.get(shape_of(step), ())
-        return any(each.fits_in(need) for each in smaller)
-
-
-def shape_of(step: StepRun) -> Shape:
-    """Return what decides, beside its size, where a task may go."""
-    spec = step.spec
-    return Shape(
-        step.job.spec.policy.service,
-        spec.required_label,
-        spec.data_rack,
-        spec.image,
-        spec.fills_spare,
-        spec.same_rack,
-    )
-
-
 def candidates(step: StepRun, view: PlacingView) -> list[Worker]:
     """Return the workers that may be sent a task of the step now."""
     allowed = suitable(step, view)
@@ -208,7 +161,7 @@
         if not may_spread(worker, self._step):
             self._reasons.add(WaitReason.SPREAD)
             return
-        harms_nobody = is_harmless(worker, self._step, self._view)
+        harms_nobody = is_harmless(worker, self._step.spec, self._view)
         if harms_nobody or self._is_starving:
             cost = _cost(worker, self._step, self._view, self._rack)
             cost += 0 if harms_nobody else HARMFUL_COST
@@ -289,9 +242,8 @@
     return step.per_worker.get(worker.worker_id, 0) < limit
 
 
-def is_harmless(worker: Worker, step: StepRun, view: PlacingView) -> bool:
+def is_harmless(worker: Worker, spec: StepSpec, view: PlacingView) -> bool:
     """Tell whether a filling task finds spare processors and harms nobody."""
-    spec = step.spec
     if not spec.fills_spare:
         return True
     if view.now_ms < worker.rests_until_ms:
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from gentianpulley.cluster.advice import Permit, Question, question_for
+from gentianpulley.cluster.full_shapes import FullShapes
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
 from gentianpulley.cluster.open_workers import OpenWorkers
@@ -19,7 +20,6 @@
 )
 from gentianpulley.cluster.placing import (
     Choice,
-    FullShapes,
     PlacingView,
     candidates,
     is_busy,
@@ -57,6 +57,7 @@
         self._next_moves_ms = 0
         self._first_runs = FirstRuns()
         self._waits = Waits()
+        self._full = FullShapes()
         self._under_way = create_start_bound(reign.link_bytes_s)
 
     def plan(self, now_ms: int) -> list[StartOrder]:
@@ -68,17 +69,17 @@
         self._under_way.forget_answered(self.workers, now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
-        full = FullShapes()
+        self._full.begin_plan(view)
         self._waits.begin_plan(now_ms)
         steps = self._free_steps(now_ms)
         for step in overdue_first(steps, now_ms):
             overdue = step.overdue(now_ms)
-            orders.extend(self._try_step(step, overdue, view, full))
-        orders.extend(self._begin_new(steps, view, full))
+            orders.extend(self._try_step(step, overdue, view))
+        orders.extend(self._begin_new(steps, view))
         for step in in_order(steps, now_ms):
             if not step.overdue(now_ms):
                 waiting = set(step.waiting)
-                orders.extend(self._try_step(step, waiting, view, full))
+                orders.extend(self._try_step(step, waiting, view))
         return orders
 
     def report(self, now_ms: int) -> PlanReport:
@@ -150,14 +151,14 @@
         return steps
 
     def _begin_new(
-        self, steps: list[StepRun], view: PlacingView, full: FullShapes
+        self, steps: list[StepRun], view: PlacingView
     ) -> list[StartOrder]:
         """Place one new endless task that has waited for long."""
         for step in in_order(
             self._first_runs.due(steps, view.now_ms), view.now_ms
         ):
             late = step.new_overdue(view.now_ms)
-            orders = self._try_step(step, late, view, full)
+            orders = self._try_step(step, late, view)
             if orders:
                 self._first_runs.note_placed(view.now_ms)
                 return orders
@@ -168,19 +169,19 @@
         step: StepRun,
         indexes: set[int],
         view: PlacingView,
-        full: FullShapes,
     ) -> list[StartOrder]:
         """Place these tasks of a step, unless that is hopeless."""
         if not self._under_way.has_room:
             self._waits.note(step, WaitReason.LINK)
             return []
-        if full.covers(step) and not is_starving(step, view):
-            self._waits.note(step, WaitReason.ALIKE)
+        reason = self._full.reason(step, view)
+        if reason is not None and not is_starving(step, view):
+            self._waits.note(step, reason)
             return []
         orders = self._place_step(step, indexes, view)
         is_tried = self._under_way.has_room and not _is_special(step)
         if is_tried and indexes & step.waiting:
-            full.add(step)
+            self._full.add(step, self._waits.reasons[step])
         return orders
 
     def _place_step(
@@ -257,6 +258,7 @@
     ) -> StartOrder:
         key = RunKey(task.task_id, run)
         worker.charge(key, step.spec, view.now_ms)
+        self._full.note_charged(worker)
         step.place(task, worker.worker_id, run)
         order = StartOrder(
             worker.worker_id,
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -122,7 +122,8 @@
     zero while it answers, and `rests_until_ms` how long its filling tasks stand
     still. `serving_margins` is None until it is worked out for what runs now,
     and `harmful_needs` holds, by image, the processors from which a further
-    filling task harms too much.
+    filling task harms too much; `ledger_number` rises when both are forgotten
+    and with each run that comes or goes.
     """
 
     def __init__(self, facts: WorkerFacts, now_ms: int) -> None:
@@ -153,6 +154,7 @@
         self.rests_until_ms = 0
         self.serving_margins: list[ServingMargin] | None = None
         self.harmful_needs: dict[str, int] = {}
+        self.ledger_number = 0
         self.foreign: set[RunKey] = set()
         self.unsaved_ends: deque[tuple[int, int]] = deque()
 
@@ -236,6 +238,7 @@
 
     def forget_margins(self) -> None:
         """Let what runs, and how fast, be weighed anew."""
+        self.ledger_number += 1
         self.serving_margins = None
         self.harmful_needs.clear()
 
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -8,7 +8,13 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from gentianpulley.jobs.spec import JobSpec, StepId, StepSpec, TaskId
+from gentianpulley.jobs.spec import (
+    JobSpec,
+    Shape,
+    StepId,
+    StepSpec,
+    TaskId,
+)
 
 RESTART_MS: Final = 2000
 """How long an endless task that has run waits in the order of all work. Sites
@@ -102,6 +108,7 @@
         self.occurrence = occurrence
         self.number = number
         self.spec: StepSpec = job.spec.steps[number]
+        self.shape = _shape_of(job.spec, self.spec)
         self.tasks = [
             Task(
                 TaskId(job.spec.job_id, occurrence, number, index),
@@ -147,6 +154,8 @@
 
     def overdue(self, now_ms: int) -> set[int]:
         """Return the waiting tasks that should run again by now."""
+        if not self.spec.is_endless:
+            return set()
         return {
             index
             for index in self._late(now_ms)
@@ -372,6 +381,17 @@
         )
 
 
+def _shape_of(job: JobSpec, step: StepSpec) -> Shape:
+    return Shape(
+        job.policy.service,
+        step.required_label,
+        step.data_rack,
+        step.image,
+        step.fills_spare,
+        step.same_rack,
+    )
+
+
 def create_job(spec: JobSpec, *, is_inherited: bool) -> Job:
     """Return a job whose tasks all wait."""
     return Job(spec, is_inherited=is_inherited)
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -63,6 +63,17 @@
     max_away: int = 0
 
 
+class Shape(NamedTuple):
+    """What decides, beside its size, where a task of a step may go."""
+
+    service: str
+    label: str
+    data_rack: str
+    image: str
+    fills_spare: bool
+    same_rack: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Schedule:
     """When the steps of a job run: once, or `occurrences` times."""
--- a/tests/scheduling/test_full_site.py
+++ b/tests/scheduling/test_full_site.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gentianpulley.cluster.placing import FullShapes
+from gentianpulley.cluster.full_shapes import FullShapes
 from gentianpulley.jobs.spec import StepSpec
 from gentianpulley.resources import Resources
 from tests.scheduling.site import hand_site, job, step
