--- a/src/gentianpulley/cluster/link.py
+++ b/src/gentianpulley/cluster/link.py
@@ -8,6 +8,7 @@
 import enum
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from gentianpulley.jobs.spec import TaskId
 from gentianpulley.resources import NOTHING, Resources
@@ -62,16 +63,14 @@
     leaves_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RunKey:
+class RunKey(NamedTuple):
     """One run of one task."""
 
     task_id: TaskId
     run: int
 
 
-@dataclass(frozen=True, slots=True)
-class RunningRow:
+class RunningRow(NamedTuple):
     """A run that a worker lists as present.
 
     `progress_percent` is how far it has come; an endless task is at work at
