Expect tails once for each image of a worker

Learning and pacing worked out for each serving task what its image is expected to do; a worker has few images, each with several tasks. Paces are put in the order of their harm only where a tail is over its bound.

--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from typing import Final
+from typing import Final, NamedTuple
 
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.link import PaceOrder, RunKey
@@ -42,6 +42,17 @@
 """Below this pace a filling task stands still."""
 
 
+class _Harms(NamedTuple):
+    """What an image's tails are expected to be on one worker.
+
+    `quiet_level` is the logarithm of a tail that nobody raises, `by_run` how
+    much each filling task raises it at full pace.
+    """
+
+    quiet_level: float
+    by_run: dict[RunKey, float]
+
+
 def learn(worker: Worker, model: HarmModel, now_ms: int) -> bool:
     """Learn from a worker's newest reports; returns whether it was time to.
 
@@ -57,10 +68,13 @@
         for charge in worker.charges.values()
         if is_serving(charge) and charge.gauge_ms == now_ms and charge.gauge > 0
     ]
+    expected = {
+        image: model.predict(image, shares) for image in _images(serving)
+    }
     for charge in serving:
-        expected = model.predict(charge.spec.image, shares)
-        _note_bias(charge, expected)
-        note_level(charge, expected + charge.bias, now_ms)
+        level = expected[charge.spec.image]
+        _note_bias(charge, level)
+        note_level(charge, level + charge.bias, now_ms)
     for charge in random.sample(serving, min(LEARNED, len(serving))):
         if model.wants_report(now_ms):
             model.note(charge.spec.image, charge.gauge, shares)
@@ -83,9 +97,23 @@
         return []
     fastest: float = 0 if rests(worker, harm_ms, now_ms) else 1
     paces = {charge.key: fastest for charge in filling}
-    for serving in worker.charges.values():
-        if is_serving(serving):
-            _slow_down(worker, model, serving, filling, paces)
+    serving = list(filter(is_serving, worker.charges.values()))
+    harms = {
+        image: _harms(worker, model, image, filling)
+        for image in _images(serving)
+    }
+    for charge in serving:
+        _slow_down(charge, harms[charge.spec.image], paces)
+    return _changes(worker, filling, paces, now_ms)
+
+
+def _changes(
+    worker: Worker,
+    filling: list[Charge],
+    paces: dict[RunKey, float],
+    now_ms: int,
+) -> list[PaceOrder]:
+    """Note the paces that are wanted; returns what is worth an order."""
     orders = []
     for charge in filling:
         wanted = _rounded(paces[charge.key])
@@ -95,6 +123,11 @@
     return orders
 
 
+def _images(serving: list[Charge]) -> set[str]:
+    """Return the images of tasks: few on a worker, each with several."""
+    return {charge.spec.image for charge in serving}
+
+
 def _note_bias(charge: Charge, expected: float) -> None:
     deviation = math.log(charge.gauge) - expected
     mixed = charge.bias + BIAS_WEIGHT * (deviation - charge.bias)
@@ -102,19 +135,17 @@
 
 
 def _slow_down(
-    worker: Worker,
-    model: HarmModel,
-    serving: Charge,
-    filling: list[Charge],
-    paces: dict[RunKey, float],
+    serving: Charge, harms: _Harms, paces: dict[RunKey, float]
 ) -> None:
     """Lower the most harmful paces until the serving task is safe."""
-    harms = _harms(worker, model, serving, filling)
-    excess = model.predict(serving.spec.image, {}) + serving.bias
-    excess += sum(harms[key] * paces[key] for key in harms)
+    by_run = harms.by_run
+    excess = harms.quiet_level + serving.bias
+    excess += sum(by_run[key] * paces[key] for key in by_run)
     excess -= math.log(TARGET_SHARE * serving.spec.tail_target_ms)
-    for key in sorted(harms, key=harms.__getitem__, reverse=True):
-        given = harms[key] * paces[key]
+    if excess <= 0:
+        return
+    for key in sorted(by_run, key=by_run.__getitem__, reverse=True):
+        given = by_run[key] * paces[key]
         if excess > 0 and given > 0:
             cut = min(given, excess)
             paces[key] *= 1 - cut / given
@@ -122,16 +153,16 @@
 
 
 def _harms(
-    worker: Worker, model: HarmModel, serving: Charge, filling: list[Charge]
-) -> dict[RunKey, float]:
-    """Return how much each filling task raises a tail at full pace."""
+    worker: Worker, model: HarmModel, image: str, filling: list[Charge]
+) -> _Harms:
+    """Return how much each filling task raises an image's tails."""
     capacity = max(1, worker.facts.capacity.processors_milli)
-    return {
-        charge.key: model.harm(serving.spec.image, charge.spec.image)
-        * charge.spec.resources.processors_milli
-        / capacity
-        for charge in filling
-    }
+    by_run: dict[RunKey, float] = {}
+    for charge in filling:
+        need = charge.spec.resources.processors_milli
+        harm = model.harm(image, charge.spec.image)
+        by_run[charge.key] = harm * need / capacity
+    return _Harms(model.predict(image, {}), by_run)
 
 
 def is_serving(charge: Charge) -> bool:
