Wake up once between two looks at a worker

The thread that looks slept 45 ms and then slept again until the ends that it had listed were written, so three of four pauses took two wake-ups. The longest pause stays what it was.

--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -23,7 +23,12 @@
 )
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker import Worker
-from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
+from gentianpulley.deadline import (
+    MS_PER_SECOND,
+    deadline_in,
+    now_ms,
+    seconds_left,
+)
 from gentianpulley.errors import (
     WorkerError,
     WorkerFencedError,
@@ -36,12 +41,16 @@
 
 RETRY_PAUSE_S: Final = RETRY_PAUSE_MS / MS_PER_SECOND
 
-SHORTEST_LOOK_GAP_S: Final = 0.045
+SHORTEST_LOOK_GAP_MS: Final = 45
 """Pause between looks, so that ends that come together share one look."""
 
+SHORTEST_LOOK_GAP_S: Final = SHORTEST_LOOK_GAP_MS / MS_PER_SECOND
+
 LONGEST_LOOK_GAP_S: Final = 0.25
-"""Longest pause for ends that are not written yet. While the store is away,
-looks go on: they renew leases."""
+"""How much longer a pause may be for ends that are not written yet. While the
+store is away, looks go on: they renew leases."""
+
+LONGEST_ACK_WAIT_S: Final = SHORTEST_LOOK_GAP_S + LONGEST_LOOK_GAP_S
 
 LOADING_LOOK_GAP_S: Final = 1.5
 """Pause between looks while jobs load: they only renew leases, and lists take
@@ -119,11 +128,13 @@
         while not self._closed.is_set():
             if self._look(wait_ms):
                 wait_ms = self._office.look_ms
-                self._closed.wait(SHORTEST_LOOK_GAP_S)
+                gap_until_ms = deadline_in(SHORTEST_LOOK_GAP_MS)
                 self._office.jobs_loaded.wait(LOADING_LOOK_GAP_S)
-                # Ends are listed at once, until they are acknowledged.
+                # Ends are listed at once, until they are acknowledged. Most
+                # are only after the gap, so that one wake-up is enough.
                 if self.worker.unsaved_ends:
-                    self._acknowledged.wait(LONGEST_LOOK_GAP_S)
+                    self._acknowledged.wait(LONGEST_ACK_WAIT_S)
+                self._closed.wait(seconds_left(gap_until_ms))
             else:
                 self.reached.clear()
                 wait_ms = 0
