Read the directory's news at most twenty times a second

Each registration ended a watch, so that a leader of 246 workers, which register again each second, made some 60 calls to the store a second for them. News may now be 50 ms later.

--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -26,6 +26,10 @@
 RETRY_S: Final = 0.2
 """Pause after a failed call to the store."""
 
+NEWS_GAP_S: Final = 0.05
+"""Pause between two reads of what is new in the directory: hundreds of workers
+register again each second, and what they tell may be so much later."""
+
 ROSTER_SAVE_MS: Final = 1000
 """Shortest time between two writes of a roster that shrinks. A leader that
 dies leaves its successor as much to wait for again."""
@@ -135,6 +139,7 @@
             self.note_followed(batch.revision)
             if self.office.tenure.is_over():
                 break
+            Event().wait(NEWS_GAP_S)
 
     def read_all(self) -> int:
         """Take all workers of the directory; the others are unlisted."""
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -35,7 +35,7 @@
 from gentianpulley.cluster.takeover import Takeover
 from gentianpulley.cluster.waiting import WaitReason, Waits
 from gentianpulley.cluster.worker import Worker
-from gentianpulley.jobs.job import StepRun, Task
+from gentianpulley.jobs.job import Job, StepRun, Task
 from gentianpulley.logs import EventLog
 
 MOVES_GAP_MS: Final = 200
@@ -95,10 +95,10 @@
 
     def next_question(self, now_ms: int) -> Question | None:
         """Return what to ask the advice service next, None if nothing."""
+        if not any(map(_is_advised, self.live_jobs.values())):
+            return None
         advised = [
-            step
-            for step in self._free_steps(now_ms)
-            if step.job.spec.policy.advice is not None
+            step for step in self._free_steps(now_ms) if _is_advised(step.job)
         ]
         if not advised:
             return None
@@ -278,11 +278,15 @@
     return WaitReason.NO_WORKER
 
 
+def _is_advised(job: Job) -> bool:
+    return job.spec.policy.advice is not None
+
+
 def _is_special(step: StepRun) -> bool:
     """Tell whether a step may wait for other reasons than its size."""
     spec = step.spec
-    needs_tickets = step.job.spec.policy.advice is not None
-    return bool(spec.max_per_worker) or spec.is_gang or needs_tickets
+    is_bound = bool(spec.max_per_worker) or spec.is_gang
+    return is_bound or _is_advised(step.job)
 
 
 def create_scheduler(reign: Reign, log: EventLog) -> Scheduler:
