Encode each record that is written once

A batch of records was encoded to see whether it is too large for one write, and then again to write it. The cost of the encoding alone was not measured.

--- a/src/gentianpulley/cluster/job_book.py
+++ b/src/gentianpulley/cluster/job_book.py
@@ -177,8 +177,9 @@
         failure it holds those that are left.
         """
         while batches:
-            _split_large(batches)
-            self._save_batch(batches[0])
+            saved_ms = now_ms()
+            puts = _next_puts(batches, saved_ms)
+            self._save_batch(batches[0], puts, saved_ms)
             batches.popleft()
 
     def forget_ended(self, before_ms: int) -> int:
@@ -242,8 +243,9 @@
             self._log.store_trouble(exc.text)
         return reading.next_page()
 
-    def _save_batch(self, batch: list[Job]) -> None:
-        saved_ms = now_ms()
+    def _save_batch(
+        self, batch: list[Job], puts: list[Put], saved_ms: int
+    ) -> None:
         guards = [self._record_guard(job) for job in batch]
         deletes = [
             waiting_key(job.spec.policy.queue, job.spec.job_id)
@@ -253,7 +255,7 @@
         commit = self._commit(
             Transaction(
                 tuple(guards),
-                tuple(_record_put(job, saved_ms) for job in batch),
+                tuple(puts),
                 tuple(deletes),
             )
         )
@@ -295,17 +297,22 @@
     )
 
 
-def _split_large(batches: deque[list[Job]]) -> None:
-    """Halve the first batch until its records are no more than one write."""
-    while len(batches[0]) > 1 and _is_large(batches[0]):
+def _next_puts(batches: deque[list[Job]], saved_ms: int) -> list[Put]:
+    """Return the records of the first batch.
+
+    It is halved until they are no more than one write.
+    """
+    puts = [_record_put(job, saved_ms) for job in batches[0]]
+    while len(puts) > 1 and _are_large(puts):
         batch = batches.popleft()
         middle = len(batch) // 2
         batches.extendleft((batch[middle:], batch[:middle]))
+        puts = puts[:middle]
+    return puts
 
 
-def _is_large(batch: list[Job]) -> bool:
-    sizes = (len(_record_put(job, 0).body) for job in batch)
-    return sum(sizes) > LARGEST_TRANSACTION_BYTES
+def _are_large(puts: list[Put]) -> bool:
+    return sum(len(put.body) for put in puts) > LARGEST_TRANSACTION_BYTES
 
 
 def job_key(job_id: str) -> str:
