--- a/tests/scheduling/test_full_site.py
+++ b/tests/scheduling/test_full_site.py
@@ -3,9 +3,17 @@
 import pytest
 
 from gentianpulley.cluster.full_shapes import FullShapes
+from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.spec import StepSpec
 from gentianpulley.resources import Resources
-from tests.scheduling.site import hand_site, job, step
+from tests.scheduling.site import (
+    JOB_ID,
+    HandSite,
+    facts,
+    hand_site,
+    job,
+    step,
+)
 
 MIDDLE = Resources(8000, 4000)
 
@@ -38,3 +46,94 @@
         site.scheduler.add_job(job(spec, job_id=f'{number:016x}'))
     placed = [order.key.task_id.job_id for order in site.plan()]
     assert placed == ['0' * 16, f'{2:016x}']
+
+
+WHOLE = step(resources=Resources(64_000, 1000))
+LATER = 'b' * 16
+FOREVER_MS = 10**15
+
+
+def _taken_site() -> HandSite:
+    """Return a full worker."""
+    site = hand_site('w1')
+    site.scheduler.add_job(job(WHOLE))
+    assert len(site.start_all()) == 1
+    return site
+
+
+def _waiting_site() -> HandSite:
+    """Return a full worker, and a job that found no place in two plans."""
+    site = _taken_site()
+    site.scheduler.add_job(job(WHOLE, job_id=LATER))
+    assert not site.plan()
+    assert not site.plan()
+    return site
+
+
+def _placed(site: HandSite) -> list[tuple[str, str]]:
+    return [
+        (order.key.task_id.job_id, order.worker_id) for order in site.plan()
+    ]
+
+
+def test_what_waited_gets_the_place_of_a_run_that_ended() -> None:
+    site = _waiting_site()
+    (key,) = site.scheduler.workers['w1'].charges
+    assert key.task_id.job_id == JOB_ID
+    site.end('w1', key)
+    assert _placed(site) == [(LATER, 'w1')]
+
+
+def test_what_waited_goes_to_a_worker_that_came() -> None:
+    site = _waiting_site()
+    site.add_worker('w2')
+    assert _placed(site) == [(LATER, 'w2')]
+
+
+def test_what_waited_goes_to_a_worker_that_registers_more_room() -> None:
+    site = _waiting_site()
+    larger = facts('w1', capacity=Resources(128_000, 256_000))
+    site.scheduler.update_worker(larger, site.at_ms)
+    assert _placed(site) == [(LATER, 'w1')]
+
+
+def test_what_waited_goes_to_a_worker_that_accepts_runs_again() -> None:
+    site = _taken_site()
+    site.add_worker('w2')
+    other = site.scheduler.workers['w2']
+    assert not site.plan()
+    other.quarantined_until_ms = FOREVER_MS
+    site.scheduler.add_job(job(WHOLE, job_id=LATER))
+    assert not site.plan()
+    assert not site.plan()
+    other.quarantined_until_ms = 0
+    assert _placed(site) == [(LATER, 'w2')]
+
+
+def test_what_waited_goes_where_filling_tasks_rest_no_longer() -> None:
+    site = hand_site('w1')
+    resting = site.scheduler.workers['w1']
+    resting.rests_until_ms = site.at_ms + 100
+    site.scheduler.add_job(job(step(fills_spare=True), job_id=LATER))
+    assert not site.plan()
+    site.at_ms += 99
+    assert not site.plan()
+    site.at_ms += 1
+    assert _placed(site) == [(LATER, 'w1')]
+
+
+def test_workers_that_did_not_change_are_not_weighed_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each plan tried every kind of waiting step at every worker."""
+    site = _waiting_site()
+    weighed: list[str] = []
+    monkeypatch.setattr(
+        Worker, 'has_room', lambda worker, _: weighed.append(worker.worker_id)
+    )
+    monkeypatch.setattr(
+        'gentianpulley.cluster.scheduler.Choice',
+        lambda allowed, *_: weighed.extend(map(str, allowed)),
+    )
+    assert not site.plan()
+    assert not weighed
