--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -11,7 +11,7 @@
 
 import math
 import random
-from typing import Final
+from typing import Final, NamedTuple
 
 from gentianpulley.cluster.harm import HarmModel
 from gentianpulley.cluster.link import PaceOrder, RunKey
@@ -49,6 +49,17 @@
 """Below this pace a filling task stands still."""
 
 
+class _Harms(NamedTuple):
+    """What an image's tails are expected to be on one worker.
+
+    `quiet_level` is the logarithm of a tail that nobody raises, `by_run` how
+    much each filling task raises it at full pace.
+    """
+
+    quiet_level: float
+    by_run: dict[RunKey, float]
+
+
 def learn(worker: Worker, model: HarmModel, now_ms: int) -> bool:
     """Learn from a worker's newest reports; returns whether it was time to.
 
@@ -64,10 +75,13 @@
         for charge in worker.charges.values()
         if is_serving(charge) and charge.gauge_ms == now_ms and charge.gauge > 0
     ]
+    expected = {
+        image: model.predict(image, shares) for image in _images(serving)
+    }
     for charge in serving:
-        expected = model.predict(charge.spec.image, shares)
-        _note_bias(charge, expected)
-        note_level(charge, expected + charge.bias, now_ms)
+        level = expected[charge.spec.image]
+        _note_bias(charge, level)
+        note_level(charge, level + charge.bias, now_ms)
     for charge in random.sample(serving, min(LEARNED, len(serving))):
         if model.wants_report(now_ms):
             model.note(charge.spec.image, charge.gauge, shares)
@@ -90,6 +104,16 @@
         return []
     fastest: float = 0 if rests(worker, harm_ms, now_ms) else 1
     paces = _safe_paces(worker, model, filling, fastest, now_ms)
+    return _changes(worker, filling, paces, now_ms)
+
+
+def _changes(
+    worker: Worker,
+    filling: list[Charge],
+    paces: dict[RunKey, float],
+    now_ms: int,
+) -> list[PaceOrder]:
+    """Note the paces that are wanted; returns what is worth an order."""
     orders = []
     for charge in filling:
         wanted = _rounded(paces[charge.key])
@@ -99,6 +123,11 @@
     return orders
 
 
+def _images(serving: list[Charge]) -> set[str]:
+    """Return the images of tasks: few on a worker, each with several."""
+    return {charge.spec.image for charge in serving}
+
+
 def _note_bias(charge: Charge, expected: float) -> None:
     deviation = math.log(charge.gauge) - expected
     mixed = charge.bias + BIAS_WEIGHT * (deviation - charge.bias)
@@ -115,35 +144,37 @@
     """Return the paces at which every serving task is safe."""
     paces = {charge.key: fastest for charge in filling}
     urgent = {charge.key for charge in filling if charge.can_be_on_time(now_ms)}
-    for serving in worker.charges.values():
-        if is_serving(serving):
-            harms = _harms(worker, model, serving, filling)
-            _slow_down(_own_margin(model, serving), harms, paces, urgent)
+    serving = list(filter(is_serving, worker.charges.values()))
+    harms = {
+        image: _harms(worker, model, image, filling)
+        for image in _images(serving)
+    }
+    for charge in serving:
+        _slow_down(charge, harms[charge.spec.image], paces, urgent)
     return paces
 
 
-def _own_margin(model: HarmModel, serving: Charge) -> float:
-    """Return the logarithm of a task's own expected tail over its target."""
-    own = model.predict(serving.spec.image, {}) + serving.bias
-    return own - math.log(serving.spec.tail_target_ms)
-
-
 def _slow_down(
-    margin: float,
-    harms: dict[RunKey, float],
+    serving: Charge,
+    harms: _Harms,
     paces: dict[RunKey, float],
     urgent: set[RunKey],
 ) -> None:
-    """Lower paces until a serving task with such a margin is safe.
+    """Lower paces until the serving task is safe.
 
     The most harmful first, but those that are not urgent before all others.
     """
-    margin += sum(harms[key] * paces[key] for key in harms)
-    in_turn = sorted(harms, key=harms.__getitem__, reverse=True)
+    by_run = harms.by_run
+    margin = harms.quiet_level + serving.bias
+    margin += sum(by_run[key] * paces[key] for key in by_run)
+    margin -= math.log(serving.spec.tail_target_ms)
+    if margin <= math.log(TARGET_SHARE):
+        return
+    in_turn = sorted(by_run, key=by_run.__getitem__, reverse=True)
     in_turn.sort(key=urgent.__contains__)
     for key in in_turn:
         share = ON_TIME_TARGET_SHARE if key in urgent else TARGET_SHARE
-        given = harms[key] * paces[key]
+        given = by_run[key] * paces[key]
         cut = min(given, margin - math.log(share))
         if cut > 0:
             paces[key] *= 1 - cut / given
@@ -151,16 +182,16 @@
 
 
 def _harms(
-    worker: Worker, model: HarmModel, serving: Charge, filling: list[Charge]
-) -> dict[RunKey, float]:
-    """Return how much each filling task raises a tail at full pace."""
+    worker: Worker, model: HarmModel, image: str, filling: list[Charge]
+) -> _Harms:
+    """Return how much each filling task raises an image's tails."""
     capacity = max(1, worker.facts.capacity.processors_milli)
-    return {
-        charge.key: model.harm(serving.spec.image, charge.spec.image)
-        * charge.spec.resources.processors_milli
-        / capacity
-        for charge in filling
-    }
+    by_run: dict[RunKey, float] = {}
+    for charge in filling:
+        need = charge.spec.resources.processors_milli
+        harm = model.harm(image, charge.spec.image)
+        by_run[charge.key] = harm * need / capacity
+    return _Harms(model.predict(image, {}), by_run)
 
 
 def is_serving(charge: Charge) -> bool:
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from gentianpulley.cluster.advice import Permit, Question, question_for
+from gentianpulley.cluster.full_shapes import FullShapes
 from gentianpulley.cluster.link import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.moving import moves
 from gentianpulley.cluster.open_workers import OpenWorkers
@@ -19,7 +20,6 @@
 )
 from gentianpulley.cluster.placing import (
     Choice,
-    FullShapes,
     PlacingView,
     candidates,
     is_busy,
@@ -35,7 +35,7 @@
 from gentianpulley.cluster.takeover import Takeover
 from gentianpulley.cluster.waiting import WaitReason, Waits
 from gentianpulley.cluster.worker import Worker
-from gentianpulley.jobs.job import StepRun, Task
+from gentianpulley.jobs.job import Job, StepRun, Task
 from gentianpulley.logs import EventLog
 
 MOVES_GAP_MS: Final = 200
@@ -57,6 +57,7 @@
         self._next_moves_ms = 0
         self._first_runs = FirstRuns()
         self._waits = Waits()
+        self._full = FullShapes()
         self._under_way = create_start_bound(reign.link_bytes_s)
 
     def plan(self, now_ms: int) -> list[StartOrder]:
@@ -68,17 +69,17 @@
         self._under_way.forget_answered(self.workers, now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
-        full = FullShapes()
+        self._full.begin_plan(view)
         self._waits.begin_plan(now_ms)
         steps = self._free_steps(now_ms)
         for step in overdue_first(steps, now_ms):
             overdue = step.overdue(now_ms)
-            orders.extend(self._try_step(step, overdue, view, full))
-        orders.extend(self._begin_new(steps, view, full))
+            orders.extend(self._try_step(step, overdue, view))
+        orders.extend(self._begin_new(steps, view))
         for step in in_order(steps, now_ms):
             if not step.overdue(now_ms):
                 waiting = set(step.waiting)
-                orders.extend(self._try_step(step, waiting, view, full))
+                orders.extend(self._try_step(step, waiting, view))
         return orders
 
     def report(self, now_ms: int) -> PlanReport:
@@ -94,10 +95,10 @@
 
     def next_question(self, now_ms: int) -> Question | None:
         """Return what to ask the advice service next, None if nothing."""
+        if not any(map(_is_advised, self.live_jobs.values())):
+            return None
         advised = [
-            step
-            for step in self._free_steps(now_ms)
-            if step.job.spec.policy.advice is not None
+            step for step in self._free_steps(now_ms) if _is_advised(step.job)
         ]
         if not advised:
             return None
@@ -144,22 +145,20 @@
     def _startable(self, now_ms: int) -> list[StepRun]:
         steps: list[StepRun] = []
         for job in self.live_jobs.values():
-            if job.state.is_final:
-                continue
-            if job.spec.schedule.occurrences:
+            if job.spec.schedule.occurrences and not job.state.is_final:
                 job.open_until(now_ms)
             steps.extend(job.startable_steps(now_ms))
         return steps
 
     def _begin_new(
-        self, steps: list[StepRun], view: PlacingView, full: FullShapes
+        self, steps: list[StepRun], view: PlacingView
     ) -> list[StartOrder]:
         """Place one new endless task that has waited for long."""
         for step in in_order(
             self._first_runs.due(steps, view.now_ms), view.now_ms
         ):
             late = step.new_overdue(view.now_ms)
-            orders = self._try_step(step, late, view, full)
+            orders = self._try_step(step, late, view)
             if orders:
                 self._first_runs.note_placed(view.now_ms)
                 return orders
@@ -170,19 +169,19 @@
         step: StepRun,
         indexes: set[int],
         view: PlacingView,
-        full: FullShapes,
     ) -> list[StartOrder]:
         """Place these tasks of a step, unless that is hopeless."""
         if not self._under_way.has_room:
             self._waits.note(step, WaitReason.LINK)
             return []
-        if full.covers(step) and not is_starving(step, view):
-            self._waits.note(step, WaitReason.ALIKE)
+        reason = self._full.reason(step, view)
+        if reason is not None and not is_starving(step, view):
+            self._waits.note(step, reason)
             return []
         orders = self._place_step(step, indexes, view)
         is_tried = self._under_way.has_room and not _is_special(step)
         if is_tried and indexes & step.waiting:
-            full.add(step)
+            self._full.add(step, self._waits.reasons[step])
         return orders
 
     def _place_step(
@@ -259,6 +258,7 @@
     ) -> StartOrder:
         key = RunKey(task.task_id, run)
         worker.charge(key, step.spec, view.now_ms).due_ms = step.due_ms
+        self._full.note_charged(worker)
         step.place(task, worker.worker_id, run)
         order = StartOrder(
             worker.worker_id,
@@ -278,11 +278,15 @@
     return WaitReason.NO_WORKER
 
 
+def _is_advised(job: Job) -> bool:
+    return job.spec.policy.advice is not None
+
+
 def _is_special(step: StepRun) -> bool:
     """Tell whether a step may wait for other reasons than its size."""
     spec = step.spec
-    needs_tickets = step.job.spec.policy.advice is not None
-    return bool(spec.max_per_worker) or spec.is_gang or needs_tickets
+    is_bound = bool(spec.max_per_worker) or spec.is_gang
+    return is_bound or _is_advised(step.job)
 
 
 def create_scheduler(reign: Reign, log: EventLog) -> Scheduler:
