Wait for a leader in the test of its successor

test_the_successor_adopts_what_runs failed once, at a load of 30: no instance said that it leads while its four tasks ran. The first plan of a reign may come before the call that opens it has returned. The test waits for one leader, and asks for exactly one, as before.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -163,6 +163,10 @@
         ),
         what='four tasks at work',
     )
+    # The leader's first plan may come before its opening has returned.
+    wait_until(
+        lambda: any(node.is_leading for node in site.nodes), what='a leader'
+    )
     leading = [node for node in site.nodes if node.is_leading]
     assert len(leading) == 1
     other = site.nodes[1] if leading[0] is site.nodes[0] else site.nodes[0]
