Take up loaded jobs only while the key is certain

Callers could see a job run twice that was accepted at a change of leader.

Cause: a leader that lost its key while it loaded its jobs may act until its tenure ends, two seconds longer. It went on loading, and so read jobs that came after its successor had begun. That one starts such jobs at once, as nobody else can have seen them; so both did.

Now a leader that has loaded jobs takes them up once its key is certain again: what was read before was there before any successor.

--- a/src/gentianpulley/cluster/job_watches.py
+++ b/src/gentianpulley/cluster/job_watches.py
@@ -4,9 +4,6 @@
 read all jobs again may take longer than that on a narrow link.
 """
 
-from threading import Event
-from typing import Final
-
 from gentianpulley.cluster.job_book import (
     CANCEL_PREFIX,
     SPEC_PREFIX,
@@ -15,15 +12,10 @@
 )
 from gentianpulley.cluster.leader_watches import LeaderWatch
 from gentianpulley.cluster.office import Office
-from gentianpulley.deadline import now_ms
 from gentianpulley.jobs.job import create_job
 from gentianpulley.prefix_read import PrefixRead
 from gentianpulley.store import Change, Entry, Store
 
-CERTAINTY_S: Final = 0.02
-"""Pause before the leader's key is looked at again; it is renewed twice a
-second."""
-
 
 class JobWatch(LeaderWatch):
     """Takes up jobs as entry instances store them."""
@@ -60,7 +52,7 @@
         return revision
 
     def _note_entries(self, entries: tuple[Entry, ...]) -> None:
-        self._await_certainty()
+        self.office.tenure.await_certainty()
         if self.office.tenure.is_over():
             return
         for entry in entries:
@@ -69,16 +61,6 @@
                 continue
             self.office.add_job(create_job(spec, is_inherited=False))
 
-    def _await_certainty(self) -> None:
-        """Wait until no other instance can have led since the batch came.
-
-        A successor takes jobs that came after its start for nobody else's.
-        Whatever this leader sees while its key is certain was there before.
-        """
-        tenure = self.office.tenure
-        while not tenure.is_certain(now_ms()) and not tenure.is_over():
-            Event().wait(CERTAINTY_S)
-
 
 class CancelWatch(LeaderWatch):
     """Cancels jobs as entry instances store their cancellations."""
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -140,6 +140,9 @@
         self._workers = workers
         workers.take(page)
         loaded = self._book.load()
+        if loaded.jobs:
+            # A successor may have begun those that came while they were read.
+            self._tenure.await_certainty()
         office.take_over(
             loaded.jobs,
             loaded.cancelled,
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -29,6 +29,10 @@
 from gentianpulley.jobs.job import Job
 from gentianpulley.logs import EventLog
 
+CERTAINTY_S: Final = 0.02
+"""Pause before the leader's key is looked at again; it is renewed twice a
+second."""
+
 _PERCENT: Final = 100
 
 _ORDER_KINDS: Final = MappingProxyType(
@@ -86,6 +90,16 @@
         """Tell whether no other instance can lead at a time."""
         return at_ms < self._certain_until_ms and not self.is_over()
 
+    def await_certainty(self) -> None:
+        """Wait until no other instance can have led by now.
+
+        A successor takes jobs that came after its start for nobody else's.
+        Whatever was seen before this returns was there before a successor,
+        unless the tenure is over.
+        """
+        while not self.is_certain(now_ms()) and not self.is_over():
+            time.sleep(CERTAINTY_S)
+
     def resign(self, reason: str) -> None:
         """End the tenure for good."""
         if not self._resigned.is_set():
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -7,7 +7,7 @@
 WITHOUT_CERTAINTY = (161, 243, 255)
 """Seeds that run a job twice if a deposed leader takes up new jobs."""
 
-WITHOUT_USE = (75, 125)
+WITHOUT_USE = (241, 322)
 """Seeds that run a job twice in short reigns if a leader takes a worker that
 came back without noting on the roster that it is in use again."""
 
@@ -15,7 +15,11 @@
 """Seed that runs a job twice while workers drain if a leader does not tell of
 workers that leave with a run on them."""
 
-DRAIN_SEEDS = (*range(60), WITH_A_RUN_LEFT)
+WHILE_LOADING = 290
+"""Seed that runs a job twice if a leader that has lost its key takes up jobs
+that came while it loaded."""
+
+DRAIN_SEEDS = (*range(60), WITH_A_RUN_LEFT, WHILE_LOADING)
 SHORT_REIGN_SEEDS = (*range(60), *WITHOUT_USE)
 SEEDS = (*range(120), *WITHOUT_CERTAINTY)
 STEPS = 700
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -270,7 +270,9 @@
     def load_jobs(self) -> None:
         """Let a leader end its loading."""
         _, leader = self._acting_leader()
-        if leader is not None and not leader.has_loaded:
+        if leader is None or leader.has_loaded:
+            return
+        if leader.tenure.is_certain(self.at_ms):
             self._load(leader)
 
     def _load(self, leader: ModelLeader) -> None:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -1,6 +1,7 @@
 """What one leader hands to the next, over a stand-in of the store."""
 
 import json
+import threading
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -177,6 +178,29 @@
     assert current.load_roster() == older
 
 
+@pytest.mark.proof('certainty')
+def test_a_leader_that_lost_its_key_while_it_loaded_began_new_jobs(
+    store: GridStore,
+) -> None:
+    """It read jobs that came after its successor, which starts them too."""
+    store.put(job_key(JOB_ID), encode_job(job(step()).spec))
+    at_ms = now_ms()
+    tenure = Tenure(tenure_end_ms(at_ms, TIMING), at_ms)
+    leader = _leader(store, tenure)
+    opening = threading.Thread(target=leader.open, daemon=True)
+    opening.start()
+    wait_until(lambda: leader.office is not None)
+    opening.join(0.4)
+    office = leader.office
+    assert office is not None
+    assert not office.scheduler.jobs
+    later_ms = now_ms()
+    tenure.extend(tenure_end_ms(later_ms, TIMING), certain_end_ms(later_ms))
+    wait_until(lambda: JOB_ID in office.scheduler.jobs)
+    opening.join()
+    leader.close()
+
+
 @pytest.mark.proof('certainty')
 def test_a_leader_whose_key_may_be_gone_takes_up_no_job(
     store: GridStore,
