Wait only for workers that a leader has used

Callers saw inherited work wait for a whole handover at a change of leader though no worker that had been used was missing.

Cause: a new leader waited for each worker that the directory listed, used or not, until it answered or the handover was over. A worker that has left stays listed until it has missed its check-ins, and never answers. But no session with a worker opens before the roster names it, and only the holder of the key writes the roster: on a worker that the roster does not name no earlier leader has a run.

Ruled out: workers of the roster (the reports would count them as missing, or as unfenced while they do not drain).

Now the roster alone decides.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -143,11 +143,7 @@
         if loaded.jobs:
             # A successor may have begun those that came while they were read.
             self._tenure.await_certainty()
-        office.take_over(
-            loaded.jobs,
-            loaded.cancelled,
-            [facts.worker_id for facts in page.facts],
-        )
+        office.take_over(loaded.jobs, loaded.cancelled)
         detail = f'{len(loaded.jobs)} jobs'
         self._log.leader_state('leads', self._token, detail)
         _start('workers', lambda: workers.run(page.revision))
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -298,15 +298,9 @@
             self.scheduler.hold_lists()
         self.jobs_loaded.clear()
 
-    def take_over(
-        self,
-        jobs: Iterable[Job],
-        cancelled: Iterable[str],
-        worker_ids: list[str],
-    ) -> None:
-        """Take up inherited jobs; these workers have to be listed first."""
+    def take_over(self, jobs: Iterable[Job], cancelled: Iterable[str]) -> None:
+        """Take up inherited jobs."""
         with self.lock:
-            self.scheduler.expect_workers(worker_ids)
             self.scheduler.note_cancelled(cancelled)
             for job in jobs:
                 self.scheduler.add_job(job)
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -4,7 +4,7 @@
 lock of the office.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from gentianpulley.cluster.advice import Tickets
@@ -115,11 +115,6 @@
             job.is_changed = True
             self.live_jobs[job.spec.job_id] = job
 
-    def expect_workers(self, worker_ids: Iterable[str]) -> None:
-        """Wait for these workers too before inherited work starts."""
-        for worker_id in worker_ids:
-            self.unsettled.setdefault(worker_id, self.reign.handover_until_ms)
-
     def note_saved(self, change_number: int) -> list[str]:
         """Acknowledge the ends that went into records up to this number.
 
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -234,5 +234,5 @@
     bench.link.answers.put(None)
     threading.Event().wait(SETTLE_S)
     assert bench.link.looks == looks
-    bench.office.take_over([], [], [])
+    bench.office.take_over([], [])
     wait_until(lambda: bench.link.looks > looks, SETTLE_S)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -151,6 +151,19 @@
     assert not scheduler.is_handover_over(former.handover_until_ms)
 
 
+def test_inherited_work_waited_for_a_worker_that_nobody_had_used(
+    store: GridStore,
+) -> None:
+    """It was listed and did not answer: it had left, and held all work up."""
+    store.put(ROSTER_KEY, json.loads(encode_roster(Roster())))
+    with _worker(store):
+        leader = _leader(store)
+    office = _open_office(leader)
+    assert WORKER_ID in office.scheduler.workers
+    assert office.scheduler.is_handover_over(now_ms())
+    leader.close()
+
+
 def test_a_worker_that_comes_back_is_noted_as_used(store: GridStore) -> None:
     """A successor that takes the old proof starts its tasks a second time."""
     left = Roster(left_ms={WORKER_ID: TIMING.handover_ms})
