Wait only for the leases of a leader that has left on purpose

Callers saw endless tasks that did not run for ten seconds at planned changes of the leader, while workers were leaving with work on them.

Cause: a successor waits until a former leader's tenure and one more lease are over (9.3 s) wherever it cannot ask, as if that leader might still act. One that hands over has stopped before it frees its key; only what it gave is left, most often less than a lease (5.5 s).

Now a leader that leaves writes a last roster: its orders carry no new lease from then on, and each worker is told with the time until its lease is surely over, a start that no list has shown with the longest run, and what earlier leaders may have left with the rest of its own handover.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -189,7 +189,7 @@
         """Write what the successor needs, at its latest state."""
         self._save(office)
         if self._workers is not None:
-            self._workers.save_roster()
+            self._workers.leave_roster()
         self._next_harm_ms = 0
         self._save_harm(office)
 
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -159,13 +159,18 @@
         at_ms = now_ms()
         if at_ms < self._next_roster_ms:
             return
-        self.save_roster()
+        with self._roster_lock:
+            self._save_roster(frozenset())
         self._next_roster_ms = at_ms + ROSTER_SAVE_MS
 
-    def save_roster(self) -> None:
-        """Write what a successor has to expect now."""
+    def leave_roster(self) -> None:
+        """Write what the successor of a leader that leaves has to expect."""
         with self._roster_lock:
-            self._save_roster(frozenset())
+            former = self._notes.roster.worker_ids
+            with self.office.lock:
+                scheduler = self.office.scheduler
+                roster = scheduler.last_roster(former, now_ms())
+            self._notes.save_roster(roster)
 
     def _save_roster(self, used: frozenset[str]) -> None:
         """Write the roster, with these among the workers in use."""
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -120,6 +120,8 @@
         charge = self.charge_of(order)
         if charge is None or charge.settled_ms or charge.is_stopping:
             return False
+        if not self._gives_leases:
+            return False
         # Sending on to a silent worker would put off the end of its lease.
         worker = self.workers[order.worker_id]
         quiet_ms = now_ms - worker.heard_ms
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -80,6 +80,7 @@
         self.tickets = Tickets()
         self._ended = EndedJobs()
         self.unsettled = reign.unsettled()
+        self._gives_leases = True
 
     def add_job(self, job: Job) -> None:
         """Take up an accepted job; a known one stays as it is."""
@@ -154,12 +155,14 @@
         return LookOrder(
             self.reign.token,
             worker.acked_number,
-            worker.clock.next_lease(self.reign.timing.lease_ms),
+            self.lease_for(worker),
             wait_ms,
         )
 
     def lease_for(self, worker: Worker) -> int:
         """Return the lease that an order to the worker carries."""
+        if not self._gives_leases:
+            return worker.clock.lease_worker_ms
         return worker.clock.next_lease(self.reign.timing.lease_ms)
 
     def is_handover_over(self, now_ms: int) -> bool:
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -97,3 +97,30 @@
             if now_ms <= until_ms:
                 left_ms[worker_id] = until_ms - now_ms
         return Roster(used, left_ms)
+
+    def last_roster(self, former: frozenset[str], now_ms: int) -> Roster:
+        """Return what a successor has to expect of a leader that leaves.
+
+        No lease is given from now on, so what runs ends with those that are.
+        """
+        self._gives_leases = False
+        roster = self.roster(former, frozenset(), now_ms)
+        left_ms = dict(roster.left_ms)
+        for worker_id in roster.used - self._unanswered.keys():
+            until_ms = self._runs_until_ms(self.workers[worker_id])
+            left_ms[worker_id] = max(0, until_ms - now_ms)
+        return Roster(roster.used & self._unanswered.keys(), left_ms)
+
+    def _runs_until_ms(self, worker: Worker) -> int:
+        """Return until when something may run at any life of a worker."""
+        longest_ms = self.reign.timing.longest_run_ms
+        ends_ms = [
+            max(charge.sent_ms, charge.last_sent_ms) + longest_ms
+            for charge in worker.charges.values()
+            if not charge.is_listed
+        ]
+        # An earlier leader may have found a new life of it.
+        earlier_ms = self.unsettled.get(
+            worker.worker_id, self.reign.handover_until_ms
+        )
+        return max(worker.clock.lapse_ms(), earlier_ms, *ends_ms)
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -128,6 +128,12 @@
         self.lease_worker_ms = max(self.lease_worker_ms, ahead)
         return ahead
 
+    def lapse_ms(self) -> int:
+        """Return when every lease that was given is surely over."""
+        left_worker_ms = self.lease_worker_ms - self.seen_worker_ms
+        left_ms = (left_worker_ms + PROOF_SLACK_MS) / (1 - CLOCK_DRIFT)
+        return self.seen_at_ms + int(left_ms) + 1
+
     def has_lapsed(self, now_ms: int) -> bool:
         """Tell whether every lease that was given is surely over."""
         if not self.seen_at_ms:
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -43,6 +43,13 @@
     assert world.broken == []
 
 
+@pytest.mark.parametrize('seed', range(60))
+def test_nothing_runs_twice_after_leaders_that_left(seed: int) -> None:
+    """A successor waits only for the leases that were given."""
+    world = play(seed, STEPS, short_reigns=True, drains=True, hands_over=True)
+    assert world.broken == []
+
+
 def test_the_model_does_something() -> None:
     worlds = [play(seed, STEPS) for seed in range(10)]
     assert sum(world.starts for world in worlds) > 300
--- a/tests/scheduling/test_roster.py
+++ b/tests/scheduling/test_roster.py
@@ -8,6 +8,7 @@
     EndCause,
     RunKey,
     RunningRow,
+    StartOrder,
     StopOrder,
 )
 from gentianpulley.cluster.roster import (
@@ -120,9 +121,18 @@
     site.start_all()
 
 
-def _unanswered(site: HandSite) -> None:
+def _ordered(site: HandSite) -> list[StartOrder]:
     site.scheduler.add_job(job(step()))
-    site.plan()
+    return site.plan()
+
+
+def _unanswered(site: HandSite) -> None:
+    _ordered(site)
+
+
+def _rows(site: HandSite, worker_id: str) -> tuple[RunningRow, ...]:
+    charges = site.scheduler.workers[worker_id].charges
+    return tuple(RunningRow(key, '', 50, 0) for key in charges)
 
 
 def _foreign(site: HandSite) -> None:
@@ -160,6 +170,55 @@
     assert roster.used == {'w1'}
 
 
+def test_inherited_work_waited_for_the_tenure_of_a_leader_that_had_left() -> (
+    None
+):
+    """Its orders were over, and a lease and a tenure were waited out."""
+    site = hand_site('w1')
+    site.at_ms += TIMING.handover_ms + 1
+    site.list_runs('w1')
+    _running(site)
+    site.list_runs('w1', _rows(site, 'w1'))
+    site.scheduler.unlist_worker('w1', site.at_ms)
+    roster = site.scheduler.last_roster(frozenset(('w1',)), site.at_ms)
+    assert not roster.used
+    assert 0 < roster.left_ms['w1'] - TIMING.lease_ms < BEFORE_MS
+    clock = site.scheduler.workers['w1'].clock
+    assert not clock.has_lapsed(site.at_ms + TIMING.lease_ms)
+    assert clock.has_lapsed(site.at_ms + roster.left_ms['w1'])
+
+
+def test_a_leader_that_left_prolongs_no_lease() -> None:
+    site = hand_site('w1')
+    (order,) = _ordered(site)
+    worker = site.scheduler.workers['w1']
+    site.scheduler.last_roster(NOBODY, site.at_ms)
+    lease_worker_ms = worker.clock.lease_worker_ms
+    site.at_ms += BEFORE_MS
+    worker.clock.note(site.at_ms, site.at_ms)
+    look = site.scheduler.look_order(worker, 0)
+    assert look.lease_worker_ms == lease_worker_ms
+    assert site.scheduler.lease_for(worker) == lease_worker_ms
+    assert not site.scheduler.wants_start(order, site.at_ms)
+
+
+def test_a_start_that_no_list_has_shown_is_waited_out_longest() -> None:
+    """It may have met a new life, which measures the lease anew."""
+    site = hand_site('w1')
+    site.at_ms += TIMING.handover_ms + 1
+    _ordered(site)
+    roster = site.scheduler.last_roster(NOBODY, site.at_ms)
+    assert roster.left_ms == {'w1': TIMING.longest_run_ms}
+
+
+def test_what_earlier_leaders_may_run_is_waited_out_after_a_hand_over() -> None:
+    site = hand_site('w1', roster=OF_LAST_REIGN)
+    _running(site)
+    roster = site.scheduler.last_roster(OF_LAST_REIGN, site.at_ms)
+    earlier_ms = TIMING.handover_ms
+    assert roster == Roster(NOBODY, {'w1': earlier_ms, 'gone': earlier_ms})
+
+
 @pytest.mark.parametrize(
     ('body', 'roster'),
     [
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -267,6 +267,15 @@
         if self._happens(JOB_AT_CHANGE_IN_PERCENT):
             self.add_job()
 
+    def hand_over(self) -> None:
+        """Let the holder of the key leave; what it sent may still arrive."""
+        leader = self.leader
+        leader.tenure.resign('handed over')
+        former = decode_roster(self.roster).worker_ids
+        roster = leader.scheduler.last_roster(former, self.at_ms)
+        self.roster = encode_roster(roster)
+        self.change_leader()
+
     def load_jobs(self) -> None:
         """Let a leader end its loading."""
         _, leader = self._acting_leader()
@@ -434,13 +443,18 @@
 
 
 def play(
-    seed: int, steps: int, *, short_reigns: bool = False, drains: bool = False
+    seed: int,
+    steps: int,
+    *,
+    short_reigns: bool = False,
+    drains: bool = False,
+    hands_over: bool = False,
 ) -> World:
     """Let things happen at random, then return the world.
 
     In short reigns leaders change often, load their jobs after the first lists
     have come, and workers leave the directory. Where it `drains`, workers
-    drain and are ready again.
+    drain and are ready again; where it `hands_over`, leaders do so at times.
     """
     world = World(seed, short_reigns=short_reigns)
     happenings: list[Happening] = [
@@ -465,6 +479,8 @@
         ]
     if drains:
         happenings.append((world.drain_worker, 3))
+    if hands_over:
+        happenings.append((world.hand_over, 4))
     actions, weights = zip(*happenings, strict=True)
     for action in world.chance.choices(actions, weights, k=steps):
         action()
