Send no start again to a worker that has closed to new runs

Callers' tasks began on workers that had said long before that they leave (DRAIN).

Cause: a start without an answer is sent again until the worker answers. Whether the worker drains, or its domain was evacuated, was asked when the task was placed and not when it was sent (again).

Ruled out: a placing by a leader that had not seen the drain (no order was given after it).

Now a start is not sent to a worker that drains or whose domain is closed.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -127,6 +127,8 @@
         quiet_ms = now_ms - worker.heard_ms
         if quiet_ms > self.reign.timing.look_ms + SILENT_MS:
             return False
+        if _is_closed(worker, self.closed_domains):
+            return False
         charge.last_sent_ms = now_ms
         charge.sent_worker_ms = worker.clock.seen_worker_ms
         return True
@@ -350,6 +352,12 @@
     return 0 < reply.clock_worker_ms < charge.sent_worker_ms
 
 
+def _is_closed(worker: Worker, closed_domains: frozenset[str]) -> bool:
+    """Tell whether a worker, or its domain, takes no new runs any more."""
+    in_closed = worker.facts.failure_domain in closed_domains
+    return in_closed or worker.facts.is_draining
+
+
 def _avoid(worker: Worker, verdict: StartVerdict, now_ms: int) -> None:
     """Send nothing to a worker for a while after it did not start a run."""
     if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
