--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -146,11 +146,10 @@
         self._workers = workers
         insist(partial(workers.take, page), self._log, ROSTER_RETRIES)
         loaded = self._book.load()
-        office.take_over(
-            loaded.jobs,
-            loaded.cancelled,
-            [facts.worker_id for facts in page.facts],
-        )
+        if loaded.jobs:
+            # A successor may have begun those that came while they were read.
+            self._tenure.await_certainty()
+        office.take_over(loaded.jobs, loaded.cancelled)
         detail = f'{len(loaded.jobs)} jobs'
         self._log.leader_state('leads', self._token, detail)
         _start('workers', lambda: workers.run(page.revision))
@@ -196,7 +195,7 @@
         """Write what the successor needs, at its latest state."""
         self._save(office)
         if self._workers is not None:
-            self._workers.save_roster()
+            self._workers.leave_roster()
         self._next_harm_ms = 0
         self._save_harm(office)
 
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -129,6 +129,8 @@
         charge = self.charge_of(order)
         if charge is None or charge.settled_ms or charge.is_stopping:
             return False
+        if not self._gives_leases:
+            return False
         worker = self.workers[order.worker_id]
         if worker.is_closing or self.is_closed(worker):
             return False
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -4,7 +4,7 @@
 lock of the office.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from gentianpulley.cluster.advice import Tickets
@@ -80,6 +80,7 @@
         self.tickets = Tickets()
         self._ended = EndedJobs()
         self.unsettled = reign.unsettled()
+        self._gives_leases = True
 
     def add_job(self, job: Job) -> None:
         """Take up an accepted job; a known one stays as it is."""
@@ -115,11 +116,6 @@
             job.is_changed = True
             self.live_jobs[job.spec.job_id] = job
 
-    def expect_workers(self, worker_ids: Iterable[str]) -> None:
-        """Wait for these workers too before inherited work starts."""
-        for worker_id in worker_ids:
-            self.unsettled.setdefault(worker_id, self.reign.handover_until_ms)
-
     def note_saved(self, change_number: int) -> list[str]:
         """Acknowledge the ends that went into records up to this number.
 
@@ -159,12 +155,14 @@
         return LookOrder(
             self.reign.token,
             worker.acked_number,
-            worker.clock.next_lease(self.reign.timing.lease_ms),
+            self.lease_for(worker),
             wait_ms,
         )
 
     def lease_for(self, worker: Worker) -> int:
         """Return the lease that an order to the worker carries."""
+        if not self._gives_leases:
+            return worker.clock.lease_worker_ms
         return worker.clock.next_lease(self.reign.timing.lease_ms)
 
     def is_handover_over(self, now_ms: int) -> bool:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -1,6 +1,7 @@
 """What one leader hands to the next, over a stand-in of the store."""
 
 import json
+import threading
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -22,7 +23,7 @@
 from gentianpulley.cluster.office import Office, Tenure
 from gentianpulley.cluster.roster import Roster, encode_roster
 from gentianpulley.counters import create_counters
-from gentianpulley.deadline import MS_PER_SECOND, now_ms
+from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.spec import encode_job
@@ -184,7 +185,7 @@
     """Inherited work waited for workers that had left before both reigns."""
     store.put(ROSTER_KEY, [WORKER_ID])
     first = _leader(store)
-    first.open()
+    former = _open_office(first).reign
     time.sleep(SHORT_REIGN_S)
     first.close()
     second = _leader(store)
@@ -192,9 +193,20 @@
     second.close()
     until_ms = scheduler.reign.since_ms + TIMING.handover_ms
     assert scheduler.is_handover_over(until_ms - 1000)
-    assert not scheduler.is_handover_over(
-        until_ms - int(SHORT_REIGN_S * MS_PER_SECOND) - 500
-    )
+    assert not scheduler.is_handover_over(former.handover_until_ms)
+
+
+def test_inherited_work_waited_for_a_worker_that_nobody_had_used(
+    store: GridStore,
+) -> None:
+    """It was listed and did not answer: it had left, and held all work up."""
+    store.put(ROSTER_KEY, json.loads(encode_roster(Roster())))
+    with _worker(store):
+        leader = _leader(store)
+    office = _open_office(leader)
+    assert WORKER_ID in office.scheduler.workers
+    assert office.scheduler.is_handover_over(now_ms())
+    leader.close()
 
 
 def test_a_worker_that_comes_back_is_noted_as_used(store: GridStore) -> None:
@@ -224,6 +236,29 @@
     assert current.load_roster() == older
 
 
+@pytest.mark.proof('certainty')
+def test_a_leader_that_lost_its_key_while_it_loaded_began_new_jobs(
+    store: GridStore,
+) -> None:
+    """It read jobs that came after its successor, which starts them too."""
+    store.put(job_key(JOB_ID), encode_job(job(step()).spec))
+    at_ms = now_ms()
+    tenure = Tenure(tenure_end_ms(at_ms, TIMING), at_ms)
+    leader = _leader(store, tenure)
+    opening = threading.Thread(target=leader.open, daemon=True)
+    opening.start()
+    wait_until(lambda: leader.office is not None)
+    opening.join(0.4)
+    office = leader.office
+    assert office is not None
+    assert not office.scheduler.jobs
+    later_ms = now_ms()
+    tenure.extend(tenure_end_ms(later_ms, TIMING), certain_end_ms(later_ms))
+    wait_until(lambda: JOB_ID in office.scheduler.jobs)
+    opening.join()
+    leader.close()
+
+
 @pytest.mark.proof('certainty')
 def test_a_leader_whose_key_may_be_gone_takes_up_no_job(
     store: GridStore,
