Keep tails as far below their targets beside jobs that are on time

Three reports pass until a jump of a tail is believed, and a rest comes a quarter of the bound later. Slowing neighbours at three quarters of the target covered that; let those go on to the target whose jobs can be on time.

Now all are slowed at three quarters again, and the order of stays: tasks of late jobs give way first.

--- a/bench/leader_replay.py
+++ b/bench/leader_replay.py
@@ -243,7 +243,7 @@
 
     def _look(self, session: Session) -> None:
         known = session.known
-        wait_ms = self._office.look_wait_ms(known) if known.is_fenced else 0
+        wait_ms = self._office.look_ms if known.is_fenced else 0
         order = self._parts.time(
             'look', lambda: self._office.look_order(known, wait_ms)
         )
--- a/src/gentianpulley/cluster/office.py
+++ b/src/gentianpulley/cluster/office.py
@@ -21,7 +21,6 @@
     StopOrder,
 )
 from gentianpulley.cluster.plan_meter import PlanMeter, WorkSignal
-from gentianpulley.cluster.relief import needs_reports
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.scheduler_state import Order, Reign
 from gentianpulley.cluster.worker import Worker
@@ -34,10 +33,6 @@
 """Pause before the leader's key is looked at again; it is renewed twice a
 second."""
 
-CLOSE_LOOK_MS: Final = 400
-"""How long a look waits at most where a serving task is close to its target:
-reports cover half a second."""
-
 _PERCENT: Final = 100
 
 _ORDER_KINDS: Final = MappingProxyType(
@@ -159,12 +154,10 @@
         """Return the reign that the office serves."""
         return self.scheduler.reign
 
-    def look_wait_ms(self, worker: Worker) -> int:
-        """Return how long the next look at a worker waits for an end."""
-        with self.lock:
-            is_urgent = needs_reports(worker)
-        longest_ms = self.reign.timing.look_ms
-        return min(longest_ms, CLOSE_LOOK_MS) if is_urgent else longest_ms
+    @property
+    def look_ms(self) -> int:
+        """Return how long a look waits for an end."""
+        return self.reign.timing.look_ms
 
     def attach(self, worker_id: str, sink: OrderSink) -> None:
         """Send a worker's orders to a session; the former one is closed.
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -5,8 +5,7 @@
 expected tail under its target are computed anew at each look. Harming a
 serving task costs many times what a filling task earns meanwhile. But a step
 ends with its slowest task, so one that is slowed down makes a whole wide job
-late: tasks of jobs that are late already give way first, those of jobs that
-can be on time only where a tail is expected over its target.
+late: tasks of jobs that are late already give way first.
 """
 
 import math
@@ -22,14 +21,8 @@
 """Expected tail as a share of its target that is allowed: the figures are
 rough and half a second late."""
 
-ON_TIME_TARGET_SHARE: Final = 1.0
-"""The same beside tasks of jobs that can be on time. It lies above the share up
-to which tasks are placed, as tails swing; not for a task that has been over its
-target and is not well below it since."""
-
-BIAS_KEPT: Final = 0.65
-"""What a serving task's deviation from the model keeps of itself for each
-`SAMPLE_GAP_MS` until the next report."""
+BIAS_WEIGHT: Final = 0.35
+"""Weight of the newest report in a serving task's deviation from the model."""
 
 MAX_BIAS: Final = 1.5
 """Bound on that deviation, in units of the logarithm."""
@@ -69,8 +62,6 @@
     """
     if now_ms < worker.sampled_ms + SAMPLE_GAP_MS:
         return False
-    # Where reports come seldom, each tells the more.
-    kept = BIAS_KEPT ** ((now_ms - worker.sampled_ms) / SAMPLE_GAP_MS)
     worker.sampled_ms = now_ms
     worker.forget_margins()
     shares = _used_shares(worker, now_ms)
@@ -84,7 +75,7 @@
     }
     for charge in serving:
         level = expected[charge.spec.image]
-        _note_bias(charge, level, kept)
+        _note_bias(charge, level)
         note_level(charge, level + charge.bias, now_ms)
     for charge in random.sample(serving, min(LEARNED, len(serving))):
         if model.wants_report(now_ms):
@@ -106,9 +97,8 @@
     ]
     if not filling:
         return []
-    paces = _safe_paces(worker, model, filling, now_ms)
-    if rests(worker, harm_ms, now_ms):
-        paces = dict.fromkeys(paces, float())
+    fastest: float = 0 if rests(worker, harm_ms, now_ms) else 1
+    paces = _safe_paces(worker, model, filling, fastest, now_ms)
     return _changes(worker, filling, paces, now_ms)
 
 
@@ -133,9 +123,9 @@
     return {charge.spec.image for charge in serving}
 
 
-def _note_bias(charge: Charge, expected: float, kept: float) -> None:
+def _note_bias(charge: Charge, expected: float) -> None:
     deviation = math.log(charge.gauge) - expected
-    mixed = deviation + kept * (charge.bias - deviation)
+    mixed = charge.bias + BIAS_WEIGHT * (deviation - charge.bias)
     charge.bias = max(-MAX_BIAS, min(MAX_BIAS, mixed))
 
 
@@ -143,10 +133,11 @@
     worker: Worker,
     model: HarmModel,
     filling: list[Charge],
+    fastest: float,
     now_ms: int,
 ) -> dict[RunKey, float]:
     """Return the paces at which every serving task is safe."""
-    paces = {charge.key: 1.0 for charge in filling}
+    paces = {charge.key: fastest for charge in filling}
     urgent = {charge.key for charge in filling if charge.can_be_on_time(now_ms)}
     serving = list(filter(is_serving, worker.charges.values()))
     harms = {
@@ -154,8 +145,7 @@
         for image in _images(serving)
     }
     for charge in serving:
-        spared = set() if charge.near_since_ms else urgent
-        _slow_down(charge, harms[charge.spec.image], paces, spared)
+        _slow_down(charge, harms[charge.spec.image], paces, urgent)
     return paces
 
 
@@ -163,27 +153,26 @@
     serving: Charge,
     harms: _Harms,
     paces: dict[RunKey, float],
-    spared: set[RunKey],
+    urgent: set[RunKey],
 ) -> None:
     """Lower paces until the serving task is safe.
 
-    The most harmful first, but those that are not spared before all others.
+    The most harmful first, but those that are not urgent before all others.
     """
     by_run = harms.by_run
-    margin = harms.quiet_level + serving.bias
-    margin += sum(by_run[key] * paces[key] for key in by_run)
-    margin -= math.log(serving.spec.tail_target_ms)
-    if margin <= math.log(TARGET_SHARE):
+    excess = harms.quiet_level + serving.bias
+    excess += sum(by_run[key] * paces[key] for key in by_run)
+    excess -= math.log(TARGET_SHARE * serving.spec.tail_target_ms)
+    if excess <= 0:
         return
     in_turn = sorted(by_run, key=by_run.__getitem__, reverse=True)
-    in_turn.sort(key=spared.__contains__)
+    in_turn.sort(key=urgent.__contains__)
     for key in in_turn:
-        share = ON_TIME_TARGET_SHARE if key in spared else TARGET_SHARE
         given = by_run[key] * paces[key]
-        cut = min(given, margin - math.log(share))
+        cut = min(given, excess)
         if cut > 0:
             paces[key] *= 1 - cut / given
-            margin -= cut
+            excess -= cut
 
 
 def _harms(
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -46,9 +46,7 @@
     `slowed_since_ms` is since when that is low, zero while it is not. `bias`
     is how far a serving task's tail lies from what is expected of its image,
     as a logarithm; `over_since_ms` is since when the tail is over its target,
-    zero while it is not, and `near_since_ms` since when it may swing around it,
-    zero once it is well below; `is_close` says that it is not.
-    `checkpoint` is what was listed last.
+    zero while it is not. `checkpoint` is what was listed last.
     """
 
     key: RunKey
@@ -70,8 +68,6 @@
     gauge_ms: int = 0
     bias: float = 0
     over_since_ms: int = 0
-    near_since_ms: int = 0
-    is_close: bool = False
     checkpoint: str = ''
     due_ms: int = 0
 
--- a/src/gentianpulley/cluster/worker_session.py
+++ b/src/gentianpulley/cluster/worker_session.py
@@ -137,7 +137,7 @@
         wait_ms = 0
         while not self._closed.is_set():
             if self._look(wait_ms):
-                wait_ms = self._office.look_wait_ms(self.worker)
+                wait_ms = self._office.look_ms
                 gap_until_ms = deadline_in(SHORTEST_LOOK_GAP_MS)
                 self._office.jobs_loaded.wait(
                     LOADING_LOOK_GAP_S
--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -6,7 +6,6 @@
 
 from gentianpulley.cluster.harm import create_harm_model
 from gentianpulley.cluster.link import PaceOrder, RunKey, RunningRow
-from gentianpulley.cluster.relief import needs_reports
 from gentianpulley.jobs.spec import StepSpec
 from gentianpulley.resources import Resources
 from tests.scheduling.site import TIMING, HandSite, hand_site, job, step
@@ -317,12 +316,3 @@
         told.extend(_looks_at(site, fill, serving, [62]))
     assert told
     assert site.at_ms < rested_ms + TIMING.harm_ms - 500
-
-
-def test_a_task_close_to_its_target_is_looked_at_soon() -> None:
-    site, fill, serving = _beside_a_timely_job()
-    worker = site.scheduler.workers['w1']
-    _looks_at(site, fill, serving, [20, 20])
-    assert not needs_reports(worker)
-    _looks_at(site, fill, serving, [48, 48])
-    assert needs_reports(worker)
