--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,8 @@
     (1, 20),
     # A signal to read the settings again came while the process started.
     (105, 30),
+    # A planned stop came while the process stood still, and was never seen.
+    (120, 30),
 )
 """Seeds and seconds: one to begin with, then those that ever failed."""
 
