Report the restart that waits longest, and the room that a plan sees for it

The leader's report named the long-running step that has waited longest, tasks that never ran included, so that a restart without room could not be told from a new task in its turn, nor from a task that the leader takes for running. It said nothing of room either.

Now it names the longest waiting restart with its reason, its size, what is free on all accepting workers, and how many such tasks fit on single workers that accept runs and on those that do not. One line a second and gauges, as before.

--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from gentianpulley.cluster.plan_report import PlanReport, WaitingStep
+from gentianpulley.cluster.restart_report import WaitingRestart
 from gentianpulley.counters import Counters
 from gentianpulley.logs import EventLog
 
@@ -93,6 +94,7 @@
             metrics,
             **_step_fields('oldest', report.oldest),
             **_step_fields('endless', report.oldest_endless),
+            **_restart_fields(report.restart),
         )
 
     def _set_gauges(self, metrics: MetricValues) -> None:
@@ -109,6 +111,7 @@
         **_prefixed('waiting', report.waiting),
         **_age_metric('oldest', report.oldest),
         **_age_metric('endless', report.oldest_endless),
+        **_restart_metrics(report.restart),
         **_prefixed('reserved_milli', report.reserved_milli),
         **_prefixed('workers', report.workers),
         'lists_half_ms': report.listing_ages.median_ms,
@@ -142,3 +145,26 @@
         f'{name}_task': step.task,
         f'{name}_reason': step.reason,
     }
+
+
+def _restart_metrics(restart: WaitingRestart | None) -> MetricValues:
+    if restart is None:
+        return {}
+    return {
+        'restarts_waiting': restart.count,
+        'restart_waits_ms': restart.age_ms,
+        'restart_needs_milli': restart.needs_milli,
+        'restart_free_milli': restart.free_milli,
+        'restart_slots': restart.slots,
+        'restart_unused_slots': restart.unused_slots,
+    }
+
+
+def _restart_fields(restart: WaitingRestart | None) -> dict[str, str]:
+    if restart is None:
+        return {}
+    return {
+        'restart_job': restart.job_id,
+        'restart_task': restart.task,
+        'restart_reason': restart.reason,
+    }
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from typing import Final
 
+from gentianpulley.cluster.restart_report import (
+    WaitingRestart,
+    find_waiting_restart,
+)
 from gentianpulley.cluster.scheduler_state import SchedulerState
 from gentianpulley.cluster.wait_reasons import WaitingSteps
 from gentianpulley.cluster.worker import Reservation, Worker
@@ -47,6 +51,7 @@
     waiting: Mapping[str, int]
     oldest: WaitingStep | None
     oldest_endless: WaitingStep | None
+    restart: WaitingRestart | None
     reserved_milli: Mapping[str, int]
     workers: Mapping[str, int]
     listing_ages: ListingAges
@@ -65,6 +70,7 @@
         waiting,
         _oldest(waits.since_ms, waits, now_ms),
         _oldest(endless, waits, now_ms),
+        find_waiting_restart(state, waits, now_ms),
         _reserved(workers),
         _conditions(state, now_ms),
         _listing_ages(workers, now_ms),
--- a/tests/scheduling/test_plan_report.py
+++ b/tests/scheduling/test_plan_report.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from gentianpulley.cluster.worker_protocol import StartVerdict, StopOrder
+from gentianpulley.cluster.worker_protocol import (
+    EndCause,
+    StartVerdict,
+    StopOrder,
+)
 from gentianpulley.cluster.scheduler_service import (
     SchedulerService,
     OrderSink,
@@ -14,6 +18,7 @@
 from gentianpulley.cluster.order_queue import OrderQueue, QueuedOrder
 from gentianpulley.cluster.plan_metrics import REPORT_INTERVAL_S, PlanTrigger
 from gentianpulley.cluster.plan_report import ListingAges
+from gentianpulley.cluster.restart_report import WaitingRestart
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.wait_reasons import WaitReason
 from gentianpulley.cluster.worker import Worker
@@ -24,6 +29,7 @@
 from gentianpulley.logs import EventLog
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import (
+    JOB_ID,
     START_MS,
     SchedulerHarness,
     create_harness,
@@ -131,6 +137,33 @@
     assert report.oldest_endless.reason == 'no_worker'
 
 
+def test_a_waiting_restart_is_told_from_tasks_that_never_ran() -> None:
+    """Enough is free, but only on a worker that accepts no runs."""
+    harness = create_harness('w')
+    endless = step(2, is_endless=True, resources=Resources(48_000, 1, 0))
+    harness.scheduler.add_job(job(endless))
+    (started,) = harness.start_all()
+    assert harness.scheduler.create_report(harness.at_ms).restart is None
+    harness.add_worker('quarantined')
+    _quarantine(harness.scheduler.workers['quarantined'])
+    harness.end('w', started.key, EndCause.FAILED)
+    batch = step(2, resources=Resources(16_000, 1, 0))
+    harness.scheduler.add_job(job(batch, job_id='b' * 16))
+    harness.plan()
+    report = harness.scheduler.create_report(harness.at_ms)
+    assert report.restart == WaitingRestart(
+        count=1,
+        job_id=JOB_ID,
+        task='0.0.0',
+        reason=WaitReason.NO_ROOM,
+        age_ms=0,
+        needs_milli=48_000,
+        free_milli=32_000,
+        slots=0,
+        unused_slots=1,
+    )
+
+
 def test_an_age_begins_anew_after_a_plan_that_placed_everything() -> None:
     harness = create_harness('w')
     harness.scheduler.add_job(job(step(9)))
