Show that a restart on a full site waits without end for room in one piece

- A task of 16, 24 or 40 cores that failed does not run again within nine seconds while tasks of eight cores keep arriving: each piece that comes free goes to one of them at once (six cases: 'the task does not run again').
- New long-running tasks take the room that a failed one has left, at once and past the deadlines of both (two cases: four starts, none of it the restart).

--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
-from itertools import count
+from itertools import count, cycle
 
 import pytest
 
@@ -349,3 +349,91 @@
         _tick(harness, stream)
     started = sum(len(_tick(harness, stream)) for _ in range(20))
     assert 1 <= started <= 20 * TICK_MS // FIRST_START_INTERVAL_MS + 1
+
+
+LOST_BOUND_MS = 9000
+"""Deployments count a long-running task as lost that has free capacity and
+does not run nine seconds after its last run."""
+
+
+class _NarrowWork:
+    """Keeps short tasks of eight cores waiting, which end one by one."""
+
+    def __init__(self, harness: SchedulerHarness) -> None:
+        """Start with no running tasks."""
+        self._site = harness
+        self._durations_ms = cycle((700, 1100, 900, 1500, 1300))
+        self._ends: list[tuple[int, StartOrder]] = []
+        self._ids = (f'{number:016x}' for number in count(0x100))
+
+    def tick(self) -> list[StartOrder]:
+        """End what is due, submit more and plan; return all starts."""
+        self._site.at_ms += TICK_MS
+        for entry in [
+            each for each in self._ends if each[0] <= self._site.at_ms
+        ]:
+            self._ends.remove(entry)
+            self._site.end(entry[1].worker_id, entry[1].key)
+            self._plan()
+        spec = job(
+            step(8), job_id=next(self._ids), submitted_ms=self._site.at_ms
+        )
+        self._site.scheduler.add_job(spec)
+        return self._plan()
+
+    def _plan(self) -> list[StartOrder]:
+        orders = self._site.start_all()
+        for order in orders:
+            if order.key.task_id.job_id != ENDLESS_JOB_ID:
+                due_ms = self._site.at_ms + next(self._durations_ms)
+                self._ends.append((due_ms, order))
+        return orders
+
+
+@pytest.mark.parametrize('cores', [16, 24, 40])
+@pytest.mark.parametrize('max_per_worker', [0, 1])
+def test_a_wide_restart_gets_room_while_narrow_work_fills_each_gap(
+    cores: int, max_per_worker: int
+) -> None:
+    """Room that came free in pieces used to go to other work at once."""
+    harness = create_harness(*WORKERS)
+    spec = _endless_step(
+        4,
+        resources=Resources(cores * 1000, 1000),
+        max_per_worker=max_per_worker,
+    )
+    harness.scheduler.add_job(job(spec, job_id=ENDLESS_JOB_ID))
+    started = harness.start_all()
+    work = _NarrowWork(harness)
+    for _ in range(20):
+        work.tick()
+    harness.end(started[0].worker_id, started[0].key, EndCause.FAILED)
+    task = harness.task(started[0].key.task_id)
+    for _ in range(LOST_BOUND_MS // TICK_MS):
+        work.tick()
+        if task.phase is TaskPhase.PLACED:
+            return
+    pytest.fail('the task does not run again')
+
+
+@pytest.mark.parametrize('waited_ms', [0, 10_000])
+def test_new_endless_tasks_do_not_take_the_place_of_one_that_has_run(
+    waited_ms: int,
+) -> None:
+    """They do not end, so the task would wait for as long as they run."""
+    harness = create_harness('w1')
+    harness.scheduler.add_job(
+        job(_endless_step(2, resources=HALF), job_id=ENDLESS_JOB_ID)
+    )
+    ended = harness.start_all()[0]
+    earlier = job(
+        _endless_step(8, resources=CORES),
+        job_id='1' * 15 + '0',
+        submitted_ms=harness.at_ms - 1,
+    )
+    harness.scheduler.add_job(earlier)
+    assert not harness.start_all()
+    harness.at_ms += waited_ms
+    harness.end('w1', ended.key, EndCause.FAILED)
+    (restarted,) = harness.start_all()
+    assert restarted.key.task_id == ended.key.task_id
