Show that a restart waits while the only room is at a quarantined worker

Two long-running tasks of one worker fail within 8 s. That quarantines the worker for 4 s, and what they held there is the only room of a full site. Each further failure of a run that is there already begins the 4 s anew.

Evidence: that is the one kind of room that lasts for seconds on a full site while tasks wait, as the report says ('with capacity for it', over 3 s that are calm).

--- /dev/null
+++ b/tests/scheduling/test_quarantine.py
@@ -0,0 +1,52 @@
+"""Restarts of long-running tasks when only a quarantined worker has room."""
+
+import pytest
+
+from gentianpulley.cluster.worker import QUARANTINE_MS
+from gentianpulley.cluster.worker_protocol import EndCause, StartOrder
+from gentianpulley.jobs.job import TaskPhase
+from gentianpulley.resources import Resources
+from tests.scheduling.harness import (
+    SchedulerHarness,
+    create_harness,
+    job,
+    step,
+)
+
+TICK_MS = 100
+LOST_BOUND_MS = 9000
+"""Deployments count a long-running task as lost that has free capacity and
+does not run nine seconds after its last run."""
+
+QUARTER = Resources(16_000, 1000)
+
+
+def _full_harness() -> tuple[SchedulerHarness, list[StartOrder]]:
+    """Return two workers full of long-running tasks, and the runs on one."""
+    harness = create_harness('w1', 'w2')
+    endless = step(8, is_endless=True, resources=QUARTER)
+    harness.scheduler.add_job(job(endless))
+    started = harness.start_all()
+    assert len(started) == 8
+    return harness, [each for each in started if each.worker_id == 'w1']
+
+
+def _fail(harness: SchedulerHarness, orders: list[StartOrder]) -> None:
+    for order in orders:
+        harness.end(order.worker_id, order.key, EndCause.FAILED)
+
+
+def test_a_restart_takes_a_quarantined_worker_if_no_other_has_room() -> None:
+    """Each later failure there used to prolong the quarantine."""
+    harness, runs = _full_harness()
+    _fail(harness, runs[:2])
+    failed = harness.task(runs[0].key.task_id)
+    later = {QUARANTINE_MS - TICK_MS: runs[2], 7000: runs[3]}
+    for waited_ms in range(0, LOST_BOUND_MS, TICK_MS):
+        if waited_ms in later:
+            _fail(harness, [later[waited_ms]])
+        harness.start_all()
+        if failed.phase is TaskPhase.PLACED:
+            return
+        harness.at_ms += TICK_MS
+    pytest.fail('the task does not run again')
