Keep a worker for an overdue restart that finds no room in one piece

Callers would see a long-running task that does not run again while narrow work goes on: on a full site each part of a worker that came free went to other work at once, so a larger piece never came to be. Within the grace of two seconds new long-running tasks took the room that a failed one had left, and kept it.

Class: starvation by backfill without a reservation.

Why it works: for each overdue restart without room one worker is held, the one where runs that end by themselves are expected to free enough first. Other work goes elsewhere until the restart runs or the hold is overdue by a second. At most a tenth of the workers are held; a plan searches for two at most, as each search looks at all runs, and not more often than twice a second for a step that fits nowhere. New long-running tasks of a service wait while one of its restarts is in its grace.

--- a/src/gentianpulley/cluster/migration.py
+++ b/src/gentianpulley/cluster/migration.py
@@ -85,7 +85,7 @@
     On that worker the step may cause no excessive interference.
     """
     for worker in eligible_workers(step, view):
-        if worker.worker_id in excluded or not may_place(worker, step):
+        if worker.worker_id in excluded or not may_place(worker, step, view):
             continue
         if is_interference_acceptable(worker, step.spec, view):
             return worker.worker_id
--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -114,6 +114,7 @@
         **_restart_metrics(report.restart),
         **_prefixed('reserved_milli', report.reserved_milli),
         **_prefixed('workers', report.workers),
+        'workers_held': report.held_count,
         'lists_half_ms': report.listing_ages.median_ms,
         'lists_most_ms': report.listing_ages.p95_ms,
         'lists_oldest_ms': report.listing_ages.max_ms,
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -52,15 +52,19 @@
     oldest: WaitingStep | None
     oldest_endless: WaitingStep | None
     restart: WaitingRestart | None
+    held_count: int
     reserved_milli: Mapping[str, int]
     workers: Mapping[str, int]
     listing_ages: ListingAges
 
 
 def create_plan_report(
-    state: SchedulerState, waits: WaitingSteps, now_ms: int
+    state: SchedulerState, waits: WaitingSteps, held_count: int, now_ms: int
 ) -> PlanReport:
-    """Return a report on the state after the latest plan."""
+    """Return a report on the state after the latest plan.
+
+    `held_count` is how many workers are held for restarts.
+    """
     waiting: Counter[str] = Counter()
     for waiter, reason in waits.reasons.items():
         waiting[reason.value] += len(waiter.waiting)
@@ -71,6 +75,7 @@
         _oldest(waits.since_ms, waits, now_ms),
         _oldest(endless, waits, now_ms),
         find_waiting_restart(state, waits, now_ms),
+        held_count,
         _reserved(workers),
         _conditions(state, now_ms),
         _listing_ages(workers, now_ms),
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from gentianpulley.cluster.advice import Permit, AdviceQuery, query_for
+from gentianpulley.cluster.advice import AdviceQuery, query_for
+from gentianpulley.cluster.capacity_holds import CapacityHolds
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.migration import plan_migrations
@@ -17,10 +18,12 @@
     FirstStartLimiter,
     sort_steps,
     overdue_steps,
+    restarting_services,
 )
 from gentianpulley.cluster.task_placement import (
     RankedWorkers,
     PlacementContext,
+    acceptable_workers,
     eligible_workers,
     is_busy,
     is_starving,
@@ -59,6 +62,7 @@
         self._first_starts = FirstStartLimiter()
         self._waits = WaitingSteps()
         self._unplaceable = UnplaceableShapes()
+        self._holds = CapacityHolds()
         self._start_limiter = create_start_limiter(term.link_bytes_s)
 
     def plan(self, now_ms: int) -> list[StartOrder]:
@@ -74,19 +78,17 @@
         self._unplaceable.begin_plan(view)
         self._waits.begin_plan(now_ms)
         steps = self._free_steps(now_ms)
-        for step in overdue_steps(steps, now_ms):
-            overdue = step.overdue_restarts(now_ms)
-            orders.extend(self._try_step(step, overdue, view))
-        orders.extend(self._place_overdue_first_start(steps, view))
-        for step in sort_steps(steps, now_ms):
-            if not step.overdue_restarts(now_ms):
-                waiting = set(step.waiting)
-                orders.extend(self._try_step(step, waiting, view))
+        overdue = overdue_steps(steps, now_ms)
+        for step in overdue:
+            restarts = step.overdue_restarts(now_ms)
+            orders.extend(self._try_step(step, restarts, view))
+        self._renew_holds(overdue, view)
+        orders.extend(self._place_others(steps, view))
         return orders
 
     def create_report(self, now_ms: int) -> PlanReport:
         """Return a report on the state after the latest plan."""
-        return create_plan_report(self, self._waits, now_ms)
+        return create_plan_report(self, self._waits, len(self._holds), now_ms)
 
     def plan_migrations(self, now_ms: int) -> list[StopOrder]:
         """Return the stops of tasks that should migrate to other workers."""
@@ -113,16 +115,38 @@
                 return query
         return None
 
-    def store_advice(
-        self, query: AdviceQuery, permits: Iterable[Permit], asked_ms: int
+    def _renew_holds(
+        self, overdue: list[StepRun], view: PlacementContext
     ) -> None:
-        """Store the advice service's response to a query."""
-        asked = [
-            self.workers[worker_id]
-            for worker_id in query.worker_ids
-            if worker_id in self.workers
-        ]
-        self.tickets.store_answer(query, permits, asked, asked_ms)
+        """Hold workers for overdue restarts that have found no capacity."""
+        released = self._holds.renew(
+            overdue,
+            self.workers,
+            lambda step: acceptable_workers(step, view),
+            view.now_ms,
+        )
+        for worker in released:
+            self._unplaceable.mark_worker_changed(worker)
+
+    def _place_others(
+        self, steps: list[StepRun], view: PlacementContext
+    ) -> list[StartOrder]:
+        """Place everything but overdue restarts, in order of priority."""
+        restarting = restarting_services(steps, view.now_ms)
+        orders = self._place_overdue_first_start(
+            [step for step in steps if _service_of(step) not in restarting],
+            view,
+        )
+        for step in sort_steps(steps, view.now_ms):
+            if step.overdue_restarts(view.now_ms):
+                continue
+            indexes = set(step.waiting)
+            if step.spec.is_endless and _service_of(step) in restarting:
+                indexes = step.waiting_restarts
+                self._waits.record(step, WaitReason.RESTARTS_FIRST)
+            if indexes:
+                orders.extend(self._try_step(step, indexes, view))
+        return orders
 
     def _view(self, now_ms: int) -> PlacementContext:
         workers = self.workers.values()
@@ -132,11 +156,12 @@
             self.interference,
             self.tickets,
             is_busy(workers),
+            self._holds,
         )
 
     def _free_steps(self, now_ms: int) -> list[StepRun]:
         """Return the steps that this leader may start now."""
-        steps = self._ready_steps(now_ms)
+        steps = self.ready_steps(now_ms)
         if self.is_handover_complete(now_ms):
             return steps
         for candidate in steps:
@@ -144,14 +169,6 @@
                 self._waits.record(candidate, WaitReason.INHERITED)
         return [step for step in steps if not step.job.is_inherited]
 
-    def _ready_steps(self, now_ms: int) -> list[StepRun]:
-        steps: list[StepRun] = []
-        for job in self.live_jobs.values():
-            if job.spec.schedule.occurrences and not job.state.is_final:
-                job.create_due_occurrences(now_ms)
-            steps.extend(job.ready_steps(now_ms))
-        return steps
-
     def _place_overdue_first_start(
         self, steps: list[StepRun], view: PlacementContext
     ) -> list[StartOrder]:
@@ -291,6 +308,10 @@
     return WaitReason.NO_WORKER
 
 
+def _service_of(step: StepRun) -> str:
+    return step.job.spec.policy.service
+
+
 def _is_advised(job: Job) -> bool:
     return job.spec.policy.advice is not None
 
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -4,10 +4,10 @@
 by the lock of the scheduler service.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from gentianpulley.cluster.advice import TicketCache
+from gentianpulley.cluster.advice import AdviceQuery, Permit, TicketCache
 from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
 from gentianpulley.cluster.ended_jobs import EndedJobs
 from gentianpulley.cluster.interference import create_interference_model
@@ -133,6 +133,17 @@
                 acknowledged.append(worker.worker_id)
         return acknowledged
 
+    def store_advice(
+        self, query: AdviceQuery, permits: Iterable[Permit], asked_ms: int
+    ) -> None:
+        """Store the advice service's response to a query."""
+        asked = [
+            self.workers[worker_id]
+            for worker_id in query.worker_ids
+            if worker_id in self.workers
+        ]
+        self.tickets.store_answer(query, permits, asked, asked_ms)
+
     def count_unstarted_jobs(self) -> int:
         """Return how many jobs have not started."""
         return sum(1 for job in self.live_jobs.values() if not job.has_started)
--- a/src/gentianpulley/cluster/step_ordering.py
+++ b/src/gentianpulley/cluster/step_ordering.py
@@ -68,6 +68,19 @@
     return [steps[index] for _, index in sorted(deadlines)]
 
 
+def restarting_services(steps: list[StepRun], now_ms: int) -> frozenset[str]:
+    """Return the services with restarts that wait and are not overdue.
+
+    First starts of long-running tasks wait meanwhile: they would take the
+    capacity that a task has left, and not release it.
+    """
+    return frozenset(
+        step.job.spec.policy.service
+        for step in steps
+        if step.waiting_restarts - step.overdue_restarts(now_ms)
+    )
+
+
 class FirstStartLimiter:
     """Rate limiter for first starts of long-running tasks.
 
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -7,6 +7,7 @@
 from gentianpulley.cluster.run_tracker import RunTracker
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
 from gentianpulley.cluster.worker import Worker
+from gentianpulley.jobs.job import StepRun
 from gentianpulley.logs import EventLog
 
 
@@ -70,6 +71,15 @@
         self._buffered_listings[worker.worker_id] = buffered
         return []
 
+    def ready_steps(self, now_ms: int) -> list[StepRun]:
+        """Return the steps of all jobs whose turn has come."""
+        steps: list[StepRun] = []
+        for job in self.live_jobs.values():
+            if job.spec.schedule.occurrences and not job.state.is_final:
+                job.create_due_occurrences(now_ms)
+            steps.extend(job.ready_steps(now_ms))
+        return steps
+
     def is_drained(self, registration: WorkerRegistration) -> bool:
         """Return whether nothing can run on a worker with this registration."""
         existing = self.workers.get(registration.worker_id)
--- a/src/gentianpulley/cluster/task_placement.py
+++ b/src/gentianpulley/cluster/task_placement.py
@@ -8,10 +8,11 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from gentianpulley.cluster.advice import TicketCache
+from gentianpulley.cluster.capacity_holds import CapacityHolds
 from gentianpulley.cluster.interference import InterferenceModel
 from gentianpulley.cluster.interference_risk import is_interference_excessive
 from gentianpulley.cluster.schedulable_workers import (
@@ -76,6 +77,7 @@
     harm: InterferenceModel
     tickets: TicketCache
     is_busy: bool = False
+    holds: CapacityHolds = field(default_factory=CapacityHolds)
 
     def ticket(self, step: StepRun, worker: Worker) -> str:
         """Return the ticket for a start, empty if none is needed or cached."""
@@ -98,6 +100,15 @@
     return view.workers.matching(service, step.spec.required_label)
 
 
+def acceptable_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
+    """Return the workers for a task of the step, whatever is free there."""
+    return [
+        worker
+        for worker in eligible_workers(step, view)
+        if is_below_worker_limit(worker, step)
+    ]
+
+
 class RankedWorkers:
     """The workers for the identical tasks of one step, cheapest first.
 
@@ -164,6 +175,8 @@
 
     def _push(self, index: int, worker: Worker) -> None:
         """Add a worker with free capacity unless another rule excludes it."""
+        if self._view.holds.is_held_from(worker, self._step):
+            return
         if not is_below_worker_limit(worker, self._step):
             self._reasons.add(WaitReason.SPREAD)
             return
@@ -241,8 +254,13 @@
     return reserved > BUSY_RESERVED_SHARE * capacity
 
 
-def may_place(worker: Worker, step: StepRun) -> bool:
-    """Return whether a task fits the worker and the step's worker limit."""
+def may_place(worker: Worker, step: StepRun, view: PlacementContext) -> bool:
+    """Return whether a task fits the worker and the step's worker limit.
+
+    The worker must not be held for another step.
+    """
+    if view.holds.is_held_from(worker, step):
+        return False
     return is_below_worker_limit(worker, step) and worker.has_room(step.spec)
 
 
--- a/src/gentianpulley/cluster/unplaceable_shapes.py
+++ b/src/gentianpulley/cluster/unplaceable_shapes.py
@@ -81,7 +81,7 @@
         self._conditions = conditions
 
     def mark_worker_changed(self, worker: Worker) -> None:
-        """Record that a worker was given a task, so it is checked again."""
+        """Record that a worker was given a task or is no longer held."""
         self._changed[worker.worker_id] = worker
         self._free_workers.clear()
 
@@ -121,6 +121,7 @@
             and is_interference_acceptable(worker, spec, view)
             for worker in self._changed_free_workers(spec, view.now_ms)
             if worker.has_room(spec)
+            and not view.holds.is_held_from(worker, step)
         )
 
     def _changed_free_workers(
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -10,7 +10,8 @@
 
     SHAPE_BLOCKED means that a step of the same shape fitted no worker in the
     same plan, so this one was not tried. LINK_SATURATED means that starts in
-    flight take up the leader's link.
+    flight take up the leader's link, RESTARTS_FIRST that long-running tasks
+    that have run before wait for capacity.
     """
 
     NO_ROOM = 'no_room'
@@ -21,6 +22,7 @@
     INHERITED = 'inherited'
     TICKET = 'ticket'
     LINK_SATURATED = 'link'
+    RESTARTS_FIRST = 'restarts'
 
 
 class WaitingSteps:
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -160,6 +160,13 @@
             if 0 < task.start_deadline_ms < self._next_deadline_ms:
                 self._next_deadline_ms = task.start_deadline_ms
 
+    @property
+    def waiting_restarts(self) -> set[int]:
+        """Return the waiting tasks that have run before, if long-running."""
+        if not self.spec.is_endless:
+            return set()
+        return {index for index in self.waiting if not self.tasks[index].is_new}
+
     def overdue_restarts(self, now_ms: int) -> set[int]:
         """Return the waiting tasks whose restart is overdue."""
         if not self.spec.is_endless:
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -67,6 +67,13 @@
     tail_target_ms: int = 0
     max_away: int = 0
 
+    @property
+    def reserved(self) -> Resources:
+        """Return what a task reserves on its worker."""
+        if self.fills_spare:
+            return replace(self.resources, processors_milli=0)
+        return self.resources
+
 
 class Shape(NamedTuple):
     """What decides, apart from its size, where a task of a step may run."""
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -369,9 +369,8 @@
     def tick(self) -> list[StartOrder]:
         """End what is due, submit more and plan; return all starts."""
         self._site.at_ms += TICK_MS
-        for entry in [
-            each for each in self._ends if each[0] <= self._site.at_ms
-        ]:
+        due = [each for each in self._ends if each[0] <= self._site.at_ms]
+        for entry in due:
             self._ends.remove(entry)
             self._site.end(entry[1].worker_id, entry[1].key)
             self._plan()
