Let an overdue restart take a quarantined worker if no other has room

Callers would see a long-running task that does not run again, with room for two of its kind on a worker in plain sight, for as long as that worker stays quarantined.

Cause: two failures within 8 s quarantine a worker for 4 s, and each further failure of a run that is already there begins the time anew. Long-running tasks fail by themselves now and then, and what they held stays free meanwhile: on a full site that is the only room. No restart could take it, however overdue. Class: a resource kept out of use by a guess, without a limit to what that costs.

That this was the cause of the report is likely, not shown: its log is not kept.

Why it works: a restart past its deadline of two seconds takes such a worker if no other has room. If the worker is faulty, the task fails there, as it would wait anyway, and tries again two seconds later; it has no limit of attempts. Batch work, which has one, stays away as before. A worker that has refused a start, or could not be reached, backs off by a time of its own, so that no restart is sent there again at once (tested with both verdicts).

--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -90,6 +90,7 @@
         ('unfenced', not worker.is_fenced),
         ('silent', worker.unresponsive_since_ms > 0),
         ('quarantined', now_ms < worker.quarantined_until_ms),
+        ('backing_off', now_ms < worker.backoff_until_ms),
         ('foreign_runs', bool(worker.foreign_runs)),
         ('resting', now_ms < worker.best_effort_paused_until_ms),
     )
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -401,9 +401,7 @@
     """Send no runs to a worker for a while after it did not start one."""
     if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
         worker.record_failure(now_ms)
-    worker.quarantined_until_ms = max(
-        worker.quarantined_until_ms, now_ms + UNREACHABLE_BACKOFF_MS
-    )
+    worker.backoff_until_ms = now_ms + UNREACHABLE_BACKOFF_MS
 
 
 def _apply_end(
--- a/src/gentianpulley/cluster/schedulable_workers.py
+++ b/src/gentianpulley/cluster/schedulable_workers.py
@@ -10,7 +10,7 @@
 from operator import itemgetter
 from typing import Final
 
-from gentianpulley.cluster.worker import Worker
+from gentianpulley.cluster.worker import Worker, is_only_quarantined
 from gentianpulley.jobs.spec import StepSpec
 
 LONG_RUNNING_UTILIZATION: Final = 0.6
@@ -33,12 +33,15 @@
         now_ms: int,
     ) -> None:
         """Select the accepting workers outside closed failure domains."""
-        self.workers = [
-            worker
-            for worker in workers
-            if worker.accepts_runs(now_ms)
-            and worker.registration.failure_domain not in closed_domains
-        ]
+        self.workers: list[Worker] = []
+        self._quarantined: list[Worker] = []
+        for worker in workers:
+            if worker.registration.failure_domain in closed_domains:
+                continue
+            if worker.accepts_runs(now_ms):
+                self.workers.append(worker)
+            elif is_only_quarantined(worker, now_ms):
+                self._quarantined.append(worker)
         self._now_ms = now_ms
         self._matching_workers: dict[tuple[str, str], list[Worker]] = {}
         self._headroom: dict[tuple[str, str], list[_Headroom]] = {}
@@ -56,6 +59,14 @@
             self._matching_workers[key] = found
         return found
 
+    def quarantined(self, service: str, label: str) -> list[Worker]:
+        """Return the workers that would match but for their quarantine."""
+        return [
+            worker
+            for worker in self._quarantined
+            if matches_constraints(worker, service, label)
+        ]
+
     def with_headroom(
         self, service: str, label: str, processors: int
     ) -> Iterator[IndexedWorker]:
--- a/src/gentianpulley/cluster/task_placement.py
+++ b/src/gentianpulley/cluster/task_placement.py
@@ -60,6 +60,10 @@
 and interference need not be accepted. Clusters require that work starts while
 less than half of the capacity is in use."""
 
+QUARANTINE_COST: Final = 1000.0
+"""Cost of a quarantined worker, which only overdue restarts of long-running
+tasks take. It exceeds the cost of interference, as a task may fail there."""
+
 FAILURE_COST: Final = 0.5
 """Cost of each consecutive failure."""
 
@@ -95,9 +99,17 @@
 
 
 def feasible_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
-    """Return the workers that could run the step, with or without a ticket."""
+    """Return the workers that could run the step, with or without a ticket.
+
+    An overdue restart may also go to a quarantined worker: on a full cluster
+    no other may have capacity for as long as the quarantine is prolonged.
+    """
     service = step.job.spec.policy.service
-    return view.workers.matching(service, step.spec.required_label)
+    label = step.spec.required_label
+    workers = view.workers.matching(service, label)
+    if step.overdue_restarts(view.now_ms):
+        return workers + view.workers.quarantined(service, label)
+    return workers
 
 
 def acceptable_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
@@ -302,6 +314,8 @@
         cost += COLD_START_COST
     if view.now_ms < worker.suspect_until_ms:
         cost += SLOW_WORKER_COST
+    if view.now_ms < worker.quarantined_until_ms:
+        cost += QUARANTINE_COST
     if rack and worker.registration.rack != rack:
         cost += CROSS_RACK_COST
     if spec.is_endless:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -129,11 +129,12 @@
     is set while the worker is in the directory, `is_leaving` when its machine
     goes down for maintenance. `unresponsive_since_ms` is when a poll of it
     first failed, zero while it answers, and `best_effort_paused_until_ms` until
-    when its best-effort tasks are suspended. `serving_margins` is None until
-    it is computed for the current runs, and `interference_limits_milli` holds,
-    by image, the processors from which another best-effort task interferes too
-    much; `state_version` increases when both are invalidated and with each run
-    that is added or released.
+    when its best-effort tasks are suspended. `quarantined_until_ms` follows
+    from failed runs, `backoff_until_ms` from a start that was refused or not
+    sent. `serving_margins` is None until it is computed for the current runs,
+    and `interference_limits_milli` holds, by image, the processors from which
+    another best-effort task interferes too much; `state_version` increases when
+    both are invalidated and with each run that is added or released.
     """
 
     def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
@@ -151,6 +152,7 @@
         self.acked_end_number = 0
         self.cold_until_ms = now_ms + registration.warmup_ms
         self.quarantined_until_ms = 0
+        self.backoff_until_ms = 0
         self.suspect_until_ms = 0
         self.consecutive_failures = 0
         self.last_failure_ms = 0
@@ -201,12 +203,8 @@
 
     def accepts_runs(self, now_ms: int) -> bool:
         """Return whether new runs may be sent there."""
-        is_ready = (
-            self.is_fenced and self.is_registered and not self.foreign_runs
-        )
-        if self.is_closing or self.unresponsive_since_ms:
-            return False
-        return is_ready and now_ms >= self.quarantined_until_ms
+        is_quarantined = now_ms < self.quarantined_until_ms
+        return _is_ready(self, now_ms) and not is_quarantined
 
     def has_room(self, spec: StepSpec) -> bool:
         """Return whether one more task of a step fits the declared capacity."""
@@ -289,6 +287,7 @@
         self.completed_runs += 1
         self.consecutive_failures = 0
         self.quarantined_until_ms = 0
+        self.backoff_until_ms = 0
 
     def record_failure(self, now_ms: int) -> None:
         """Record a failed run; several consecutive ones cause a quarantine."""
@@ -314,3 +313,18 @@
 def create_worker(registration: WorkerRegistration, now_ms: int) -> Worker:
     """Return a worker that is not fenced yet."""
     return Worker(registration, now_ms)
+
+
+def is_only_quarantined(worker: Worker, now_ms: int) -> bool:
+    """Return whether only its quarantine keeps runs from being sent there."""
+    is_quarantined = now_ms < worker.quarantined_until_ms
+    return _is_ready(worker, now_ms) and is_quarantined
+
+
+def _is_ready(worker: Worker, now_ms: int) -> bool:
+    """Return whether runs could be sent there but for a quarantine."""
+    if worker.is_closing or worker.unresponsive_since_ms:
+        return False
+    if worker.foreign_runs or now_ms < worker.backoff_until_ms:
+        return False
+    return worker.is_fenced and worker.is_registered
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -3,8 +3,13 @@
 import pytest
 
 from gentianpulley.cluster.worker import QUARANTINE_MS
-from gentianpulley.cluster.worker_protocol import EndCause, StartOrder
-from gentianpulley.jobs.job import TaskPhase
+from gentianpulley.cluster.run_tracker import UNREACHABLE_BACKOFF_MS
+from gentianpulley.cluster.worker_protocol import (
+    EndCause,
+    StartOrder,
+    StartVerdict,
+)
+from gentianpulley.jobs.job import RESTART_DEADLINE_MS, TaskPhase
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import (
     SchedulerHarness,
@@ -50,3 +55,50 @@
             return
         harness.at_ms += TICK_MS
     pytest.fail('the task does not run again')
+
+
+@pytest.mark.parametrize(
+    ('has_other_room', 'expected'), [(True, {'w3'}), (False, {'w1'})]
+)
+def test_a_quarantined_worker_is_the_last_choice(
+    expected: set[str], *, has_other_room: bool
+) -> None:
+    harness, runs = _full_harness()
+    _fail(harness, runs[:2])
+    assert not harness.start_all()
+    if has_other_room:
+        harness.add_worker('w3')
+    harness.at_ms += RESTART_DEADLINE_MS
+    assert {order.worker_id for order in harness.start_all()} == expected
+
+
+def test_batch_work_stays_away_from_a_quarantined_worker() -> None:
+    """Each failure there would use up one of its attempts."""
+    harness, runs = _full_harness()
+    _fail(harness, runs[:2])
+    harness.scheduler.add_job(job(step(8), job_id='b' * 16))
+    assert not harness.start_all()
+    harness.at_ms += RESTART_DEADLINE_MS
+    started = {order.key.task_id for order in harness.start_all()}
+    assert started == {order.key.task_id for order in runs[:2]}
+    harness.at_ms += RESTART_DEADLINE_MS - TICK_MS
+    assert not harness.start_all()
+
+
+@pytest.mark.parametrize(
+    'verdict', [StartVerdict.UNHEALTHY, StartVerdict.NO_ROOM]
+)
+def test_a_refusal_in_quarantine_is_not_repeated_at_once(
+    verdict: StartVerdict,
+) -> None:
+    harness, runs = _full_harness()
+    _fail(harness, runs[:2])
+    harness.start_all()
+    harness.at_ms += RESTART_DEADLINE_MS
+    refused = harness.plan()
+    assert len(refused) == 2
+    for order in refused:
+        harness.answer(order, verdict)
+    assert not harness.plan()
+    harness.at_ms += UNREACHABLE_BACKOFF_MS
+    assert harness.plan()
