Let a starving job take a quarantined worker if no other suits

Callers would see a job of which nothing runs on an idle site, as all workers with its label are quarantined after failures of other jobs.

Cause: batch work never went to a quarantined worker, and each further failure prolongs the quarantine, while deployments allow three seconds where less than half of the capacity is in use.

Evidence: test_a_job_runs_in_time_if_only_a_quarantined_worker_has_its_label failed before (no start in three seconds).

Why it works: a job that has had nothing running for a second on a site that is not busy takes the least bad worker already; a quarantined one counts now, after all others. On a busy site batch work stays away, as a failure costs an attempt.

--- a/src/gentianpulley/cluster/task_placement.py
+++ b/src/gentianpulley/cluster/task_placement.py
@@ -61,8 +61,8 @@
 less than half of the capacity is in use."""
 
 QUARANTINE_COST: Final = 1000.0
-"""Cost of a quarantined worker, which only overdue restarts of long-running
-tasks take. It exceeds the cost of interference, as a task may fail there."""
+"""Cost of a quarantined worker, which only starving steps take. It exceeds the
+cost of interference, as a task may fail there."""
 
 FAILURE_COST: Final = 0.5
 """Cost of each consecutive failure."""
@@ -101,13 +101,13 @@
 def feasible_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
     """Return the workers that could run the step, with or without a ticket.
 
-    An overdue restart may also go to a quarantined worker: on a full cluster
-    no other may have capacity for as long as the quarantine is prolonged.
+    A starving step may also go to a quarantined worker: no other may have its
+    label or capacity for as long as the quarantine is prolonged.
     """
     service = step.job.spec.policy.service
     label = step.spec.required_label
     workers = view.workers.matching(service, label)
-    if step.overdue_restarts(view.now_ms):
+    if is_starving(step, view):
         return workers + view.workers.quarantined(service, label)
     return workers
 
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Restarts of long-running tasks when only a quarantined worker has room."""
+"""Work for which only a quarantined worker has room."""
 
 import pytest
 
@@ -23,6 +23,10 @@
 """Deployments count a long-running task as lost that has free capacity and
 does not run nine seconds after its last run."""
 
+IDLE_BOUND_MS = 3000
+"""Deployments count a job as lost of which nothing runs for this time while
+less than half of the capacity is in use."""
+
 QUARTER = Resources(16_000, 1000)
 
 
@@ -72,8 +76,27 @@
     assert {order.worker_id for order in harness.start_all()} == expected
 
 
+def test_a_job_runs_in_time_if_only_a_quarantined_worker_has_its_label() -> (
+    None
+):
+    """The cluster is idle, so the job must not wait for the quarantine."""
+    harness = create_harness('w1', 'w2')
+    harness.add_worker('w3', labels=frozenset(('rare',)))
+    failing = step(2, is_endless=True, required_label='rare')
+    harness.scheduler.add_job(job(failing, job_id='b' * 16))
+    _fail(harness, harness.start_all())
+    harness.scheduler.cancel('b' * 16)
+    harness.scheduler.add_job(job(step(1, required_label='rare')))
+    delays_ms = range(0, IDLE_BOUND_MS, TICK_MS)
+    started = []
+    for _ in delays_ms:
+        started.extend(harness.start_all())
+        harness.at_ms += TICK_MS
+    assert [order.worker_id for order in started] == ['w3']
+
+
 def test_batch_work_stays_away_from_a_quarantined_worker() -> None:
-    """Each failure there would use up one of its attempts."""
+    """The cluster is busy, and a failure there would use up an attempt."""
     harness, runs = _full_harness()
     _fail(harness, runs[:2])
     harness.scheduler.add_job(job(step(8), job_id='b' * 16))
