Show that a hold keeps a smaller overdue restart from room that is free

Callers would see a small long-running task that does not run again while a worker with room for several of its kind takes nothing: it is held for a larger restart with an earlier deadline. Room kept free for one restart is what breaks the rule for another.

Cause: RankedWorkers._push excludes a held worker for every other step, overdue restarts included.

--- /dev/null
+++ b/tests/scheduling/test_review_findings.py
@@ -0,0 +1,52 @@
+"""Waits and starts that holds for overdue restarts must not cause."""
+
+from gentianpulley.cluster.worker_protocol import EndCause
+from gentianpulley.jobs.job import RESTART_DEADLINE_MS, TaskPhase
+from gentianpulley.resources import Resources
+from tests.scheduling.harness import (
+    SchedulerHarness,
+    create_harness,
+    job,
+    step,
+)
+
+TICK_MS = 100
+BATCH_MS = 10_000
+LOST_BOUND_MS = 9000
+"""Deployments count a long-running task as lost that has free capacity and
+does not run nine seconds after its last run."""
+
+WHOLE = Resources(64_000, 1000)
+HALF = Resources(32_000, 1000)
+NARROW = Resources(8000, 1000)
+BATCH_ID = 'b' * 16
+NARROW_ID = 'c' * 16
+
+
+def test_a_hold_does_not_keep_a_smaller_overdue_restart_waiting() -> None:
+    """It has room in plain sight on the worker that is held."""
+    harness = create_harness('w1')
+    wide = step(1, is_endless=True, resources=WHOLE)
+    harness.scheduler.add_job(job(wide))
+    (started,) = harness.start_all()
+    harness.add_worker('w2')
+    narrow = step(1, is_endless=True, resources=NARROW)
+    harness.scheduler.add_job(job(narrow, job_id=NARROW_ID))
+    (smaller,) = harness.start_all()
+    harness.scheduler.workers['w2'].is_leaving = True
+    harness.end('w1', started.key, EndCause.FAILED)
+    halves = step(2, resources=HALF, estimated_ms=BATCH_MS)
+    harness.scheduler.add_job(job(halves, job_id=BATCH_ID))
+    batch = harness.start_all()
+    harness.end('w2', smaller.key, EndCause.FAILED)
+    _run_for(harness, RESTART_DEADLINE_MS)
+    harness.end('w1', batch[0].key)
+    _run_for(harness, LOST_BOUND_MS)
+    task = harness.task(smaller.key.task_id)
+    assert task.phase is TaskPhase.PLACED
+
+
+def _run_for(harness: SchedulerHarness, duration_ms: int) -> None:
+    for _ in range(duration_ms // TICK_MS):
+        harness.at_ms += TICK_MS
+        harness.start_all()
