Show that waiting restarts delay new tasks that they do not compete with

Callers would see a new long-running job that never starts on an idle worker while tasks of other workers fail one after the other. restarting_services goes by service: a restart that can only run where a label is keeps all first starts of the service waiting during its grace, overdue ones too, and the next failure begins before the grace ends.

--- a/tests/scheduling/test_review_findings.py
+++ b/tests/scheduling/test_review_findings.py
@@ -1,7 +1,11 @@
 """Waits and starts that holds for overdue restarts must not cause."""
 
-from gentianpulley.cluster.worker_protocol import EndCause
+from gentianpulley.cluster.worker_protocol import (
+    EndCause,
+    StartOrder,
+)
 from gentianpulley.jobs.job import RESTART_DEADLINE_MS, TaskPhase
+from gentianpulley.jobs.spec import TaskId
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import (
     SchedulerHarness,
@@ -16,6 +20,8 @@
 """Deployments count a long-running task as lost that has free capacity and
 does not run nine seconds after its last run."""
 
+FAILURE_INTERVAL_MS = RESTART_DEADLINE_MS - 2 * TICK_MS
+LABEL = 'kind'
 WHOLE = Resources(64_000, 1000)
 HALF = Resources(32_000, 1000)
 NARROW = Resources(8000, 1000)
@@ -46,7 +52,42 @@
     assert task.phase is TaskPhase.PLACED
 
 
+def test_restarts_bound_to_a_label_do_not_delay_new_tasks_elsewhere() -> None:
+    """The tasks never compete for a worker: only their service is the same."""
+    harness, runs = _harness_with_failing_runs()
+    harness.end('failing', runs[0].key, EndCause.FAILED)
+    endless = step(1, is_endless=True)
+    harness.scheduler.add_job(job(endless, job_id=NARROW_ID))
+    _fail_in_turn(harness, runs[1:])
+    task = harness.task(TaskId(NARROW_ID, 0, 0, 0))
+    assert task.phase is TaskPhase.PLACED
+
+
 def _run_for(harness: SchedulerHarness, duration_ms: int) -> None:
     for _ in range(duration_ms // TICK_MS):
         harness.at_ms += TICK_MS
         harness.start_all()
+
+
+def _harness_with_failing_runs() -> tuple[SchedulerHarness, list[StartOrder]]:
+    """Return a half-used worker of a label, the tasks there, and idle ones."""
+    harness = create_harness()
+    harness.add_worker(
+        'failing',
+        labels=frozenset((LABEL,)),
+        capacity=Resources(128_000, 256_000),
+    )
+    endless = step(8, is_endless=True, required_label=LABEL)
+    harness.scheduler.add_job(job(endless))
+    runs = harness.start_all()
+    assert len(runs) == 8
+    for worker_id in ('idle1', 'idle2'):
+        harness.add_worker(worker_id, labels=frozenset())
+    return harness, runs
+
+
+def _fail_in_turn(harness: SchedulerHarness, runs: list[StartOrder]) -> None:
+    """Fail one run after the other, each before the last one is overdue."""
+    for run in runs:
+        harness.end('failing', run.key, EndCause.FAILED)
+        _run_for(harness, FAILURE_INTERVAL_MS)
