Show that a used hold is kept in place of one that is needed

Callers would see the second of two restarts of one step wait on: once the first runs on its held worker, CapacityHolds.renew keeps as many holds as restarts are missing in the order of their age. It keeps the hold of the worker that was just filled and releases the other, which narrow work takes.

The new test fails on if the older hold is used first (case 0), and passes if the newer one is (case 1).

--- a/tests/scheduling/test_review_findings.py
+++ b/tests/scheduling/test_review_findings.py
@@ -1,5 +1,6 @@
 """Waits and starts that holds for overdue restarts must not cause."""
 
+import pytest
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
     StartOrder,
@@ -22,6 +23,8 @@
 
 FAILURE_INTERVAL_MS = RESTART_DEADLINE_MS - 2 * TICK_MS
 LABEL = 'kind'
+PLANS = 5
+WORKERS = 20
 WHOLE = Resources(64_000, 1000)
 HALF = Resources(32_000, 1000)
 NARROW = Resources(8000, 1000)
@@ -29,6 +32,60 @@
 NARROW_ID = 'c' * 16
 
 
+def _plan_often(harness: SchedulerHarness) -> list[StartOrder]:
+    """Plan several times: a plan searches for few workers."""
+    return [order for _ in range(PLANS) for order in harness.start_all()]
+
+
+def _end_all(harness: SchedulerHarness, worker_id: str) -> None:
+    for key in tuple(harness.scheduler.workers[worker_id].reservations):
+        harness.end(worker_id, key)
+
+
+def _harness_with_holds(workers: int, restarts: int) -> SchedulerHarness:
+    """Return workers full of batch work, with overdue restarts of one step.
+
+    Each restart needs a whole worker. One half of each worker is free, but
+    nothing was placed since.
+    """
+    harness = create_harness(*(f'w{number}' for number in range(workers)))
+    endless = step(restarts, is_endless=True, resources=WHOLE)
+    harness.scheduler.add_job(job(endless))
+    for order in harness.start_all():
+        harness.end(order.worker_id, order.key, EndCause.FAILED)
+    batch = step(2 * workers, resources=HALF, estimated_ms=BATCH_MS)
+    harness.scheduler.add_job(job(batch, job_id=BATCH_ID))
+    assert len(harness.start_all()) == 2 * workers
+    harness.at_ms += RESTART_DEADLINE_MS
+    _plan_often(harness)
+    for worker_id, worker in tuple(harness.scheduler.workers.items()):
+        harness.end(worker_id, next(iter(worker.reservations)))
+    return harness
+
+
+def _fill(harness: SchedulerHarness) -> set[str]:
+    """Submit tasks for each free half; return the workers without any."""
+    scheduler = harness.scheduler
+    halves = step(len(scheduler.workers), resources=HALF, estimated_ms=BATCH_MS)
+    scheduler.add_job(job(halves, job_id=NARROW_ID))
+    placed = {order.worker_id for order in _plan_often(harness)}
+    return scheduler.workers.keys() - placed
+
+
+@pytest.mark.parametrize('first', [0, 1])
+def test_a_hold_that_was_used_is_the_one_that_ends(first: int) -> None:
+    """The other worker is about to become free for the other restart."""
+    harness = _harness_with_holds(WORKERS, restarts=2)
+    held = sorted(_fill(harness))
+    assert len(held) == 2
+    freed, other = held[first], held[1 - first]
+    _end_all(harness, freed)
+    assert [order.worker_id for order in _plan_often(harness)] == [freed]
+    narrow = step(1, resources=NARROW)
+    harness.scheduler.add_job(job(narrow, job_id='d' * 16))
+    assert other not in {order.worker_id for order in _plan_often(harness)}
+
+
 def test_a_hold_does_not_keep_a_smaller_overdue_restart_waiting() -> None:
     """It has room in plain sight on the worker that is held."""
     harness = create_harness('w1')
