Show that a hold stays on a worker that drains

Callers would see a restart wait for room that it can not get: renew checks only that the incarnation is current, not that the worker still accepts the step. No other worker is held until the hold expires, a second after its runs were expected to end, and narrow work takes what comes free elsewhere.

The new test fails on (no worker is held in place of the draining one).

--- a/tests/scheduling/test_review_findings.py
+++ b/tests/scheduling/test_review_findings.py
@@ -12,6 +12,7 @@
     SchedulerHarness,
     create_harness,
     job,
+    registration,
     step,
 )
 
@@ -86,6 +87,24 @@
     assert other not in {order.worker_id for order in _plan_often(harness)}
 
 
+def test_a_hold_ends_when_its_worker_drains() -> None:
+    """The restart would wait there for as long as the runs are expected."""
+    harness = _harness_with_holds(WORKERS, restarts=1)
+    (held_id,) = _fill(harness)
+    harness.scheduler.update_worker(
+        registration(held_id, is_draining=True), harness.at_ms
+    )
+    _plan_often(harness)
+    open_ids = harness.scheduler.workers.keys() - {held_id}
+    for worker_id in open_ids:
+        key = next(iter(harness.scheduler.workers[worker_id].reservations))
+        harness.end(worker_id, key)
+    halves = step(len(open_ids), resources=HALF)
+    harness.scheduler.add_job(job(halves, job_id='d' * 16))
+    placed = {order.worker_id for order in _plan_often(harness)}
+    assert len(open_ids - placed) == 1
+
+
 def test_a_hold_does_not_keep_a_smaller_overdue_restart_waiting() -> None:
     """It has room in plain sight on the worker that is held."""
     harness = create_harness('w1')
