--- a/tests/scheduling/test_review_findings.py
+++ b/tests/scheduling/test_review_findings.py
@@ -105,6 +105,36 @@
     assert len(open_ids - placed) == 1
 
 
+def test_a_hold_ends_when_the_domain_of_its_worker_closes() -> None:
+    """An evacuated domain gets nothing, the restart included."""
+    harness = create_harness()
+    harness.add_worker('w1', failure_domain='a')
+    harness.add_worker('w2', failure_domain='b')
+    endless = step(1, is_endless=True, resources=WHOLE)
+    harness.scheduler.add_job(job(endless))
+    (started,) = harness.start_all()
+    harness.end(started.worker_id, started.key, EndCause.FAILED)
+    batch = step(4, resources=HALF, estimated_ms=BATCH_MS)
+    harness.scheduler.add_job(job(batch, job_id=BATCH_ID))
+    harness.start_all()
+    harness.at_ms += RESTART_DEADLINE_MS
+    harness.plan()
+    for worker_id, worker in tuple(harness.scheduler.workers.items()):
+        harness.end(worker_id, next(iter(worker.reservations)))
+    (held_id,) = _fill(harness)
+    held = harness.scheduler.workers[held_id]
+    (open_id,) = harness.scheduler.workers.keys() - {held_id}
+    harness.scheduler.closed_domains = frozenset(
+        (held.registration.failure_domain,)
+    )
+    harness.plan()
+    opened = harness.scheduler.workers[open_id]
+    harness.end(open_id, next(iter(opened.reservations)))
+    narrow = step(1, resources=NARROW)
+    harness.scheduler.add_job(job(narrow, job_id='d' * 16))
+    assert not _plan_often(harness)
+
+
 def test_a_hold_does_not_keep_a_smaller_overdue_restart_waiting() -> None:
     """It has room in plain sight on the worker that is held."""
     harness = create_harness('w1')
