Show that new work waits without end for a quarantined worker

Callers would see a job with nothing running, batch or long-running, on a site that is mostly idle: the only worker with its label has room for several of its tasks, but long-running tasks there fail one by one and prolong the quarantine. Only overdue restarts take such a worker (feasible_workers).

Both cases of the new test fail on and on ('WAITING' after 10.8 s).

--- a/tests/scheduling/test_review_findings.py
+++ b/tests/scheduling/test_review_findings.py
@@ -169,6 +169,21 @@
     assert task.phase is TaskPhase.PLACED
 
 
+@pytest.mark.parametrize('is_endless', [False, True])
+def test_a_job_with_no_worker_but_a_quarantined_one_starts(
+    *, is_endless: bool
+) -> None:
+    """Each failure of a task that runs there prolongs the quarantine."""
+    harness, runs = _harness_with_failing_runs()
+    harness.end('failing', runs[0].key, EndCause.FAILED)
+    harness.end('failing', runs[1].key, EndCause.FAILED)
+    spec = step(1, is_endless=is_endless, required_label=LABEL)
+    harness.scheduler.add_job(job(spec, job_id=NARROW_ID))
+    _fail_in_turn(harness, runs[2:])
+    task = harness.task(TaskId(NARROW_ID, 0, 0, 0))
+    assert task.phase is TaskPhase.PLACED
+
+
 def _run_for(harness: SchedulerHarness, duration_ms: int) -> None:
     for _ in range(duration_ms // TICK_MS):
         harness.at_ms += TICK_MS
