Show that a start without an answer is sent again without end

Callers would see a task that does not run, with room elsewhere, while its worker answers polls but not starts. UNCONFIRMED_START_TIMEOUT_MS counts from the latest sending, and each start without a reply is sent again sooner than that, so the run is never stopped and the task never placed anew. No run number is used up meanwhile.

--- a/tests/scheduling/test_review_findings.py
+++ b/tests/scheduling/test_review_findings.py
@@ -1,9 +1,13 @@
 """Waits and starts that holds for overdue restarts must not cause."""
 
 import pytest
+
+from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
     StartOrder,
+    StartVerdict,
+    StopOrder,
 )
 from gentianpulley.jobs.job import RESTART_DEADLINE_MS, TaskPhase
 from gentianpulley.jobs.spec import TaskId
@@ -184,6 +188,20 @@
     assert task.phase is TaskPhase.PLACED
 
 
+def test_a_start_that_is_never_answered_is_given_up() -> None:
+    """The worker answers polls and lists no run; another one has room."""
+    harness = create_harness('w1', 'w2')
+    harness.scheduler.add_job(job(step(1, is_endless=True)))
+    (order,) = harness.plan()
+    following: list[Order] = [order]
+    for _ in range(LOST_BOUND_MS // TICK_MS):
+        harness.at_ms += TICK_MS
+        if harness.scheduler.claim_start_send(order, harness.at_ms):
+            following.extend(harness.answer(order, StartVerdict.LOST))
+        following.extend(harness.report_listing(order.worker_id))
+    assert StopOrder(order.worker_id, order.key) in following
+
+
 def _run_for(harness: SchedulerHarness, duration_ms: int) -> None:
     for _ in range(duration_ms // TICK_MS):
         harness.at_ms += TICK_MS
