Let holds and first starts keep no overdue restart or other work waiting

- A held worker refused its free room to a smaller overdue restart as well.
Any overdue restart may use it now, and the hold ends with the first that does.
- After a restart had used one of two holds of its step, the used one was kept.
- A hold stayed on a worker that drained, or whose domain was closed, until it expired.
It ends at once now, also where the worker went silent or the step's limit for one worker is reached.
- All new long-running tasks of a service waited while any restart was in its grace, also where the two did not compete.
Now only the order is changed: restarts go before new tasks of their priority, and before an overdue first start, and take what fits.
This holds after the grace too.
- A quarantined worker could be the target of a migration.

After a hold has expired, half a second passes before the next one for that step, so that other work is not shut out by a run that does not end.

--- a/src/gentianpulley/cluster/capacity_holds.py
+++ b/src/gentianpulley/cluster/capacity_holds.py
@@ -2,11 +2,12 @@
 
 Handles a full cluster on which runs end one by one: other tasks would take each
 part of a worker that becomes free, and never leave enough for a larger one. A
-held worker gets no other runs until the restart fits or the hold expires.
+held worker gets only overdue restarts until one fits or the hold expires.
 """
 
+from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from itertools import islice
 from operator import itemgetter
@@ -26,19 +27,34 @@
 run of every worker."""
 
 SEARCH_INTERVAL_MS: Final = 500
-"""Minimum interval between searches for a step that found no worker, so that
-other steps are searched for meanwhile."""
+"""Interval after which a worker is searched for again for a step that has found
+none or whose hold has expired, so that others get their turn meanwhile."""
 
 HOLD_MARGIN_MS: Final = 1000
 """How much later than expected the capacity of a held worker may become free,
 before another worker is searched for."""
 
-FindWorkers = Callable[[StepRun], list[Worker]]
-
 _ExpectedEnd = tuple[int, Resources]
 """When a run is expected to end, and what it releases."""
 
 
+class HoldableWorkers(ABC):
+    """The workers that may be held in one plan."""
+
+    @property
+    @abstractmethod
+    def count(self) -> int:
+        """Return how many workers accept runs."""
+
+    @abstractmethod
+    def for_step(self, step: StepRun) -> list[Worker]:
+        """Return the workers for a task of a step, whatever is free there."""
+
+    @abstractmethod
+    def is_usable(self, worker: Worker, step: StepRun) -> bool:
+        """Return whether a task of a step may still be sent to a worker."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Hold:
     """A worker that is held for one task of a step, until a deadline."""
@@ -60,40 +76,54 @@
         """Return how many workers are held."""
         return len(self._holds)
 
-    def is_held_from(self, worker: Worker, step: StepRun) -> bool:
-        """Return whether a worker is held for another step than this one."""
-        hold = self._holds.get(worker.worker_id)
-        return hold is not None and hold.step is not step
+    def is_held(self, worker: Worker) -> bool:
+        """Return whether a worker is held."""
+        return worker.worker_id in self._holds
+
+    def release(self, worker: Worker) -> None:
+        """Release a worker that was given a restart."""
+        self._holds.pop(worker.worker_id, None)
 
     def renew(
-        self,
-        overdue: Iterable[StepRun],
-        workers: Mapping[str, Worker],
-        find_workers: FindWorkers,
-        now_ms: int,
+        self, overdue: Iterable[StepRun], holdable: HoldableWorkers, now_ms: int
     ) -> list[Worker]:
         """Hold a worker for each overdue restart; return those released.
 
-        `overdue` are the steps with such restarts, in the order of placement,
-        and `find_workers` returns the workers that accept a task of a step.
+        `overdue` are the steps with such restarts, in the order of placement.
         """
         previous = self._holds
         missing = Counter(
             {step: len(step.overdue_restarts(now_ms)) for step in overdue}
         )
-        self._holds = {}
-        for hold in previous.values():
-            is_current = workers.get(hold.worker.worker_id) is hold.worker
-            if is_current and missing[hold.step] and now_ms < hold.until_ms:
-                missing[hold.step] -= 1
-                self._add(hold)
-        max_holds = max(1, int(MAX_HELD_SHARE * len(workers)))
+        self._holds = self._kept(missing, holdable, now_ms)
+        max_holds = max(1, int(MAX_HELD_SHARE * holdable.count))
         for step in self._searched_steps(missing, now_ms):
             if len(self._holds) < max_holds:
-                self._hold_for(step, find_workers(step), now_ms)
+                self._hold_for(step, holdable.for_step(step), now_ms)
         released = previous.keys() - self._holds.keys()
         return [previous[released_id].worker for released_id in released]
 
+    def _kept(
+        self,
+        missing: Counter[StepRun],
+        holdable: HoldableWorkers,
+        now_ms: int,
+    ) -> dict[str, _Hold]:
+        """Return the holds that are still of use; their restarts need no other.
+
+        Others get their turn once a hold has expired.
+        """
+        kept: dict[str, _Hold] = {}
+        for worker_id, hold in self._holds.items():
+            if missing[hold.step] <= 0:
+                continue
+            if now_ms >= hold.until_ms:
+                self._delay_search(hold.step, now_ms)
+            elif holdable.is_usable(hold.worker, hold.step):
+                missing[hold.step] -= 1
+                kept[worker_id] = hold
+        return kept
+
     def _searched_steps(
         self, missing: Counter[StepRun], now_ms: int
     ) -> list[StepRun]:
@@ -110,9 +140,6 @@
         )
         return list(islice(due, MAX_SEARCHES))
 
-    def _add(self, hold: _Hold) -> None:
-        self._holds[hold.worker.worker_id] = hold
-
     def _hold_for(
         self, step: StepRun, workers: Iterable[Worker], now_ms: int
     ) -> None:
@@ -125,9 +152,14 @@
         ]
         if candidates:
             free_at_ms, _, worker = min(candidates)
-            self._add(_Hold(worker, step, free_at_ms + HOLD_MARGIN_MS))
+            self._holds[worker.worker_id] = _Hold(
+                worker, step, free_at_ms + HOLD_MARGIN_MS
+            )
         else:
-            self._next_search_ms[step] = now_ms + SEARCH_INTERVAL_MS
+            self._delay_search(step, now_ms)
+
+    def _delay_search(self, step: StepRun, now_ms: int) -> None:
+        self._next_search_ms[step] = now_ms + SEARCH_INTERVAL_MS
 
 
 def _free_at_ms(worker: Worker, spec: StepSpec, now_ms: int) -> int:
--- a/src/gentianpulley/cluster/schedulable_workers.py
+++ b/src/gentianpulley/cluster/schedulable_workers.py
@@ -59,6 +59,10 @@
             self._matching_workers[key] = found
         return found
 
+    def includes(self, worker: Worker) -> bool:
+        """Return whether a worker accepts runs, or would but for quarantine."""
+        return worker in self.workers or worker in self._quarantined
+
     def quarantined(self, service: str, label: str) -> list[Worker]:
         """Return the workers that would match but for their quarantine."""
         return [
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -18,16 +18,16 @@
     FirstStartLimiter,
     sort_steps,
     overdue_steps,
-    restarting_services,
+    sort_tasks,
 )
 from gentianpulley.cluster.task_placement import (
     RankedWorkers,
+    PlaceableWorkers,
     PlacementContext,
-    acceptable_workers,
-    eligible_workers,
     is_busy,
     is_starving,
     feasible_workers,
+    placeable_workers,
 )
 from gentianpulley.cluster.plan_report import (
     PlanReport,
@@ -119,33 +119,26 @@
         self, overdue: list[StepRun], view: PlacementContext
     ) -> None:
         """Hold workers for overdue restarts that have found no capacity."""
-        released = self._holds.renew(
-            overdue,
-            self.workers,
-            lambda step: acceptable_workers(step, view),
-            view.now_ms,
-        )
-        for worker in released:
+        for worker in self._holds.renew(
+            overdue, PlaceableWorkers(view), view.now_ms
+        ):
             self._unplaceable.mark_worker_changed(worker)
 
     def _place_others(
         self, steps: list[StepRun], view: PlacementContext
     ) -> list[StartOrder]:
         """Place everything but overdue restarts, in order of priority."""
-        restarting = restarting_services(steps, view.now_ms)
-        orders = self._place_overdue_first_start(
-            [step for step in steps if _service_of(step) not in restarting],
-            view,
-        )
-        for step in sort_steps(steps, view.now_ms):
-            if step.overdue_restarts(view.now_ms):
+        others = [
+            step for step in steps if not step.overdue_restarts(view.now_ms)
+        ]
+        orders = self._place_overdue_first_start(others, view)
+        for group in sort_tasks(others, view.now_ms):
+            if group.is_new and group.step.waiting_restarts:
+                # Its restarts have just found no capacity of the same size.
                 continue
-            indexes = set(step.waiting)
-            if step.spec.is_endless and _service_of(step) in restarting:
-                indexes = step.waiting_restarts
-                self._waits.record(step, WaitReason.RESTARTS_FIRST)
+            indexes = group.indexes & group.step.waiting
             if indexes:
-                orders.extend(self._try_step(step, indexes, view))
+                orders.extend(self._try_step(group.step, indexes, view))
         return orders
 
     def _view(self, now_ms: int) -> PlacementContext:
@@ -172,16 +165,25 @@
     def _place_overdue_first_start(
         self, steps: list[StepRun], view: PlacementContext
     ) -> list[StartOrder]:
-        """Place one new long-running task whose first start is overdue."""
-        for step in sort_steps(
-            self._first_starts.eligible_steps(steps, view.now_ms), view.now_ms
-        ):
+        """Place one new long-running task whose first start is overdue.
+
+        Restarts go before it, as it would not release their capacity.
+        """
+        eligible = self._first_starts.eligible_steps(steps, view.now_ms)
+        if not eligible:
+            return []
+        orders: list[StartOrder] = []
+        for waiter in sort_steps(steps, view.now_ms):
+            if waiter.waiting_restarts:
+                restarts = waiter.waiting_restarts
+                orders.extend(self._try_step(waiter, restarts, view))
+        for step in sort_steps(eligible, view.now_ms):
             overdue = step.overdue_first_starts(view.now_ms)
-            orders = self._try_step(step, overdue, view)
-            if orders:
+            started = self._try_step(step, overdue, view)
+            if started:
                 self._first_starts.record_start(view.now_ms)
-                return orders
-        return []
+                return orders + started
+        return orders
 
     def _try_step(
         self,
@@ -209,7 +211,7 @@
     def _place_step(
         self, step: StepRun, indexes: set[int], view: PlacementContext
     ) -> list[StartOrder]:
-        allowed = eligible_workers(step, view)
+        allowed = placeable_workers(step, view)
         ranked = RankedWorkers(allowed, step, view)
         if step.spec.is_gang:
             orders = self._place_gang(step, ranked, view)
@@ -289,6 +291,7 @@
             key, step.spec, view.now_ms
         ).latest_finish_ms = step.latest_finish_ms
         self._unplaceable.mark_worker_changed(worker)
+        self._holds.release(worker)
         step.place(task, worker.worker_id, run)
         order = StartOrder(
             worker.worker_id,
@@ -308,10 +311,6 @@
     return WaitReason.NO_WORKER
 
 
-def _service_of(step: StepRun) -> str:
-    return step.job.spec.policy.service
-
-
 def _is_advised(job: Job) -> bool:
     return job.spec.policy.advice is not None
 
--- a/src/gentianpulley/cluster/step_ordering.py
+++ b/src/gentianpulley/cluster/step_ordering.py
@@ -8,6 +8,8 @@
 """
 
 import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Final
 
 from gentianpulley.jobs.job import StepRun
@@ -21,6 +23,16 @@
 long-running tasks that go before other work, as many may arrive at once."""
 
 SortKey = tuple[int, bool, int, bool, int]
+GroupKey = tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TaskGroup:
+    """Waiting tasks of a step; `is_new` if they have never run."""
+
+    step: StepRun
+    indexes: set[int]
+    is_new: bool
 
 
 class DeadlineClass(enum.IntEnum):
@@ -68,19 +80,6 @@
     return [steps[index] for _, index in sorted(deadlines)]
 
 
-def restarting_services(steps: list[StepRun], now_ms: int) -> frozenset[str]:
-    """Return the services with restarts that wait and are not overdue.
-
-    First starts of long-running tasks wait meanwhile: they would take the
-    capacity that a task has left, and not release it.
-    """
-    return frozenset(
-        step.job.spec.policy.service
-        for step in steps
-        if step.waiting_restarts - step.overdue_restarts(now_ms)
-    )
-
-
 class FirstStartLimiter:
     """Rate limiter for first starts of long-running tasks.
 
@@ -105,6 +104,29 @@
         self._next_ms = now_ms + FIRST_START_INTERVAL_MS
 
 
+def sort_tasks(steps: list[StepRun], now_ms: int) -> list[TaskGroup]:
+    """Return the waiting tasks of steps in placement order.
+
+    Long-running tasks that have run before precede new ones: those would take
+    the capacity that a task has left, and not release it.
+    """
+    groups = [group for step in steps for group in _groups_of(step)]
+    return sorted(groups, key=lambda group: _group_key(group, now_ms))
+
+
+def _groups_of(step: StepRun) -> Iterator[TaskGroup]:
+    restarts = step.waiting_restarts
+    if restarts:
+        yield TaskGroup(step, restarts, is_new=False)
+    if len(step.waiting) > len(restarts):
+        yield TaskGroup(step, step.waiting - restarts, is_new=True)
+
+
+def _group_key(group: TaskGroup, now_ms: int) -> GroupKey:
+    priority, is_endless, *others = sort_key(group.step, now_ms)
+    return (priority, is_endless, group.is_new, *others)
+
+
 def sort_steps(steps: list[StepRun], now_ms: int) -> list[StepRun]:
     """Return the steps in placement order."""
     return sorted(steps, key=lambda step: sort_key(step, now_ms))
--- a/src/gentianpulley/cluster/task_placement.py
+++ b/src/gentianpulley/cluster/task_placement.py
@@ -12,7 +12,10 @@
 from typing import Final
 
 from gentianpulley.cluster.advice import TicketCache
-from gentianpulley.cluster.capacity_holds import CapacityHolds
+from gentianpulley.cluster.capacity_holds import (
+    CapacityHolds,
+    HoldableWorkers,
+)
 from gentianpulley.cluster.interference import InterferenceModel
 from gentianpulley.cluster.interference_risk import is_interference_excessive
 from gentianpulley.cluster.schedulable_workers import (
@@ -83,6 +86,15 @@
     is_busy: bool = False
     holds: CapacityHolds = field(default_factory=CapacityHolds)
 
+    def is_held_from(self, worker: Worker, step: StepRun) -> bool:
+        """Return whether a worker is held for overdue restarts of others.
+
+        Any overdue restart may use what is free on a held worker.
+        """
+        return self.holds.is_held(worker) and not step.overdue_restarts(
+            self.now_ms
+        )
+
     def ticket(self, step: StepRun, worker: Worker) -> str:
         """Return the ticket for a start, empty if none is needed or cached."""
         if step.job.spec.policy.advice is None:
@@ -92,33 +104,62 @@
 
 def eligible_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
     """Return the workers to which a task of the step may be sent now."""
+    return _with_tickets(feasible_workers(step, view), step, view)
+
+
+def placeable_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
+    """Return the eligible workers, and quarantined ones for a starving step.
+
+    No other worker may have its label or capacity for as long as failures
+    prolong the quarantine.
+    """
     allowed = feasible_workers(step, view)
+    if is_starving(step, view):
+        allowed = allowed + view.workers.quarantined(
+            step.job.spec.policy.service, step.spec.required_label
+        )
+    return _with_tickets(allowed, step, view)
+
+
+def _with_tickets(
+    workers: list[Worker], step: StepRun, view: PlacementContext
+) -> list[Worker]:
+    """Return the workers for which the step needs or has a ticket."""
     if step.job.spec.policy.advice is None:
-        return allowed
-    return [worker for worker in allowed if view.ticket(step, worker)]
+        return workers
+    return [worker for worker in workers if view.ticket(step, worker)]
 
 
 def feasible_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
-    """Return the workers that could run the step, with or without a ticket.
-
-    A starving step may also go to a quarantined worker: no other may have its
-    label or capacity for as long as the quarantine is prolonged.
-    """
+    """Return the workers that could run the step, with or without a ticket."""
     service = step.job.spec.policy.service
-    label = step.spec.required_label
-    workers = view.workers.matching(service, label)
-    if is_starving(step, view):
-        return workers + view.workers.quarantined(service, label)
-    return workers
+    return view.workers.matching(service, step.spec.required_label)
+
+
+class PlaceableWorkers(HoldableWorkers):
+    """The workers that may be held, from the inputs of one plan."""
+
+    def __init__(self, view: PlacementContext) -> None:
+        """Use the workers of a plan."""
+        self._view = view
+
+    @property
+    def count(self) -> int:
+        """Return how many workers accept runs."""
+        return len(self._view.workers.workers)
 
+    def for_step(self, step: StepRun) -> list[Worker]:
+        """Return the workers for a task of a step, whatever is free there."""
+        return [
+            worker
+            for worker in placeable_workers(step, self._view)
+            if is_below_worker_limit(worker, step)
+        ]
 
-def acceptable_workers(step: StepRun, view: PlacementContext) -> list[Worker]:
-    """Return the workers for a task of the step, whatever is free there."""
-    return [
-        worker
-        for worker in eligible_workers(step, view)
-        if is_below_worker_limit(worker, step)
-    ]
+    def is_usable(self, worker: Worker, step: StepRun) -> bool:
+        """Return whether a task of a step may still be sent to a worker."""
+        is_open = self._view.workers.includes(worker)
+        return is_open and is_below_worker_limit(worker, step)
 
 
 class RankedWorkers:
@@ -187,7 +228,7 @@
 
     def _push(self, index: int, worker: Worker) -> None:
         """Add a worker with free capacity unless another rule excludes it."""
-        if self._view.holds.is_held_from(worker, self._step):
+        if self._view.is_held_from(worker, self._step):
             return
         if not is_below_worker_limit(worker, self._step):
             self._reasons.add(WaitReason.SPREAD)
@@ -271,7 +312,7 @@
 
     The worker must not be held for another step.
     """
-    if view.holds.is_held_from(worker, step):
+    if view.is_held_from(worker, step):
         return False
     return is_below_worker_limit(worker, step) and worker.has_room(step.spec)
 
--- a/src/gentianpulley/cluster/unplaceable_shapes.py
+++ b/src/gentianpulley/cluster/unplaceable_shapes.py
@@ -120,8 +120,7 @@
             matches_constraints(worker, service, spec.required_label)
             and is_interference_acceptable(worker, spec, view)
             for worker in self._changed_free_workers(spec, view.now_ms)
-            if worker.has_room(spec)
-            and not view.holds.is_held_from(worker, step)
+            if worker.has_room(spec) and not view.is_held_from(worker, step)
         )
 
     def _changed_free_workers(
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -10,8 +10,7 @@
 
     SHAPE_BLOCKED means that a step of the same shape fitted no worker in the
     same plan, so this one was not tried. LINK_SATURATED means that starts in
-    flight take up the leader's link, RESTARTS_FIRST that long-running tasks
-    that have run before wait for capacity.
+    flight take up the leader's link.
     """
 
     NO_ROOM = 'no_room'
@@ -22,7 +21,6 @@
     INHERITED = 'inherited'
     TICKET = 'ticket'
     LINK_SATURATED = 'link'
-    RESTARTS_FIRST = 'restarts'
 
 
 class WaitingSteps:
@@ -43,9 +41,12 @@
         self.reasons = {}
 
     def record(self, step: StepRun, reason: WaitReason) -> None:
-        """Record why tasks of a step keep waiting, if any do."""
+        """Record why tasks of a step keep waiting, if any do.
+
+        The first reason in a plan is kept: later ones only follow from it.
+        """
         if step.waiting:
             self.since_ms[step] = self._previous_since_ms.get(
                 step, self._now_ms
             )
-            self.reasons[step] = reason
+            self.reasons.setdefault(step, reason)
