Restart tasks at once whose lost starts can no longer arrive

What callers saw: LOST is possible. When a worker restarts, or another one answers at its address, a long-running task of it is withheld until the worker is back and answers a stop, or for 12.5 s, if one of the run's starts once got no reply, however long the run has been listed since.

Cause: `has_lost_start` was set for the rest of the run. A start arrives at most MAX_ORDER_DELAY_MS after it was sent.

The reservation now keeps until when a start without a reply may arrive, counted from when its reply was given up, which is not before it was sent. If the ended incarnation answered a poll sent later than that, every start had arrived there, so the next incarnation can hold none. A start that may still arrive withholds the task as before; so does a run that was never listed.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -31,7 +31,10 @@
     Reservation,
     Worker,
 )
-from gentianpulley.cluster.worker_lifecycle import WorkerLifecycle
+from gentianpulley.cluster.worker_lifecycle import (
+    MAX_ORDER_DELAY_MS,
+    WorkerLifecycle,
+)
 from gentianpulley.jobs.job import StepRun, Task, TaskPhase
 
 POLL_GRACE_MS: Final = 1000
@@ -77,6 +80,7 @@
         # longer, so whatever runs there ends within the lease granted now.
         self.grant_lease(worker)
         worker.last_contact_ms = now_ms
+        worker.answered_poll_ms = max(worker.answered_poll_ms, sent_ms)
         worker.unresponsive_since_ms = 0
         present = {row.key for row in listing.running}
         worker.foreign_runs &= present
@@ -209,7 +213,7 @@
     ) -> list[Order]:
         verdict = reply.verdict
         if verdict is StartVerdict.LOST:
-            reservation.has_lost_start = True
+            reservation.late_start_until_ms = now_ms + MAX_ORDER_DELAY_MS
             # Send the same run again: if the worker has it, it answers alike.
             return [order]
         if reservation.has_lost_start and verdict in INCONCLUSIVE_VERDICTS:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -34,11 +34,12 @@
 
     `confirmed_ms` is when the worker answered the start or listed the run, and
     `stop_confirmed_ms` when it answered a stop; zero means not yet.
-    `is_stopping` is set once a stop is ordered, `has_lost_start` once a start
-    got no reply, `is_listed` once this incarnation of the worker has listed
-    the run. `last_sent_ms` is when the start was last sent, `sent_worker_ms`
-    the latest time seen on the worker's clock by then. `sent_ms` is when the
-    start was ordered, `last_progress_ms` when progress last changed, and
+    `is_stopping` is set once a stop is ordered, `is_listed` once this
+    incarnation of the worker has listed the run. `late_start_until_ms` is until
+    when a start without a reply may still arrive, zero if each got one.
+    `last_sent_ms` is when the start was last sent, `sent_worker_ms` the latest
+    time seen on the worker's clock by then. `sent_ms` is when the start was
+    ordered, `last_progress_ms` when progress last changed, and
     `latest_finish_ms` when the run has to end at the latest for its job to be
     on time. `speed_percent` is the speed last ordered from the worker,
     `UNKNOWN_SPEED_PERCENT` if another sender ordered it, and
@@ -56,7 +57,7 @@
     confirmed_ms: int = 0
     stop_confirmed_ms: int = 0
     is_stopping: bool = False
-    has_lost_start: bool = False
+    late_start_until_ms: int = 0
     is_listed: bool = False
     last_sent_ms: int = 0
     sent_worker_ms: int = 0
@@ -93,13 +94,22 @@
         return not was_sent and not self.is_stopping
 
     @property
-    def may_start_late(self) -> bool:
+    def has_lost_start(self) -> bool:
+        """Return whether a start of the run got no reply."""
+        return self.late_start_until_ms > 0
+
+    def may_start_late(self, answered_poll_ms: int) -> bool:
         """Return whether the worker's next incarnation may hold the run.
 
-        A start without a reply may still arrive there, and one that was
-        accepted but never listed may have reached it already.
+        A start without a reply may still arrive there, unless this incarnation
+        answered a poll sent after the time for that. One that was accepted but
+        never listed may have reached the next incarnation already.
         """
-        return self.has_lost_start or not self.is_listed
+        if not self.is_listed:
+            return True
+        return self.has_lost_start and (
+            answered_poll_ms <= self.late_start_until_ms
+        )
 
     @property
     def processors_milli(self) -> int:
@@ -127,11 +137,12 @@
     `is_fenced` is set once this leader's token was answered with a listing, so
     that nothing of an earlier leader can start there any more. `is_registered`
     is set while the worker is in the directory, `is_leaving` when its machine
-    goes down for maintenance. `unresponsive_since_ms` is when a poll of it
-    first failed, zero while it answers, and `best_effort_paused_until_ms` until
-    when its best-effort tasks are suspended. `serving_margins` is None until
-    it is computed for the current runs, and `interference_limits_milli` holds,
-    by image, the processors from which another best-effort task interferes too
+    goes down for maintenance. `answered_poll_ms` is when the latest answered
+    poll was sent, `unresponsive_since_ms` when a poll first failed, zero while
+    the worker answers, and `best_effort_paused_until_ms` until when its
+    best-effort tasks are suspended. `serving_margins` is None until it is
+    computed for the current runs, and `interference_limits_milli` holds, by
+    image, the processors from which another best-effort task interferes too
     much; `state_version` increases when both are invalidated and with each run
     that is added or released.
     """
@@ -146,6 +157,7 @@
         self.is_leaving = False
         self.deregistered_ms = 0
         self.last_contact_ms = now_ms
+        self.answered_poll_ms = 0
         self.unresponsive_since_ms = 0
         self.last_end_number = 0
         self.acked_end_number = 0
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -78,7 +78,7 @@
         kept = [
             reservation
             for reservation in worker.reservations.values()
-            if reservation.may_start_late
+            if reservation.may_start_late(worker.answered_poll_ms)
         ]
         for reservation in kept:
             worker.release(reservation.key)
