Restart tasks whose worker restarted and has never answered since

What callers saw: LOST is possible. A task whose start may reach the next incarnation of its worker waited forever if that incarnation registered but answered no poll, also after it had left the directory. Each further restart of the worker withheld the task anew.

Cause: the start is handed to the next incarnation as a stop, and a lease counts as expired only once the worker's clock is known. The time for which a start can arrive was counted from the latest end of an incarnation.

A reservation now keeps until when its start may arrive, across incarnations. An incarnation that never answered was granted no lease, so nothing runs there later than the longest lease after that. Runs that are requeued because their starts cannot arrive any more are logged as `run_returned`.

--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -5,6 +5,7 @@
 before their tasks run anywhere else.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 from gentianpulley.cluster.cancellations import Cancellations
@@ -14,6 +15,7 @@
     WorkerRegistration,
 )
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
+from gentianpulley.cluster.timing import Timing
 from gentianpulley.cluster.worker import Reservation, Worker, create_worker
 from gentianpulley.logs import EventLog
 
@@ -83,6 +85,9 @@
         for reservation in kept:
             worker.release(reservation.key)
             reservation.sent_ms = now_ms
+            reservation.late_start_until_ms = (
+                reservation.late_start_until_ms or now_ms + MAX_ORDER_DELAY_MS
+            )
             self.mark_run_missing(reservation.key)
         if kept:
             self._unanswered_starts[worker_id] = kept
@@ -91,15 +96,16 @@
     def expire_leases(self, now_ms: int) -> None:
         """Requeue runs of workers whose leases are certain to have expired."""
         for worker in tuple(self.workers.values()):
-            if worker.reservations and worker.clock.has_lease_expired(now_ms):
+            if worker.reservations:
                 self._requeue_expired(worker, now_ms)
-                worker.is_fenced = False
             if not worker.reservations and _can_be_removed(
                 worker, self.term, now_ms
             ):
                 self.workers.pop(worker.worker_id, None)
         for worker_id, reservations in tuple(self._unanswered_starts.items()):
-            if now_ms > reservations[0].sent_ms + MAX_ORDER_DELAY_MS:
+            arrived_ms = reservations[0].sent_ms + MAX_ORDER_DELAY_MS
+            over_ms = _late_runs_until_ms(reservations, self.term.timing)
+            if now_ms > min(arrived_ms, over_ms):
                 self._requeue_unanswered(worker_id)
 
     def requeue_all(self, worker: Worker, reason: str) -> None:
@@ -134,7 +140,18 @@
         return self.withdraw_start(order)
 
     def _requeue_expired(self, worker: Worker, now_ms: int) -> None:
-        """Requeue runs whose leases have expired in every incarnation."""
+        """Requeue runs whose leases have expired in every incarnation.
+
+        An incarnation that has not answered yet has no lease but those of late
+        starts that arrived there.
+        """
+        if not worker.clock.seen_at_ms:
+            reservations = tuple(worker.reservations.values())
+            if now_ms > _late_runs_until_ms(reservations, self.term.timing):
+                self.requeue_all(worker, 'cannot run any more')
+        if not worker.clock.has_lease_expired(now_ms):
+            return
+        worker.is_fenced = False
         for key, reservation in tuple(worker.reservations.items()):
             run_ms = now_ms - reservation.last_sent_ms
             is_over = run_ms > self.term.timing.max_run_ms
@@ -152,12 +169,16 @@
         ):
             kept = worker.reserve(reservation.key, reservation.spec, now_ms)
             kept.is_stopping = True
+            kept.late_start_until_ms = reservation.late_start_until_ms
             orders.append(StopOrder(registration.worker_id, reservation.key))
         return orders
 
     def _requeue_unanswered(self, worker_id: str) -> None:
         """Requeue runs whose starts cannot arrive any more."""
         for reservation in self._unanswered_starts.pop(worker_id):
+            self.log.run_returned(
+                reservation.key, worker_id, 'cannot arrive any more'
+            )
             step = self.step_of(reservation.key.task_id)
             if step is None:
                 continue
@@ -182,6 +203,17 @@
         return orders
 
 
+def _late_runs_until_ms(
+    reservations: Iterable[Reservation], timing: Timing
+) -> int:
+    """Return until when starts that arrive late may run, wherever that is.
+
+    Each of them prolongs the lease of all runs of its worker.
+    """
+    arrival_ms = max(each.late_start_until_ms for each in reservations)
+    return arrival_ms + timing.max_run_ms
+
+
 def _can_be_removed(worker: Worker, term: LeaderTerm, now_ms: int) -> bool:
     """Return whether no leader can have a run on a worker that left."""
     if worker.is_registered:
--- a/tests/scheduling/test_lost_starts.py
+++ b/tests/scheduling/test_lost_starts.py
@@ -9,9 +9,12 @@
     StartVerdict,
 )
 from tests.scheduling.harness import (
+    START_MS,
+    TIMING,
     SchedulerHarness,
     create_harness,
     job,
+    registration,
     step,
 )
 
@@ -46,3 +49,27 @@
     harness.add_worker('w2')
     harness.scheduler.end_incarnation('w1', harness.at_ms)
     assert bool(harness.plan()) is is_placed
+
+
+@pytest.mark.parametrize('restarts', [1, 3])
+def test_a_worker_that_never_answers_again_does_not_keep_a_late_start(
+    restarts: int,
+) -> None:
+    """Each restart used to withhold the task anew, and without an answer of
+    the restarted worker it waited forever."""
+    harness, order = _create_harness_with_lost_start()
+    harness.add_worker('w2')
+    for number in range(restarts):
+        harness.scheduler.update_worker(
+            registration('w1', incarnation_ms=number + 2), harness.at_ms
+        )
+        harness.at_ms += 4000
+        harness.scheduler.expire_leases(harness.at_ms)
+        assert not harness.plan()
+    harness.at_ms = START_MS + MAX_ORDER_DELAY_MS + TIMING.max_run_ms
+    harness.scheduler.expire_leases(harness.at_ms)
+    assert not harness.plan()
+    harness.at_ms += 1
+    harness.scheduler.expire_leases(harness.at_ms)
+    (restart,) = harness.plan()
+    assert restart.key.task_id == order.key.task_id
