Release tasks from workers that answer polls but no orders

What callers saw: LOST is possible. A start without a reply was sent again to the same worker as long as that answered polls, and its task waited as long. Where the stop of such a run got no reply either, the task waited for that.

Cause: each sending renewed the time after which the run is stopped, and only the reply to a stop proved that the run cannot start.

The run is now stopped three seconds after its start was ordered, the time in which callers want it to run, and the worker counts as having failed. A start is refused from its own deadline on. So if a worker lists the run neither as running nor as ended, and its clock has passed the latest deadline sent by the last reply or time-out of a start, the run cannot start at that incarnation. While a start is in flight nothing is concluded. A start without a first time-out has three seconds from its sending, as before.

The tests failed before in three of four cases; the fourth (a start in flight keeps its task) holds both ways.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -41,8 +41,9 @@
 """How much later than its wait a poll is answered by a healthy worker."""
 
 UNCONFIRMED_START_TIMEOUT_MS: Final = 3000
-"""How long after its last sending a start without a reply is stopped, if the
-worker answers but does not list the run."""
+"""How long after its order a start without a reply is stopped, if the worker
+answers but does not list the run. Clusters require that a long-running task
+runs again within this time."""
 
 MAX_ENDS_PER_LISTING: Final = 500
 """Ends in one listing of a worker; a full listing may lack later ones."""
@@ -85,12 +86,11 @@
         present = {row.key for row in listing.running}
         worker.foreign_runs &= present
         orders = self._note_rows(worker, listing, now_ms)
-        orders.extend(
-            self.stop_uncertain_run(worker, reservation)
-            for reservation in _unconfirmed_starts(worker, sent_ms)
-        )
+        for reservation in _unconfirmed_starts(worker, sent_ms):
+            worker.record_failure(now_ms)
+            orders.append(self.stop_uncertain_run(worker, reservation))
         if len(listing.ended) < MAX_ENDS_PER_LISTING:
-            self._requeue_missing(worker, present, sent_ms)
+            self._requeue_missing(worker, listing, sent_ms)
         worker.is_fenced = True
         self.unseen_runs_until_ms.pop(worker.worker_id, None)
         if update_model(worker, self.interference, now_ms):
@@ -163,6 +163,7 @@
             return False
         reservation.last_sent_ms = now_ms
         reservation.sent_worker_ms = worker.clock.seen_worker_ms
+        reservation.start_deadline_worker_ms = 0
         return True
 
     def should_send_stop(self, order: StopOrder) -> bool:
@@ -212,6 +213,9 @@
         now_ms: int,
     ) -> list[Order]:
         verdict = reply.verdict
+        reservation.start_deadline_worker_ms = (
+            worker.clock.lease_deadline_worker_ms
+        )
         if verdict is StartVerdict.LOST:
             reservation.late_start_until_ms = now_ms + MAX_ORDER_DELAY_MS
             # Send the same run again: if the worker has it, it answers alike.
@@ -348,19 +352,25 @@
         return [stop]
 
     def _requeue_missing(
-        self, worker: Worker, present: set[RunKey], sent_ms: int
+        self, worker: Worker, listing: Listing, sent_ms: int
     ) -> None:
         """Requeue runs that the worker certainly does not have.
 
         The poll was sent after the start or the stop was answered, so a run
-        that is neither running nor among the ends was never there.
+        that is neither running nor among the ends was never there. Without an
+        answer, a start is refused from its deadline on.
         """
+        present = {row.key for row in listing.running}
         for key, reservation in tuple(worker.reservations.items()):
             answered_ms = (
                 reservation.stop_confirmed_ms or reservation.confirmed_ms
             )
-            if key not in present and 0 < answered_ms < sent_ms:
+            if key in present:
+                continue
+            if 0 < answered_ms < sent_ms:
                 self.requeue_run(worker, key, 'not listed')
+            elif reservation.is_too_late(listing.clock_worker_ms):
+                self.requeue_run(worker, key, 'too late to start')
 
     def _handle_refused_start(
         self,
@@ -426,13 +436,15 @@
 
 
 def _unconfirmed_starts(worker: Worker, sent_ms: int) -> list[Reservation]:
-    """Return the unconfirmed starts that are no longer sent."""
+    """Return the unconfirmed starts that should be stopped."""
     reservations = []
     for reservation in worker.reservations.values():
-        last_ms = max(reservation.sent_ms, reservation.last_sent_ms)
+        since_ms = reservation.sent_ms
+        if not reservation.has_lost_start:
+            since_ms = max(since_ms, reservation.last_sent_ms)
         is_pending = (
             not reservation.confirmed_ms and not reservation.is_stopping
         )
-        if is_pending and sent_ms > last_ms + UNCONFIRMED_START_TIMEOUT_MS:
+        if is_pending and sent_ms > since_ms + UNCONFIRMED_START_TIMEOUT_MS:
             reservations.append(reservation)
     return reservations
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -38,11 +38,12 @@
     incarnation of the worker has listed the run. `late_start_until_ms` is until
     when a start without a reply may still arrive, zero if each got one.
     `last_sent_ms` is when the start was last sent, `sent_worker_ms` the latest
-    time seen on the worker's clock by then. `sent_ms` is when the start was
-    ordered, `last_progress_ms` when progress last changed, and
-    `latest_finish_ms` when the run has to end at the latest for its job to be
-    on time. `speed_percent` is the speed last ordered from the worker,
-    `UNKNOWN_SPEED_PERCENT` if another sender ordered it, and
+    time seen on the worker's clock by then, and `start_deadline_worker_ms` when
+    the worker refuses all starts sent so far, on its clock; zero while one is
+    in flight. `sent_ms` is when the start was ordered, `last_progress_ms` when
+    progress last changed, and `latest_finish_ms` when the run has to end at the
+    latest for its job to be on time. `speed_percent` is the speed last ordered
+    from the worker, `UNKNOWN_SPEED_PERCENT` if another sender ordered it, and
     `target_speed_percent` the speed that the run should have;
     `throttled_since_ms` is when that became low, zero while it is not.
     `log_tail_bias` is the deviation of a latency-critical task's tail from the
@@ -61,6 +62,7 @@
     is_listed: bool = False
     last_sent_ms: int = 0
     sent_worker_ms: int = 0
+    start_deadline_worker_ms: int = 0
     progress_percent: int = 0
     last_progress_ms: int = 0
     speed_percent: int = FULL_PERCENT
@@ -93,6 +95,10 @@
         was_sent = self.last_sent_ms or self.confirmed_ms
         return not was_sent and not self.is_stopping
 
+    def is_too_late(self, clock_worker_ms: int) -> bool:
+        """Return whether no start sent so far can be carried out any more."""
+        return 0 < self.start_deadline_worker_ms < clock_worker_ms
+
     @property
     def has_lost_start(self) -> bool:
         """Return whether a start of the run got no reply."""
--- a/tests/scheduling/test_lost_starts.py
+++ b/tests/scheduling/test_lost_starts.py
@@ -2,11 +2,14 @@
 
 import pytest
 
+from gentianpulley.cluster.run_tracker import UNCONFIRMED_START_TIMEOUT_MS
+from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker_lifecycle import MAX_ORDER_DELAY_MS
 from gentianpulley.cluster.worker_protocol import (
     RunningRow,
     StartOrder,
     StartVerdict,
+    StopOrder,
 )
 from tests.scheduling.harness import (
     START_MS,
@@ -18,6 +21,8 @@
     step,
 )
 
+TICK_MS = 100
+
 
 def _create_harness_with_lost_start() -> tuple[SchedulerHarness, StartOrder]:
     """Return a long-running task whose start got no reply at first."""
@@ -73,3 +78,60 @@
     harness.scheduler.expire_leases(harness.at_ms)
     (restart,) = harness.plan()
     assert restart.key.task_id == order.key.task_id
+
+
+def _send_again_and_poll(
+    harness: SchedulerHarness, order: StartOrder
+) -> list[Order]:
+    """Lose the start again if it is sent; return the orders of a poll."""
+    if harness.scheduler.claim_start_send(order, harness.at_ms):
+        harness.answer(order, StartVerdict.LOST)
+    harness.at_ms += TICK_MS
+    return harness.report_listing('w1')
+
+
+@pytest.mark.parametrize('is_stop_answered', [True, False])
+def test_a_worker_that_answers_only_polls_does_not_keep_a_task(
+    *, is_stop_answered: bool
+) -> None:
+    """Each sending used to renew the time after which the run is stopped, and
+    a stop without a reply was sent again forever."""
+    harness, order = _create_harness_with_lost_start()
+    harness.add_worker('w2')
+    bound_ms = harness.at_ms + UNCONFIRMED_START_TIMEOUT_MS + 2 * TICK_MS
+    orders: list[Order] = []
+    while not orders and harness.at_ms <= bound_ms:
+        orders = _send_again_and_poll(harness, order)
+    assert orders == [StopOrder('w1', order.key)]
+    if is_stop_answered:
+        harness.scheduler.handle_stop_reply(
+            StopOrder('w1', order.key), harness.at_ms
+        )
+    else:
+        # The worker refuses a start once its clock has passed the lease that
+        # the start carried.
+        bound_ms += TIMING.lease_ms
+    while not harness.plan() and harness.at_ms <= bound_ms:
+        _send_again_and_poll(harness, order)
+    assert harness.task(order.key.task_id).worker_id == 'w2'
+
+
+def test_a_start_that_may_still_be_in_time_keeps_its_task() -> None:
+    harness, order = _create_harness_with_lost_start()
+    harness.add_worker('w2')
+    harness.at_ms += TIMING.lease_ms
+    harness.report_listing('w1')
+    assert not harness.plan()
+    harness.at_ms += 1
+    harness.report_listing('w1')
+    (restart,) = harness.plan()
+    assert restart.key.task_id == order.key.task_id
+
+
+def test_a_start_in_flight_keeps_its_task() -> None:
+    harness, order = _create_harness_with_lost_start()
+    harness.add_worker('w2')
+    assert harness.scheduler.claim_start_send(order, harness.at_ms)
+    harness.at_ms += TIMING.lease_ms + 1
+    harness.report_listing('w1')
+    assert not harness.plan()
