--- a/src/gentianpulley/cluster/capacity_holds.py
+++ b/src/gentianpulley/cluster/capacity_holds.py
@@ -7,7 +7,7 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import islice
 from operator import itemgetter
@@ -72,13 +72,10 @@
         self._holds: dict[str, _Hold] = {}
         self._next_search_ms: dict[StepRun, int] = {}
 
-    def __len__(self) -> int:
-        """Return how many workers are held."""
-        return len(self._holds)
-
-    def is_held(self, worker: Worker) -> bool:
-        """Return whether a worker is held."""
-        return worker.worker_id in self._holds
+    @property
+    def worker_ids(self) -> Collection[str]:
+        """Return the ids of the held workers."""
+        return self._holds.keys()
 
     def release(self, worker: Worker) -> None:
         """Release a worker that was given a restart."""
--- a/src/gentianpulley/cluster/schedulable_workers.py
+++ b/src/gentianpulley/cluster/schedulable_workers.py
@@ -33,15 +33,18 @@
         now_ms: int,
     ) -> None:
         """Select the accepting workers outside closed failure domains."""
-        self.workers: list[Worker] = []
-        self._quarantined: list[Worker] = []
-        for worker in workers:
-            if worker.registration.failure_domain in closed_domains:
-                continue
-            if worker.accepts_runs(now_ms):
-                self.workers.append(worker)
-            elif is_only_quarantined(worker, now_ms):
-                self._quarantined.append(worker)
+        self.workers = [
+            worker
+            for worker in workers
+            if worker.accepts_runs(now_ms)
+            and worker.registration.failure_domain not in closed_domains
+        ]
+        self._quarantined = [
+            worker
+            for worker in workers
+            if is_only_quarantined(worker, now_ms)
+            and worker.registration.failure_domain not in closed_domains
+        ]
         self._now_ms = now_ms
         self._matching_workers: dict[tuple[str, str], list[Worker]] = {}
         self._headroom: dict[tuple[str, str], list[_Headroom]] = {}
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -16,6 +16,7 @@
 from gentianpulley.cluster.schedulable_workers import SchedulableWorkers
 from gentianpulley.cluster.step_ordering import (
     FirstStartLimiter,
+    WorkKind,
     sort_steps,
     overdue_steps,
     sort_tasks,
@@ -88,7 +89,9 @@
 
     def create_report(self, now_ms: int) -> PlanReport:
         """Return a report on the state after the latest plan."""
-        return create_plan_report(self, self._waits, len(self._holds), now_ms)
+        return create_plan_report(
+            self, self._waits, len(self._holds.worker_ids), now_ms
+        )
 
     def plan_migrations(self, now_ms: int) -> list[StopOrder]:
         """Return the stops of tasks that should migrate to other workers."""
@@ -133,12 +136,13 @@
         ]
         orders = self._place_overdue_first_start(others, view)
         for group in sort_tasks(others, view.now_ms):
-            if group.is_new and group.step.waiting_restarts:
+            step = group.step
+            if group.kind is WorkKind.FIRST_START and step.waiting_restarts:
                 # Its restarts have just found no capacity of the same size.
                 continue
-            indexes = group.indexes & group.step.waiting
+            indexes = group.indexes & step.waiting
             if indexes:
-                orders.extend(self._try_step(group.step, indexes, view))
+                orders.extend(self._try_step(step, indexes, view))
         return orders
 
     def _view(self, now_ms: int) -> PlacementContext:
@@ -173,10 +177,10 @@
         if not eligible:
             return []
         orders: list[StartOrder] = []
-        for waiter in sort_steps(steps, view.now_ms):
-            if waiter.waiting_restarts:
-                restarts = waiter.waiting_restarts
-                orders.extend(self._try_step(waiter, restarts, view))
+        restarting = [step for step in steps if step.waiting_restarts]
+        for waiter in sort_steps(restarting, view.now_ms):
+            restarts = waiter.waiting_restarts
+            orders.extend(self._try_step(waiter, restarts, view))
         for step in sort_steps(eligible, view.now_ms):
             overdue = step.overdue_first_starts(view.now_ms)
             started = self._try_step(step, overdue, view)
--- a/src/gentianpulley/cluster/step_ordering.py
+++ b/src/gentianpulley/cluster/step_ordering.py
@@ -9,8 +9,7 @@
 
 import enum
 from collections.abc import Iterator
-from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from gentianpulley.jobs.job import StepRun
 
@@ -22,17 +21,23 @@
 """Minimum interval, across the whole cluster, between two first starts of
 long-running tasks that go before other work, as many may arrive at once."""
 
-SortKey = tuple[int, bool, int, bool, int]
-GroupKey = tuple[int, ...]
+SortKey = tuple[int, int, int, bool, int]
 
 
-@dataclass(frozen=True, slots=True)
-class TaskGroup:
-    """Waiting tasks of a step; `is_new` if they have never run."""
+class WorkKind(enum.IntEnum):
+    """Kinds of work, in the order of placement within a priority."""
+
+    BATCH = 0
+    RESTART = 1
+    FIRST_START = 2
+
+
+class TaskGroup(NamedTuple):
+    """Waiting tasks of one kind of a step."""
 
     step: StepRun
     indexes: set[int]
-    is_new: bool
+    kind: WorkKind
 
 
 class DeadlineClass(enum.IntEnum):
@@ -55,11 +60,11 @@
     return DeadlineClass.LATE if ends_ms <= last_ms else DeadlineClass.EXPIRED
 
 
-def sort_key(step: StepRun, now_ms: int) -> SortKey:
-    """Return the sort key of a waiting step; the smallest goes first."""
+def sort_key(step: StepRun, kind: WorkKind, now_ms: int) -> SortKey:
+    """Return the sort key of a step's tasks; the smallest goes first."""
     return (
         step.job.spec.policy.priority,
-        step.spec.is_endless,
+        kind,
         deadline_class(step, now_ms),
         not step.spec.after,
         step.objective_ms,
@@ -110,23 +115,31 @@
     Long-running tasks that have run before precede new ones: those would take
     the capacity that a task has left, and not release it.
     """
-    groups = [group for step in steps for group in _groups_of(step)]
-    return sorted(groups, key=lambda group: _group_key(group, now_ms))
+    groups: list[TaskGroup] = []
+    for step in steps:
+        if step.spec.is_endless:
+            groups.extend(_groups_of(step))
+        else:
+            groups.append(TaskGroup(step, step.waiting, WorkKind.BATCH))
+    return sorted(
+        groups, key=lambda group: sort_key(group.step, group.kind, now_ms)
+    )
 
 
 def _groups_of(step: StepRun) -> Iterator[TaskGroup]:
     restarts = step.waiting_restarts
     if restarts:
-        yield TaskGroup(step, restarts, is_new=False)
+        yield TaskGroup(step, restarts, WorkKind.RESTART)
     if len(step.waiting) > len(restarts):
-        yield TaskGroup(step, step.waiting - restarts, is_new=True)
-
-
-def _group_key(group: TaskGroup, now_ms: int) -> GroupKey:
-    priority, is_endless, *others = sort_key(group.step, now_ms)
-    return (priority, is_endless, group.is_new, *others)
+        yield TaskGroup(step, step.waiting - restarts, WorkKind.FIRST_START)
 
 
 def sort_steps(steps: list[StepRun], now_ms: int) -> list[StepRun]:
     """Return the steps in placement order."""
-    return sorted(steps, key=lambda step: sort_key(step, now_ms))
+    return sorted(
+        steps, key=lambda step: sort_key(step, _kind_of(step), now_ms)
+    )
+
+
+def _kind_of(step: StepRun) -> WorkKind:
+    return WorkKind.FIRST_START if step.spec.is_endless else WorkKind.BATCH
--- a/src/gentianpulley/cluster/task_placement.py
+++ b/src/gentianpulley/cluster/task_placement.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -86,14 +86,14 @@
     is_busy: bool = False
     holds: CapacityHolds = field(default_factory=CapacityHolds)
 
-    def is_held_from(self, worker: Worker, step: StepRun) -> bool:
-        """Return whether a worker is held for overdue restarts of others.
+    def held_ids(self, step: StepRun) -> Collection[str]:
+        """Return the workers that are held for overdue restarts of others.
 
         Any overdue restart may use what is free on a held worker.
         """
-        return self.holds.is_held(worker) and not step.overdue_restarts(
-            self.now_ms
-        )
+        if step.overdue_restarts(self.now_ms):
+            return ()
+        return self.holds.worker_ids
 
     def ticket(self, step: StepRun, worker: Worker) -> str:
         """Return the ticket for a start, empty if none is needed or cached."""
@@ -176,6 +176,7 @@
         self._step = step
         self._view = view
         self._is_starving = is_starving(step, view)
+        self._held_ids = view.held_ids(step)
         self._rack = preferred_rack(step, allowed)
         self._heap: list[tuple[float, int, Worker]] = []
         self._last_popped: tuple[float, int, Worker] | None = None
@@ -228,7 +229,7 @@
 
     def _push(self, index: int, worker: Worker) -> None:
         """Add a worker with free capacity unless another rule excludes it."""
-        if self._view.is_held_from(worker, self._step):
+        if self._held_ids and worker.worker_id in self._held_ids:
             return
         if not is_below_worker_limit(worker, self._step):
             self._reasons.add(WaitReason.SPREAD)
@@ -312,7 +313,7 @@
 
     The worker must not be held for another step.
     """
-    if view.is_held_from(worker, step):
+    if worker.worker_id in view.held_ids(step):
         return False
     return is_below_worker_limit(worker, step) and worker.has_room(step.spec)
 
--- a/src/gentianpulley/cluster/unplaceable_shapes.py
+++ b/src/gentianpulley/cluster/unplaceable_shapes.py
@@ -116,11 +116,12 @@
         """Return whether a changed worker can take a task of the step."""
         spec = step.spec
         service = step.job.spec.policy.service
+        held_ids = view.held_ids(step)
         return any(
             matches_constraints(worker, service, spec.required_label)
             and is_interference_acceptable(worker, spec, view)
             for worker in self._changed_free_workers(spec, view.now_ms)
-            if worker.has_room(spec) and not view.is_held_from(worker, step)
+            if worker.has_room(spec) and worker.worker_id not in held_ids
         )
 
     def _changed_free_workers(
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -221,8 +221,11 @@
 
     def accepts_runs(self, now_ms: int) -> bool:
         """Return whether new runs may be sent there."""
-        is_quarantined = now_ms < self.quarantined_until_ms
-        return _is_ready(self, now_ms) and not is_quarantined
+        if self.is_closing or self.unresponsive_since_ms or self.foreign_runs:
+            return False
+        closed_until_ms = max(self.quarantined_until_ms, self.backoff_until_ms)
+        is_known = self.is_fenced and self.is_registered
+        return is_known and now_ms >= closed_until_ms
 
     def has_room(self, spec: StepSpec) -> bool:
         """Return whether one more task of a step fits the declared capacity."""
@@ -335,14 +338,7 @@
 
 def is_only_quarantined(worker: Worker, now_ms: int) -> bool:
     """Return whether only its quarantine keeps runs from being sent there."""
-    is_quarantined = now_ms < worker.quarantined_until_ms
-    return _is_ready(worker, now_ms) and is_quarantined
-
-
-def _is_ready(worker: Worker, now_ms: int) -> bool:
-    """Return whether runs could be sent there but for a quarantine."""
-    if worker.is_closing or worker.unresponsive_since_ms:
-        return False
-    if worker.foreign_runs or now_ms < worker.backoff_until_ms:
+    quarantined_until_ms = worker.quarantined_until_ms
+    if now_ms >= quarantined_until_ms or now_ms < worker.backoff_until_ms:
         return False
-    return worker.is_fenced and worker.is_registered
+    return worker.accepts_runs(quarantined_until_ms)
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -96,7 +96,7 @@
     def expire_leases(self, now_ms: int) -> None:
         """Requeue runs of workers whose leases are certain to have expired."""
         for worker in tuple(self.workers.values()):
-            if worker.reservations:
+            if worker.reservations and _may_have_expired(worker, now_ms):
                 self._requeue_expired(worker, now_ms)
             if not worker.reservations and _can_be_removed(
                 worker, self.term, now_ms
@@ -203,6 +203,12 @@
         return orders
 
 
+def _may_have_expired(worker: Worker, now_ms: int) -> bool:
+    """Return whether a worker's lease has expired or was never granted."""
+    clock = worker.clock
+    return not clock.seen_at_ms or clock.has_lease_expired(now_ms)
+
+
 def _late_runs_until_ms(
     reservations: Iterable[Reservation], timing: Timing
 ) -> int:
