--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -34,14 +34,16 @@
 
     `confirmed_ms` is when the worker answered the start or listed the run, and
     `stop_confirmed_ms` when it answered a stop; zero means not yet.
-    `is_stopping` is set once a stop is ordered, `has_lost_start` once a start
-    got no reply, `is_listed` once this incarnation of the worker has listed
-    the run. `last_sent_ms` is when the start was last sent, `sent_worker_ms`
-    the latest time seen on the worker's clock by then. `sent_ms` is when the
-    start was ordered, `last_progress_ms` when progress last changed, and
-    `latest_finish_ms` when the run has to end at the latest for its job to be
-    on time. `speed_percent` is the speed last ordered from the worker,
-    `UNKNOWN_SPEED_PERCENT` if another sender ordered it, and
+    `is_stopping` is set once a stop is ordered, `is_listed` once this
+    incarnation of the worker has listed the run. `late_start_until_ms` is until
+    when a start without a reply may still arrive, zero if each got one.
+    `last_sent_ms` is when the start was last sent, `sent_worker_ms` the latest
+    time seen on the worker's clock by then, and `start_deadline_worker_ms` when
+    the worker refuses all starts sent so far, on its clock; zero while one is
+    in flight. `sent_ms` is when the start was ordered, `last_progress_ms` when
+    progress last changed, and `latest_finish_ms` when the run has to end at the
+    latest for its job to be on time. `speed_percent` is the speed last ordered
+    from the worker, `UNKNOWN_SPEED_PERCENT` if another sender ordered it, and
     `target_speed_percent` the speed that the run should have;
     `throttled_since_ms` is when that became low, zero while it is not.
     `log_tail_bias` is the deviation of a latency-critical task's tail from the
@@ -56,10 +58,11 @@
     confirmed_ms: int = 0
     stop_confirmed_ms: int = 0
     is_stopping: bool = False
-    has_lost_start: bool = False
+    late_start_until_ms: int = 0
     is_listed: bool = False
     last_sent_ms: int = 0
     sent_worker_ms: int = 0
+    start_deadline_worker_ms: int = 0
     progress_percent: int = 0
     last_progress_ms: int = 0
     speed_percent: int = FULL_PERCENT
@@ -92,14 +95,27 @@
         was_sent = self.last_sent_ms or self.confirmed_ms
         return not was_sent and not self.is_stopping
 
+    def is_too_late(self, clock_worker_ms: int) -> bool:
+        """Return whether no start sent so far can be carried out any more."""
+        return 0 < self.start_deadline_worker_ms < clock_worker_ms
+
     @property
-    def may_start_late(self) -> bool:
+    def has_lost_start(self) -> bool:
+        """Return whether a start of the run got no reply."""
+        return self.late_start_until_ms > 0
+
+    def may_start_late(self, answered_poll_ms: int) -> bool:
         """Return whether the worker's next incarnation may hold the run.
 
-        A start without a reply may still arrive there, and one that was
-        accepted but never listed may have reached it already.
+        A start without a reply may still arrive there, unless this incarnation
+        answered a poll sent after the time for that. One that was accepted but
+        never listed may have reached the next incarnation already.
         """
-        return self.has_lost_start or not self.is_listed
+        if not self.is_listed:
+            return True
+        return self.has_lost_start and (
+            answered_poll_ms <= self.late_start_until_ms
+        )
 
     @property
     def processors_milli(self) -> int:
@@ -127,12 +143,13 @@
     `is_fenced` is set once this leader's token was answered with a listing, so
     that nothing of an earlier leader can start there any more. `is_registered`
     is set while the worker is in the directory, `is_leaving` when its machine
-    goes down for maintenance. `unresponsive_since_ms` is when a poll of it
-    first failed, zero while it answers, and `best_effort_paused_until_ms` until
-    when its best-effort tasks are suspended. `quarantined_until_ms` follows
-    from failed runs, `backoff_until_ms` from a start that was refused or not
-    sent. `serving_margins` is None until it is computed for the current runs,
-    and `interference_limits_milli` holds, by image, the processors from which
+    goes down for maintenance. `answered_poll_ms` is when the latest answered
+    poll was sent, `unresponsive_since_ms` when a poll first failed, zero while
+    the worker answers, and `best_effort_paused_until_ms` until when its
+    best-effort tasks are suspended. `quarantined_until_ms` follows from failed
+    runs, `backoff_until_ms` from a start that was refused or not sent.
+    `serving_margins` is None until it is computed for the current runs, and
+    `interference_limits_milli` holds, by image, the processors from which
     another best-effort task interferes too much; `state_version` increases when
     both are invalidated and with each run that is added or released.
     """
@@ -147,6 +164,7 @@
         self.is_leaving = False
         self.deregistered_ms = 0
         self.last_contact_ms = now_ms
+        self.answered_poll_ms = 0
         self.unresponsive_since_ms = 0
         self.last_end_number = 0
         self.acked_end_number = 0
@@ -203,8 +221,11 @@
 
     def accepts_runs(self, now_ms: int) -> bool:
         """Return whether new runs may be sent there."""
-        is_quarantined = now_ms < self.quarantined_until_ms
-        return _is_ready(self, now_ms) and not is_quarantined
+        if self.is_closing or self.unresponsive_since_ms or self.foreign_runs:
+            return False
+        closed_until_ms = max(self.quarantined_until_ms, self.backoff_until_ms)
+        is_known = self.is_fenced and self.is_registered
+        return is_known and now_ms >= closed_until_ms
 
     def has_room(self, spec: StepSpec) -> bool:
         """Return whether one more task of a step fits the declared capacity."""
@@ -317,14 +338,7 @@
 
 def is_only_quarantined(worker: Worker, now_ms: int) -> bool:
     """Return whether only its quarantine keeps runs from being sent there."""
-    is_quarantined = now_ms < worker.quarantined_until_ms
-    return _is_ready(worker, now_ms) and is_quarantined
-
-
-def _is_ready(worker: Worker, now_ms: int) -> bool:
-    """Return whether runs could be sent there but for a quarantine."""
-    if worker.is_closing or worker.unresponsive_since_ms:
-        return False
-    if worker.foreign_runs or now_ms < worker.backoff_until_ms:
+    quarantined_until_ms = worker.quarantined_until_ms
+    if now_ms >= quarantined_until_ms or now_ms < worker.backoff_until_ms:
         return False
-    return worker.is_fenced and worker.is_registered
+    return worker.accepts_runs(quarantined_until_ms)
