Place nothing on workers while a start there gets no reply

What callers saw: tasks wait for seconds. A worker that answered polls but no orders kept getting runs. They waited behind the start without a reply, were withdrawn after two seconds or more, and were often placed there again, as the worker looked the emptiest.

Cause: only a failed poll closed a worker to new runs.

A worker now accepts no runs from a start without a reply until it answers an order for that run, lists it, or the run is released. Plan reports count such workers as `unanswered`; the table of conditions has one more case.

The test failed before (the second task was placed on the first worker).

--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -78,6 +78,7 @@
         ('unlisted', not worker.is_registered),
         ('unfenced', not worker.is_fenced),
         ('silent', worker.unresponsive_since_ms > 0),
+        ('unanswered', bool(worker.unanswered_starts)),
         ('quarantined', now_ms < worker.quarantined_until_ms),
         ('foreign_runs', bool(worker.foreign_runs)),
         ('resting', now_ms < worker.best_effort_paused_until_ms),
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -131,6 +131,7 @@
             reservation.stop_confirmed_ms = (
                 reservation.stop_confirmed_ms or now_ms
             )
+            self.workers[order.worker_id].unanswered_starts.discard(order.key)
 
     def handle_pace_reply(self, order: PaceOrder) -> None:
         """Record the reply to a change of speed."""
@@ -217,9 +218,11 @@
             worker.clock.lease_deadline_worker_ms
         )
         if verdict is StartVerdict.LOST:
-            reservation.late_start_until_ms = now_ms + MAX_ORDER_DELAY_MS
+            _record_lost_start(worker, reservation, now_ms)
             # Send the same run again: if the worker has it, it answers alike.
             return [order]
+        if verdict is not StartVerdict.NOT_SENT:
+            worker.unanswered_starts.discard(order.key)
         if reservation.has_lost_start and verdict in INCONCLUSIVE_VERDICTS:
             return self._handle_inconclusive_refusal(
                 worker, reservation, order, reply, now_ms
@@ -317,6 +320,7 @@
             or row.checkpoint != reservation.checkpoint
         ):
             self.update_checkpoint(reservation, row.checkpoint)
+        worker.unanswered_starts.discard(row.key)
         reservation.confirmed_ms = reservation.confirmed_ms or now_ms
         reservation.is_listed = True
         reservation.measurement = row.measurement
@@ -411,6 +415,14 @@
     return 0 < reply.clock_worker_ms < reservation.sent_worker_ms
 
 
+def _record_lost_start(
+    worker: Worker, reservation: Reservation, now_ms: int
+) -> None:
+    reservation.late_start_until_ms = now_ms + MAX_ORDER_DELAY_MS
+    if not reservation.confirmed_ms:
+        worker.unanswered_starts.add(reservation.key)
+
+
 def _back_off(worker: Worker, verdict: StartVerdict, now_ms: int) -> None:
     """Send no runs to a worker for a while after it did not start one."""
     if verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -150,7 +150,8 @@
     computed for the current runs, and `interference_limits_milli` holds, by
     image, the processors from which another best-effort task interferes too
     much; `state_version` increases when both are invalidated and with each run
-    that is added or released.
+    that is added or released. `unanswered_starts` are runs whose starts got no
+    reply since the worker last answered an order for them or listed them.
     """
 
     def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
@@ -184,6 +185,7 @@
         self.interference_limits_milli: dict[str, int] = {}
         self.state_version = 0
         self.foreign_runs: set[RunKey] = set()
+        self.unanswered_starts: set[RunKey] = set()
         self.unacked_ends: deque[tuple[int, int]] = deque()
 
     @property
@@ -218,12 +220,18 @@
         )
 
     def accepts_runs(self, now_ms: int) -> bool:
-        """Return whether new runs may be sent there."""
+        """Return whether new runs may be sent there.
+
+        Orders are sent one by one, so runs would wait behind a start that gets
+        no reply.
+        """
         is_ready = (
             self.is_fenced and self.is_registered and not self.foreign_runs
         )
         if self.is_closing or self.unresponsive_since_ms:
             return False
+        if self.unanswered_starts:
+            return False
         return is_ready and now_ms >= self.quarantined_until_ms
 
     def has_room(self, spec: StepSpec) -> bool:
@@ -283,6 +291,7 @@
 
     def release(self, key: RunKey) -> Reservation | None:
         """Release what a run held, once it cannot run any more."""
+        self.unanswered_starts.discard(key)
         released = self.reservations.pop(key, None)
         if released is not None:
             self._update_totals(released, -1)
--- a/tests/scheduling/test_lost_starts.py
+++ b/tests/scheduling/test_lost_starts.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from gentianpulley.cluster.run_tracker import UNCONFIRMED_START_TIMEOUT_MS
+from gentianpulley.cluster.run_tracker import (
+    UNCONFIRMED_START_TIMEOUT_MS,
+    UNREACHABLE_BACKOFF_MS,
+)
 from gentianpulley.cluster.scheduler_state import Order
 from gentianpulley.cluster.worker_lifecycle import MAX_ORDER_DELAY_MS
 from gentianpulley.cluster.worker_protocol import (
@@ -135,3 +138,37 @@
     harness.at_ms += TIMING.lease_ms + 1
     harness.report_listing('w1')
     assert not harness.plan()
+
+
+def test_nothing_is_placed_behind_a_start_without_a_reply() -> None:
+    """Orders to a worker go one by one, so that a task placed there used to
+    wait for seconds before it was withdrawn, and was placed there again."""
+    harness, order = _create_harness_with_lost_start()
+    harness.scheduler.add_job(job(step(), job_id='b' * 16))
+    assert not harness.plan()
+    harness.add_worker('w2')
+    (elsewhere,) = harness.plan()
+    assert elsewhere.worker_id == 'w2'
+    assert harness.task(order.key.task_id).worker_id == 'w1'
+
+
+@pytest.mark.parametrize(
+    'resolution', ['accepted', 'listed', 'stopped', 'released']
+)
+def test_a_worker_gets_runs_again_once_its_lost_start_is_resolved(
+    resolution: str,
+) -> None:
+    harness, order = _create_harness_with_lost_start()
+    harness.scheduler.add_job(job(step(), job_id='b' * 16))
+    if resolution == 'accepted':
+        harness.answer(order, StartVerdict.ACCEPTED)
+    elif resolution == 'listed':
+        harness.report_listing('w1', (RunningRow(order.key, '', 100, 0),))
+    elif resolution == 'stopped':
+        stop = StopOrder('w1', order.key)
+        harness.scheduler.handle_stop_reply(stop, harness.at_ms)
+    else:
+        harness.answer(order, StartVerdict.TOO_LATE)
+        harness.at_ms += UNREACHABLE_BACKOFF_MS
+    started = {start.key.task_id.job_id for start in harness.plan()}
+    assert 'b' * 16 in started
--- a/tests/scheduling/test_plan_report.py
+++ b/tests/scheduling/test_plan_report.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from gentianpulley.cluster.worker_protocol import StartVerdict, StopOrder
+from gentianpulley.cluster.worker_protocol import (
+    RunKey,
+    StartVerdict,
+    StopOrder,
+)
 from gentianpulley.cluster.scheduler_service import (
     SchedulerService,
     OrderSink,
@@ -20,7 +24,7 @@
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.jobs.job import Job, create_job
-from gentianpulley.jobs.spec import AdvicePolicy, StepSpec
+from gentianpulley.jobs.spec import AdvicePolicy, StepSpec, TaskId
 from gentianpulley.logs import EventLog
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import (
@@ -162,6 +166,10 @@
     worker.unresponsive_since_ms = START_MS
 
 
+def _lose_start(worker: Worker) -> None:
+    worker.unanswered_starts.add(RunKey(TaskId('a' * 16, 0, 0, 0), 1))
+
+
 def _quarantine(worker: Worker) -> None:
     worker.quarantined_until_ms = START_MS + 1
 
@@ -181,6 +189,7 @@
 CONDITIONS: dict[str, Callable[[Worker], None]] = {
     'accepting': _leave_unchanged,
     'silent': _make_unresponsive,
+    'unanswered': _lose_start,
     'quarantined': _quarantine,
     'unfenced': _unfence,
     'draining': _drain,
