--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -152,6 +152,8 @@
     `interference_limits_milli` holds, by image, the processors from which
     another best-effort task interferes too much; `state_version` increases when
     both are invalidated and with each run that is added or released.
+    `unanswered_starts` are runs whose starts got no reply since the worker last
+    answered an order for them or listed them.
     """
 
     def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
@@ -186,6 +188,7 @@
         self.interference_limits_milli: dict[str, int] = {}
         self.state_version = 0
         self.foreign_runs: set[RunKey] = set()
+        self.unanswered_starts: set[RunKey] = set()
         self.unacked_ends: deque[tuple[int, int]] = deque()
 
     @property
@@ -220,9 +223,15 @@
         )
 
     def accepts_runs(self, now_ms: int) -> bool:
-        """Return whether new runs may be sent there."""
+        """Return whether new runs may be sent there.
+
+        Orders are sent one by one, so runs would wait behind a start that gets
+        no reply.
+        """
         if self.is_closing or self.unresponsive_since_ms or self.foreign_runs:
             return False
+        if self.unanswered_starts:
+            return False
         closed_until_ms = max(self.quarantined_until_ms, self.backoff_until_ms)
         is_known = self.is_fenced and self.is_registered
         return is_known and now_ms >= closed_until_ms
@@ -284,6 +293,7 @@
 
     def release(self, key: RunKey) -> Reservation | None:
         """Release what a run held, once it cannot run any more."""
+        self.unanswered_starts.discard(key)
         released = self.reservations.pop(key, None)
         if released is not None:
             self._update_totals(released, -1)
