Create records of jobs whose steps are replaced, not changed in place

In a leader, the write of records fails with an internal fault and is repeated after 0.2 s.

Cause: records are created by the saving thread without the lock of the scheduler service, while plans and workers' replies, under that lock, add steps of further occurrences and failed runs. The walk was a copy, `tuple(job.steps.values())`, which was held to be one operation of the interpreter. It is not: Python 3.11 may collect garbage when it allocates the tuple, after the iterator has noted the size of the dictionary. A collection runs callbacks, in which the other thread takes its turn. `tuple(task.failed_runs)` has the same fault. The property tests register such a callback once they have run in a lane.

Without the fix, test_a_record_is_created_while_ garbage_is_collected fails with the message that was seen (occurrence) and with "Set changed size during iteration" (failed_run).

Ruled out: catching the error, copying in another way (`dict.copy` allocates too), and creating records under the lock, which holds up plans and polls.

Why it works: what the saving thread walks through is never changed in place. The scheduler replaces the mapping of steps and the set of failed runs, so a walk sees the old or the new one. All occurrences that are due are added in one replacement.

--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -67,7 +68,7 @@
 
     task_id: TaskId
     phase: TaskPhase = TaskPhase.WAITING
-    failed_runs: set[int] = field(default_factory=set)
+    failed_runs: frozenset[int] = frozenset()
     checkpoint: str = ''
     run: int = 0
     worker_id: str = ''
@@ -249,6 +250,9 @@
     a task has started at some time. `idle_since_ms` is the time from which no
     task of the job runs although one could start; zero while one runs. The
     steps that may start are cached until a task or the state changes.
+
+    Only the scheduler changes a job, but records are created meanwhile. So
+    `steps` and `Task.failed_runs` are replaced, never changed in place.
     """
 
     def __init__(self, spec: JobSpec, *, is_inherited: bool = False) -> None:
@@ -262,7 +266,7 @@
         self.is_inherited = is_inherited
         self.is_dirty = False
         self.has_started = False
-        self.steps: dict[tuple[int, int], StepRun] = {}
+        self.steps: Mapping[tuple[int, int], StepRun] = {}
         self.idle_since_ms = 0
         self._created_count = 0
         self.create_due_occurrences(0)
@@ -284,20 +288,26 @@
     def create_due_occurrences(self, now_ms: int) -> None:
         """Create every occurrence that is due soon."""
         schedule = self.spec.schedule
-        while self._created_count < schedule.occurrence_count:
-            due = schedule.scheduled_start_ms(self._created_count)
-            if self._created_count and due > now_ms + schedule.interval_ms:
+        due_count = self._created_count
+        while due_count < schedule.occurrence_count:
+            due = schedule.scheduled_start_ms(due_count)
+            if due_count and due > now_ms + schedule.interval_ms:
                 break
-            self.create_occurrences_through(self._created_count)
+            due_count += 1
+        self.create_occurrences_through(due_count - 1)
 
     def create_occurrences_through(self, occurrence: int) -> None:
         """Create the tasks of all occurrences up to and including this one."""
-        while self._created_count <= occurrence:
-            for number, _ in enumerate(self.spec.steps):
-                key = (self._created_count, number)
-                self.steps[key] = StepRun(self, self._created_count, number)
-            self._created_count += 1
-            self.invalidate_ready_steps()
+        if occurrence < self._created_count:
+            return
+        created = {
+            (each, number): StepRun(self, each, number)
+            for each in range(self._created_count, occurrence + 1)
+            for number, _ in enumerate(self.spec.steps)
+        }
+        self.steps = {**self.steps, **created}
+        self._created_count = occurrence + 1
+        self.invalidate_ready_steps()
 
     def step_of(self, task_id: TaskId) -> StepRun | None:
         """Return the step of a task, or None if the job has no such task."""
@@ -332,7 +342,7 @@
             return
         if run in task.failed_runs:
             return
-        task.failed_runs.add(run)
+        task.failed_runs |= {run}
         task.excluded_workers.add(worker_id)
         self.is_dirty = True
         if self.state.is_final:
--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -89,7 +89,7 @@
 
 def _completed_tasks(job: Job) -> list[CompletedTasks]:
     completed = []
-    for step in tuple(job.steps.values()):
+    for step in job.steps.values():
         mask = sum(
             1 << task.task_id.ordinal
             for task in step.tasks
@@ -111,7 +111,7 @@
             tuple(task.failed_runs),
             task.checkpoint,
         )
-        for step in tuple(job.steps.values())
+        for step in job.steps.values()
         for task in step.tasks
         if task.phase is not TaskPhase.DONE
         and (task.failed_runs or task.checkpoint)
@@ -130,5 +130,5 @@
     step = job.step_of(task_id)
     if step is not None:
         task = step.tasks[trace.index]
-        task.failed_runs = set(trace.failed_runs)
+        task.failed_runs = frozenset(trace.failed_runs)
         task.checkpoint = trace.checkpoint
--- a/tests/scheduling/test_records.py
+++ b/tests/scheduling/test_records.py
@@ -1,8 +1,10 @@
 """Records are created while the scheduler changes their jobs."""
 
+import gc
 import sys
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -14,6 +16,9 @@
 OCCURRENCES = 100
 JOBS = 50
 SWITCH_S = 1e-6
+MAX_ATTEMPTS = 1000
+
+Change = Callable[[Job, int], None]
 
 
 @pytest.fixture(autouse=True)
@@ -45,3 +50,53 @@
         creating.start()
         while creating.is_alive():
             assert create_record(shared_job, START_MS).state is JobState.QUEUED
+
+
+def _create_occurrence(shared_job: Job, number: int) -> None:
+    shared_job.create_occurrences_through(number)
+
+
+def _record_failure(shared_job: Job, number: int) -> None:
+    first = shared_job.steps[(0, 0)]
+    shared_job.record_failure(first, first.tasks[0], number, 'w')
+
+
+CHANGES: dict[str, Change] = {
+    'occurrence': _create_occurrence,
+    'failed_run': _record_failure,
+}
+
+
+@contextmanager
+def _changing_at_collections(change: Callable[[], None]) -> Iterator[None]:
+    """Collect garbage as often as possible, and make a change each time."""
+
+    def make_change(phase: str, _: dict[str, int]) -> None:
+        if phase == 'start':
+            change()
+
+    thresholds = gc.get_threshold()
+    gc.callbacks.append(make_change)
+    gc.set_threshold(1)
+    try:
+        yield
+    finally:
+        gc.set_threshold(*thresholds)
+        gc.callbacks.remove(make_change)
+
+
+@pytest.mark.parametrize('change', CHANGES.values(), ids=CHANGES)
+def test_a_record_is_created_while_garbage_is_collected(change: Change) -> None:
+    """A collection runs callbacks, in which other threads take their turn."""
+    shared_job = job(
+        step(4),
+        schedule=Schedule(START_MS, 1000, OCCURRENCES),
+        max_attempts=MAX_ATTEMPTS,
+    )
+    numbers = iter(range(1, OCCURRENCES))
+    with _changing_at_collections(lambda: change(shared_job, next(numbers, 1))):
+        records = [
+            create_record(shared_job, START_MS) for _ in range(OCCURRENCES)
+        ]
+    assert next(numbers, None) is None
+    assert {record.state for record in records} == {JobState.QUEUED}
--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -190,7 +190,7 @@
     wide_job = job(step(width), job_id=job_id)
     for task in wide_job.steps[(0, 0)].tasks:
         task.checkpoint = f'{task.task_id.ordinal:016x}'
-        task.failed_runs.add(1)
+        task.failed_runs = frozenset((1,))
     return wide_job
 
 
