Read the state of a job once for its record

A record could say that a job had completed at time zero. A next leader takes such an end for old and deletes the job, so a caller gets 'gone' for a job that has just ended. It takes the death of the leader within the 25 ms until the record is written again.

Cause: the saving thread read the state twice, without the lock. A job that ended in between was final in its record, without the time of its end.

Why it works: with one read, the record is the one before the end, and the job is dirty again, so the next write has the end with its time.

--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -49,13 +49,14 @@
 def create_record(job: Job, now_ms: int) -> JobRecord:
     """Return the record of a job's current state.
 
-    Other threads may change the job in the meantime.
+    Other threads may change the job in the meantime, so its state is read once.
     """
+    state = job.state
     queue = job.spec.policy.queue
-    if job.state.is_final:
-        return JobRecord(job.state, queue, now_ms)
+    if state.is_final:
+        return JobRecord(state, queue, now_ms)
     return JobRecord(
-        job.state,
+        state,
         queue,
         ends=tuple(_completed_tasks(job)),
         traces=tuple(_unfinished_tasks(job)),
--- a/tests/scheduling/test_records.py
+++ b/tests/scheduling/test_records.py
@@ -100,3 +100,26 @@
         ]
     assert next(numbers, None) is None
     assert {record.state for record in records} == {JobState.QUEUED}
+
+
+class _EndingJob(Job):
+    """A job that ends right after its state is first read."""
+
+    @property
+    def state(self) -> JobState:
+        """Return the state, then end."""
+        state = super().state
+        self._state = JobState.COMPLETED
+        return state
+
+    @state.setter
+    def state(self, state: JobState) -> None:
+        self._state = state
+
+
+def test_a_job_that_ends_meanwhile_is_not_recorded_without_its_end() -> None:
+    """A next leader deleted such a record at once, as if its end were old."""
+    ending = _EndingJob(job(step()).spec)
+    ending.state = JobState.RUNNING
+    record = create_record(ending, START_MS)
+    assert record.state.is_final == bool(record.ended_ms)
