Iterate over no state that another thread of the leader changes

When a leader closed, its sessions with workers could go on for as long as the process, as the first error ended the closing. A report of plans could be lost for a second, and the saving thread of a leader that hands over could end in an internal fault.

Cause, each a dictionary that one thread iterates while another inserts: - sessions (`_sinks`): attached by the watch of workers without the lock of the service; iterated by `close`, by reports and, under that lock, by `detach_removed_workers`; - orders by kind (`PlanMetrics`): counted by all threads that dispatch orders, as the sessions do for replies; iterated by the planning thread. The class was written for one thread, and counts could be lost as well; - ended jobs (`LeaderJobStore`): added by the thread that hands over, under the lock for saving; iterated by the saving thread in `delete_ended` without it.

Read and found sound: counters, samplers, queues, order queues, prefix counts, operators' watch, maintenance loop, and the scheduler's own state, which is used under the lock of the service.

Why it works: sessions are replaced as a whole, under a small lock of their own. Orders are counted under a lock, and a report takes the count away. Ended jobs are added and listed under a lock that is not held during calls to the store.

--- a/src/gentianpulley/cluster/job_storage.py
+++ b/src/gentianpulley/cluster/job_storage.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from itertools import chain
+from threading import Lock
 from typing import Final
 from urllib.parse import quote
 
@@ -142,7 +143,10 @@
 
 
 class LeaderJobStore:
-    """Job operations of the leader on the store, under its token."""
+    """Job operations of the leader on the store, under its token.
+
+    A leader that hands over saves while its saving thread may delete.
+    """
 
     def __init__(self, store: LeaderStore, log: EventLog) -> None:
         """Write through `store`, which checks the leader's token."""
@@ -150,6 +154,7 @@
         self._log = log
         self._revisions: dict[str, int] = {}
         self._ended: dict[str, tuple[int, str]] = {}
+        self._ended_lock = Lock()
         self._deleted_ids = ExpiringIdSet(DELETED_ID_RETENTION_MS)
 
     def load(self) -> LoadedJobs:
@@ -200,11 +205,12 @@
         Makes only one write, because writes of records wait for it. Returns how
         many jobs had ended before that time.
         """
-        old = [
-            job_id
-            for job_id, (ended_ms, _) in self._ended.items()
-            if ended_ms < before_ms
-        ]
+        with self._ended_lock:
+            old = [
+                job_id
+                for job_id, (ended_ms, _) in self._ended.items()
+                if ended_ms < before_ms
+            ]
         batch = old[:MAX_DELETED_JOBS_PER_TRANSACTION]
         if batch:
             keys = (self._keys_of(job_id) for job_id in batch)
@@ -288,7 +294,8 @@
         self._revisions[job_id] = revision
         is_new_end = job.state.is_final and job_id not in self._ended
         if job.state.is_final:
-            self._ended[job_id] = (saved_ms, job.spec.policy.queue)
+            with self._ended_lock:
+                self._ended[job_id] = (saved_ms, job.spec.policy.queue)
         if is_new_end:
             age_ms = saved_ms - job.spec.submitted_ms
             self._log.job_state(job_id, job.state.value, age_ms)
--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -39,7 +39,10 @@
 
 
 class PlanMetrics:
-    """Collects the metrics of one second; used by the planning thread."""
+    """Collects the metrics of one second; used by the planning thread.
+
+    Orders are recorded by any thread.
+    """
 
     def __init__(self, counters: Counters, log: EventLog) -> None:
         """Start the first second."""
@@ -48,6 +51,7 @@
         self._costs_s: list[float] = []
         self._lags_s: list[float] = []
         self._ordered: Counter[str] = Counter()
+        self._ordered_lock = threading.Lock()
         self._published: set[str] = set()
         self._next_s = time.monotonic() + REPORT_INTERVAL_S
 
@@ -59,7 +63,8 @@
 
     def record_order(self, kind: str) -> None:
         """Count an order that is passed on to a session."""
-        self._ordered[kind] += 1
+        with self._ordered_lock:
+            self._ordered[kind] += 1
         self._counters.add(f'ordered_{kind}')
 
     def is_due(self) -> bool:
@@ -79,7 +84,7 @@
             'plans': len(self._costs_s),
             **_median_and_max('plan', self._costs_s),
             **_median_and_max('lag', self._lags_s),
-            **_prefixed('ordered', self._ordered),
+            **_prefixed('ordered', self._take_ordered()),
             'queued': sum(length for length, _ in backlogs),
             'queued_most': max((length for length, _ in backlogs), default=0),
             'queued_oldest_ms': max((age for _, age in backlogs), default=0),
@@ -87,7 +92,6 @@
         }
         self._costs_s = []
         self._lags_s = []
-        self._ordered = Counter()
         self._set_gauges(metrics)
         self._log.plan_report(
             metrics,
@@ -95,6 +99,13 @@
             **_step_fields('endless', report.oldest_endless),
         )
 
+    def _take_ordered(self) -> Counter[str]:
+        """Return the orders by kind, and start to count the next ones."""
+        with self._ordered_lock:
+            ordered = self._ordered
+            self._ordered = Counter()
+        return ordered
+
     def _set_gauges(self, metrics: MetricValues) -> None:
         """Set the gauges; those no longer reported are reset to zero."""
         for gone in self._published - metrics.keys():
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -149,7 +149,9 @@
         self.jobs_loaded = threading.Event()
         self.jobs_loaded.set()
         self.plan_cost_s: float = 0
-        self._sinks: dict[str, OrderSink] = {}
+        # Replaced, never changed in place, so that any thread may iterate.
+        self._sinks: Mapping[str, OrderSink] = {}
+        self._sinks_lock = threading.Lock()
         self._is_closed = False
 
     @property
@@ -168,8 +170,7 @@
         If the service is closed, the new session is closed as well, because
         nothing else would close it.
         """
-        previous = self._sinks.get(worker_id)
-        self._sinks[worker_id] = sink
+        previous = self._replace_sink(worker_id, sink)
         if previous is not None:
             previous.close()
         if self._is_closed:
@@ -177,7 +178,7 @@
 
     def detach(self, worker_id: str) -> None:
         """Close the session of a worker that was removed."""
-        previous = self._sinks.pop(worker_id, None)
+        previous = self._replace_sink(worker_id, None)
         if previous is not None:
             previous.close()
 
@@ -189,14 +190,16 @@
         """
         with self.lock:
             removed_ids = self._sinks.keys() - self.scheduler.workers.keys()
-            previous = [self._sinks.pop(worker_id) for worker_id in removed_ids]
-        for sink in previous:
+            previous = [
+                self._replace_sink(worker_id, None) for worker_id in removed_ids
+            ]
+        for sink in filter(None, previous):
             sink.close()
 
     def close(self) -> None:
         """Close all sessions, including those attached from now on."""
         self._is_closed = True
-        for worker_id in tuple(self._sinks):
+        for worker_id in self._sinks:
             self.detach(worker_id)
 
     def dispatch(self, orders: Iterable[Order]) -> None:
@@ -385,6 +388,18 @@
         if self._plan_metrics.is_due():
             self._report(at_ms)
 
+    def _replace_sink(
+        self, worker_id: str, sink: OrderSink | None
+    ) -> OrderSink | None:
+        """Replace the sink of a worker; return the previous one, if any."""
+        with self._sinks_lock:
+            sinks = dict(self._sinks)
+            previous = sinks.pop(worker_id, None)
+            if sink is not None:
+                sinks[worker_id] = sink
+            self._sinks = sinks
+        return previous
+
     def _log_starts(
         self,
         orders: list[StartOrder],
@@ -403,8 +418,8 @@
     def _report(self, at_ms: int) -> None:
         with self.lock:
             report = self.scheduler.create_report(at_ms)
-        sinks = tuple(self._sinks.values())
-        self._plan_metrics.publish(report, [sink.backlog() for sink in sinks])
+        backlogs = [sink.backlog() for sink in self._sinks.values()]
+        self._plan_metrics.publish(report, backlogs)
 
     def _placement(self, order: StartOrder) -> tuple[Worker, bool]:
         """Return a run's worker, and whether the run is long-running."""
--- a/tests/scheduling/test_records.py
+++ b/tests/scheduling/test_records.py
@@ -1,16 +1,15 @@
 """Records are created while the scheduler changes their jobs."""
 
-import gc
 import sys
 import threading
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 
 import pytest
 
 from gentianpulley.jobs.job import Job, JobState
 from gentianpulley.jobs.record import create_record
 from gentianpulley.jobs.spec import Schedule
+from tests.garbage_collection import changing_at_collections
 from tests.scheduling.harness import START_MS, job, step
 
 OCCURRENCES = 100
@@ -67,24 +66,6 @@
 }
 
 
-@contextmanager
-def _changing_at_collections(change: Callable[[], None]) -> Iterator[None]:
-    """Collect garbage as often as possible, and make a change each time."""
-
-    def make_change(phase: str, _: dict[str, int]) -> None:
-        if phase == 'start':
-            change()
-
-    thresholds = gc.get_threshold()
-    gc.callbacks.append(make_change)
-    gc.set_threshold(1)
-    try:
-        yield
-    finally:
-        gc.set_threshold(*thresholds)
-        gc.callbacks.remove(make_change)
-
-
 @pytest.mark.parametrize('change', CHANGES.values(), ids=CHANGES)
 def test_a_record_is_created_while_garbage_is_collected(change: Change) -> None:
     """A collection runs callbacks, in which other threads take their turn."""
@@ -94,7 +75,7 @@
         max_attempts=MAX_ATTEMPTS,
     )
     numbers = iter(range(1, OCCURRENCES))
-    with _changing_at_collections(lambda: change(shared_job, next(numbers, 1))):
+    with changing_at_collections(lambda: change(shared_job, next(numbers, 1))):
         records = [
             create_record(shared_job, START_MS) for _ in range(OCCURRENCES)
         ]
