Collect only the lines of the test itself in the tests of the log

Cause: the logging library keeps up to 1000 lines for as long as there is no destination, and hands all of them to the first one that is added. In a lane that is the sink of the first log test to run there, which so starts with lines of all tests before it. Rare ones among them use up its 600 lines a second.

Threads that go on do log too: of 17 modules of leaders, in one process, 3 wrote 1 or 2 lines in the 2 s after their end (watches and operator-watch, on the lost store).

Why it works: the test process has a destination that discards, so nothing is kept, and the collector takes lines of the test's own thread only. All that these tests log is logged there. The checks are as they were; a new test holds both parts, and fails without either.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared settings of all tests."""
 
+import eliot
 import pytest
 from hypothesis import HealthCheck, settings
 
@@ -16,8 +17,13 @@
 settings.load_profile('same-every-time')
 
 
+def _discard_line(_: dict[str, object]) -> None:
+    """Keep no line: without a destination, the first one gets all of them."""
+
+
 def pytest_configure(config: pytest.Config) -> None:
     """Register the `proof` marker and switch off the named guard."""
+    eliot.add_destinations(_discard_line)
     config.addinivalue_line(
         'markers', 'proof(*guards): fails when any one guard is off'
     )
--- a/tests/test_log_gate.py
+++ b/tests/test_log_gate.py
@@ -14,7 +14,7 @@
 from gentianpulley.cluster.worker_protocol import RunKey
 from gentianpulley.jobs.spec import TaskId
 from gentianpulley.log_sampler import JobLogSampler
-from gentianpulley.log_sink import LogSink
+from gentianpulley.log_sink import MAX_LINES_PER_S, LogSink
 from gentianpulley.logs import EventLog
 
 Clock = SimpleNamespace
@@ -45,15 +45,24 @@
 
 
 class _LineCollector:
-    """Collects the lines that a sink writes."""
+    """Collects the lines that a sink writes for the thread of one test.
+
+    Threads of earlier tests may go on to log.
+    """
 
     def __init__(self) -> None:
+        self._thread = threading.get_ident()
         pipe = os.pipe()
         self._reading = pipe[0]
         self.sink = LogSink(pipe[1])
         self._text = b''
         threading.Thread(target=self._collect, daemon=True).start()
 
+    def __call__(self, message: dict[str, object]) -> None:
+        """Pass on the messages of the test's thread."""
+        if threading.get_ident() == self._thread:
+            self.sink(message)
+
     def lines(self) -> list[dict[str, object]]:
         self.sink.flush()
         threading.Event().wait(0.2)
@@ -67,9 +76,9 @@
 @pytest.fixture
 def collected() -> Iterator[_LineCollector]:
     written = _LineCollector()
-    eliot.add_destinations(written.sink)
+    eliot.add_destinations(written)
     yield written
-    eliot.remove_destination(written.sink)
+    eliot.remove_destination(written)
 
 
 def _job_id(number: int) -> str:
@@ -232,6 +241,28 @@
 }
 
 
+def _log_trouble() -> None:
+    EventLog().store_trouble('silent')
+
+
+@pytest.fixture
+def earlier_lines() -> None:
+    """Log lines before there is a destination, as earlier tests do."""
+    for _ in range(MAX_LINES_PER_S + 1):
+        _log_trouble()
+
+
+def test_lines_of_other_tests_are_not_collected(
+    earlier_lines: None, collected: _LineCollector
+) -> None:
+    """They counted as lines of the test, and filled its sink."""
+    other = threading.Thread(target=_log_trouble)
+    other.start()
+    other.join()
+    assert not collected.lines()
+    assert collected.sink.dropped_lines == 0
+
+
 @pytest.mark.parametrize('event', RARE.values(), ids=RARE)
 def test_rare_lines_are_never_left_out(
     collected: _LineCollector, event: RareEvent
