--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -49,13 +49,14 @@
 def create_record(job: Job, now_ms: int) -> JobRecord:
     """Return the record of a job's current state.
 
-    Other threads may change the job in the meantime.
+    Other threads may change the job in the meantime, so its state is read once.
     """
+    state = job.state
     queue = job.spec.policy.queue
-    if job.state.is_final:
-        return JobRecord(job.state, queue, now_ms)
+    if state.is_final:
+        return JobRecord(state, queue, now_ms)
     return JobRecord(
-        job.state,
+        state,
         queue,
         ends=tuple(_completed_tasks(job)),
         traces=tuple(_unfinished_tasks(job)),
@@ -89,7 +90,7 @@
 
 def _completed_tasks(job: Job) -> list[CompletedTasks]:
     completed = []
-    for step in tuple(job.steps.values()):
+    for step in job.steps.values():
         mask = sum(
             1 << task.task_id.ordinal
             for task in step.tasks
@@ -111,7 +112,7 @@
             tuple(task.failed_runs),
             task.checkpoint,
         )
-        for step in tuple(job.steps.values())
+        for step in job.steps.values()
         for task in step.tasks
         if task.phase is not TaskPhase.DONE
         and (task.failed_runs or task.checkpoint)
@@ -130,5 +131,5 @@
     step = job.step_of(task_id)
     if step is not None:
         task = step.tasks[trace.index]
-        task.failed_runs = set(trace.failed_runs)
+        task.failed_runs = frozenset(trace.failed_runs)
         task.checkpoint = trace.checkpoint
