Name the workers that inherited work waits for

The reports of plans counted the workers of the roster that are in no directory, but neither those that are registered and do not answer, nor which they were, nor why and for how long.

Evidence: test_plan_report fails on the code before (no such field).

--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from gentianpulley.cluster.plan_report import PlanReport, WaitingStep
+from gentianpulley.cluster.wait_reasons import WaitReason
 from gentianpulley.counters import Counters
 from gentianpulley.logs import EventLog
 
@@ -93,6 +94,7 @@
             metrics,
             **_step_fields('oldest', report.oldest),
             **_step_fields('endless', report.oldest_endless),
+            **_awaited_field(report),
         )
 
     def _set_gauges(self, metrics: MetricValues) -> None:
@@ -142,3 +144,10 @@
         f'{name}_task': step.task,
         f'{name}_reason': step.reason,
     }
+
+
+def _awaited_field(report: PlanReport) -> dict[str, str]:
+    """Return whom inherited work waits for, while some does."""
+    if WaitReason.INHERITED not in report.waiting or not report.awaited:
+        return {}
+    return {'awaited': ', '.join(map(str, report.awaited))}
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from heapq import nlargest
 from typing import Final
 
 from gentianpulley.cluster.scheduler_state import SchedulerState
@@ -13,6 +14,9 @@
 HIGH_QUANTILE: Final = 0.95
 """Fraction of the workers whose listings are at most as old as `p95_ms`."""
 
+MAX_AWAITED_SHOWN: Final = 3
+"""How many of the workers that inherited work waits for a report names."""
+
 
 @dataclass(frozen=True, slots=True)
 class WaitingStep:
@@ -37,11 +41,34 @@
     max_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitedWorker:
+    """A worker that may have runs of earlier leaders for `remaining_ms` more.
+
+    `condition` is why it has not listed them, and `basis` what the previous
+    leader left: whether the worker was in use, or how long its runs might
+    continue.
+    """
+
+    worker_id: str
+    condition: str
+    basis: str
+    remaining_ms: int
+
+    def __str__(self) -> str:
+        """Return the form for logs."""
+        return (
+            f'{self.worker_id} {self.condition} {self.basis}'
+            f' {self.remaining_ms} ms'
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class PlanReport:
     """Waiting tasks by reason, reserved capacity by state, workers by state.
 
-    Reserved capacity is in thousandths of a processor.
+    Reserved capacity is in thousandths of a processor. `awaited` are the
+    workers that inherited work waits for the longest.
     """
 
     waiting: Mapping[str, int]
@@ -50,6 +77,7 @@
     reserved_milli: Mapping[str, int]
     workers: Mapping[str, int]
     listing_ages: ListingAges
+    awaited: tuple[AwaitedWorker, ...] = ()
 
 
 def create_plan_report(
@@ -68,6 +96,7 @@
         _reserved(workers),
         _conditions(state, now_ms),
         _listing_ages(workers, now_ms),
+        _longest_awaited(state, now_ms),
     )
 
 
@@ -100,6 +129,31 @@
     return conditions
 
 
+def _longest_awaited(
+    state: SchedulerState, now_ms: int
+) -> tuple[AwaitedWorker, ...]:
+    """Return the workers that inherited work waits for the longest."""
+    awaited = [
+        (until_ms - now_ms, worker_id)
+        for worker_id, until_ms in state.unseen_runs_until_ms.items()
+        if now_ms <= until_ms
+    ]
+    return tuple(
+        _create_awaited(state, worker_id, remaining_ms, now_ms)
+        for remaining_ms, worker_id in nlargest(MAX_AWAITED_SHOWN, awaited)
+    )
+
+
+def _create_awaited(
+    state: SchedulerState, worker_id: str, remaining_ms: int, now_ms: int
+) -> AwaitedWorker:
+    worker = state.workers.get(worker_id)
+    condition = condition_of(worker, now_ms) if worker else 'missing'
+    is_recorded = worker_id in state.term.predecessor_runs_until_ms
+    basis = 'recorded' if is_recorded else 'in use'
+    return AwaitedWorker(worker_id, condition, basis, remaining_ms)
+
+
 def _oldest(
     steps: Iterable[StepRun], waits: WaitingSteps, now_ms: int
 ) -> WaitingStep | None:
--- a/tests/scheduling/test_plan_report.py
+++ b/tests/scheduling/test_plan_report.py
@@ -12,9 +12,14 @@
     Leadership,
 )
 from gentianpulley.cluster.order_queue import OrderQueue, QueuedOrder
-from gentianpulley.cluster.plan_metrics import REPORT_INTERVAL_S, PlanTrigger
+from gentianpulley.cluster.plan_metrics import (
+    REPORT_INTERVAL_S,
+    PlanMetrics,
+    PlanTrigger,
+)
 from gentianpulley.cluster.plan_report import ListingAges
-from gentianpulley.cluster.scheduler_state import Order
+from gentianpulley.cluster.scheduler import create_scheduler
+from gentianpulley.cluster.scheduler_state import LeaderTerm, Order
 from gentianpulley.cluster.wait_reasons import WaitReason
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.counters import create_counters
@@ -25,9 +30,11 @@
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import (
     START_MS,
+    TIMING,
     SchedulerHarness,
     create_harness,
     job,
+    registration,
     step,
 )
 
@@ -204,6 +211,36 @@
     assert report.listing_ages == ListingAges(50, 95, 99)
 
 
+def test_no_log_named_the_workers_that_inherited_work_waits_for() -> None:
+    """Their number was reported, but neither ids nor why they were awaited."""
+    ids = frozenset(('gone', 'left', 'cut', 'w'))
+    term = LeaderTerm(7, START_MS, ids, TIMING, {'left': START_MS + 400})
+    scheduler = create_scheduler(term, EventLog())
+    harness = SchedulerHarness(scheduler)
+    harness.add_worker('w')
+    scheduler.update_worker(registration('cut'), START_MS)
+    for_ms = TIMING.handover_ms
+    assert list(map(str, scheduler.create_report(START_MS).awaited)) == [
+        f'gone missing in use {for_ms} ms',
+        f'cut unfenced in use {for_ms} ms',
+        'left missing recorded 400 ms',
+    ]
+    assert not scheduler.create_report(START_MS + for_ms + 1).awaited
+
+
+@pytest.mark.parametrize('is_inherited', [True, False])
+def test_awaited_workers_are_logged_while_work_waits_for_them(
+    *, is_inherited: bool
+) -> None:
+    harness = create_harness(roster=frozenset(('gone',)))
+    harness.scheduler.add_job(job(step(), inherited=is_inherited))
+    harness.plan()
+    log = _RecordingLog()
+    report = harness.scheduler.create_report(harness.at_ms)
+    PlanMetrics(create_counters(), log).publish(report, [])
+    assert ('awaited' in log.names[0]) == is_inherited
+
+
 def test_a_site_without_workers_has_a_report_too() -> None:
     report = create_harness().scheduler.create_report(START_MS)
     assert report.listing_ages == ListingAges(0, 0, 0)
@@ -235,11 +272,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.metrics: list[Mapping[str, int]] = []
+        self.names: list[Mapping[str, str]] = []
 
     def plan_report(
         self, metric_values: Mapping[str, int], **names: str
     ) -> None:
         self.metrics.append(metric_values)
+        self.names.append(names)
 
 
 def _create_current_harness(added: Job) -> SchedulerHarness:
