--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -8,6 +8,7 @@
 
 from gentianpulley.cluster.plan_report import PlanReport, WaitingStep
 from gentianpulley.cluster.restart_report import WaitingRestart
+from gentianpulley.cluster.wait_reasons import WaitReason
 from gentianpulley.counters import Counters
 from gentianpulley.logs import EventLog
 
@@ -99,6 +100,7 @@
             **_step_fields('oldest', report.oldest),
             **_step_fields('endless', report.oldest_endless),
             **_restart_fields(report.restart),
+            **_awaited_field(report),
         )
 
     def _take_ordered(self) -> Counter[str]:
@@ -180,3 +182,10 @@
         'restart_task': restart.task,
         'restart_reason': restart.reason,
     }
+
+
+def _awaited_field(report: PlanReport) -> dict[str, str]:
+    """Return whom inherited work waits for, while some does."""
+    if WaitReason.INHERITED not in report.waiting or not report.awaited:
+        return {}
+    return {'awaited': ', '.join(map(str, report.awaited))}
