Let a worker of the stand-ins end its thread when it closes

That this was their cause is likely, not shown.

Cause: each worker of the stand-ins has a thread that looks for due runs a hundred times a second, and closing the worker did not end it. After 11 modules in one process (test_leader to test_platform_path) 526 threads lived; the names were read for three other modules, where most were these and accepting threads of links.

The test fails without the change: the thread is alive 2 s after the site has closed.

Threads of links (TcpProxy) wait without waking and stay.

--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -116,9 +116,15 @@
         self._rejected_upto: dict[str, int] = {}
         self._ended: list[list[Any]] = []
         self._last_end_number = 0
+        self._closed = threading.Event()
         threading.Thread(target=self._advance_loop, daemon=True).start()
         self.register('ready')
 
+    def server_close(self) -> None:
+        """Stop listening, and let no more time pass for runs."""
+        super().server_close()
+        self._closed.set()
+
     @property
     def zone(self) -> str:
         """Return the failure domain of the worker."""
@@ -260,8 +266,7 @@
         self._lease_ms = max(self._lease_ms, min(until_ms, max_ms))
 
     def _advance_loop(self) -> None:
-        while True:
-            time.sleep(TICK_S)
+        while not self._closed.wait(TICK_S):
             with self._lock:
                 self._end_due_runs()
 
--- a/tests/test_site_start.py
+++ b/tests/test_site_start.py
@@ -3,6 +3,7 @@
 import socket
 import subprocess
 import sys
+import threading
 from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
@@ -24,6 +25,7 @@
     {'epoch': 0, 'lease_deadline_ms': 0, 'forget': ()}
 )
 SOURCES: Final = Path(__file__).resolve().parent.parent / 'src'
+THREAD_END_S: Final = 2
 PRINT_FREE_PORT: Final = (
     'from standins.ports import free_port;'
     'print(free_port(), flush=True); input()'
@@ -148,3 +150,16 @@
     assert not site.nodes
     with pytest.raises(OSError, match='refused'):
         socket.create_connection((HOST, store.port))
+
+
+def test_a_closed_worker_runs_no_thread_any_more() -> None:
+    """Hundreds of them woke a hundred times a second beside later tests."""
+    running = GridSite(GridStore())
+    running.store.run_in_background()
+    before = set(threading.enumerate())
+    running.add_worker('w1')
+    started = set(threading.enumerate()) - before
+    running.close()
+    for thread in started:
+        thread.join(THREAD_END_S)
+    assert not any(thread.is_alive() for thread in started)
