Log when the leader learns of a task over its target, and what it does

`tail_over_target` tells, for a latency-critical task that the newest listing shows over its target beside best-effort tasks: level, target, the smoothed level that decisions go by, the one expected without the others, the age of the listing before, the job taken for the cause, the lowest speed ordered and the reaction. One line in five seconds for each task and reaction; the others are counted. `started_beside_violation` names a start beside such a task, and `run_moved` tells at which speed and for how long the run was throttled.

--- a/src/gentianpulley/cluster/migration.py
+++ b/src/gentianpulley/cluster/migration.py
@@ -47,7 +47,12 @@
         if target_id or view.is_busy:
             reserved_ids.add(target_id)
             reservation.is_stopping = True
-            state.log.run_moved(reservation.key, worker.worker_id)
+            state.log.run_moved(
+                reservation.key,
+                worker.worker_id,
+                reservation.target_speed_percent,
+                view.now_ms - reservation.throttled_since_ms,
+            )
             orders.append(StopOrder(worker.worker_id, reservation.key))
     return orders
 
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -70,6 +70,7 @@
     """
     if now_ms < worker.sampled_ms + MIN_SAMPLE_INTERVAL_MS:
         return False
+    worker.sample_gap_ms = now_ms - (worker.sampled_ms or now_ms)
     worker.sampled_ms = now_ms
     worker.invalidate_margins()
     shares = _measured_shares(worker, now_ms)
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -31,6 +31,7 @@
     Reservation,
     Worker,
 )
+from gentianpulley.cluster.violation_report import log_violations
 from gentianpulley.cluster.worker_lifecycle import WorkerLifecycle
 from gentianpulley.jobs.job import StepRun, Task, TaskPhase
 
@@ -96,6 +97,7 @@
                     worker, self.interference, interference_bound_ms, now_ms
                 )
             )
+            log_violations(worker, self.interference, now_ms, self.log)
             orders.extend(self._stop_stragglers(worker, now_ms))
         return orders
 
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from types import MappingProxyType
-from typing import Final
+from typing import Final, NamedTuple
 
 from gentianpulley.cluster.worker_protocol import (
     Listing,
@@ -23,6 +23,7 @@
 from gentianpulley.cluster.plan_metrics import PlanMetrics, PlanTrigger
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
+from gentianpulley.cluster.violation_report import count_over_target
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.counters import Counters
 from gentianpulley.deadline import now_ms
@@ -40,6 +41,18 @@
 )
 
 
+class _Placement(NamedTuple):
+    """A run's worker, whether the run is long-running, and beside how many.
+
+    `over_target` counts the latency-critical tasks of the worker that are over
+    their targets, if the run is best-effort.
+    """
+
+    worker: Worker
+    is_endless: bool
+    over_target: int
+
+
 class OrderSink(ABC):
     """Receives the orders for one worker."""
 
@@ -388,17 +401,24 @@
     def _log_starts(
         self,
         orders: list[StartOrder],
-        placements: list[tuple[Worker, bool]],
+        placements: list[_Placement],
         at_ms: int,
     ) -> None:
-        for order, (worker, is_endless) in zip(orders, placements, strict=True):
+        for order, (worker, is_endless, over) in zip(
+            orders, placements, strict=True
+        ):
+            list_age_ms = at_ms - worker.last_contact_ms
             self.log.run_ordered(
                 order.key,
                 worker.worker_id,
                 _load_percent(worker),
-                at_ms - worker.last_contact_ms,
+                list_age_ms,
                 is_endless=is_endless,
             )
+            if over:
+                self.log.started_beside_violation(
+                    order.key, worker.worker_id, over, list_age_ms
+                )
 
     def _report(self, at_ms: int) -> None:
         with self.lock:
@@ -406,10 +426,12 @@
         sinks = tuple(self._sinks.values())
         self._plan_metrics.publish(report, [sink.backlog() for sink in sinks])
 
-    def _placement(self, order: StartOrder) -> tuple[Worker, bool]:
-        """Return a run's worker, and whether the run is long-running."""
+    def _placement(self, order: StartOrder) -> _Placement:
+        """Return where a run was placed."""
         worker = self.scheduler.workers[order.worker_id]
-        return worker, worker.reservations[order.key].spec.is_endless
+        spec = worker.reservations[order.key].spec
+        over = count_over_target(worker) if spec.fills_spare else 0
+        return _Placement(worker, spec.is_endless, over)
 
 
 def _load_percent(worker: Worker) -> int:
--- a/src/gentianpulley/cluster/violation_guard.py
+++ b/src/gentianpulley/cluster/violation_guard.py
@@ -34,6 +34,7 @@
 
     `level` is the logarithm of the smoothed tail in milliseconds.
     """
+    reservation.log_smoothed_tail = level
     bound = math.log(VIOLATION_TAIL_SHARE * reservation.spec.tail_target_ms)
     if level <= bound:
         reservation.over_target_since_ms = 0
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -45,9 +45,9 @@
     `target_speed_percent` the speed that the run should have;
     `throttled_since_ms` is when that became low, zero while it is not.
     `log_tail_bias` is the deviation of a latency-critical task's tail from the
-    one expected of its image, as a logarithm; `over_target_since_ms` is when
-    the tail exceeded its target, zero while it does not. `checkpoint` is the
-    one listed last.
+    one expected of its image, as a logarithm, and `log_smoothed_tail` the tail
+    with this deviation; `over_target_since_ms` is when it exceeded its target,
+    zero while it does not. `checkpoint` is the one listed last.
     """
 
     key: RunKey
@@ -68,6 +68,7 @@
     measurement: int = 0
     measured_ms: int = 0
     log_tail_bias: float = 0
+    log_smoothed_tail: float = 0
     over_target_since_ms: int = 0
     checkpoint: str = ''
     latest_finish_ms: int = 0
@@ -129,11 +130,12 @@
     is set while the worker is in the directory, `is_leaving` when its machine
     goes down for maintenance. `unresponsive_since_ms` is when a poll of it
     first failed, zero while it answers, and `best_effort_paused_until_ms` until
-    when its best-effort tasks are suspended. `serving_margins` is None until
-    it is computed for the current runs, and `interference_limits_milli` holds,
-    by image, the processors from which another best-effort task interferes too
-    much; `state_version` increases when both are invalidated and with each run
-    that is added or released.
+    when its best-effort tasks are suspended. `sample_gap_ms` is the time
+    between the two newest listings that were sampled. `serving_margins` is None
+    until it is computed for the current runs, and `interference_limits_milli`
+    holds, by image, the processors from which another best-effort task
+    interferes too much; `state_version` increases when both are invalidated and
+    with each run that is added or released.
     """
 
     def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
@@ -161,6 +163,7 @@
         self.best_effort_milli = 0
         self.long_running_milli = 0
         self.sampled_ms = 0
+        self.sample_gap_ms = 0
         self.best_effort_paused_until_ms = 0
         self.serving_margins: list[ServingMargin] | None = None
         self.interference_limits_milli: dict[str, int] = {}
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -217,9 +217,59 @@
         """The advice service responded to a query for a step of a job."""
         _write('advised', job_id=job_id, asked=asked, allowed=allowed)
 
-    def run_moved(self, key: 'RunKey', worker: str) -> None:
+    def run_moved(
+        self,
+        key: 'RunKey',
+        worker: str,
+        speed_percent: int = 0,
+        throttled_ms: int = 0,
+    ) -> None:
         """A throttled run is stopped in order to migrate to another worker."""
-        _write_run('run_moved', key, worker)
+        _write_run(
+            'run_moved',
+            key,
+            worker,
+            speed_percent=speed_percent,
+            throttled_ms=throttled_ms,
+        )
+
+    def tail_over_target(
+        self,
+        key: 'RunKey',
+        worker: str,
+        reaction: str,
+        fields: Mapping[str, str | int],
+    ) -> None:
+        """A latency-critical task is over its target beside best-effort ones.
+
+        Each reaction to it has one line in several seconds; `repeated` counts
+        the others.
+        """
+        name = f'{key.task_id} {reaction}'
+        repeated = self._sampler.count_suppressed('tail_over_target', name)
+        if repeated is not None:
+            _write_run(
+                'tail_over_target', key, worker, repeated=repeated, **fields
+            )
+
+    def started_beside_violation(
+        self, key: 'RunKey', worker: str, over_target: int, list_age_ms: int
+    ) -> None:
+        """A best-effort run was ordered beside tasks over their targets.
+
+        A worker has one line in several seconds; `repeated` counts the others.
+        """
+        event = 'started_beside_violation'
+        repeated = self._sampler.count_suppressed(event, f'{event} {worker}')
+        if repeated is not None:
+            _write_run(
+                event,
+                key,
+                worker,
+                over_target=over_target,
+                list_age_ms=list_age_ms,
+                repeated=repeated,
+            )
 
     def run_too_slow(
         self, key: 'RunKey', worker: str, progress_percent: int
