Count harm by time and not by listings

Beside it: a level far from what the model expects was cut off, and a new leader did not read the levels in the listing from which it adopts runs.

Now a suspension goes by an average of the reports over time, whatever the model expects, and comes four tenths of the bound after the last report below the target; a worker with a task over its target is listed within an eighth of the bound; nothing is placed beside such a task; a new leader takes levels from the first listing and does not count the time before as calm. After a suspension the time counts from its end. Throttling is as it was.

--- a/src/gentianpulley/cluster/interference_risk.py
+++ b/src/gentianpulley/cluster/interference_risk.py
@@ -11,6 +11,7 @@
 
 from gentianpulley.cluster.interference import InterferenceModel
 from gentianpulley.cluster.pacing import is_serving
+from gentianpulley.cluster.violation_report import is_over_target
 from gentianpulley.cluster.worker import (
     FULL_PERCENT,
     Reservation,
@@ -95,9 +96,17 @@
         reservation.spec.tail_target_ms
     )
     margin = expected[image] + shift
+    if is_over_target(reservation):
+        margin = max(margin, _reported_margin(reservation))
     return ServingMargin(image, margin, _risk(margin))
 
 
+def _reported_margin(reservation: Reservation) -> float:
+    """Return the margin by the newest report, before smoothing has followed."""
+    target_ms = reservation.spec.tail_target_ms
+    return math.log(reservation.measurement / target_ms)
+
+
 def _risk(margin: float) -> float:
     """Return the probability that a tail is over its target."""
     above = math.erf(margin / _SCALE)
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -19,7 +19,12 @@
     track_violation,
     update_suspension,
 )
-from gentianpulley.cluster.worker import FULL_PERCENT, Reservation, Worker
+from gentianpulley.cluster.worker import (
+    FULL_PERCENT,
+    UNKNOWN_SPEED_PERCENT,
+    Reservation,
+    Worker,
+)
 
 ALLOWED_TAIL_SHARE: Final = 0.75
 """Maximum expected tail, as a fraction of its target. The margin is there
@@ -29,6 +34,11 @@
 """Weight of the newest report in the moving average of a latency-critical
 task's deviation from the model."""
 
+REPORT_TIME_CONSTANT_MS: Final = 1160
+"""Time after which the moving average of a latency-critical task's reports has
+followed by about two thirds. It counts time and not reports, as a worker
+without ends of runs is listed a third as often as others."""
+
 MAX_BIAS: Final = 1.5
 """Maximum absolute value of that deviation, on the logarithmic scale."""
 
@@ -68,10 +78,11 @@
 
     The model learns from a few randomly chosen tasks of each sample.
     """
-    if now_ms < worker.sampled_ms + MIN_SAMPLE_INTERVAL_MS:
+    if now_ms < worker.sample.taken_ms + MIN_SAMPLE_INTERVAL_MS:
         return False
-    worker.sample_gap_ms = now_ms - (worker.sampled_ms or now_ms)
-    worker.sampled_ms = now_ms
+    worker.sample = worker.sample.next_sample(
+        now_ms, has_best_effort=worker.best_effort_milli > 0
+    )
     worker.invalidate_margins()
     shares = _measured_shares(worker, now_ms)
     serving = [
@@ -85,9 +96,9 @@
         image: model.predict(image, shares) for image in _images_of(serving)
     }
     for reservation in serving:
-        level = expected[reservation.spec.image]
-        _update_bias(reservation, level)
-        track_violation(reservation, level + reservation.log_tail_bias, now_ms)
+        _update_bias(reservation, expected[reservation.spec.image])
+        _update_smoothed_tail(reservation, worker.sample.gap_ms)
+        track_violation(worker, reservation)
     for reservation in random.sample(
         serving, min(OBSERVATIONS_PER_SAMPLE, len(serving))
     ):
@@ -146,6 +157,14 @@
     return {reservation.spec.image for reservation in serving}
 
 
+def _update_smoothed_tail(reservation: Reservation, gap_ms: int) -> None:
+    """Follow a report that came some time after the one before it."""
+    weight = 1 - math.exp(-gap_ms / REPORT_TIME_CONSTANT_MS)
+    newest = math.log(reservation.measurement)
+    smoothed = reservation.log_smoothed_tail or newest
+    reservation.log_smoothed_tail = smoothed + weight * (newest - smoothed)
+
+
 def _update_bias(reservation: Reservation, expected: float) -> None:
     deviation = math.log(reservation.measurement) - expected
     mixed = reservation.log_tail_bias + BIAS_EWMA_WEIGHT * (
@@ -231,8 +250,7 @@
     capacity = max(1, worker.registration.capacity.processors_milli)
     shares: dict[str, float] = {}
     for reservation in worker.reservations.values():
-        is_reported = now_ms - reservation.sent_ms > REPORT_LAG_MS
-        if reservation.spec.fills_spare and is_reported:
+        if reservation.spec.fills_spare and _is_reported(reservation, now_ms):
             image = reservation.spec.image
             shares[image] = (
                 shares.get(image, 0) + reservation.measurement / capacity
@@ -240,6 +258,12 @@
     return shares
 
 
+def _is_reported(reservation: Reservation, now_ms: int) -> bool:
+    """Return whether reports cover a run, as one that was adopted."""
+    is_adopted = reservation.speed_percent == UNKNOWN_SPEED_PERCENT
+    return is_adopted or now_ms - reservation.sent_ms > REPORT_LAG_MS
+
+
 def _rounded(speed: float) -> int:
     percent = round(speed * FULL_PERCENT)
     return percent if percent >= MIN_RUNNING_PERCENT else 0
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -313,8 +313,7 @@
             self.update_checkpoint(reservation, row.checkpoint)
         reservation.confirmed_ms = reservation.confirmed_ms or now_ms
         reservation.is_listed = True
-        reservation.measurement = row.measurement
-        reservation.measured_ms = now_ms
+        reservation.record_measurement(row.measurement, now_ms)
         record_progress(reservation, row.progress_percent, now_ms)
         return []
 
@@ -335,6 +334,7 @@
         reservation.confirmed_ms = now_ms
         reservation.is_listed = True
         reservation.speed_percent = UNKNOWN_SPEED_PERCENT
+        reservation.record_measurement(row.measurement, now_ms)
         task = step.tasks[task_id.ordinal]
         is_wanted = not job.state.is_final and task.phase is TaskPhase.WAITING
         if is_wanted and row.key.run >= task.run:
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -19,6 +19,7 @@
     StopOrder,
 )
 from gentianpulley.cluster.timing import Timing
+from gentianpulley.cluster.violation_guard import WATCH_SHARE, is_watched
 from gentianpulley.cluster.worker import Reservation, Worker
 from gentianpulley.jobs.job import Job, StepRun, TaskPhase
 from gentianpulley.jobs.spec import TaskId
@@ -158,7 +159,13 @@
             step.tasks[task_id.ordinal].record_running(checkpoint)
 
     def poll_order(self, worker: Worker, wait_ms: int) -> PollOrder:
-        """Return the next poll of a worker; it renews the lease."""
+        """Return the next poll of a worker; it renews the lease.
+
+        The poll waits less while a task may suffer interference there.
+        """
+        if is_watched(worker):
+            bound_ms = self.term.timing.interference_bound_ms
+            wait_ms = min(wait_ms, int(WATCH_SHARE * bound_ms))
         return PollOrder(
             self.term.token,
             worker.acked_end_number,
--- a/src/gentianpulley/cluster/violation_guard.py
+++ b/src/gentianpulley/cluster/violation_guard.py
@@ -17,29 +17,53 @@
 """Smoothed tail, as a fraction of its target, above which a task counts as over
 its target. It is below 1 because reports are noisy and smoothing lags."""
 
-VIOLATION_GRACE_SHARE: Final = 0.25
+VIOLATION_GRACE_SHARE: Final = 0.4
 """Fraction of the cluster's limit for which a task may be over its target
-before the best-effort tasks beside it are suspended. Reports, smoothing and the
-order take nearly as long again."""
+before the best-effort tasks beside it are suspended, counted from when it was
+last certain to suffer no interference. The lag of reports, the next listing and
+the order take as long again."""
+
+WATCH_SHARE: Final = 0.125
+"""Maximum time between two listings of a worker with a task over its target, as
+a fraction of the limit. Reports cover half a second."""
 
 SUSPENSION_SHARE: Final = 0.3
 """Duration of a suspension as a fraction of the limit. It covers three reports,
 which show whether the best-effort tasks caused the tail."""
 
 
-def track_violation(
-    reservation: Reservation, level: float, now_ms: int
-) -> None:
-    """Update since when a task's smoothed tail has been over its target.
+def track_violation(worker: Worker, reservation: Reservation) -> None:
+    """Update since when a task may have suffered interference.
 
-    `level` is the logarithm of the smoothed tail in milliseconds.
+    Once its smoothed tail is over the target, the time counts from the last
+    report below it, as the tail may have risen right after that. Without
+    best-effort tasks there is none.
     """
-    reservation.log_smoothed_tail = level
-    bound = math.log(VIOLATION_TAIL_SHARE * reservation.spec.tail_target_ms)
-    if level <= bound:
+    sample = worker.sample
+    bound = VIOLATION_TAIL_SHARE * reservation.spec.tail_target_ms
+    if reservation.measurement <= bound or not sample.had_best_effort:
+        reservation.unharmed_ms = sample.taken_ms
+    elif not reservation.unharmed_ms:
+        reservation.unharmed_ms = sample.taken_ms - sample.gap_ms
+    level = reservation.log_smoothed_tail
+    if level <= math.log(bound) or not sample.had_best_effort:
         reservation.over_target_since_ms = 0
     elif not reservation.over_target_since_ms:
-        reservation.over_target_since_ms = now_ms
+        reservation.over_target_since_ms = reservation.unharmed_ms
+
+
+def is_watched(worker: Worker) -> bool:
+    """Return whether a task may suffer interference there at this moment."""
+    return bool(worker.best_effort_milli) and any(
+        _is_high(reservation) for reservation in worker.reservations.values()
+    )
+
+
+def _is_high(reservation: Reservation) -> bool:
+    """Return whether a task's newest report or smoothed tail is too high."""
+    bound = VIOLATION_TAIL_SHARE * reservation.spec.tail_target_ms
+    is_reported = 0 < bound < reservation.measurement
+    return is_reported or reservation.over_target_since_ms > 0
 
 
 def update_suspension(
@@ -51,14 +75,13 @@
     `interference_bound_ms` is the cluster's limit on interference.
     """
     waited_ms = VIOLATION_GRACE_SHARE * interference_bound_ms
-    over = [
-        reservation
+    latest_ms = now_ms - waited_ms
+    # A suspension interrupts what it ends: the time counts from its end.
+    is_over = worker.best_effort_paused_until_ms < latest_ms and any(
+        0 < reservation.over_target_since_ms < latest_ms
         for reservation in worker.reservations.values()
-        if 0 < reservation.over_target_since_ms < now_ms - waited_ms
-    ]
-    for reservation in over:
-        reservation.over_target_since_ms = 0
-    if over:
+    )
+    if is_over:
         worker.best_effort_paused_until_ms = now_ms + int(
             SUSPENSION_SHARE * interference_bound_ms
         )
--- a/src/gentianpulley/cluster/violation_report.py
+++ b/src/gentianpulley/cluster/violation_report.py
@@ -18,8 +18,9 @@
 class Violation(NamedTuple):
     """A latency-critical task over its target beside best-effort tasks.
 
-    `level_ms` is the reported tail, `smoothed_ms` the one that decisions are
-    based on, and `alone_ms` the one expected without best-effort tasks.
+    `level_ms` is the reported tail, `smoothed_ms` the moving average by
+    which neighbours are suspended, and `alone_ms` the tail expected without
+    them, by which they are throttled.
     `over_ms` is for how long the smoothed tail has been over its bound, and
     `unknown_ms` how long the worker had not been listed before. `cause` is the
     job of the best-effort task that is expected to raise the tail most, and
@@ -103,7 +104,7 @@
         smoothed_ms=_milliseconds(serving.log_smoothed_tail),
         alone_ms=_milliseconds(alone),
         over_ms=now_ms - since_ms if since_ms else 0,
-        unknown_ms=worker.sample_gap_ms,
+        unknown_ms=worker.sample.gap_ms,
         neighbours=len(best_effort),
         cause=cause.task_id.job_id,
         cause_percent=_milliseconds(raised_by[cause] + math.log(FULL_PERCENT))
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -15,6 +15,10 @@
 """Speed below which a task should run on another worker, where its speed is
 several times as high."""
 
+UNKNOWN_GAP_MS: Final = 1500
+"""Time for which nothing is known before the first sample of a worker. A leader
+begins without samples, while tasks may have been over their targets."""
+
 QUARANTINE_FAILURES: Final = 2
 """Consecutive failures, without a run that ended as done, after which a worker
 is quarantined. One failure is common: callers' tasks fail by themselves."""
@@ -45,9 +49,11 @@
     `target_speed_percent` the speed that the run should have;
     `throttled_since_ms` is when that became low, zero while it is not.
     `log_tail_bias` is the deviation of a latency-critical task's tail from the
-    one expected of its image, as a logarithm, and `log_smoothed_tail` the tail
-    with this deviation; `over_target_since_ms` is when it exceeded its target,
-    zero while it does not. `checkpoint` is the one listed last.
+    one expected of its image, as a logarithm, and `log_smoothed_tail` the
+    moving average of its reports; `over_target_since_ms` is since when that may
+    have exceeded its target, zero while it does not, and `unharmed_ms` until
+    when it is certain to have suffered no interference. `checkpoint` is the one
+    listed last.
     """
 
     key: RunKey
@@ -70,6 +76,7 @@
     log_tail_bias: float = 0
     log_smoothed_tail: float = 0
     over_target_since_ms: int = 0
+    unharmed_ms: int = 0
     checkpoint: str = ''
     latest_finish_ms: int = 0
 
@@ -79,6 +86,11 @@
         left_ms = self.spec.estimated_ms * left // FULL_PERCENT
         return now_ms + left_ms <= self.latest_finish_ms
 
+    def record_measurement(self, measurement: int, now_ms: int) -> None:
+        """Record what the worker lists as measured."""
+        self.measurement = measurement
+        self.measured_ms = now_ms
+
     def set_target_speed(self, percent: int, now_ms: int) -> None:
         """Set the speed that the run should have from now on."""
         self.target_speed_percent = percent
@@ -110,6 +122,26 @@
         return self.spec.resources.processors_milli
 
 
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """A listing whose reports decisions are based on, of about two a second.
+
+    `gap_ms` is the time since the sample before it. `had_best_effort` is False
+    if neither of the two found a best-effort task on the worker.
+    """
+
+    taken_ms: int = 0
+    gap_ms: int = 0
+    has_best_effort: bool = False
+    had_best_effort: bool = False
+
+    def next_sample(self, now_ms: int, *, has_best_effort: bool) -> 'Sample':
+        """Return the sample after this one."""
+        gap_ms = now_ms - self.taken_ms if self.taken_ms else UNKNOWN_GAP_MS
+        had_best_effort = self.has_best_effort or has_best_effort
+        return Sample(now_ms, gap_ms, has_best_effort, had_best_effort)
+
+
 class ServingMargin(NamedTuple):
     """How far a latency-critical task is expected to be from its target.
 
@@ -130,8 +162,8 @@
     is set while the worker is in the directory, `is_leaving` when its machine
     goes down for maintenance. `unresponsive_since_ms` is when a poll of it
     first failed, zero while it answers, and `best_effort_paused_until_ms` until
-    when its best-effort tasks are suspended. `sample_gap_ms` is the time
-    between the two newest listings that were sampled. `serving_margins` is None
+    when its best-effort tasks are suspended. `sample` is the newest
+    one of its reports. `serving_margins` is None
     until it is computed for the current runs, and `interference_limits_milli`
     holds, by image, the processors from which another best-effort task
     interferes too much; `state_version` increases when both are invalidated and
@@ -162,8 +194,7 @@
         self.reserved_accelerators = 0
         self.best_effort_milli = 0
         self.long_running_milli = 0
-        self.sampled_ms = 0
-        self.sample_gap_ms = 0
+        self.sample = Sample()
         self.best_effort_paused_until_ms = 0
         self.serving_margins: list[ServingMargin] | None = None
         self.interference_limits_milli: dict[str, int] = {}
--- a/tests/scheduling/test_violation_log.py
+++ b/tests/scheduling/test_violation_log.py
@@ -113,6 +113,17 @@
     assert line['reaction'] in {'none', 'throttled', 'suspended'}
 
 
+def test_the_suspension_is_logged_with_the_time_that_it_took(
+    harness: SchedulerHarness, lines: Lines
+) -> None:
+    keys = _start(harness, with_fill=True)
+    list(_report(harness, keys, [20, 20, *(80 for _ in range(6))]))
+    suspended = [line for line in lines if line['reaction'] == 'suspended']
+    assert len(suspended) == 1
+    assert suspended[0]['speed_percent'] == 0
+    assert suspended[0]['over_ms'] in range(1000, 3000)
+
+
 @pytest.mark.parametrize(('tail_ms', 'with_fill'), [(40, True), (80, False)])
 def test_nothing_is_logged_where_nothing_has_to_be_decided(
     harness: SchedulerHarness, lines: Lines, tail_ms: int, *, with_fill: bool
