--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -21,7 +21,11 @@
     StopOrder,
 )
 from gentianpulley.cluster.pacing import update_model, pace_orders
-from gentianpulley.cluster.scheduler_state import Order, is_current_run
+from gentianpulley.cluster.scheduler_state import (
+    Order,
+    SchedulerState,
+    is_current_run,
+)
 from gentianpulley.cluster.straggler_detection import (
     find_stragglers,
     record_progress,
@@ -31,6 +35,7 @@
     Reservation,
     Worker,
 )
+from gentianpulley.cluster.violation_report import log_violations
 from gentianpulley.cluster.worker_lifecycle import (
     MAX_ORDER_DELAY_MS,
     WorkerLifecycle,
@@ -94,12 +99,7 @@
         worker.is_fenced = True
         self.unseen_runs_until_ms.pop(worker.worker_id, None)
         if update_model(worker, self.interference, now_ms):
-            interference_bound_ms = self.term.timing.interference_bound_ms
-            orders.extend(
-                pace_orders(
-                    worker, self.interference, interference_bound_ms, now_ms
-                )
-            )
+            orders.extend(_limit_interference(self, worker, now_ms))
             orders.extend(self._stop_stragglers(worker, now_ms))
         return orders
 
@@ -323,8 +323,7 @@
         worker.unanswered_starts.discard(row.key)
         reservation.confirmed_ms = reservation.confirmed_ms or now_ms
         reservation.is_listed = True
-        reservation.measurement = row.measurement
-        reservation.measured_ms = now_ms
+        reservation.record_measurement(row.measurement, now_ms)
         record_progress(reservation, row.progress_percent, now_ms)
         return []
 
@@ -345,6 +344,7 @@
         reservation.confirmed_ms = now_ms
         reservation.is_listed = True
         reservation.speed_percent = UNKNOWN_SPEED_PERCENT
+        reservation.record_measurement(row.measurement, now_ms)
         task = step.tasks[task_id.ordinal]
         is_wanted = not job.state.is_final and task.phase is TaskPhase.WAITING
         if is_wanted and row.key.run >= task.run:
@@ -397,6 +397,16 @@
         _back_off(worker, verdict, now_ms)
 
 
+def _limit_interference(
+    state: SchedulerState, worker: Worker, now_ms: int
+) -> list[PaceOrder]:
+    """Change the speeds of best-effort tasks by the newest sample."""
+    bound_ms = state.term.timing.interference_bound_ms
+    orders = pace_orders(worker, state.interference, bound_ms, now_ms)
+    log_violations(worker, state.interference, now_ms, state.log)
+    return orders
+
+
 def _was_sent_to_past_incarnation(reservation: Reservation) -> bool:
     """Return whether a stopped run was sent to a past incarnation only."""
     return reservation.is_stopping and not reservation.last_sent_ms
