Run a leader's sessions in one event loop instead of two threads a worker

Cause: the leader's processor. A large leader had 907 open files and over 900 threads.

Change: one thread with an event loop, one task that polls and one that sends for each worker, written straight down. Connections stay registered with the loop, and callbacks of other threads share a wake-up. Decisions, waits and the outcomes of calls are as before.

The polls' tasks are still the largest part.

Tests with scripted workers keep their cases; what named threads now counts calls in flight (closing a client), or the loop's thread (a leader that cannot load).

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -7,6 +7,7 @@
 in blocks, so that both run under the same machine load.
 """
 
+import asyncio
 import sys
 import time
 from collections.abc import Callable
@@ -43,11 +44,15 @@
     server = Process(target=_serve, args=(child_pipe,), daemon=True)
     server.start()
     address = HttpAddress(HOST, int(parent_pipe.recv()))
-    clients = {'pool': _pool(address), 'keep-alive': _keep_alive(address)}
-    costs: dict[str, list[float]] = {name: [] for name in clients}
-    for _ in range(BLOCKS):
-        for name, call in clients.items():
-            costs[name].append(_cost_us(call, calls // BLOCKS))
+    with asyncio.Runner() as runner:
+        clients = {
+            'pool': _pool(address),
+            'keep-alive': _keep_alive(address, runner),
+        }
+        costs: dict[str, list[float]] = {name: [] for name in clients}
+        for _ in range(BLOCKS):
+            for name, make_calls in clients.items():
+                costs[name].append(_cost_us(make_calls, calls // BLOCKS))
     for name, blocks in costs.items():
         print(
             f'{name:>10}: {median(blocks):6.1f} us a call '
@@ -57,16 +62,28 @@
     server.join()
 
 
-def _pool(address: HttpAddress) -> Callable[[], object]:
+def _pool(address: HttpAddress) -> Callable[[int], None]:
     conn = HttpConn(address, 1)
-    return lambda: conn.call(
-        'POST', PATH, deadline_in(TIMEOUT_MS), REQUEST, HEADERS
-    )
 
+    def make_calls(calls: int) -> None:
+        for _ in range(calls):
+            conn.call('POST', PATH, deadline_in(TIMEOUT_MS), REQUEST, HEADERS)
 
-def _keep_alive(address: HttpAddress) -> Callable[[], object]:
+    return make_calls
+
+
+def _keep_alive(
+    address: HttpAddress, runner: asyncio.Runner
+) -> Callable[[int], None]:
     conn = KeepAliveConn(address, HEADERS)
-    return lambda: conn.post(PATH, REQUEST, _deadlines())
+
+    async def make_calls(calls: int) -> None:
+        left = calls
+        while left:
+            await conn.post(PATH, REQUEST, _deadlines())
+            left -= 1
+
+    return lambda calls: runner.run(make_calls(calls))
 
 
 def _deadlines() -> ResponseDeadlines:
@@ -74,10 +91,9 @@
     return ResponseDeadlines(until_ms, TIMEOUT_MS, until_ms)
 
 
-def _cost_us(call: Callable[[], object], calls: int) -> float:
+def _cost_us(make_calls: Callable[[int], None], calls: int) -> float:
     start_ns = time.thread_time_ns()
-    for _ in range(calls):
-        call()
+    make_calls(calls)
     return (time.thread_time_ns() - start_ns) / calls / 1000
 
 
--- a/bench/leader_replay.py
+++ b/bench/leader_replay.py
@@ -7,10 +7,10 @@
 import hashlib
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from contextlib import ExitStack
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final, TypeVar, cast
 from unittest.mock import patch
 
 import msgspec
@@ -88,6 +88,9 @@
         self._sum.update(text)
 
 
+_Answer = TypeVar('_Answer')
+
+
 class _FakeChannel(WorkerChannel):
     """Encodes what is sent and returns the prepared response."""
 
@@ -95,7 +98,7 @@
         super().__init__(parse_address(worker.facts.address), (), 1)
         self.answer = ACCEPTED
 
-    def call(
+    async def call(
         self, path: str, wire: msgspec.Struct, wait_ms: int = 0
     ) -> HttpResponse:
         msgspec.json.encode(wire)
@@ -132,7 +135,7 @@
         """Return the number of queued orders."""
         return len(self.worker.orders), 0
 
-    def on_ends_acknowledged(self) -> None:
+    def poll_soon(self) -> None:
         """Poll again; a replay checks `unacked_ends` instead."""
 
     def close(self) -> None:
@@ -272,7 +275,7 @@
         self._parts.time('look', lambda: self._handle_listing(session, order))
 
     def _handle_listing(self, session: Session, order: PollOrder) -> None:
-        listing = session.link.poll(order)
+        listing = _result(session.link.poll(order))
         self._service.on_listing(session.known, listing, session.looked_ms)
 
     def _carry_out(self, session: Session, order: Order) -> None:
@@ -289,20 +292,29 @@
             return
         sent = self._service.order_context(session.known)
         if isinstance(order, PaceOrder):
-            session.link.pace(order, sent)
+            _result(session.link.pace(order, sent))
             self._service.on_pace_acknowledged(order)
         elif self._service.should_send_stop(order):
-            session.link.stop(order, sent)
+            _result(session.link.stop(order, sent))
             self._service.on_stop_acknowledged(order)
 
     def _send_start(self, session: Session, order: StartOrder) -> None:
         self._outcome.starts += 1
         if self._service.claim_start_send(order):
             sent = self._service.order_context(session.known)
-            reply = session.link.start(order, sent)
+            reply = _result(session.link.start(order, sent))
             self._service.on_start_reply(order, reply)
 
 
+def _result(call: Coroutine[Any, Any, _Answer]) -> _Answer:
+    """Return the result of a call that waits for nothing."""
+    try:
+        call.send(None)
+    except StopIteration as done:
+        return cast(_Answer, done.value)
+    raise RuntimeError('the call waits')
+
+
 def _arrivals(shape: Shape, end_ms: int) -> Iterator[Arrival]:
     """Yield the initial jobs, then the arriving ones."""
     callers = Callers(shape.seed)
--- a/src/gentianpulley/cluster/call_failures.py
+++ b/src/gentianpulley/cluster/call_failures.py
@@ -1,9 +1,20 @@
-"""Classifies why a call to a worker got no response, for counters."""
+"""Failed calls to workers: why they got no response, and when to retry."""
 
 from collections.abc import Iterator
 from types import MappingProxyType
 from typing import Final
 
+from gentianpulley.cluster.scheduler_service import SchedulerService
+from gentianpulley.cluster.worker import Worker
+from gentianpulley.deadline import MS_PER_SECOND
+from gentianpulley.errors import WorkerError
+
+RETRY_DELAY_MS: Final = 150
+"""Pause after a failed call; a responsive worker answers within
+milliseconds."""
+
+RETRY_DELAY_S: Final = RETRY_DELAY_MS / MS_PER_SECOND
+
 _CAUSES: Final = MappingProxyType(
     {
         'ConnectTimeoutError': 'connect_timeout',
@@ -30,6 +41,14 @@
     return next(causes, names[0].lower())
 
 
+def record_failure(
+    service: SchedulerService, worker: Worker, kind: str, exc: WorkerError
+) -> None:
+    """Count and log a call without a useful reply."""
+    service.counters.add(f'{kind}_failed_{failure_cause(exc)}')
+    service.log.worker_trouble(worker.worker_id, exc.text)
+
+
 def _chain(exc: BaseException) -> Iterator[BaseException]:
     cause: BaseException | None = exc
     while cause is not None:
--- a/src/gentianpulley/cluster/order_queue.py
+++ b/src/gentianpulley/cluster/order_queue.py
@@ -1,4 +1,7 @@
-"""Queue of orders for one worker: stops first, then paces, then starts."""
+"""Queue of orders for one worker: stops first, then paces, then starts.
+
+Any thread may add orders; the task that sends them takes them out.
+"""
 
 import threading
 from collections import deque
@@ -39,52 +42,43 @@
         self._stops: deque[QueuedOrder] = deque()
         self._paces: deque[QueuedOrder] = deque()
         self._starts: deque[QueuedOrder] = deque()
-        self._changed = threading.Condition()
-        self._is_closed = False
+        self._lock = threading.Lock()
 
     def put(self, queued: QueuedOrder) -> None:
         """Add an order behind the other orders of its kind."""
         lane = self._lane(queued)
-        with self._changed:
+        with self._lock:
             if lane is not self._starts:
                 self._advance_start(queued, lane)
             lane.append(queued)
-            self._changed.notify()
 
     def put_delayed(self, stop: DelayedRetry) -> None:
         """Delay a stop until it is due; other orders are not delayed."""
-        with self._changed:
+        with self._lock:
             self._delayed.append(stop)
-            self._changed.notify()
 
-    def get(self) -> QueuedOrder | None:
-        """Wait for the next order; return None once the queue is closed."""
-        with self._changed:
-            while not self._is_ready():
-                self._changed.wait(self._seconds_until_due())
-            return None if self._is_closed else self._next()
+    def pop(self) -> QueuedOrder | None:
+        """Return the next order, None if none is due."""
+        with self._lock:
+            self._enqueue_due()
+            lane = self._stops or self._paces or self._starts
+            return lane.popleft() if lane else None
 
-    def close(self) -> None:
-        """Return no more orders."""
-        with self._changed:
-            self._is_closed = True
-            self._changed.notify_all()
+    def seconds_until_due(self) -> float | None:
+        """Return the time until a stop is due, None if none is delayed."""
+        with self._lock:
+            due_ms = min((stop.due_ms for stop in self._delayed), default=0)
+        return seconds_left(due_ms) if due_ms else None
 
     def backlog(self) -> tuple[int, int]:
         """Return how many orders wait, and the age of the oldest in ms."""
-        with self._changed:
+        with self._lock:
             delayed = (stop.queued for stop in self._delayed)
             lanes = (*delayed, *self._stops, *self._paces, *self._starts)
         at_ms = now_ms()
         oldest_ms = min((queued.queued_ms for queued in lanes), default=at_ms)
         return len(lanes), at_ms - oldest_ms
 
-    def _seconds_until_due(self) -> float | None:
-        """Return the time until a stop is due, None if none is delayed."""
-        if not self._delayed:
-            return None
-        return seconds_left(min(stop.due_ms for stop in self._delayed))
-
     def _enqueue_due(self) -> None:
         """Queue the delayed stops that are due behind the other stops."""
         at_ms = now_ms()
@@ -93,15 +87,6 @@
                 self._delayed.remove(stop)
                 self._stops.append(stop.queued)
 
-    def _is_ready(self) -> bool:
-        self._enqueue_due()
-        has_orders = self._stops or self._paces or self._starts
-        return self._is_closed or bool(has_orders)
-
-    def _next(self) -> QueuedOrder:
-        lane = self._stops or self._paces or self._starts
-        return lane.popleft()
-
     def _advance_start(
         self, queued: QueuedOrder, lane: deque[QueuedOrder]
     ) -> None:
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -23,6 +23,10 @@
 from gentianpulley.cluster.plan_metrics import PlanMetrics, PlanTrigger
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
+from gentianpulley.cluster.session_loop import (
+    SessionLoop,
+    start_session_loop,
+)
 from gentianpulley.cluster.violation_report import count_over_target
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.counters import Counters
@@ -65,8 +69,12 @@
         """Return how many orders wait, and the age of the oldest in ms."""
 
     @abstractmethod
-    def on_ends_acknowledged(self) -> None:
-        """Called when the worker's ends so far may be acknowledged."""
+    def poll_soon(self) -> None:
+        """Called when the next poll need not wait any longer.
+
+        That is once the worker's ends so far may be acknowledged, and once
+        the jobs are loaded.
+        """
 
     @abstractmethod
     def close(self) -> None:
@@ -159,12 +167,12 @@
         self.plan_requested = PlanTrigger()
         self._plan_metrics = PlanMetrics(counters, log)
         self.save_requested = threading.Event()
-        self.jobs_loaded = threading.Event()
-        self.jobs_loaded.set()
+        self.are_jobs_loaded = True
         self.plan_cost_s: float = 0
         # Replaced, never changed in place, so that any thread may iterate.
         self._sinks: Mapping[str, OrderSink] = {}
         self._sinks_lock = threading.Lock()
+        self._session_loop: SessionLoop | None = None
         self._is_closed = False
 
     @property
@@ -177,6 +185,14 @@
         """Return how long a poll waits for the end of a run."""
         return self.term.timing.poll_wait_ms
 
+    @property
+    def session_loop(self) -> SessionLoop:
+        """Return the event loop of the sessions, started by the first one."""
+        with self._sinks_lock:
+            if self._session_loop is None:
+                self._session_loop = start_session_loop()
+            return self._session_loop
+
     def attach(self, worker_id: str, sink: OrderSink) -> None:
         """Send a worker's orders to a session; close the previous one.
 
@@ -188,6 +204,7 @@
             previous.close()
         if self._is_closed:
             sink.close()
+            self._close_session_loop()
 
     def detach(self, worker_id: str) -> None:
         """Close the session of a worker that was removed."""
@@ -214,6 +231,7 @@
         self._is_closed = True
         for worker_id in self._sinks:
             self.detach(worker_id)
+        self._close_session_loop()
 
     def dispatch(self, orders: Iterable[Order]) -> None:
         """Pass orders to the sessions; a worker without one was removed."""
@@ -334,7 +352,7 @@
         """Buffer workers' listings until the inherited jobs are loaded."""
         with self.lock:
             self.scheduler.buffer_listings()
-        self.jobs_loaded.clear()
+        self.are_jobs_loaded = False
 
     def load_inherited_jobs(
         self, jobs: Iterable[Job], cancelled: Iterable[str]
@@ -346,7 +364,9 @@
                 self.scheduler.add_job(job)
             orders = self.scheduler.process_buffered_listings()
             has_ends = self.scheduler.change_number > 0
-        self.jobs_loaded.set()
+        self.are_jobs_loaded = True
+        for sink in self._sinks.values():
+            sink.poll_soon()
         self.dispatch(orders)
         if has_ends:
             self.save_requested.set()
@@ -364,7 +384,7 @@
         for worker_id in worker_ids:
             sink = self._sinks.get(worker_id)
             if sink is not None:
-                sink.on_ends_acknowledged()
+                sink.poll_soon()
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job."""
@@ -401,6 +421,11 @@
         if self._plan_metrics.is_due():
             self._report(at_ms)
 
+    def _close_session_loop(self) -> None:
+        """Let the loop end after the calls in flight."""
+        if self._session_loop is not None:
+            self._session_loop.close()
+
     def _replace_sink(
         self, worker_id: str, sink: OrderSink | None
     ) -> OrderSink | None:
--- a/src/gentianpulley/cluster/worker_protocol.py
+++ b/src/gentianpulley/cluster/worker_protocol.py
@@ -165,7 +165,7 @@
 
 
 class WorkerClient(ABC):
-    """Connections to one incarnation of one worker.
+    """Connections to one incarnation of one worker, in one event loop.
 
     `poll`, `stop` and `pace` raise `WorkerUnreachableError` if nothing was
     sent, `WorkerSilentError` if the effect is unknown, and `WorkerFencedError`
@@ -173,19 +173,21 @@
     """
 
     @abstractmethod
-    def poll(self, order: PollOrder) -> Listing:
+    async def poll(self, order: PollOrder) -> Listing:
         """Renew the lease, acknowledge ends and return the listing."""
 
     @abstractmethod
-    def start(self, order: StartOrder, context: OrderContext) -> StartReply:
+    async def start(
+        self, order: StartOrder, context: OrderContext
+    ) -> StartReply:
         """Start a run; raises nothing, failures are verdicts."""
 
     @abstractmethod
-    def stop(self, order: StopOrder, context: OrderContext) -> None:
+    async def stop(self, order: StopOrder, context: OrderContext) -> None:
         """Stop a run or reject its start; returns after the reply."""
 
     @abstractmethod
-    def pace(self, order: PaceOrder, context: OrderContext) -> None:
+    async def pace(self, order: PaceOrder, context: OrderContext) -> None:
         """Change the fraction of its speed at which a run works."""
 
     @abstractmethod
--- a/src/gentianpulley/platform/worker_channel.py
+++ b/src/gentianpulley/platform/worker_channel.py
@@ -1,4 +1,4 @@
-"""One connection to a worker and its response delay, for use by one thread."""
+"""One connection to a worker and its response delay, for use by one task."""
 
 from typing import Final
 
@@ -35,7 +35,7 @@
             MIN_RESPONSE_MARGIN_MS, max_response_margin_ms
         )
 
-    def call(
+    async def call(
         self, path: str, wire: msgspec.Struct, wait_ms: int = 0
     ) -> HttpResponse:
         """Send a message; the worker may wait `wait_ms` before it responds.
@@ -51,7 +51,7 @@
             due_ms + self._delay.max_timeout_ms,
         )
         try:
-            response = self._conn.post(
+            response = await self._conn.post(
                 f'/gentianpulley/{path}', body, deadlines
             )
         except HttpUnreachableError as exc:
--- a/src/gentianpulley/platform/worker_client.py
+++ b/src/gentianpulley/platform/worker_client.py
@@ -79,7 +79,7 @@
     """Polls one incarnation of a worker and sends orders to it.
 
     Polls use one connection and orders another. Each connection belongs to the
-    thread that calls over it, so a failure of one breaks no call on the other.
+    task that calls over it, so a failure of one breaks no call on the other.
     """
 
     def __init__(
@@ -93,7 +93,7 @@
         self._command_channel = command_channel
         self._born_ms = born_ms
 
-    def poll(self, order: PollOrder) -> Listing:
+    async def poll(self, order: PollOrder) -> Listing:
         """Renew the lease, acknowledge ends and return the run lists."""
         wire = WireLeaseRenewal(
             order.token,
@@ -102,7 +102,7 @@
             order.wait_ms,
         )
         response = _checked(
-            'hold', self._poll_channel.call('hold', wire, order.wait_ms)
+            'hold', await self._poll_channel.call('hold', wire, order.wait_ms)
         )
         try:
             run_lists = RUN_LISTS_DECODER.decode(response.body)
@@ -120,7 +120,9 @@
             )
         return listing
 
-    def start(self, order: StartOrder, context: OrderContext) -> StartReply:
+    async def start(
+        self, order: StartOrder, context: OrderContext
+    ) -> StartReply:
         """Start a run; a failed call is reported in the reply."""
         wire = WireStart(
             task_name(order.key.task_id),
@@ -132,24 +134,24 @@
             order.ticket,
         )
         try:
-            response = self._command_channel.call('run-start', wire)
+            response = await self._command_channel.call('run-start', wire)
         except WorkerUnreachableError as exc:
             return StartReply(StartVerdict.NOT_SENT, detail=exc.text)
         except WorkerSilentError as exc:
             return StartReply(StartVerdict.LOST, detail=exc.text)
         return _start_reply(response)
 
-    def stop(self, order: StopOrder, context: OrderContext) -> None:
+    async def stop(self, order: StopOrder, context: OrderContext) -> None:
         """Stop a run or prevent its start; return once the worker responds."""
         name = task_name(order.key.task_id)
         wire = WireStop(name, order.key.run, context.token)
-        _checked('run-stop', self._command_channel.call('run-stop', wire))
+        _checked('run-stop', await self._command_channel.call('run-stop', wire))
 
-    def pace(self, order: PaceOrder, context: OrderContext) -> None:
+    async def pace(self, order: PaceOrder, context: OrderContext) -> None:
         """Change the speed of a run."""
         name = task_name(order.key.task_id)
         wire = WirePace(name, order.key.run, order.speed_percent, context.token)
-        _checked('pace', self._command_channel.call('pace', wire))
+        _checked('pace', await self._command_channel.call('pace', wire))
 
     def close(self) -> None:
         """Close both connections; no call may be in flight."""
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -3,6 +3,7 @@
 As in `tests.guards`, every function replaces a member from the outside.
 """
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -35,7 +36,8 @@
     """Send what waits for an unresponsive worker without polling it first."""
 
     def withdraw_start(service: Any, order: Any) -> bool:
-        service._sinks[order.worker_id]._send(order, 0)
+        sender = service._sinks[order.worker_id].sender
+        asyncio.ensure_future(sender.send(order, 0))
         return True
 
     replace(SchedulerService, 'withdraw_start', withdraw_start)
--- a/tests/scheduling/test_gangs.py
+++ b/tests/scheduling/test_gangs.py
@@ -41,7 +41,7 @@
         """Record an order."""
         self.orders.append(order)
 
-    def on_ends_acknowledged(self) -> None:
+    def poll_soon(self) -> None:
         """Do nothing."""
 
     def backlog(self) -> tuple[int, int]:
--- a/tests/scheduling/test_look_pauses.py
+++ b/tests/scheduling/test_look_pauses.py
@@ -1,5 +1,6 @@
 """The next poll waits until it can return changes."""
 
+import asyncio
 import threading
 from collections.abc import Iterator
 
@@ -20,11 +21,11 @@
     WorkerClient,
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
-from gentianpulley.cluster.worker_session import (
+from gentianpulley.cluster.worker_poller import (
     MAX_EXTRA_POLL_DELAY_S,
     MIN_POLL_INTERVAL_S,
-    open_session,
 )
+from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.jobs.spec import TaskId
@@ -42,22 +43,24 @@
         """List the end."""
         self.acked: list[int] = []
 
-    def poll(self, order: PollOrder) -> Listing:
+    async def poll(self, order: PollOrder) -> Listing:
         """List the end again, or wait for another one."""
         self.acked.append(order.acked_end_number)
         if order.acked_end_number < ENDED.number:
             return Listing(now_ms(), ended=(ENDED,))
-        threading.Event().wait(1)
+        await asyncio.sleep(1)
         return Listing(now_ms())
 
-    def start(self, order: StartOrder, context: OrderContext) -> StartReply:
+    async def start(
+        self, order: StartOrder, context: OrderContext
+    ) -> StartReply:
         """Refuse."""
         return StartReply(StartVerdict.NO_ROOM)
 
-    def stop(self, order: StopOrder, context: OrderContext) -> None:
+    async def stop(self, order: StopOrder, context: OrderContext) -> None:
         """Do nothing."""
 
-    def pace(self, order: PaceOrder, context: OrderContext) -> None:
+    async def pace(self, order: PaceOrder, context: OrderContext) -> None:
         """Do nothing."""
 
     def close(self) -> None:
--- a/tests/scheduling/test_order_queue.py
+++ b/tests/scheduling/test_order_queue.py
@@ -1,11 +1,12 @@
 """The sequence of orders to a worker, and which starts are withdrawn."""
 
+import asyncio
 import threading
 from collections.abc import Iterator
 
 import pytest
 
-from gentianpulley.cluster import worker_session
+from gentianpulley.cluster import order_sender
 from gentianpulley.cluster.worker_protocol import (
     Listing,
     PollOrder,
@@ -51,40 +52,48 @@
         self.released = threading.Event()
         self.polls_released = threading.Event()
         self.polls_released.set()
-        self.closing_thread = ''
+        self.polls_in_flight = 0
+        self.orders_in_flight = 0
+        self.calls_at_close: list[int] = []
         self.stop_error: Exception | None = None
 
-    def poll(self, order: PollOrder) -> Listing:
+    async def poll(self, order: PollOrder) -> Listing:
         """List what runs; waits while polls are blocked too."""
+        self.polls_in_flight += 1
         if not self.polls_released.is_set():
             self.is_poll_blocked.set()
-        self.polls_released.wait(WAIT_S)
-        threading.Event().wait(POLL_S)
+        await asyncio.to_thread(self.polls_released.wait, WAIT_S)
+        await asyncio.sleep(POLL_S)
+        self.polls_in_flight -= 1
         return Listing(now_ms(), running=tuple(self.running.values()))
 
-    def start(self, order: StartOrder, context: OrderContext) -> StartReply:
+    async def start(
+        self, order: StartOrder, context: OrderContext
+    ) -> StartReply:
         """Record the start."""
         self.running[order.key] = RunningRow(order.key, '', 100, 0)
-        self._record(f'start {order.key.task_id.ordinal}')
+        await self._record(f'start {order.key.task_id.ordinal}')
         return StartReply(StartVerdict.ACCEPTED)
 
-    def stop(self, order: StopOrder, context: OrderContext) -> None:
+    async def stop(self, order: StopOrder, context: OrderContext) -> None:
         """Record the stop."""
-        self._record(f'stop {order.key.task_id.ordinal}')
+        await self._record(f'stop {order.key.task_id.ordinal}')
         if self.stop_error is not None:
             raise self.stop_error
 
-    def pace(self, order: PaceOrder, context: OrderContext) -> None:
+    async def pace(self, order: PaceOrder, context: OrderContext) -> None:
         """Record the pace order."""
-        self._record(f'pace {order.key.task_id.ordinal}')
+        await self._record(f'pace {order.key.task_id.ordinal}')
 
     def close(self) -> None:
-        """Record the thread that closes."""
-        self.closing_thread = threading.current_thread().name
+        """Record how many calls are in flight."""
+        self.calls_at_close.append(self.polls_in_flight + self.orders_in_flight)
 
-    def _record(self, text: str) -> None:
+    async def _record(self, text: str) -> None:
         self.sent.append(text)
-        self.released.wait(WAIT_S)
+        self.orders_in_flight += 1
+        await asyncio.to_thread(self.released.wait, WAIT_S)
+        self.orders_in_flight -= 1
 
 
 class SessionFixture:
@@ -107,7 +116,7 @@
             self.service, self.worker, self.link
         )
         self.service.attach('w', self.session)
-        wait_until(lambda: self.session.reachable.is_set(), what='a poll')
+        wait_until(lambda: self.session.poller.is_reachable, what='a poll')
         wait_until(self._has_sent, what='the first start')
 
     def key_of(self, ordinal: int) -> RunKey:
@@ -212,7 +221,7 @@
 def test_starts_that_waited_long_are_placed_again(
     fixture: SessionFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(worker_session, 'MAX_START_QUEUE_MS', SHORT_QUEUE_MS)
+    monkeypatch.setattr(order_sender, 'MAX_START_QUEUE_MS', SHORT_QUEUE_MS)
     threading.Event().wait(2 * SHORT_QUEUE_MS / 1000)
     fixture.link.released.set()
     wait_until(lambda: fixture.waiting() >= 3)
@@ -225,7 +234,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Started members used to wait in vain for the others and end alone."""
-    monkeypatch.setattr(worker_session, 'MAX_START_QUEUE_MS', SHORT_QUEUE_MS)
+    monkeypatch.setattr(order_sender, 'MAX_START_QUEUE_MS', SHORT_QUEUE_MS)
     fixture = SessionFixture(is_gang=True)
     threading.Event().wait(2 * SHORT_QUEUE_MS / 1000)
     fixture.link.released.set()
@@ -250,11 +259,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """After a two-second stall of the machine no start used to be sent."""
-    monkeypatch.setattr(worker_session, 'MAX_START_QUEUE_MS', -1)
+    monkeypatch.setattr(order_sender, 'MAX_START_QUEUE_MS', -1)
     timer = threading.Timer(
         POLL_S * 5,
         monkeypatch.setattr,
-        (worker_session, 'MAX_START_QUEUE_MS', SHORT_QUEUE_MS * 100),
+        (order_sender, 'MAX_START_QUEUE_MS', SHORT_QUEUE_MS * 100),
     )
     timer.start()
     fixture = SessionFixture()
@@ -266,10 +275,11 @@
     fixture: SessionFixture,
 ) -> None:
     fixture.session.close()
-    wait_until(lambda: not _is_alive('look-w'))
-    assert not fixture.link.closing_thread
+    wait_until(lambda: not fixture.link.polls_in_flight)
+    threading.Event().wait(5 * POLL_S)
+    assert not fixture.link.calls_at_close
     fixture.link.released.set()
-    wait_until(lambda: fixture.link.closing_thread == 'order-w')
+    wait_until(lambda: fixture.link.calls_at_close == [0])
 
 
 def test_starts_wait_until_the_look_before_them_is_noted(
@@ -279,19 +289,15 @@
     orders sent to it were dropped, and rejected seconds later."""
     fixture.link.polls_released.clear()
     wait_until(lambda: fixture.link.is_poll_blocked.is_set())
-    fixture.session.reachable.clear()
+    fixture.session.poller.is_reachable = False
     with fixture.service.lock:
         fixture.link.polls_released.set()
         threading.Event().wait(5 * POLL_S)
-        assert not fixture.session.reachable.is_set()
-    wait_until(lambda: fixture.session.reachable.is_set())
+        assert not fixture.session.poller.is_reachable
+    wait_until(lambda: fixture.session.poller.is_reachable)
 
 
 def _nth(sent: list[str], text: str, number: int) -> int:
     """Return the index of the nth occurrence of a text."""
     indexes = [index for index, each in enumerate(sent) if each == text]
     return indexes[number - 1]
-
-
-def _is_alive(thread_name: str) -> bool:
-    return any(each.name == thread_name for each in threading.enumerate())
--- a/tests/scheduling/test_plan_report.py
+++ b/tests/scheduling/test_plan_report.py
@@ -300,7 +300,7 @@
     def send(self, order: Order) -> None:
         self.orders.put(QueuedOrder(order, now_ms()))
 
-    def on_ends_acknowledged(self) -> None:
+    def poll_soon(self) -> None:
         """Do nothing."""
 
     def backlog(self) -> tuple[int, int]:
@@ -380,10 +380,10 @@
     orders = OrderQueue()
     orders.put(order)
     clock[0] += 400
-    assert orders.get() == order
+    assert orders.pop() == order
     orders.put(order)
     assert orders.backlog() == (1, 400)
-    assert orders.get() == order
+    assert orders.pop() == order
     assert orders.backlog() == (0, 0)
 
 
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -1,5 +1,6 @@
 """Starts go only to an incarnation that was polled since a failure."""
 
+import asyncio
 import queue
 import threading
 from collections.abc import Callable, Iterator
@@ -59,24 +60,26 @@
         self.started: list[StartOrder] = []
         self.verdict = StartVerdict.ACCEPTED
 
-    def poll(self, order: PollOrder) -> Listing:
+    async def poll(self, order: PollOrder) -> Listing:
         """Wait for the next response."""
         self.polls += 1
         self.leases.append(order.lease_deadline_worker_ms)
-        error = self.responses.get(timeout=WAIT_S)
+        error = await asyncio.to_thread(self.responses.get, timeout=WAIT_S)
         if error is not None:
             raise error
         return Listing(now_ms())
 
-    def start(self, order: StartOrder, context: OrderContext) -> StartReply:
+    async def start(
+        self, order: StartOrder, context: OrderContext
+    ) -> StartReply:
         """Record the start."""
         self.started.append(order)
         return StartReply(self.verdict)
 
-    def stop(self, order: StopOrder, context: OrderContext) -> None:
+    async def stop(self, order: StopOrder, context: OrderContext) -> None:
         """Do nothing."""
 
-    def pace(self, order: PaceOrder, context: OrderContext) -> None:
+    async def pace(self, order: PaceOrder, context: OrderContext) -> None:
         """Do nothing."""
 
     def close(self) -> None:
@@ -98,7 +101,7 @@
         """Return an empty backlog."""
         return 0, 0
 
-    def on_ends_acknowledged(self) -> None:
+    def poll_soon(self) -> None:
         """Do nothing."""
 
     def close(self) -> None:
--- a/tests/scheduling/test_shared_state.py
+++ b/tests/scheduling/test_shared_state.py
@@ -49,7 +49,7 @@
         """Return an empty backlog."""
         return 0, 0
 
-    def on_ends_acknowledged(self) -> None:
+    def poll_soon(self) -> None:
         """Do nothing."""
 
     def close(self) -> None:
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gentianpulley.cluster import election_policy
+from gentianpulley.cluster.session_loop import THREAD_NAME
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.election_policy import Candidate, decode_candidate
 from gentianpulley.cluster.capacity import InstanceCapacity
@@ -262,17 +263,18 @@
     """Sessions are open before the jobs are read, and stayed open."""
     worker = GridWorker(election.store, 'w1')
     worker.run_in_background()
+    earlier = _session_threads()
     election.join_impaired('faulty', LARGEST, FaultyStore)
-    wait_until(lambda: _sessions('w1'))
-    opened = _sessions('w1')
+    wait_until(lambda: _session_threads() - earlier)
+    opened = _session_threads() - earlier
     wait_until(lambda: not any(each.is_alive() for each in opened), 5)
     worker.shutdown()
     worker.server_close()
 
 
-def _sessions(worker_id: str) -> list[threading.Thread]:
-    name = f'look-{worker_id}'
-    return [each for each in threading.enumerate() if each.name == name]
+def _session_threads() -> set[threading.Thread]:
+    """Return the threads that run sessions; they end with the last one."""
+    return {each for each in threading.enumerate() if each.name == THREAD_NAME}
 
 
 def test_one_that_stops_while_it_loads_frees_the_key(
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -10,6 +10,7 @@
 from gentianpulley.errors import HttpSilentError, HttpUnreachableError
 from gentianpulley.http_conn import HttpAddress, HttpResponse
 from gentianpulley.keep_alive import KeepAliveConn, ResponseDeadlines
+from tests.task_runner import run
 from tests.scripted_server import (
     HOST,
     ConnectionEnd,
@@ -41,13 +42,20 @@
 
 
 def _post(conn: KeepAliveConn, body: bytes = b'{}') -> HttpResponse:
-    return conn.post('/path', body, _deadlines())
+    return run(conn.post('/path', body, _deadlines()))
 
 
 def _conn(server: ScriptedServer) -> KeepAliveConn:
     return KeepAliveConn(HttpAddress(HOST, server.port), (('X-Id', 'w'),))
 
 
+def _close(conn: KeepAliveConn) -> None:
+    async def close() -> None:
+        conn.close()
+
+    run(close())
+
+
 def _split_into_bytes(whole: bytes) -> tuple[Part, ...]:
     return tuple(whole[at : at + 1] for at in range(len(whole)))
 
@@ -119,7 +127,7 @@
         for _ in range(2):
             assert _post(conn) == HttpResponse(200, body)
         assert server.conn_count == conns
-        conn.close()
+        _close(conn)
 
 
 @pytest.mark.parametrize(
@@ -161,7 +169,7 @@
         assert time.monotonic() - started_s < MAX_DURATION_S
         assert _post(conn) == HttpResponse(200, BODY)
         assert server.conn_count == 2
-        conn.close()
+        _close(conn)
 
 
 def test_a_refused_connection_sent_nothing() -> None:
@@ -179,20 +187,18 @@
         time.sleep(PAUSE_S)
         assert _post(conn) == HttpResponse(200, BODY)
         assert server.conn_count == 2
-        conn.close()
+        _close(conn)
 
 
 def test_what_is_sent() -> None:
     with scripted_server(lambda _: (build_response(BODY),)) as server:
         conn = _conn(server)
         sent = json.dumps({'text': 'y' * 2_000_000}).encode()
-        conn.post(
-            '/path',
-            sent,
-            ResponseDeadlines(now_ms() + 9000, 9000, now_ms() + 9000),
-        )
+        deadline_ms = now_ms() + 9000
+        deadlines = ResponseDeadlines(deadline_ms, 9000, deadline_ms)
+        run(conn.post('/path', sent, deadlines))
         head, _, body = server.requests[0].partition(b'\r\n\r\n')
-        conn.close()
+        _close(conn)
     assert body == sent
     assert head.split(b'\r\n') == [
         b'POST /path HTTP/1.1',
@@ -210,7 +216,7 @@
     with scripted_server(lambda _: parts) as server:
         conn = _conn(server)
         assert _post(conn) == HttpResponse(200, BODY)
-        conn.close()
+        _close(conn)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -38,6 +38,7 @@
     job,
     step,
 )
+from tests.task_runner import run
 from tests.scripted_server import (
     ConnectionEnd,
     Part,
@@ -62,6 +63,13 @@
     return CLIENTS.connect(registration('w', address=f'{HOST}:{port}'))
 
 
+def _close(client: WorkerClient) -> None:
+    async def close() -> None:
+        client.close()
+
+    run(close())
+
+
 def test_an_order_after_a_refused_look_has_a_known_outcome() -> None:
     """A start after a failed poll must not be reported as sent.
 
@@ -71,12 +79,12 @@
     port = free_port()
     client = _client(port)
     with pytest.raises(WorkerUnreachableError):
-        client.poll(POLL)
-    assert client.start(START, CONTEXT).verdict is StartVerdict.NOT_SENT
+        run(client.poll(POLL))
+    assert run(client.start(START, CONTEXT)).verdict is StartVerdict.NOT_SENT
     server = ScriptedServer(lambda _: (REPLY,), port)
-    assert client.start(START, CONTEXT).verdict is StartVerdict.ACCEPTED
+    assert run(client.start(START, CONTEXT)).verdict is StartVerdict.ACCEPTED
     server.close()
-    client.close()
+    _close(client)
 
 
 def test_a_failed_look_breaks_no_order_under_way() -> None:
@@ -88,28 +96,28 @@
         verdicts: list[StartVerdict] = []
         orders = threading.Thread(
             target=lambda: verdicts.extend(
-                client.start(START, CONTEXT).verdict for _ in range(4)
+                run(client.start(START, CONTEXT)).verdict for _ in range(4)
             )
         )
         orders.start()
         poll_count = 0
         while orders.is_alive():
             with pytest.raises(WorkerError):
-                client.poll(POLL)
+                run(client.poll(POLL))
             poll_count += 1
             time.sleep(0.01)
         assert len(verdicts) == 4
         assert set(verdicts) == {StartVerdict.ACCEPTED}
         assert server.conn_count == poll_count + 1
-        client.close()
+        _close(client)
 
 
 def test_a_list_that_comes_whole_but_late_is_used() -> None:
     parts = (0.3, RUN_LISTS[:30], 0.3, RUN_LISTS[30:])
     with scripted_server(lambda _: parts) as server:
         client = _client(server.port)
-        assert client.poll(POLL).clock_worker_ms == 4
-        client.close()
+        assert run(client.poll(POLL)).clock_worker_ms == 4
+        _close(client)
 
 
 def test_looks_wait_for_as_long_as_answers_have_taken() -> None:
@@ -117,9 +125,9 @@
     with scripted_server(lambda _: (next(delays), RUN_LISTS)) as server:
         client = _client(server.port)
         for _ in range(3):
-            assert client.poll(POLL).clock_worker_ms == 4
+            assert run(client.poll(POLL)).clock_worker_ms == 4
         assert server.conn_count == 1
-        client.close()
+        _close(client)
 
 
 class SlowWorker(GridWorker):
