Write log lines without an id drawn for each of them

Callers saw: as before, starts that a small leader sends late.

Cause: each line went through `eliot.log_message`, which outside of an action draws a random id (a system call) that the sink leaves out again.

test_a_line_draws_no_random_id fails on the code before.

--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -9,6 +9,7 @@
 import logging
 import sys
 from collections.abc import Callable, Mapping
+from time import time
 from typing import TYPE_CHECKING, Final
 
 import eliot
@@ -26,6 +27,8 @@
 
 _PREFIX: Final = 'gentianpulley:'
 
+_LOGGER: Final = eliot.Logger()
+
 _NORMAL_END_CAUSES: Final = frozenset(('done', 'stopped'))
 """Causes of ends of runs that do not indicate a failure."""
 
@@ -372,7 +375,14 @@
 
 
 def _write(event: str, **fields: str | int) -> None:
-    eliot.log_message(message_type=f'{_PREFIX}{event}', **fields)
+    """Write an event outside of any of the library's actions.
+
+    For each message without one, `eliot.log_message` begins an action under a
+    random id, which takes a system call and is not written.
+    """
+    _LOGGER.write(
+        {'timestamp': time(), 'message_type': f'{_PREFIX}{event}', **fields}
+    )
 
 
 def _write_admitted(event: str, **fields: str | int) -> None:
--- a/tests/scheduling/test_violation_log.py
+++ b/tests/scheduling/test_violation_log.py
@@ -41,11 +41,11 @@
     """Return the lines on tasks over their targets, as they are written."""
     written: Lines = []
 
-    def _record(**fields: object) -> None:
+    def _record(_logger: eliot.Logger, fields: dict[str, object]) -> None:
         if fields['message_type'] == 'gentianpulley:tail_over_target':
             written.append(fields)
 
-    monkeypatch.setattr(eliot, 'log_message', _record)
+    monkeypatch.setattr(eliot.Logger, 'write', _record)
     return written
 
 
--- a/tests/test_log_sink.py
+++ b/tests/test_log_sink.py
@@ -5,10 +5,12 @@
 import select
 import time
 
+import eliot
 import pytest
 
 from gentianpulley import log_sink
 from gentianpulley.log_sink import LogSink
+from gentianpulley.logs import EventLog
 
 
 def _lines(descriptor: int) -> list[dict[str, object]]:
@@ -24,6 +26,26 @@
     assert _lines(reading) == [{'message_type': 'a', 'job_id': '7'}]
 
 
+def test_a_line_draws_no_random_id(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each line took a system call for an id that is not written."""
+    lines: list[dict[str, object]] = []
+    drawn: list[int] = []
+
+    def draw(size: int) -> bytes:
+        drawn.append(size)
+        return bytes(size)
+
+    eliot.add_destinations(lines.append)
+    monkeypatch.setattr(os, 'urandom', draw)
+    EventLog().process_state('started')
+    eliot.remove_destination(lines.append)
+    assert not drawn
+    (line,) = lines
+    assert line['message_type'] == 'gentianpulley:process_state'
+    assert line['state'] == 'started'
+    assert isinstance(line['timestamp'], float)
+
+
 def test_a_full_pipe_holds_nobody_up(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(log_sink, 'MAX_LINES_PER_S', 1_000_000)
     _, writing = os.pipe()
