Take leases for lapsed only while no other instance can lead

Cause: a leader acts for `contact_ms` or 4 s after its last answered renewal, its key ends after 2 s. In between a successor may lead, which adopts what runs and renews the leases. The leader that was cut off counted them from its own last look and took them for lapsed: 6.2 s after a look up to 1.7 s before the cut, thus from 4.5 s after it, and it may act for 5 s here. Where contact_ms is 3 s it may act for 4 s, and leases of 5.5 s are not over by then, unless a worker was out of its reach before it lost its key. The same holds for the time that it waits for earlier leaders.

Change: what ends by time alone counts as over only if it was over while the key was certain. What was certain once stays so.

--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -107,6 +107,11 @@
                 self._exclusive_until_ms, exclusive_until_ms
             )
 
+    @property
+    def exclusive_until_ms(self) -> int:
+        """Return until when no other instance can hold the key."""
+        return self._exclusive_until_ms
+
     def is_exclusive(self, at_ms: int) -> bool:
         """Return whether no other instance can lead at a time."""
         return at_ms < self._exclusive_until_ms and not self.is_over()
@@ -406,6 +411,9 @@
         lag_s = self.plan_requested.pop_lag_s()
         started_s = time.monotonic()
         with self.lock, self.counters.timed('plan'):
+            self.scheduler.mark_certain_until(
+                self.leadership.exclusive_until_ms
+            )
             self.scheduler.expire_leases(at_ms)
             stops = self.scheduler.stop_incomplete_gangs()
             stops.extend(self.scheduler.plan_migrations(at_ms))
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -190,12 +190,6 @@
             return worker.clock.lease_deadline_worker_ms
         return worker.clock.next_lease(self.term.timing.lease_ms)
 
-    def is_handover_complete(self, now_ms: int) -> bool:
-        """Return whether no run of an earlier leader can continue unseen."""
-        return all(
-            now_ms > until for until in self.unseen_runs_until_ms.values()
-        )
-
     def is_domain_closed(self, worker: Worker) -> bool:
         """Return whether nothing may start in the worker's failure domain."""
         return worker.registration.failure_domain in self.closed_domains
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -80,6 +80,13 @@
             steps.extend(job.ready_steps(now_ms))
         return steps
 
+    def is_handover_complete(self, now_ms: int) -> bool:
+        """Return whether no run of an earlier leader can continue unseen."""
+        certain_ms = self.certain_ms(now_ms)
+        return all(
+            certain_ms > until for until in self.unseen_runs_until_ms.values()
+        )
+
     def is_drained(self, registration: WorkerRegistration) -> bool:
         """Return whether nothing can run on a worker with this registration."""
         existing = self.workers.get(registration.worker_id)
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -5,6 +5,7 @@
 before their tasks run anywhere else.
 """
 
+import sys
 from collections.abc import Iterable
 from typing import Final
 
@@ -19,6 +20,8 @@
 from gentianpulley.cluster.worker import Reservation, Worker, create_worker
 from gentianpulley.logs import EventLog
 
+FOREVER_MS: Final = sys.maxsize
+
 MAX_ORDER_DELAY_MS: Final = 12_500
 """How long an order without a reply may still arrive: the platform's workers
 carry out such orders up to twelve seconds later."""
@@ -31,6 +34,19 @@
         """Start without workers."""
         super().__init__(term, log)
         self._unanswered_starts: dict[str, list[Reservation]] = {}
+        self._certain_until_ms = FOREVER_MS
+
+    def mark_certain_until(self, until_ms: int) -> None:
+        """Record until when no other instance can have led."""
+        self._certain_until_ms = until_ms
+
+    def certain_ms(self, now_ms: int) -> int:
+        """Return the latest time at which no other instance can have led.
+
+        What ends by time alone, a lease or a handover, is certain to be over
+        only if it was over by then: a successor renews the leases of runs.
+        """
+        return min(now_ms, self._certain_until_ms)
 
     def update_worker(
         self, registration: WorkerRegistration, now_ms: int
@@ -94,18 +110,22 @@
         self.requeue_all(worker, 'life over')
 
     def expire_leases(self, now_ms: int) -> None:
-        """Requeue runs of workers whose leases are certain to have expired."""
+        """Requeue runs of workers whose leases are certain to have expired.
+
+        A successor may have renewed them since this leader's key may be gone.
+        """
+        certain_ms = self.certain_ms(now_ms)
         for worker in tuple(self.workers.values()):
-            if worker.reservations and _may_have_expired(worker, now_ms):
-                self._requeue_expired(worker, now_ms)
+            if worker.reservations and _may_have_expired(worker, certain_ms):
+                self._requeue_expired(worker, certain_ms)
             if not worker.reservations and _can_be_removed(
-                worker, self.term, now_ms
+                worker, self.term, certain_ms
             ):
                 self.workers.pop(worker.worker_id, None)
         for worker_id, reservations in tuple(self._unanswered_starts.items()):
             arrived_ms = reservations[0].sent_ms + MAX_ORDER_DELAY_MS
             over_ms = _late_runs_until_ms(reservations, self.term.timing)
-            if now_ms > min(arrived_ms, over_ms):
+            if certain_ms > min(arrived_ms, over_ms):
                 self._requeue_unanswered(worker_id)
 
     def requeue_all(self, worker: Worker, reason: str) -> None:
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -10,6 +10,7 @@
 from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.worker_lifecycle import FOREVER_MS
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
@@ -27,6 +28,11 @@
     )
 
 
+def lapse_certainty() -> None:
+    """Take leases for lapsed even if a successor may have renewed them."""
+    replace(Leadership, 'exclusive_until_ms', FOREVER_MS)
+
+
 def earlier_sending() -> None:
     """Treat any refusal of a start as conclusive for all its sendings."""
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
@@ -69,6 +75,7 @@
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
     'handover': handover,
+    'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -196,6 +196,8 @@
         """Let a leader place the waiting tasks."""
         _, leader = self._acting_leader()
         if leader is not None and leader.has_loaded:
+            certain_until_ms = leader.leadership.exclusive_until_ms
+            leader.scheduler.mark_certain_until(certain_until_ms)
             leader.scheduler.expire_leases(self.now_ms)
             leader.queue.extend(leader.scheduler.plan(self.now_ms))
 
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -11,6 +11,10 @@
 """Seeds that run a job twice in short leader terms if a leader uses a worker
 that came back without recording on the roster that it is in use again."""
 
+LAPSE_SEED = 2637
+"""Seed that runs a job twice in short leader terms if a leader that has lost
+its key takes leases for lapsed that its successor renews."""
+
 REMAINING_RUN_SEED = 72
 """Seed that runs a job twice while workers drain if a leader does not report
 workers that leave with a run on them."""
@@ -20,7 +24,7 @@
 that arrived while it loaded."""
 
 DRAIN_SEEDS = (*range(60), REMAINING_RUN_SEED, LOADING_SEED)
-SHORT_TERM_SEEDS = (*range(60), *UNRECORDED_USE_SEEDS)
+SHORT_TERM_SEEDS = (*range(60), *UNRECORDED_USE_SEEDS, LAPSE_SEED)
 SEEDS = (*range(120), *NON_EXCLUSIVE_SEEDS)
 STEPS = 700
 
