Let no malformed message keep an instance from leading or from polling

Callers would see: nothing is started any more.

Cause: readers expect `msgspec.DecodeError`, but the decoder raises `RecursionError` where fields that it skips are nested deeply. One such entry under `servers/`, which other writers may store, made each instance fail while it read the directory, so none led. A damaged roster did the same. A list with a short or differently typed row raised what the poll did not expect, so its worker stayed open for starts that nobody would see; an address with a port out of range raised at each call.

Change: one function decodes what others wrote and raises only `DecodeError`; a list with any row that cannot be read is no list; a port out of range is no address; a damaged roster stands for an unknown worker, so the next leader waits as long as any run may last.

--- a/src/gentianpulley/cluster/election_policy.py
+++ b/src/gentianpulley/cluster/election_policy.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.cluster.capacity import MILLI, InstanceCapacity
 
 CANDIDATE_JITTER_S: Final = 0.1
@@ -81,6 +82,9 @@
     observed_for_ms: int
 
 
+_CANDIDATE_DECODER: Final = msgspec.json.Decoder(Candidate)
+
+
 def encode_candidate(candidate: Candidate) -> bytes:
     """Return the value of the leader's key or of an offer."""
     return msgspec.json.encode(candidate)
@@ -92,7 +96,7 @@
     Any other value is an instance name, as older versions wrote it.
     """
     try:
-        return msgspec.json.decode(body, type=Candidate)
+        return decode_json(_CANDIDATE_DECODER, body)
     except msgspec.DecodeError:
         return Candidate(body.decode(errors='replace'))
 
--- a/src/gentianpulley/cluster/handover_state.py
+++ b/src/gentianpulley/cluster/handover_state.py
@@ -9,25 +9,38 @@
 import msgspec
 
 from gentianpulley.cluster.roster import (
+    UNKNOWN_ROSTER,
     Roster,
     decode_roster,
     encode_roster,
 )
 from gentianpulley.cluster.leader_store import LeaderStore
 from gentianpulley.errors import StoreError
-from gentianpulley.store import ABSENT, Precondition, Put, Transaction
+from gentianpulley.json_decoding import decode_json
+from gentianpulley.logs import EventLog
+from gentianpulley.store import (
+    ABSENT,
+    Entry,
+    Precondition,
+    Put,
+    Transaction,
+)
 
 ROSTER_KEY: Final = 'gp/roster'
 INTERFERENCE_KEY: Final = 'gp/harm'
 WAVE_PREFIX: Final = 'gp/wave/'
 
 
+_MACHINES_DECODER: Final = msgspec.json.Decoder(tuple[str, ...])
+
+
 class HandoverState:
     """Reads and writes the handover state of one leader."""
 
-    def __init__(self, store: LeaderStore) -> None:
-        """Write under the token of the leader."""
+    def __init__(self, store: LeaderStore, log: EventLog) -> None:
+        """Write under the token of the leader; report damage to `log`."""
         self.store = store
+        self._log = log
         self.roster = Roster()
         self._is_roster_written = True
         self._roster_revision = ABSENT
@@ -58,7 +71,7 @@
         entry = self.store.read(ROSTER_KEY)
         if entry is not None:
             self._roster_revision = entry.revision
-            self.roster = decode_roster(entry.body)
+            self.roster = self._decode_roster(entry)
         return self.roster
 
     def has_marked_used(self, worker_ids: frozenset[str]) -> bool:
@@ -85,7 +98,20 @@
         entry = self.store.read(f'{WAVE_PREFIX}{number}')
         if entry is None:
             return ()
-        return msgspec.json.decode(entry.body, type=tuple[str, ...])
+        try:
+            return decode_json(_MACHINES_DECODER, entry.body)
+        except msgspec.DecodeError as exc:
+            # Orders for machines that have had their maintenance do nothing.
+            self._log.document_damaged(entry.key, str(exc))
+        return ()
+
+    def _decode_roster(self, entry: Entry) -> Roster:
+        """Return the stored roster; one that is damaged may list anything."""
+        try:
+            return decode_roster(entry.body)
+        except msgspec.DecodeError as exc:
+            self._log.document_damaged(entry.key, str(exc))
+        return UNKNOWN_ROSTER
 
     def _put(self, key: str, body: bytes) -> None:
         self.store.commit(Transaction((), (Put(key, body),)))
--- a/src/gentianpulley/cluster/interference.py
+++ b/src/gentianpulley/cluster/interference.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.deadline import MS_PER_SECOND
 
 PRIOR_COEFFICIENT: Final = 3.0
@@ -100,6 +101,9 @@
     variance: float
 
 
+_ESTIMATES_DECODER: Final = msgspec.json.Decoder(list[PairEstimate])
+
+
 class InterferenceModel:
     """The estimated interference of all pairs of images."""
 
@@ -176,7 +180,7 @@
         The base of each serving image and the covariances between pairs are
         not exported; the next leader learns them again.
         """
-        for pair in msgspec.json.decode(body, type=list[PairEstimate]):
+        for pair in decode_json(_ESTIMATES_DECODER, body):
             estimate = self._estimate(pair.serving)
             index = estimate.position(pair.filling)
             estimate.means[index] = pair.harm
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -124,7 +124,7 @@
         self._leadership = leadership
         self._store = create_leader_store(dependencies.store, leader_key)
         self._job_store = LeaderJobStore(self._store, dependencies.log)
-        self._handover_state = HandoverState(self._store)
+        self._handover_state = HandoverState(self._store, dependencies.log)
         self._token = leader_key.revision
         self._scheduler_service: SchedulerService | None = None
         self._save_lock = threading.Lock()
--- a/src/gentianpulley/cluster/roster.py
+++ b/src/gentianpulley/cluster/roster.py
@@ -8,9 +8,12 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 import msgspec
 
+from gentianpulley.json_decoding import decode_json
+
 
 @dataclass(frozen=True, slots=True)
 class Roster:
@@ -39,6 +42,11 @@
         }
 
 
+UNKNOWN_ROSTER: Final = Roster(frozenset(('',)))
+"""Roster of an unknown worker, which never answers: the next leader waits for
+as long as any run of an earlier leader may continue."""
+
+
 class _Document(msgspec.Struct, frozen=True):
     """A roster as it is stored."""
 
@@ -46,6 +54,11 @@
     left_ms: dict[str, int]
 
 
+_DECODER: Final[msgspec.json.Decoder[_Document | list[str]]] = (
+    msgspec.json.Decoder(_Document | list[str])
+)
+
+
 def encode_roster(roster: Roster) -> bytes:
     """Encode a roster for the store."""
     document = _Document(sorted(roster.in_use), dict(roster.remaining_ms))
@@ -54,7 +67,7 @@
 
 def decode_roster(body: bytes) -> Roster:
     """Decode a stored roster; older releases wrote a plain list of ids."""
-    decoded = msgspec.json.decode(body, type=_Document | list[str])
+    decoded = decode_json(_DECODER, body)
     if isinstance(decoded, list):
         return Roster(frozenset(decoded))
     return Roster(frozenset(decoded.used), decoded.left_ms)
--- a/src/gentianpulley/http_conn.py
+++ b/src/gentianpulley/http_conn.py
@@ -61,10 +61,13 @@
     body: bytes
 
 
+MAX_PORT: Final = 65_535
+
+
 def parse_address(text: str) -> HttpAddress:
     """Parse host:port; raises `ValueError` for anything else."""
-    host, colon, port = text.rpartition(':')
-    if not host or not colon:
+    host, _, port = text.rpartition(':')
+    if not host or not 0 < int(port) <= MAX_PORT:
         raise ValueError(text)
     return HttpAddress(host, int(port))
 
--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gentianpulley.jobs.job import Job, JobState, TaskPhase
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.jobs.spec import TaskId
 
 _HEX_BASE: Final = 16
@@ -83,9 +84,12 @@
     return msgspec.json.encode(record)
 
 
+_RECORD_DECODER: Final = msgspec.json.Decoder(JobRecord)
+
+
 def decode_record(body: bytes) -> JobRecord:
     """Decode a stored record; raises `msgspec.DecodeError` if malformed."""
-    return msgspec.json.decode(body, type=JobRecord)
+    return decode_json(_RECORD_DECODER, body)
 
 
 def _completed_tasks(job: Job) -> list[CompletedTasks]:
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.resources import Resources
 
 NO_LIMIT: Final = 0
@@ -218,6 +219,9 @@
     return msgspec.json.encode(spec)
 
 
+_SPEC_DECODER: Final = msgspec.json.Decoder(JobSpec)
+
+
 def decode_job(body: bytes) -> JobSpec:
     """Decode a stored job; raises `msgspec.DecodeError` if malformed."""
-    return msgspec.json.decode(body, type=JobSpec)
+    return decode_json(_SPEC_DECODER, body)
--- a/src/gentianpulley/platform/advice_client.py
+++ b/src/gentianpulley/platform/advice_client.py
@@ -12,6 +12,7 @@
     HttpUnreachableError,
 )
 from gentianpulley.http_conn import HttpAddress, HttpResponse, HttpConn
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.messages import advice_query_failed
 from gentianpulley.platform.task_names import step_name
 from gentianpulley.platform.wire import (
@@ -39,7 +40,7 @@
         if response.status != _OK:
             raise AdviceError(advice_query_failed(response.status))
         try:
-            rows = ADVICE_DECODER.decode(response.body).permits
+            rows = decode_json(ADVICE_DECODER, response.body).permits
         except msgspec.DecodeError as exc:
             raise AdviceError(str(exc)) from exc
         return tuple(Permit(worker_id, ticket) for worker_id, ticket in rows)
--- a/src/gentianpulley/platform/directory.py
+++ b/src/gentianpulley/platform/directory.py
@@ -17,6 +17,7 @@
 )
 from gentianpulley.cluster.worker_protocol import WorkerRegistration
 from gentianpulley.http_conn import parse_address
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.wire import (
     REGISTRATION_DECODER,
@@ -63,7 +64,7 @@
     def _registration(self, entry: Entry) -> WorkerRegistration | None:
         worker_id = entry.key.removeprefix(SERVERS_PREFIX)
         try:
-            wire = REGISTRATION_DECODER.decode(entry.body)
+            wire = decode_json(REGISTRATION_DECODER, entry.body)
             parse_address(wire.addr)
         except (msgspec.DecodeError, ValueError) as exc:
             self._log.document_damaged(entry.key, str(exc))
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -28,6 +28,7 @@
     StepSpec,
     validate_job,
 )
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.wire import JOB_DECODER, WireJob, WireStep
 from gentianpulley.resources import Resources
@@ -193,7 +194,7 @@
         if length > cfg.max_body_bytes:
             return Response(CONTENT_TOO_LARGE)
         try:
-            wire = JOB_DECODER.decode(environ['wsgi.input'].read(length))
+            wire = decode_json(JOB_DECODER, environ['wsgi.input'].read(length))
             spec = job_spec(job_id, wire, rule)
         except (msgspec.DecodeError, ValueError) as exc:
             self._log.job_refused(job_id, str(exc))
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -297,7 +297,7 @@
 def _decoded(response: HttpResponse, message: type[_Message]) -> _Message:
     try:
         return msgspec.json.decode(response.body, type=message)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise StoreAnswerLostError(str(exc)) from exc
 
 
--- a/src/gentianpulley/platform/machine_client.py
+++ b/src/gentianpulley/platform/machine_client.py
@@ -21,6 +21,7 @@
     MachineParkError,
 )
 from gentianpulley.http_conn import HttpAddress, HttpResponse, HttpConn
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.messages import machine_list_failed
 from gentianpulley.platform.wire import (
     MACHINES_DECODER,
@@ -113,7 +114,7 @@
         if response.status != _OK:
             raise MachineParkError(machine_list_failed(response.status))
         try:
-            return MACHINES_DECODER.decode(response.body)
+            return decode_json(MACHINES_DECODER, response.body)
         except msgspec.DecodeError as exc:
             raise MachineParkError(str(exc)) from exc
 
@@ -138,7 +139,7 @@
     if response.status != _CONFLICT:
         return MaintenanceOutcome.REFUSED
     try:
-        reason = REFUSAL_DECODER.decode(response.body).reason
+        reason = decode_json(REFUSAL_DECODER, response.body).reason
     except msgspec.DecodeError:
         # The status says that nothing was done; the next attempt returns the
         # reason.
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -16,6 +16,7 @@
 from gentianpulley.deadline import MS_PER_SECOND, deadline_in, now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.jobs.spec import AdvicePolicy, QueuePolicy
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.wire import (
     CFG_DECODER,
@@ -125,7 +126,7 @@
         ):
             return
         try:
-            wire = WAVE_DECODER.decode(entry.body)
+            wire = decode_json(WAVE_DECODER, entry.body)
         except msgspec.DecodeError as exc:
             self.log.document_damaged(entry.key, str(exc))
             return
@@ -145,7 +146,7 @@
         if entry.key != CFG_KEY:
             return
         try:
-            wire = CFG_DECODER.decode(entry.body)
+            wire = decode_json(CFG_DECODER, entry.body)
         except msgspec.DecodeError as exc:
             self.log.document_damaged(entry.key, str(exc))
             return
--- a/src/gentianpulley/platform/worker_client.py
+++ b/src/gentianpulley/platform/worker_client.py
@@ -29,6 +29,7 @@
     WorkerUnreachableError,
 )
 from gentianpulley.http_conn import HttpResponse, parse_address
+from gentianpulley.json_decoding import decode_json
 from gentianpulley.messages import worker_call_failed
 from gentianpulley.platform.task_names import parse_task_name, task_name
 from gentianpulley.platform.wire import (
@@ -54,6 +55,16 @@
 _PROGRESS_CELL: Final = 3
 _MEASUREMENT_CELL: Final = 4
 
+_MALFORMED: Final = (
+    msgspec.DecodeError,
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+)
+"""Errors of rows of run lists that are too short or have other types."""
+
 _REASONS: Final = MappingProxyType(
     {
         _FENCE: StartVerdict.FENCED,
@@ -105,14 +116,15 @@
             'hold', await self._poll_channel.call('hold', wire, order.wait_ms)
         )
         try:
-            run_lists = RUN_LISTS_DECODER.decode(response.body)
+            run_lists = decode_json(RUN_LISTS_DECODER, response.body)
             listing = Listing(
                 run_lists.clock_ms,
                 run_lists.born_ms,
                 tuple(map(_running_row, run_lists.running)),
                 tuple(map(_ended_row, run_lists.ended)),
             )
-        except (msgspec.DecodeError, ValueError, TypeError) as exc:
+        except _MALFORMED as exc:
+            # A row that cannot be read may be a run, so none is known.
             raise WorkerSilentError(str(exc)) from exc
         if self._born_ms and run_lists.born_ms not in {0, self._born_ms}:
             raise WorkerGoneError(
@@ -208,7 +220,7 @@
 
 def _reply(response: HttpResponse) -> WireWorkerResponse:
     try:
-        return WORKER_RESPONSE_DECODER.decode(response.body)
+        return decode_json(WORKER_RESPONSE_DECODER, response.body)
     except msgspec.DecodeError:
         # The status suffices; only the clock and the reason are missing.
         return WireWorkerResponse()
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -33,6 +33,7 @@
 from gentianpulley.jobs.spec import encode_job
 from gentianpulley.platform.directory import SERVERS_PREFIX
 from gentianpulley.platform.kv_store import KvStore, connect_kv_store
+from gentianpulley.logs import EventLog
 from gentianpulley.store import (
     CommitResult,
     Entry,
@@ -81,7 +82,7 @@
     entry = client.read(LEADER_KEY)
     revision = entry.revision if entry else store.put(LEADER_KEY, {})
     precondition = Precondition(LEADER_KEY, revision)
-    return HandoverState(create_leader_store(client, precondition))
+    return HandoverState(create_leader_store(client, precondition), EventLog())
 
 
 @contextmanager
@@ -131,6 +132,21 @@
     assert service.scheduler.interference.coefficient('serves', 'fill') > 0
 
 
+@pytest.mark.parametrize('body', [b'{"used"', b'[' * 100_000, b'7'])
+def test_a_leader_with_a_damaged_roster_waits_for_any_run(
+    store: GridStore, body: bytes
+) -> None:
+    """No instance was able to lead as long as the roster was damaged."""
+    store.put(ROSTER_KEY, body)
+    leader = _leader(store)
+    service = _open_service(leader)
+    leader.close()
+    scheduler = service.scheduler
+    until_ms = scheduler.term.handover_until_ms
+    assert not scheduler.is_handover_complete(until_ms)
+    assert scheduler.is_handover_complete(until_ms + 1)
+
+
 def test_records_are_written_after_a_fault(
     store: GridStore, monkeypatch: pytest.MonkeyPatch
 ) -> None:
