Hand the lead over only once the store answers, while the grace lasts

Nothing can be handed over then, but from there on it gives no leases, and they end before a successor leads, after the store is back.

Change: it goes on leading until a renewal of its key has been answered lately, at most until the listeners close (0.6 of the grace).

Evidence: test_a_stop_without_the_store_waits_to_hand_over fails on the code before in two of its three cases.

--- a/src/gentianpulley/cluster/leader_elector.py
+++ b/src/gentianpulley/cluster/leader_elector.py
@@ -8,6 +8,7 @@
 """
 
 import random
+import threading
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Final
@@ -31,13 +32,16 @@
 from gentianpulley.cluster.takeover_offers import create_leased_key
 from gentianpulley.cluster.operators import OperatorListener
 from gentianpulley.cluster.timing import LEADER_TTL_S
-from gentianpulley.deadline import MS_PER_SECOND, now_ms
+from gentianpulley.deadline import MS_PER_SECOND, has_passed, now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.store import Precondition, StoreLease
 
 LEADERSHIP_CHECK_INTERVAL_S: Final = RENEW_INTERVAL_MS / MS_PER_SECOND
 """Interval at which a leader checks whether its leadership is over."""
 
+STORE_CHECK_INTERVAL_S: Final = 0.05
+"""Interval at which a leader that stops checks whether the store answers."""
+
 OFFER_CHECK_STEPS: Final = 3
 """Number of steps between two checks of the leader for a takeover offer."""
 
@@ -97,12 +101,17 @@
         except StoreError as exc:
             self.log.store_trouble(exc.text)
 
-    def hand_over(self) -> None:
+    def hand_over(self, wait_until_ms: int = 0) -> None:
         """Leave the election; a leader saves its state and frees the key.
 
-        A leader that is still loading has no state to save.
+        A leader that is still loading has no state to save. Nothing can be
+        handed over while the store does not answer, and leases would lapse
+        before a successor renews them: a leader goes on until it answers, at
+        most until `wait_until_ms`.
         """
         self.stop()
+        if self._leader is not None and self._leadership is not None:
+            _wait_for_store(self._leadership, wait_until_ms)
         if self._leader is None and self._leadership is not None:
             self._leadership.resign('stopped before leading')
             self._revoke_lease()
@@ -224,3 +233,11 @@
             self._store.revoke(lease)
         except StoreError as exc:
             self.log.store_trouble(exc.text)
+
+
+def _wait_for_store(leadership: Leadership, until_ms: int) -> None:
+    """Wait until a renewal of the leader's key was answered lately."""
+    while not leadership.is_over() and not has_passed(until_ms):
+        if leadership.is_exclusive(now_ms()):
+            return
+        threading.Event().wait(STORE_CHECK_INTERVAL_S)
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -165,7 +165,7 @@
         )
         exit_ms = started_ms + int(grace_ms * EXIT_FRACTION)
         # Each of these may block on a store that does not respond.
-        handover = _run(self._elector.hand_over)
+        handover = _run(partial(self._elector.hand_over, close_listeners_ms))
         threading.Event().wait(seconds_left(close_listeners_ms))
         stops = [_run(server.stop) for server in self._servers()]
         for thread in (handover, *stops):
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -16,8 +16,9 @@
 from gentianpulley.cluster.job_storage import LEADER_KEY, SPEC_PREFIX
 from gentianpulley.cluster.leader import LeaderDependencies
 from gentianpulley.cluster.takeover_offers import OFFER_KEY, OfferPublisher
-from gentianpulley.cluster.timing import Timing, create_timing
+from gentianpulley.cluster.timing import LEADER_TTL_S, Timing, create_timing
 from gentianpulley.counters import create_counters
+from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
 from gentianpulley.logs import EventLog
@@ -41,6 +42,7 @@
 LARGE = 2151
 JOB = '/batch/00000000000000a1'
 TAKEOVER_S = 18
+MAX_HAND_OVER_S = 1.8
 LOADING_S = 4.0
 SHORT_TIMING = Timing(
     lease_ms=500,
@@ -277,6 +279,49 @@
     return {each for each in threading.enumerate() if each.name == THREAD_NAME}
 
 
+class MuteStore(KvStore):
+    """A store that answers no renewal of a lease while `is_mute` is set."""
+
+    is_mute = threading.Event()
+
+    def keep_alive(self, lease: StoreLease) -> StoreLease | None:
+        """Renew the lease, or lose the response."""
+        renewed = super().keep_alive(lease)
+        if self.is_mute.is_set():
+            raise StoreAnswerLostError('renewal')
+        return renewed
+
+
+@pytest.fixture
+def muted() -> Iterator[threading.Event]:
+    yield MuteStore.is_mute
+    MuteStore.is_mute.clear()
+
+
+@pytest.mark.parametrize(
+    ('mute_s', 'grace_s', 'ends_s'), [(0.5, 3, 0.5), (60, 1, 1), (0, 3, 0)]
+)
+def test_a_stop_without_the_store_waits_to_hand_over(
+    election: Election,
+    muted: threading.Event,
+    mute_s: float,
+    grace_s: float,
+    ends_s: float,
+) -> None:
+    """It gave no lease from then on, and what ran lapsed in a store outage."""
+    leader = election.join_impaired('leader', LARGEST, MuteStore)
+    wait_until(lambda: leader.is_leading)
+    if mute_s:
+        muted.set()
+        time.sleep(LEADER_TTL_S)
+    threading.Timer(mute_s, muted.clear).start()
+    started_s = time.monotonic()
+    leader.hand_over(now_ms() + int(grace_s * 1000))
+    took_s = time.monotonic() - started_s
+    assert ends_s <= took_s < ends_s + MAX_HAND_OVER_S
+    assert not election.leader()
+
+
 def test_one_that_stops_while_it_loads_frees_the_key(
     election: Election,
 ) -> None:
