Ignore registrations that were replaced before they are read

Callers would see: tasks that run twice, or starts at a worker that drains, just after a change of leader.

Cause: a directory of more than about 500 entries is read in pages, and the watch begins at the revision of the first. What changed meanwhile is read on a later page and then again as a change, older states first. An older incarnation replaced the current one, whose runs were started elsewhere; a drain was undone and a worker that was back counted as gone, until the next event.

Change: registrations carry the revision at which they were written; an older one, or an older removal, changes nothing.

--- a/src/gentianpulley/cluster/directory.py
+++ b/src/gentianpulley/cluster/directory.py
@@ -9,10 +9,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RegistrationChange:
-    """A changed registration; `registration` is None once it is removed."""
+    """A changed registration; `registration` is None once it is removed.
+
+    `revision` increases with each change, zero if the directory has none.
+    """
 
     worker_id: str
     registration: WorkerRegistration | None
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -23,6 +23,7 @@
     WorkerClientFactory,
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService
+from gentianpulley.cluster.worker_lifecycle import FOREVER
 from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreCompactedError, StoreError
@@ -205,7 +206,7 @@
             )
             for change in batch:
                 if change.registration is None:
-                    self._mark_deregistered(change.worker_id)
+                    self._mark_deregistered(change)
                 else:
                     self._update_worker(change.registration)
 
@@ -215,10 +216,10 @@
         if not self._handover_state.has_marked_used(ids):
             self._save_roster(ids)
 
-    def _mark_deregistered(self, worker_id: str) -> None:
+    def _mark_deregistered(self, change: RegistrationChange) -> None:
         with self.scheduler_service.lock:
             self.scheduler_service.scheduler.mark_deregistered(
-                worker_id, now_ms()
+                change.worker_id, now_ms(), change.revision or FOREVER
             )
 
     def _possibly_used_ids(
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -20,7 +20,7 @@
 from gentianpulley.cluster.worker import Reservation, Worker, create_worker
 from gentianpulley.logs import EventLog
 
-FOREVER_MS: Final = sys.maxsize
+FOREVER: Final = sys.maxsize
 
 MAX_ORDER_DELAY_MS: Final = 12_500
 """How long an order without a reply may still arrive: the platform's workers
@@ -34,7 +34,7 @@
         """Start without workers."""
         super().__init__(term, log)
         self._unanswered_starts: dict[str, list[Reservation]] = {}
-        self._certain_until_ms = FOREVER_MS
+        self._certain_until_ms = FOREVER
 
     def mark_certain_until(self, until_ms: int) -> None:
         """Record until when no other instance can have led."""
@@ -51,8 +51,14 @@
     def update_worker(
         self, registration: WorkerRegistration, now_ms: int
     ) -> list[Order]:
-        """Update a worker; a new incarnation replaces the previous one."""
+        """Update a worker; a new incarnation replaces the previous one.
+
+        A registration that was read after it had been replaced changes
+        nothing: its incarnation may be over, and its drain may have begun.
+        """
         existing = self.workers.get(registration.worker_id)
+        if existing and registration.revision < existing.registration.revision:
+            return []
         if existing is not None and _is_new_incarnation(
             existing.registration, registration
         ):
@@ -73,10 +79,17 @@
         """Return whether this is the current incarnation of its worker."""
         return self.workers.get(worker.worker_id) is worker
 
-    def mark_deregistered(self, worker_id: str, now_ms: int) -> None:
-        """Record that a worker left the directory; its runs may continue."""
+    def mark_deregistered(
+        self, worker_id: str, now_ms: int, revision: int = FOREVER
+    ) -> None:
+        """Record that a worker left the directory; its runs may continue.
+
+        Changes nothing if it has registered again after that `revision`.
+        """
         worker = self.workers.get(worker_id)
-        if worker is not None and worker.is_registered:
+        if worker is None or revision < worker.registration.revision:
+            return
+        if worker.is_registered:
             worker.is_registered = False
             worker.deregistered_ms = now_ms
 
--- a/src/gentianpulley/platform/directory.py
+++ b/src/gentianpulley/platform/directory.py
@@ -59,7 +59,7 @@
         registration = (
             self._registration(change.entry) if change.entry else None
         )
-        return RegistrationChange(worker_id, registration)
+        return RegistrationChange(worker_id, registration, change.revision)
 
     def _registration(self, entry: Entry) -> WorkerRegistration | None:
         worker_id = entry.key.removeprefix(SERVERS_PREFIX)
@@ -72,7 +72,7 @@
         if wire.state not in {_READY, _DRAINING}:
             self._log.document_damaged(entry.key, f'state {wire.state}')
             return None
-        return _worker_registration(worker_id, wire)
+        return _worker_registration(worker_id, wire, entry.revision)
 
 
 def create_directory(store: Store, log: EventLog) -> WorkerDirectory:
@@ -81,7 +81,7 @@
 
 
 def _worker_registration(
-    worker_id: str, wire: WireRegistration
+    worker_id: str, wire: WireRegistration, revision: int
 ) -> WorkerRegistration:
     capacity = wire.capacity
     return WorkerRegistration(
@@ -97,4 +97,5 @@
         warmup_ms=wire.cold_ms,
         incarnation_ms=wire.born_ms,
         drain_remaining_ms=wire.leaves_ms,
+        revision=revision,
     )
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -10,7 +10,7 @@
 from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
-from gentianpulley.cluster.worker_lifecycle import FOREVER_MS
+from gentianpulley.cluster.worker_lifecycle import FOREVER
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
@@ -30,7 +30,7 @@
 
 def lapse_certainty() -> None:
     """Take leases for lapsed even if a successor may have renewed them."""
-    replace(Leadership, 'exclusive_until_ms', FOREVER_MS)
+    replace(Leadership, 'exclusive_until_ms', FOREVER)
 
 
 def earlier_sending() -> None:
