Give one task of each idle job a place on a link that is full

Cause: a leader that cannot send starts as fast as they come serves them in the order of priority and lateness. Jobs that are late anyway had nothing running for as long as other work arrived.

Change: while workers have free capacity, a job that has waited for the link with nothing running for a second gets one task, the longest idle first. And a plan that finds no room on the link does not sort what waits.

--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -10,6 +10,7 @@
 
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
+from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.migration import plan_migrations
@@ -84,7 +85,11 @@
             restarts = step.overdue_restarts(now_ms)
             orders.extend(self._try_step(step, restarts, view))
         self._renew_holds(overdue, view)
-        orders.extend(self._place_others(steps, view))
+        if self._start_limiter.has_capacity:
+            orders.extend(self._place_others(steps, view))
+        else:
+            # Sorting takes most of a plan, and nothing could be placed.
+            self._waits.record_all(steps, WaitReason.LINK_SATURATED)
         return orders
 
     def create_report(self, now_ms: int) -> PlanReport:
@@ -135,6 +140,9 @@
             step for step in steps if not step.overdue_restarts(view.now_ms)
         ]
         orders = self._place_overdue_first_start(others, view)
+        for starved in link_starved_steps(others, self._waits, view):
+            first = {min(starved.waiting)}
+            orders.extend(self._try_step(starved, first, view))
         for group in sort_tasks(others, view.now_ms):
             step = group.step
             if group.kind is WorkKind.FIRST_START and step.waiting_restarts:
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -1,6 +1,7 @@
 """Why steps wait: recorded by the scheduler for each step as it plans."""
 
 import enum
+from collections.abc import Iterable
 
 from gentianpulley.jobs.job import StepRun
 
@@ -30,6 +31,7 @@
         """Start without waiting steps."""
         self._now_ms = 0
         self._previous_since_ms: dict[StepRun, int] = {}
+        self._previous_reasons: dict[StepRun, WaitReason] = {}
         self.since_ms: dict[StepRun, int] = {}
         self.reasons: dict[StepRun, WaitReason] = {}
 
@@ -37,9 +39,19 @@
         """Discard the reasons of the previous plan, but not the start times."""
         self._now_ms = now_ms
         self._previous_since_ms = self.since_ms
+        self._previous_reasons = self.reasons
         self.since_ms = {}
         self.reasons = {}
 
+    def waited_for_link(self, step: StepRun) -> bool:
+        """Return whether only the leader's link held up the previous plan."""
+        return self._previous_reasons.get(step) is WaitReason.LINK_SATURATED
+
+    def record_all(self, steps: Iterable[StepRun], reason: WaitReason) -> None:
+        """Record for all steps why their tasks keep waiting."""
+        for step in steps:
+            self.record(step, reason)
+
     def record(self, step: StepRun, reason: WaitReason) -> None:
         """Record why tasks of a step keep waiting, if any do.
 
--- a/tests/scheduling/test_start_bound.py
+++ b/tests/scheduling/test_start_bound.py
@@ -13,6 +13,7 @@
     IN_FLIGHT_TIMEOUT_MS,
     MAX_LINK_BUSY_MS,
 )
+from gentianpulley.cluster.task_placement import STARVATION_MS
 from tests.scheduling.harness import SchedulerHarness, create_harness, job, step
 
 START_BYTES = START_OVERHEAD_BYTES + len('payload')
@@ -106,6 +107,48 @@
     assert following == {URGENT_ID}
 
 
+LATE_ID = 'd' * 16
+URGENT_TASKS = 60
+
+
+def _harness_with_late_job(waited_ms: int) -> SchedulerHarness:
+    """Return a harness in which urgent work takes all of the link.
+
+    A less urgent job has waited `waited_ms` for the link, with nothing running.
+    """
+    harness = _limited_harness()
+    late = job(step(3), job_id=LATE_ID, priority=2)
+    harness.scheduler.add_job(job(step(URGENT_TASKS), priority=0))
+    harness.scheduler.add_job(late)
+    for order in harness.plan():
+        harness.answer(order, StartVerdict.ACCEPTED)
+    harness.at_ms += waited_ms
+    return harness
+
+
+@pytest.mark.parametrize(
+    ('waited_ms', 'late_starts'), [(STARVATION_MS + 1, 1), (100, 0)]
+)
+def test_a_job_with_nothing_running_gets_a_task_through_a_full_link(
+    waited_ms: int, late_starts: int
+) -> None:
+    """Late jobs had nothing running for as long as other work arrived."""
+    harness = _harness_with_late_job(waited_ms)
+    orders = harness.plan()
+    assert len(orders) == MAX_IN_FLIGHT
+    ids = [order.key.task_id.job_id for order in orders]
+    assert ids.count(LATE_ID) == late_starts
+
+
+def test_a_full_cluster_gives_the_link_to_urgent_work() -> None:
+    harness = _harness_with_late_job(STARVATION_MS + 1)
+    for worker in harness.scheduler.workers.values():
+        full = worker.registration.capacity.processors_milli
+        worker.reserved_processors_milli = full - 1000
+    ids = {order.key.task_id.job_id for order in harness.plan()}
+    assert LATE_ID not in ids
+
+
 def test_what_waits_for_the_link_is_told() -> None:
     harness, orders = _harness_with_full_link(40)
     harness.scheduler.add_job(job(step(3), job_id=URGENT_ID, priority=3))
