--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -4,13 +4,14 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from typing import Any
 
 from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
-from gentianpulley.cluster.worker_lifecycle import FOREVER
+from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
@@ -33,6 +34,17 @@
     replace(Leadership, 'exclusive_until_ms', FOREVER)
 
 
+def replaced_registrations() -> None:
+    """Apply each registration, also one that was replaced before."""
+    update_worker = WorkerLifecycle.update_worker
+
+    def update(state: Any, registration: Any, now_ms: int) -> Any:
+        newest = dataclasses.replace(registration, revision=FOREVER)
+        return update_worker(state, newest, now_ms)
+
+    replace(WorkerLifecycle, 'update_worker', update)
+
+
 def earlier_sending() -> None:
     """Treat any refusal of a start as conclusive for all its sendings."""
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
@@ -77,6 +89,7 @@
     'handover': handover,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
+    'old-registrations': replaced_registrations,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
 }
--- a/tests/scheduling/test_old_registrations.py
+++ b/tests/scheduling/test_old_registrations.py
@@ -34,7 +34,11 @@
 
 
 @pytest.mark.parametrize(
-    ('revision', 'incarnation_ms'), [(OLDER, 200), (NEWER, 100)]
+    ('revision', 'incarnation_ms'),
+    [
+        pytest.param(OLDER, 200, marks=pytest.mark.proof('old-registrations')),
+        (NEWER, 100),
+    ],
 )
 def test_an_earlier_incarnation_does_not_end_the_current_one(
     revision: int, incarnation_ms: int
@@ -49,6 +53,7 @@
     assert worker.registration.incarnation_ms == incarnation_ms
 
 
+@pytest.mark.proof('old-registrations')
 def test_a_drain_that_has_begun_is_not_undone() -> None:
     harness = create_harness()
     harness.add_worker('w1', is_draining=True, revision=CURRENT)
