Refuse settings that are no finite number

Callers would see: an entry instance ends when its settings file changes.

Cause: a length of `inf` or `nan` passed the check for positive numbers and raised where it was made an integer; a reload handles only `SettingsError`.

The damaged entry of the directory has a proof with a guard now, red with the guard off.

--- a/src/gentianpulley/platform/daemon_settings.py
+++ b/src/gentianpulley/platform/daemon_settings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from typing import Final
 
@@ -187,6 +188,6 @@
         number = float(setting)
     except ValueError as exc:
         raise SettingsError(bad_setting(name, setting)) from exc
-    if number <= 0:
+    if not 0 < number < inf:
         raise SettingsError(bad_setting(name, setting))
     return int(number * factor)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -12,6 +12,7 @@
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
+from gentianpulley.platform import directory
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
@@ -45,6 +46,13 @@
     replace(WorkerLifecycle, 'update_worker', update)
 
 
+def nesting() -> None:
+    """Let the decoder raise what it likes for an entry of the directory."""
+    replace(
+        directory, 'decode_json', lambda decoder, body: decoder.decode(body)
+    )
+
+
 def earlier_sending() -> None:
     """Treat any refusal of a start as conclusive for all its sendings."""
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
@@ -89,6 +97,7 @@
     'handover': handover,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
+    'nesting': nesting,
     'old-registrations': replaced_registrations,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -26,7 +26,11 @@
     StartOrder,
 )
 from gentianpulley.counters import create_counters
-from gentianpulley.errors import AdviceError, StoreError, WorkerError
+from gentianpulley.errors import (
+    AdviceError,
+    StoreError,
+    WorkerError,
+)
 from gentianpulley.http_conn import HttpResponse, parse_address
 from gentianpulley.jobs.record import decode_record
 from gentianpulley.jobs.spec import TaskId, decode_job
@@ -35,6 +39,7 @@
 from gentianpulley.platform import kv_store, machine_client
 from gentianpulley.platform.directory import StoreDirectory
 from gentianpulley.platform.ingress import Ingress, ShutdownFlag
+from gentianpulley.platform.kv_store import KvStore
 from gentianpulley.platform.operator_watch import queue_cfg
 from gentianpulley.platform.wire import (
     ADVICE_DECODER,
@@ -49,7 +54,7 @@
 )
 from gentianpulley.platform.worker_channel import WorkerChannel
 from gentianpulley.platform.worker_client import HttpWorkerClient
-from gentianpulley.store import Entry
+from gentianpulley.store import Entry, Page
 from tests.task_runner import run
 
 ADDRESS = parse_address('127.0.0.1:1')
@@ -104,6 +109,17 @@
 }
 
 
+class _Listing(KvStore):
+    """A store with some entries, in one page."""
+
+    def __init__(self, entries: list[Entry]) -> None:
+        super().__init__(ADDRESS, create_counters())
+        self._entries = tuple(entries)
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        return Page(self._entries, 2, is_last=True)
+
+
 class _AnyChannel(WorkerChannel):
     """Answers each call with one body."""
 
@@ -274,6 +290,18 @@
     _read(READERS[name], DEEP_BODIES[number])
 
 
+@pytest.mark.proof('nesting')
+def test_one_damaged_entry_hides_no_worker() -> None:
+    """Each instance failed while it read the directory, and none led."""
+    good = json.dumps(DOCUMENTS['registration']).encode()
+    entries = [
+        Entry('servers/bad', DEEP_BODIES[2], 1),
+        Entry('servers/w', good, 2),
+    ]
+    page = StoreDirectory(_Listing(entries), EventLog()).read()
+    assert [each.worker_id for each in page.registrations] == ['w']
+
+
 @pytest.mark.parametrize(
     'address', ['', ':', 'h', 'h:', ':80', 'h:x', 'h:0', 'h:-1', 'h:65536']
 )
