--- a/review/lib/site_of_review.py
+++ b/review/lib/site_of_review.py
@@ -486,5 +486,3 @@
         site.close()
     sys.stdout.flush()
     os._exit(status)
-
-
