Test of advice: hand the job in once the leader has heard from both workers

Cause: in the test. A worker is in a query only once it has answered the leader, as nothing can be placed there before; the test handed its job in as soon as the node was ready, which doesn't wait for that.

The job now comes after both workers have a lease, which a leader grants only to a worker that it has heard from. All assertions are as before.

--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -130,6 +130,12 @@
         """Return the failure domain of the worker."""
         return str(self._registration['zone'])
 
+    @property
+    def has_lease(self) -> bool:
+        """Return whether a leader that has heard from it granted a lease."""
+        with self._lock:
+            return self._lease_ms > 0
+
     def register(self, state: str, **registration: Any) -> None:
         """Write the registration with a state, after updating its fields."""
         self._registration.update(registration)
--- a/tests/test_platform_advice.py
+++ b/tests/test_platform_advice.py
@@ -30,6 +30,8 @@
     for worker_id in ('w1', 'w2'):
         running.add_worker(worker_id).needs_tickets = True
     running.add_node()
+    # A worker that the leader has not heard from yet is in no query.
+    wait_until(lambda: all(each.has_lease for each in running.workers.values()))
     yield running
     running.close()
 
