Waves: record a machine before its first order, and count what others began

Cause: progress was written after an upkeep had begun, so a failed write left no trace and did not stop the leader, and an order in flight or without an answer was known to nobody else. A successor skipped machines that the platform lists in upkeep but did not count them.

Now a machine is written to the wave's record before the first order for it, in a transaction on the leader's key. It fails without the store and once another instance leads, and then no order is sent. A successor reads the record under its own key, so it knows of each order that was ever permitted, whenever it arrives: it counts these machines as down, repeats their orders under its own token (which fences the former's at that machine), and counts them until the platform lists them as up after the answer. The record carries its own revision as a precondition, so a write that arrives late replaces no newer one. Machines of a wave that the list shows in upkeep, or that are down for another wave, count too; until now two waves with common machines took each other's down.

Acting only while the key is certain was weighed and is not needed for this: an order that is in flight, or comes up to 12 s late, outlives any such limit.

Cost: two writes for a machine instead of one.

tests: `started_machines` is now part of `progress`; the test that read it compares the whole of it.

--- a/src/gentianpulley/cluster/handover_state.py
+++ b/src/gentianpulley/cluster/handover_state.py
@@ -1,7 +1,7 @@
 """State that a leader hands over to the next one in addition to the jobs.
 
-This is the roster of workers that may have runs, the learned interference
-between images, and the progress of maintenance waves.
+This is the roster of workers that may have runs, and the learned interference
+between images. `wave_records` adds the progress of maintenance waves.
 """
 
 from typing import Final
@@ -16,7 +16,6 @@
 )
 from gentianpulley.cluster.leader_store import LeaderStore
 from gentianpulley.errors import StoreError
-from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
 from gentianpulley.store import (
     ABSENT,
@@ -28,10 +27,6 @@
 
 ROSTER_KEY: Final = 'gp/roster'
 INTERFERENCE_KEY: Final = 'gp/harm'
-WAVE_PREFIX: Final = 'gp/wave/'
-
-
-_MACHINES_DECODER: Final = msgspec.json.Decoder(tuple[str, ...])
 
 
 class HandoverState:
@@ -87,24 +82,6 @@
         entry = self.store.read(INTERFERENCE_KEY)
         return entry.body if entry else None
 
-    def save_wave(self, number: int, started_machines: tuple[str, ...]) -> None:
-        """Write which machines of a wave have started their maintenance."""
-        self._put(
-            f'{WAVE_PREFIX}{number}', msgspec.json.encode(started_machines)
-        )
-
-    def load_wave(self, number: int) -> tuple[str, ...]:
-        """Return the machines of a wave that have started maintenance."""
-        entry = self.store.read(f'{WAVE_PREFIX}{number}')
-        if entry is None:
-            return ()
-        try:
-            return decode_json(_MACHINES_DECODER, entry.body)
-        except msgspec.DecodeError as exc:
-            # Orders for machines that have had their maintenance do nothing.
-            self._log.document_damaged(entry.key, str(exc))
-        return ()
-
     def _decode_roster(self, entry: Entry) -> Roster:
         """Return the stored roster; one that is damaged may list anything."""
         try:
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -42,6 +42,7 @@
 from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.timing import LEADER_TTL_S, Timing
 from gentianpulley.cluster.maintenance_loop import MaintenanceLoop
+from gentianpulley.cluster.wave_records import WaveRecords
 from gentianpulley.counters import Counters
 from gentianpulley.deadline import MS_PER_SECOND, now_ms
 from gentianpulley.errors import StoreError
@@ -242,9 +243,11 @@
     ) -> None:
         machine_provider = self._dependencies.machine_provider
         if machine_provider is not None:
-            maintenance_ms = self._dependencies.maintenance_ms
             self._maintenance_loop = MaintenanceLoop(
-                service, machine_provider, self._handover_state, maintenance_ms
+                service,
+                machine_provider,
+                WaveRecords(self._store, self._log),
+                self._dependencies.maintenance_ms,
             )
             self._maintenance_loop.start()
         if self._dependencies.advice_service is not None:
--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -7,7 +7,8 @@
 the platform.
 
 A machine counts as down from the order on, until the platform lists it as up
-again in a response to a request sent after the maintenance started.
+again in a response to a request sent after the maintenance started. One that is
+down for another wave, or that the platform lists so, counts as well.
 """
 
 import enum
@@ -22,11 +23,14 @@
     MaintenanceOutcome,
     WaveRequest,
 )
+from gentianpulley.cluster.wave_records import WaveProgress
 
 DRAIN_TIME_SHARE: Final = 0.8
 """Fraction of the time per machine in which its work may end. The rest is for
 the maintenance calls, which may be slow."""
 
+NO_MACHINES: Final[frozenset[str]] = frozenset()
+
 
 class _Stage(enum.Enum):
     """The progress of one machine of a wave."""
@@ -71,11 +75,15 @@
 
 @dataclass(slots=True)
 class MaintenanceWave:
-    """The state of one maintenance wave and the rules that it follows."""
+    """The state of one maintenance wave and the rules that it follows.
+
+    `listed_down` are its machines that the latest list shows in maintenance.
+    """
 
     request: WaveRequest
     maintenance_ms: int
     members: dict[str, _Member] = field(default_factory=dict)
+    listed_down: frozenset[str] = frozenset()
 
     @property
     def is_completed(self) -> bool:
@@ -84,39 +92,59 @@
         return all(member.stage in finished for member in self.members.values())
 
     @property
-    def started_machines(self) -> tuple[str, ...]:
-        """Return the machines that have started maintenance."""
-        return tuple(
+    def progress(self) -> WaveProgress:
+        """Return what the next leader has to know."""
+        return WaveProgress(
+            self._ids_in(_Stage.ORDERED), self._ids_in(_Stage.STARTED)
+        )
+
+    @property
+    def down_machines(self) -> frozenset[str]:
+        """Return the machines that are or may be down for this wave."""
+        return frozenset(
             member.machine_id
             for member in self.members.values()
-            if member.stage is _Stage.STARTED
+            if member.is_down
         )
 
-    def restore(self, started_ids: Iterable[str]) -> None:
+    def restore(self, progress: WaveProgress) -> None:
         """Restore the progress that a previous leader recorded.
 
-        The maintenance that it ordered last may not be over, so all these
-        machines count as down until they are listed as up again.
+        What it ordered may start at any time, and what it started may not be
+        over. So all these machines count as down: the former until an order of
+        this leader is answered, all until they are listed as up again.
         """
-        for machine_id in started_ids:
+        stages = dict.fromkeys(progress.ordered, _Stage.ORDERED)
+        stages.update(dict.fromkeys(progress.started, _Stage.STARTED))
+        for machine_id, stage in stages.items():
             member = self.members.get(machine_id)
             if member is not None:
-                member.stage = _Stage.STARTED
+                member.stage = stage
                 member.is_down = True
 
     def update_machines(
-        self, machines: Iterable[MachineInfo], requested_ms: int, now_ms: int
+        self,
+        machines: Iterable[MachineInfo],
+        requested_ms: int,
+        now_ms: int,
+        down_elsewhere: frozenset[str] = NO_MACHINES,
     ) -> tuple[Drain, ...]:
         """Process a list of machines; returns the workers to drain.
 
-        `requested_ms` is when the list was requested.
+        `requested_ms` is when the list was requested, and `down_elsewhere` are
+        the machines that are down for other waves.
         """
         listed = {machine.machine_id: machine for machine in machines}
         for machine_id, member in self.members.items():
             self._update_from_listing(
                 member, listed.get(machine_id), requested_ms
             )
-        self._start_draining(listed, now_ms)
+        self.listed_down = frozenset(
+            machine.machine_id
+            for machine in listed.values()
+            if machine.state is MachineState.MAINTENANCE
+        )
+        self._start_draining(listed, now_ms, down_elsewhere)
         return tuple(
             Drain(
                 each.machine_id,
@@ -128,7 +156,11 @@
         )
 
     def next_order(
-        self, drained_ids: frozenset[str], token: int, now_ms: int
+        self,
+        drained_ids: frozenset[str],
+        token: int,
+        now_ms: int,
+        down_elsewhere: frozenset[str] = NO_MACHINES,
     ) -> MaintenanceOrder | None:
         """Return the next order, for a machine in `drained_ids`, or None.
 
@@ -140,11 +172,17 @@
             for each in self._members_in(_Stage.DRAINING)
             if each.machine_id in drained_ids
         ]
-        ready = self._members_in(_Stage.ORDERED) + drained
-        if not ready:
-            return None
-        ready[0].record_order(now_ms)
-        return MaintenanceOrder(ready[0].machine_id, self.request.number, token)
+        ordered = self._members_in(_Stage.ORDERED)
+        down = self._down_machines(down_elsewhere)
+        # A previous leader may have ordered more, if more were allowed then.
+        limit = max(self.request.max_unavailable, len(ordered))
+        for member in ordered + drained:
+            if len(down - {member.machine_id}) < limit:
+                member.record_order(now_ms)
+                return MaintenanceOrder(
+                    member.machine_id, self.request.number, token
+                )
+        return None
 
     def record_outcome(
         self, order: MaintenanceOrder, outcome: MaintenanceOutcome, now_ms: int
@@ -166,6 +204,14 @@
             member for member in self.members.values() if member.stage is stage
         ]
 
+    def _ids_in(self, stage: _Stage) -> tuple[str, ...]:
+        return tuple(member.machine_id for member in self._members_in(stage))
+
+    def _down_machines(self, down_elsewhere: frozenset[str]) -> frozenset[str]:
+        """Return the wave's machines that may be down, for whichever wave."""
+        others = self.members.keys() & (down_elsewhere | self.listed_down)
+        return self.down_machines | others
+
     def _update_from_listing(
         self, member: _Member, machine: MachineInfo | None, requested_ms: int
     ) -> None:
@@ -181,19 +227,20 @@
             member.is_down = False
 
     def _start_draining(
-        self, listed: dict[str, MachineInfo], now_ms: int
+        self,
+        listed: dict[str, MachineInfo],
+        now_ms: int,
+        down_elsewhere: frozenset[str],
     ) -> None:
+        draining = self._ids_in(_Stage.DRAINING)
+        busy = self._down_machines(down_elsewhere).union(draining)
         waiting = [
             member
             for member in self._members_in(_Stage.WAITING)
-            if listed[member.machine_id].state is MachineState.UP
+            if member.machine_id not in busy
+            and listed[member.machine_id].state is MachineState.UP
         ]
-        busy = sum(
-            1
-            for member in self.members.values()
-            if member.is_down or member.stage is _Stage.DRAINING
-        )
-        free = max(0, self.request.max_unavailable - busy)
+        free = max(0, self.request.max_unavailable - len(busy))
         for member in waiting[:free]:
             member.stage = _Stage.DRAINING
             member.drain_deadline_ms = now_ms + self._drain_ms(
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -1,8 +1,9 @@
 """The thread of a leader that carries out maintenance waves.
 
-The store records which machines have started, so that the next leader resumes
-each wave. An order without a reply is sent again; the platform replies the same
-way if the maintenance has already started.
+The store records each machine before the first order for it, and once its
+maintenance has started, so that the next leader resumes each wave and counts
+what this one may have begun. An order without a reply is sent again; the
+platform replies the same way if the maintenance has already started.
 """
 
 from collections.abc import Iterable
@@ -10,7 +11,6 @@
 
 from gentianpulley.background import BackgroundLoop
 from gentianpulley.cluster.draining import drain_workers, is_drained
-from gentianpulley.cluster.handover_state import HandoverState
 from gentianpulley.cluster.leader_store import DeposedError
 from gentianpulley.cluster.machines import (
     MachineProvider,
@@ -23,6 +23,7 @@
     MaintenanceWave,
     create_wave,
 )
+from gentianpulley.cluster.wave_records import WaveRecords
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import MachineParkError, StoreError
 
@@ -41,17 +42,17 @@
         self,
         scheduler_service: SchedulerService,
         machine_provider: MachineProvider,
-        handover_state: HandoverState,
+        wave_records: WaveRecords,
         maintenance_ms: int,
     ) -> None:
         """Serve one leader term; machines are down for `maintenance_ms`."""
         super().__init__('upkeep', PASS_INTERVAL_S, scheduler_service.log)
         self._service = scheduler_service
         self._machine_provider = machine_provider
-        self._handover_state = handover_state
+        self._wave_records = wave_records
         self._maintenance_ms = maintenance_ms
         self._waves: dict[int, MaintenanceWave] = {}
-        self._completed: set[int] = set()
+        self._completed: dict[int, MaintenanceWave] = {}
         self.wave_requests: tuple[WaveRequest, ...] = ()
 
     def step(self) -> None:
@@ -73,10 +74,14 @@
             return
         listed_ms = now_ms()
         machines = self._machine_provider.list_machines()
+        for completed in self._completed.values():
+            completed.update_machines(machines, listed_ms, now_ms())
         drains = [
             drain
-            for wave in self._waves.values()
-            for drain in wave.update_machines(machines, listed_ms, now_ms())
+            for number, wave in self._waves.items()
+            for drain in wave.update_machines(
+                machines, listed_ms, now_ms(), self._down_elsewhere(number)
+            )
         ]
         drained = self._drain(drains)
         for wave in tuple(self._waves.values()):
@@ -105,9 +110,9 @@
             is_existing = number in self._waves or number in self._completed
             if not is_existing:
                 wave = create_wave(request, self._maintenance_ms)
-                wave.restore(self._handover_state.load_wave(number))
+                wave.restore(self._wave_records.load(number))
                 self._machine_provider.report_wave(
-                    number, self._handover_state.store, is_completed=False
+                    number, self._wave_records.store, is_completed=False
                 )
                 self._waves[number] = wave
 
@@ -116,9 +121,16 @@
         if wave.is_completed:
             self._complete(wave)
             return
-        at_ms = now_ms()
-        order = wave.next_order(drained, self._service.term.token, at_ms)
-        if order is None or not self._service.may_act(at_ms):
+        number = wave.request.number
+        order = wave.next_order(
+            drained,
+            self._service.term.token,
+            now_ms(),
+            self._down_elsewhere(number),
+        )
+        self._wave_records.save(number, wave.progress)
+        # The write may have taken long.
+        if order is None or not self._service.may_act(now_ms()):
             return
         outcome = self._machine_provider.begin_maintenance(order)
         self._service.log.upkeep(order.machine_id, order.wave, outcome.name)
@@ -126,15 +138,25 @@
             self._service.resign('a maintenance order was fenced off')
             return
         wave.record_outcome(order, outcome, now_ms())
-        if outcome is MaintenanceOutcome.BEGUN:
-            self._handover_state.save_wave(order.wave, wave.started_machines)
+        self._wave_records.save(number, wave.progress)
         if wave.is_completed:
             self._complete(wave)
 
+    def _down_elsewhere(self, number: int) -> frozenset[str]:
+        """Return the machines that are down for other waves than this one."""
+        waves = {**self._completed, **self._waves}
+        return frozenset(
+            machine_id
+            for other, wave in waves.items()
+            if other != number
+            for machine_id in wave.down_machines
+        )
+
     def _complete(self, wave: MaintenanceWave) -> None:
         number = wave.request.number
+        self._wave_records.save(number, wave.progress)
         self._machine_provider.report_wave(
-            number, self._handover_state.store, is_completed=True
+            number, self._wave_records.store, is_completed=True
         )
-        self._completed.add(number)
+        self._completed[number] = wave
         self._waves.pop(number, None)
--- /dev/null
+++ b/src/gentianpulley/cluster/wave_records.py
@@ -0,0 +1,100 @@
+"""What the store records of maintenance waves, for the next leader.
+
+A machine is recorded before the first order for it is sent. The write fails
+once another instance leads, so a leader knows of each order that an earlier one
+may have sent, and of each that may still arrive.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from gentianpulley.cluster.leader_store import LeaderStore
+from gentianpulley.errors import StoreError
+from gentianpulley.json_decoding import decode_json
+from gentianpulley.logs import EventLog
+from gentianpulley.store import ABSENT, Precondition, Put, Transaction
+
+WAVE_PREFIX: Final = 'gp/wave/'
+
+
+@dataclass(frozen=True, slots=True)
+class WaveProgress:
+    """Which machines of a wave are or were down.
+
+    Orders for those in `ordered` may have been sent, and their maintenance may
+    start at any time; that of those in `started` has started.
+    """
+
+    ordered: tuple[str, ...] = ()
+    started: tuple[str, ...] = ()
+
+
+class _Document(msgspec.Struct, frozen=True):
+    """The progress of a wave as it is stored."""
+
+    ordered: tuple[str, ...]
+    started: tuple[str, ...]
+
+
+_DECODER: Final[msgspec.json.Decoder[_Document | tuple[str, ...]]] = (
+    msgspec.json.Decoder(_Document | tuple[str, ...])
+)
+
+
+class WaveRecords:
+    """Reads and writes the progress of all waves for one leader."""
+
+    def __init__(self, store: LeaderStore, log: EventLog) -> None:
+        """Write under the token of the leader; report damage to `log`."""
+        self.store = store
+        self._log = log
+        self._revisions: dict[int, int] = {}
+        self._saved: dict[int, WaveProgress] = {}
+
+    def load(self, number: int) -> WaveProgress:
+        """Return the progress that the previous leader recorded."""
+        entry = self.store.read(_key(number))
+        if entry is None:
+            return WaveProgress()
+        self._revisions[number] = entry.revision
+        try:
+            return _decode(entry.body)
+        except msgspec.DecodeError as exc:
+            self._log.document_damaged(entry.key, str(exc))
+        return WaveProgress()
+
+    def save(self, number: int, progress: WaveProgress) -> None:
+        """Record the progress of a wave, unless it is certainly recorded.
+
+        Raises `StoreError` if it may not be. A write whose response was lost
+        may still be applied late. The precondition keeps it from overwriting a
+        newer one.
+        """
+        if self._saved.get(number) == progress:
+            return
+        self._saved.pop(number, None)
+        key = _key(number)
+        precondition = Precondition(key, self._revisions.get(number, ABSENT))
+        document = _Document(progress.ordered, progress.started)
+        put = Put(key, msgspec.json.encode(document))
+        commit = self.store.commit(Transaction((precondition,), (put,)))
+        if not commit.applied:
+            current = {entry.key: entry.revision for entry in commit.current}
+            self._revisions[number] = current.get(key, ABSENT)
+            raise StoreError('the record of a wave has another revision')
+        self._revisions[number] = commit.revision
+        self._saved[number] = progress
+
+
+def _key(number: int) -> str:
+    return f'{WAVE_PREFIX}{number}'
+
+
+def _decode(body: bytes) -> WaveProgress:
+    """Decode a record; older releases wrote the machines that had started."""
+    decoded = decode_json(_DECODER, body)
+    if isinstance(decoded, _Document):
+        return WaveProgress(decoded.ordered, decoded.started)
+    return WaveProgress(started=decoded)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianpulley.cluster import pacing, run_tracker
+from gentianpulley.cluster import pacing, run_tracker, wave_records
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.platform import directory
+from gentianpulley.store import Transaction
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
@@ -91,6 +93,21 @@
     replace(TaskClient, '_send', send)
 
 
+def wave_intent() -> None:
+    """Record a machine of a wave only once its maintenance has started."""
+    save = WaveRecords.save
+
+    def save_started(records: Any, number: int, progress: Any) -> None:
+        save(records, number, WaveProgress(started=progress.started))
+
+    replace(WaveRecords, 'save', save_started)
+
+
+def wave_late_write() -> None:
+    """Write the record of a wave whatever its revision."""
+    replace(wave_records, 'Transaction', lambda _, puts: Transaction((), puts))
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
@@ -101,4 +118,6 @@
     'old-registrations': replaced_registrations,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
+    'wave-intent': wave_intent,
+    'wave-late-write': wave_late_write,
 }
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -19,6 +19,7 @@
     MaintenanceWave,
     create_wave,
 )
+from gentianpulley.cluster.wave_records import WaveProgress
 from gentianpulley.jobs.spec import StepSpec
 from tests.scheduling.harness import SchedulerHarness, create_harness, job, step
 
@@ -98,7 +99,7 @@
     assert order is not None
     wave.record_outcome(order, verdict, 20)
     assert wave.is_completed
-    assert not wave.started_machines
+    assert wave.progress == WaveProgress()
 
 
 def test_a_wave_is_completed_once_all_that_stay_have_begun() -> None:
@@ -113,7 +114,7 @@
 
 def test_a_successor_goes_on_and_counts_what_may_be_down() -> None:
     wave = _wave('a', 'b')
-    wave.restore(('a',))
+    wave.restore(WaveProgress(started=('a',)))
     down = MachineInfo('a', MachineState.MAINTENANCE)
     assert not wave.update_machines([down, *_machines_up('b')], 5000, 5000)
     assert _draining_machines(wave, 9000, 'a', 'b') == {'b'}
