--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -46,9 +46,10 @@
 class _Member:
     """One machine of a wave.
 
-    `drain_deadline_ms` is when draining ends at the latest. `down_since_ms` is
-    when the first maintenance order was sent or, once maintenance has started,
-    when the response came; zero before the first order.
+    `drain_deadline_ms` is when draining ends at the latest, zero before it has
+    started. `down_since_ms` is when the first maintenance order was sent or,
+    once maintenance has started, when the response came; zero before the first
+    order.
     """
 
     machine_id: str
@@ -57,6 +58,11 @@
     down_since_ms: int = 0
     is_down: bool = False
 
+    @property
+    def is_out_of_service(self) -> bool:
+        """Return whether its worker gets no runs, and is drained."""
+        return self.stage in {_Stage.DRAINING, _Stage.ORDERED}
+
     def record_order(self, now_ms: int) -> None:
         """Record that an order is sent, for the first time or again."""
         self.stage = _Stage.ORDERED
@@ -66,7 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Drain:
-    """The worker of a machine gets no new runs and is drained by a deadline."""
+    """The worker of a machine gets no new runs and is drained by a deadline.
+
+    `worker_id` is empty if the machine has no worker.
+    """
 
     machine_id: str
     worker_id: str
@@ -129,7 +138,7 @@
         now_ms: int,
         down_elsewhere: frozenset[str] = NO_MACHINES,
     ) -> tuple[Drain, ...]:
-        """Process a list of machines; returns the workers to drain.
+        """Process a list of machines; returns the workers out of service.
 
         `requested_ms` is when the list was requested, and `down_elsewhere` are
         the machines that are down for other waves.
@@ -145,15 +154,7 @@
             if machine.state is MachineState.MAINTENANCE
         )
         self._start_draining(listed, now_ms, down_elsewhere)
-        return tuple(
-            Drain(
-                each.machine_id,
-                listed[each.machine_id].worker_id,
-                each.drain_deadline_ms,
-            )
-            for each in self._members_in(_Stage.DRAINING)
-            if each.machine_id in listed
-        )
+        return self._drains(listed)
 
     def next_order(
         self,
@@ -165,19 +166,15 @@
         """Return the next order, for a machine in `drained_ids`, or None.
 
         An order without a reply is sent again first, as that maintenance may
-        have started.
+        have started. If it has not, what runs there now ends with the next one.
         """
-        drained = [
-            each
-            for each in self._members_in(_Stage.DRAINING)
-            if each.machine_id in drained_ids
-        ]
         ordered = self._members_in(_Stage.ORDERED)
         down = self._down_machines(down_elsewhere)
         # A previous leader may have ordered more, if more were allowed then.
         limit = max(self.request.max_unavailable, len(ordered))
-        for member in ordered + drained:
-            if len(down - {member.machine_id}) < limit:
+        for member in ordered + self._members_in(_Stage.DRAINING):
+            is_drained = member.machine_id in drained_ids
+            if is_drained and len(down - {member.machine_id}) < limit:
                 member.record_order(now_ms)
                 return MaintenanceOrder(
                     member.machine_id, self.request.number, token
@@ -199,6 +196,21 @@
             member.stage = _Stage.OMITTED
             member.is_down = False
 
+    def _drains(self, listed: dict[str, MachineInfo]) -> tuple[Drain, ...]:
+        """Return the workers out of service, as their machines are listed."""
+        workers = {
+            machine.machine_id: machine.worker_id for machine in listed.values()
+        }
+        return tuple(
+            Drain(
+                member.machine_id,
+                workers.get(member.machine_id, ''),
+                member.drain_deadline_ms,
+            )
+            for member in self.members.values()
+            if member.is_out_of_service
+        )
+
     def _members_in(self, stage: _Stage) -> list[_Member]:
         return [
             member for member in self.members.values() if member.stage is stage
@@ -243,9 +255,11 @@
         free = max(0, self.request.max_unavailable - len(busy))
         for member in waiting[:free]:
             member.stage = _Stage.DRAINING
-            member.drain_deadline_ms = now_ms + self._drain_ms(
-                now_ms, len(waiting)
-            )
+        drain_deadline_ms = now_ms + self._drain_ms(now_ms, len(waiting))
+        for member in self.members.values():
+            # What a previous leader ordered has none yet.
+            if member.is_out_of_service and not member.drain_deadline_ms:
+                member.drain_deadline_ms = drain_deadline_ms
 
     def _drain_ms(self, now_ms: int, waiting: int) -> int:
         """Return the drain time that leaves enough for the other machines."""
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -83,23 +83,22 @@
                 machines, listed_ms, now_ms(), self._down_elsewhere(number)
             )
         ]
-        drained = self._drain(drains)
+        service = self._service
+        with service.lock:
+            orders = drain_workers(service.scheduler, drains, now_ms())
+        service.dispatch(orders)
         for wave in tuple(self._waves.values()):
-            self._advance(wave, drained)
+            self._advance(wave, drains)
 
-    def _drain(self, drains: list[Drain]) -> frozenset[str]:
-        """Drain the workers of machines; return the drained machines."""
-        service = self._service
+    def _drained_machines(self, drains: list[Drain]) -> frozenset[str]:
+        """Return the machines that may go down as things are now."""
         at_ms = now_ms()
-        with service.lock:
-            orders = drain_workers(service.scheduler, drains, at_ms)
-            drained = frozenset(
+        with self._service.lock:
+            return frozenset(
                 drain.machine_id
                 for drain in drains
-                if is_drained(service.scheduler, drain, at_ms)
+                if is_drained(self._service.scheduler, drain, at_ms)
             )
-        service.dispatch(orders)
-        return drained
 
     def _update_waves(self, requests: Iterable[WaveRequest]) -> None:
         """Open new waves and close those that operators withdrew."""
@@ -116,21 +115,25 @@
                 )
                 self._waves[number] = wave
 
-    def _advance(self, wave: MaintenanceWave, drained: frozenset[str]) -> None:
+    def _advance(self, wave: MaintenanceWave, drains: list[Drain]) -> None:
         """Send the next order of a wave, and report its completion."""
         if wave.is_completed:
             self._complete(wave)
             return
         number = wave.request.number
         order = wave.next_order(
-            drained,
+            self._drained_machines(drains),
             self._service.term.token,
             now_ms(),
             self._down_elsewhere(number),
         )
         self._wave_records.save(number, wave.progress)
+        if order is None:
+            return
         # The write may have taken long.
-        if order is None or not self._service.may_act(now_ms()):
+        if order.machine_id not in self._drained_machines(drains):
+            return
+        if not self._service.may_act(now_ms()):
             return
         outcome = self._machine_provider.begin_maintenance(order)
         self._service.log.upkeep(order.machine_id, order.wave, outcome.name)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -8,7 +8,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianpulley.cluster import pacing, run_tracker, wave_records
+from gentianpulley.cluster import (
+    maintenance,
+    maintenance_loop,
+    pacing,
+    run_tracker,
+    wave_records,
+)
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
@@ -108,6 +114,20 @@
     replace(wave_records, 'Transaction', lambda _, puts: Transaction((), puts))
 
 
+def wave_out_of_service() -> None:
+    """Give tasks to a machine again once its maintenance is ordered."""
+    replace(
+        maintenance._Member,
+        'is_out_of_service',
+        property(lambda member: member.stage is maintenance._Stage.DRAINING),
+    )
+
+
+def wave_drained() -> None:
+    """Order a machine down whatever runs there."""
+    replace(maintenance_loop, 'is_drained', lambda *_: True)
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
@@ -118,6 +138,8 @@
     'old-registrations': replaced_registrations,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
+    'wave-drained': wave_drained,
     'wave-intent': wave_intent,
     'wave-late-write': wave_late_write,
+    'wave-out-of-service': wave_out_of_service,
 }
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -82,8 +82,10 @@
     order = wave.next_order(frozenset(('a',)), 7, 10)
     assert order is not None
     wave.record_outcome(order, verdict, 20)
-    assert not _draining_machines(wave, 30, 'a', 'b')
-    assert wave.next_order(frozenset(), 7, 40) == order
+    # It stays out of service, and no other machine goes.
+    assert _draining_machines(wave, 30, 'a', 'b') == {'a'}
+    assert wave.next_order(frozenset(('b',)), 7, 40) is None
+    assert wave.next_order(frozenset(('a', 'b')), 7, 40) == order
     assert not wave.is_completed
 
 
