--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -7,7 +7,8 @@
 the platform.
 
 A machine counts as down from the order on, until the platform lists it as up
-again in a response to a request sent after the maintenance started.
+again in a response to a request sent after the maintenance started. One that is
+down for another wave, or that the platform lists so, counts as well.
 """
 
 import enum
@@ -22,11 +23,14 @@
     MaintenanceOutcome,
     WaveRequest,
 )
+from gentianpulley.cluster.wave_records import WaveProgress
 
 DRAIN_TIME_SHARE: Final = 0.8
 """Fraction of the time per machine in which its work may end. The rest is for
 the maintenance calls, which may be slow."""
 
+NO_MACHINES: Final[frozenset[str]] = frozenset()
+
 
 class _Stage(enum.Enum):
     """The progress of one machine of a wave."""
@@ -42,9 +46,10 @@
 class _Member:
     """One machine of a wave.
 
-    `drain_deadline_ms` is when draining ends at the latest. `down_since_ms` is
-    when the first maintenance order was sent or, once maintenance has started,
-    when the response came; zero before the first order.
+    `drain_deadline_ms` is when draining ends at the latest, zero before it has
+    started. `down_since_ms` is when the first maintenance order was sent or,
+    once maintenance has started, when the response came; zero before the first
+    order.
     """
 
     machine_id: str
@@ -53,6 +58,11 @@
     down_since_ms: int = 0
     is_down: bool = False
 
+    @property
+    def is_out_of_service(self) -> bool:
+        """Return whether its worker gets no runs, and is drained."""
+        return self.stage in {_Stage.DRAINING, _Stage.ORDERED}
+
     def record_order(self, now_ms: int) -> None:
         """Record that an order is sent, for the first time or again."""
         self.stage = _Stage.ORDERED
@@ -62,7 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Drain:
-    """The worker of a machine gets no new runs and is drained by a deadline."""
+    """The worker of a machine gets no new runs and is drained by a deadline.
+
+    `worker_id` is empty if the machine has no worker.
+    """
 
     machine_id: str
     worker_id: str
@@ -71,11 +84,15 @@
 
 @dataclass(slots=True)
 class MaintenanceWave:
-    """The state of one maintenance wave and the rules that it follows."""
+    """The state of one maintenance wave and the rules that it follows.
+
+    `listed_down` are its machines that the latest list shows in maintenance.
+    """
 
     request: WaveRequest
     maintenance_ms: int
     members: dict[str, _Member] = field(default_factory=dict)
+    listed_down: frozenset[str] = frozenset()
 
     @property
     def is_completed(self) -> bool:
@@ -84,67 +101,85 @@
         return all(member.stage in finished for member in self.members.values())
 
     @property
-    def started_machines(self) -> tuple[str, ...]:
-        """Return the machines that have started maintenance."""
-        return tuple(
+    def progress(self) -> WaveProgress:
+        """Return what the next leader has to know."""
+        return WaveProgress(
+            self._ids_in(_Stage.ORDERED), self._ids_in(_Stage.STARTED)
+        )
+
+    @property
+    def down_machines(self) -> frozenset[str]:
+        """Return the machines that are or may be down for this wave."""
+        return frozenset(
             member.machine_id
             for member in self.members.values()
-            if member.stage is _Stage.STARTED
+            if member.is_down
         )
 
-    def restore(self, started_ids: Iterable[str]) -> None:
+    def restore(self, progress: WaveProgress) -> None:
         """Restore the progress that a previous leader recorded.
 
-        The maintenance that it ordered last may not be over, so all these
-        machines count as down until they are listed as up again.
+        What it ordered may start at any time, and what it started may not be
+        over. So all these machines count as down: the former until an order of
+        this leader is answered, all until they are listed as up again.
         """
-        for machine_id in started_ids:
+        stages = dict.fromkeys(progress.ordered, _Stage.ORDERED)
+        stages.update(dict.fromkeys(progress.started, _Stage.STARTED))
+        for machine_id, stage in stages.items():
             member = self.members.get(machine_id)
             if member is not None:
-                member.stage = _Stage.STARTED
+                member.stage = stage
                 member.is_down = True
 
     def update_machines(
-        self, machines: Iterable[MachineInfo], requested_ms: int, now_ms: int
+        self,
+        machines: Iterable[MachineInfo],
+        requested_ms: int,
+        now_ms: int,
+        down_elsewhere: frozenset[str] = NO_MACHINES,
     ) -> tuple[Drain, ...]:
-        """Process a list of machines; returns the workers to drain.
+        """Process a list of machines; returns the workers out of service.
 
-        `requested_ms` is when the list was requested.
+        `requested_ms` is when the list was requested, and `down_elsewhere` are
+        the machines that are down for other waves.
         """
         listed = {machine.machine_id: machine for machine in machines}
         for machine_id, member in self.members.items():
             self._update_from_listing(
                 member, listed.get(machine_id), requested_ms
             )
-        self._start_draining(listed, now_ms)
-        return tuple(
-            Drain(
-                each.machine_id,
-                listed[each.machine_id].worker_id,
-                each.drain_deadline_ms,
-            )
-            for each in self._members_in(_Stage.DRAINING)
-            if each.machine_id in listed
+        self.listed_down = frozenset(
+            machine.machine_id
+            for machine in listed.values()
+            if machine.state is MachineState.MAINTENANCE
         )
+        self._start_draining(listed, now_ms, down_elsewhere)
+        return self._drains(listed)
 
     def next_order(
-        self, drained_ids: frozenset[str], token: int, now_ms: int
+        self,
+        drained_ids: frozenset[str],
+        token: int,
+        now_ms: int,
+        down_elsewhere: frozenset[str] = NO_MACHINES,
     ) -> MaintenanceOrder | None:
         """Return the next order, for a machine in `drained_ids`, or None.
 
         An order without a reply is sent again first, as that maintenance may
-        have started.
+        have started. If it has not, what runs there now ends with the next one.
         """
-        drained = [
-            each
-            for each in self._members_in(_Stage.DRAINING)
-            if each.machine_id in drained_ids
-        ]
-        ready = self._members_in(_Stage.ORDERED) + drained
-        if not ready:
-            return None
-        ready[0].record_order(now_ms)
-        return MaintenanceOrder(ready[0].machine_id, self.request.number, token)
+        ordered = self._members_in(_Stage.ORDERED)
+        down = self._down_machines(down_elsewhere)
+        # A previous leader may have ordered more, if more were allowed then.
+        limit = max(self.request.max_unavailable, len(ordered))
+        for member in ordered + self._members_in(_Stage.DRAINING):
+            is_drained = member.machine_id in drained_ids
+            if is_drained and len(down - {member.machine_id}) < limit:
+                member.record_order(now_ms)
+                return MaintenanceOrder(
+                    member.machine_id, self.request.number, token
+                )
+        return None
 
     def record_outcome(
         self, order: MaintenanceOrder, outcome: MaintenanceOutcome, now_ms: int
@@ -161,11 +196,34 @@
             member.stage = _Stage.OMITTED
             member.is_down = False
 
+    def _drains(self, listed: dict[str, MachineInfo]) -> tuple[Drain, ...]:
+        """Return the workers out of service, as their machines are listed."""
+        workers = {
+            machine.machine_id: machine.worker_id for machine in listed.values()
+        }
+        return tuple(
+            Drain(
+                member.machine_id,
+                workers.get(member.machine_id, ''),
+                member.drain_deadline_ms,
+            )
+            for member in self.members.values()
+            if member.is_out_of_service
+        )
+
     def _members_in(self, stage: _Stage) -> list[_Member]:
         return [
             member for member in self.members.values() if member.stage is stage
         ]
 
+    def _ids_in(self, stage: _Stage) -> tuple[str, ...]:
+        return tuple(member.machine_id for member in self._members_in(stage))
+
+    def _down_machines(self, down_elsewhere: frozenset[str]) -> frozenset[str]:
+        """Return the wave's machines that may be down, for whichever wave."""
+        others = self.members.keys() & (down_elsewhere | self.listed_down)
+        return self.down_machines | others
+
     def _update_from_listing(
         self, member: _Member, machine: MachineInfo | None, requested_ms: int
     ) -> None:
@@ -181,24 +239,27 @@
             member.is_down = False
 
     def _start_draining(
-        self, listed: dict[str, MachineInfo], now_ms: int
+        self,
+        listed: dict[str, MachineInfo],
+        now_ms: int,
+        down_elsewhere: frozenset[str],
     ) -> None:
+        draining = self._ids_in(_Stage.DRAINING)
+        busy = self._down_machines(down_elsewhere).union(draining)
         waiting = [
             member
             for member in self._members_in(_Stage.WAITING)
-            if listed[member.machine_id].state is MachineState.UP
+            if member.machine_id not in busy
+            and listed[member.machine_id].state is MachineState.UP
         ]
-        busy = sum(
-            1
-            for member in self.members.values()
-            if member.is_down or member.stage is _Stage.DRAINING
-        )
-        free = max(0, self.request.max_unavailable - busy)
+        free = max(0, self.request.max_unavailable - len(busy))
         for member in waiting[:free]:
             member.stage = _Stage.DRAINING
-            member.drain_deadline_ms = now_ms + self._drain_ms(
-                now_ms, len(waiting)
-            )
+        drain_deadline_ms = now_ms + self._drain_ms(now_ms, len(waiting))
+        for member in self.members.values():
+            # What a previous leader ordered has none yet.
+            if member.is_out_of_service and not member.drain_deadline_ms:
+                member.drain_deadline_ms = drain_deadline_ms
 
     def _drain_ms(self, now_ms: int, waiting: int) -> int:
         """Return the drain time that leaves enough for the other machines."""
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -19,6 +19,7 @@
     MaintenanceWave,
     create_wave,
 )
+from gentianpulley.cluster.wave_records import WaveProgress
 from gentianpulley.jobs.spec import StepSpec
 from tests.scheduling.harness import SchedulerHarness, create_harness, job, step
 
@@ -81,8 +82,10 @@
     order = wave.next_order(frozenset(('a',)), 7, 10)
     assert order is not None
     wave.record_outcome(order, verdict, 20)
-    assert not _draining_machines(wave, 30, 'a', 'b')
-    assert wave.next_order(frozenset(), 7, 40) == order
+    # It stays out of service, and no other machine goes.
+    assert _draining_machines(wave, 30, 'a', 'b') == {'a'}
+    assert wave.next_order(frozenset(('b',)), 7, 40) is None
+    assert wave.next_order(frozenset(('a', 'b')), 7, 40) == order
     assert not wave.is_completed
 
 
@@ -98,7 +101,7 @@
     assert order is not None
     wave.record_outcome(order, verdict, 20)
     assert wave.is_completed
-    assert not wave.started_machines
+    assert wave.progress == WaveProgress()
 
 
 def test_a_wave_is_completed_once_all_that_stay_have_begun() -> None:
@@ -113,7 +116,7 @@
 
 def test_a_successor_goes_on_and_counts_what_may_be_down() -> None:
     wave = _wave('a', 'b')
-    wave.restore(('a',))
+    wave.restore(WaveProgress(started=('a',)))
     down = MachineInfo('a', MachineState.MAINTENANCE)
     assert not wave.update_machines([down, *_machines_up('b')], 5000, 5000)
     assert _draining_machines(wave, 9000, 'a', 'b') == {'b'}
