Cancellations: start nothing before those stored during the load are known

Cause: the load read the cancellations once, before all jobs, and the plan thread started beside the watch that would have shown the newer ones. A watch answers at once if there is an event, but the plan was faster by milliseconds; an idle watch reports its revision only after its wait of 1.8 s.

Now the cancellations are read after the jobs (a smaller gap, and a revision that the store still has after a load that is longer than its history), and the watch begins with a read of the changes since, without a wait. Nothing is started or moved before that read is answered. It is sent after the jobs are read and after the leader is known to hold its key, and the store answers linearizably, so every cancel acknowledged until then is known. If the history is gone (410), the watch reads all cancellations anew and then asks again; if the store doesn't answer, it asks again each 0.2 s, as any leader's watch.

Delay of the first plan: one read (4 ms at the store, a quarter second when slow). It has no bound of its own while the store doesn't answer, but then no renewal is answered either and the leader may order nothing after leadership_ms (4 s); if renewals are answered and this read never is, the watch resigns after a handover. Waiting was preferred to starting after cancel_ms: a cancel from the load could be older than that. Stops of incomplete gangs and lapsed leases go on meanwhile.

--- a/src/gentianpulley/cluster/job_storage.py
+++ b/src/gentianpulley/cluster/job_storage.py
@@ -68,6 +68,9 @@
 class LoadedJobs:
     """All unfinished jobs, and the revisions to watch from.
 
+    The cancellations are read last, so those stored before the jobs were read
+    are complete. Those stored since `cancellations_revision` may be missing.
+
     `cancelled` has the ids of all jobs with a cancellation, including jobs that
     have ended.
     """
@@ -158,19 +161,19 @@
         self._deleted_ids = ExpiringIdSet(DELETED_ID_RETENTION_MS)
 
     def load(self) -> LoadedJobs:
-        """Read all records, cancellations and jobs; raises `StoreError`."""
+        """Read all records, jobs and cancellations; raises `StoreError`."""
         records = self._load_records()
-        cancellation_scan = PrefixScan(self._store.reader, CANCELLATION_PREFIX)
-        cancelled = frozenset(
-            cancelled_job_id(entry.key)
-            for entry in self._read_entries(cancellation_scan)
-        )
         spec_scan = PrefixScan(self._store.reader, SPEC_PREFIX)
         jobs = tuple(
             job
             for entry in self._read_entries(spec_scan)
             if (job := self._restore_if_unfinished(entry, records)) is not None
         )
+        cancellation_scan = PrefixScan(self._store.reader, CANCELLATION_PREFIX)
+        cancelled = frozenset(
+            cancelled_job_id(entry.key)
+            for entry in self._read_entries(cancellation_scan)
+        )
         return LoadedJobs(
             jobs, cancelled, spec_scan.revision, cancellation_scan.revision
         )
--- a/src/gentianpulley/cluster/job_watches.py
+++ b/src/gentianpulley/cluster/job_watches.py
@@ -21,7 +21,7 @@
 from gentianpulley.cluster.scheduler_service import SchedulerService
 from gentianpulley.jobs.job import create_job
 from gentianpulley.prefix_scan import PrefixScan
-from gentianpulley.store import Change, Entry, Store
+from gentianpulley.store import Change, ChangeBatch, Entry, Store
 
 MAX_INDIVIDUAL_READS: Final = 50
 """Maximum number of jobs that are read one by one after the history was
@@ -120,11 +120,19 @@
         self._store = store
 
     def watch_changes(self, revision: int) -> None:
-        """Report new cancellations and deleted ones."""
-        for batch in self._store.watch(CANCELLATION_PREFIX, revision):
-            for change in batch.changes:
-                self._apply_change(change)
-            self.advance_revision(batch.revision)
+        """Report new cancellations and deleted ones.
+
+        A leader that has just loaded starts nothing before it knows those
+        stored so far, which an idle watch would report only after its wait.
+        """
+        watched_revision = revision
+        if not self.scheduler_service.are_cancellations_known:
+            batch = self._store.read_changes(CANCELLATION_PREFIX, revision)
+            self._apply_batch(batch)
+            self.scheduler_service.mark_cancellations_known()
+            watched_revision = batch.revision
+        for batch in self._store.watch(CANCELLATION_PREFIX, watched_revision):
+            self._apply_batch(batch)
             if self.scheduler_service.leadership.is_over():
                 break
 
@@ -137,6 +145,11 @@
                 self.scheduler_service.cancel(cancelled_job_id(entry.key))
         return scan.revision
 
+    def _apply_batch(self, batch: ChangeBatch) -> None:
+        for change in batch.changes:
+            self._apply_change(change)
+        self.advance_revision(batch.revision)
+
     def _apply_change(self, change: Change) -> None:
         job_id = cancelled_job_id(change.key)
         if change.entry is None:
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -3,7 +3,8 @@
 The order matters. The leader's key comes first, then the workers, then a fence
 at each worker, which returns its run list and renews its lease. Jobs are loaded
 meanwhile, because loading takes longer the more is stored. The run lists are
-processed only after that.
+processed only after that, and nothing is started before the cancellations that
+were stored meanwhile are known.
 """
 
 import threading
@@ -377,8 +378,8 @@
 ) -> None:
     jobs = JobWatch(service, store, job_store)
     cancels = CancellationWatch(service, store)
-    _start('jobs', lambda: jobs.run(loaded.jobs_revision))
     _start('cancels', lambda: cancels.run(loaded.cancellations_revision))
+    _start('jobs', lambda: jobs.run(loaded.jobs_revision))
 
 
 def _plan_pause_s(service: SchedulerService) -> float:
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -173,6 +173,7 @@
         self._plan_metrics = PlanMetrics(counters, log)
         self.save_requested = threading.Event()
         self.are_jobs_loaded = True
+        self.are_cancellations_known = True
         self.plan_cost_s: float = 0
         # Replaced, never changed in place, so that any thread may iterate.
         self._sinks: Mapping[str, OrderSink] = {}
@@ -354,10 +355,14 @@
     # Called by the leader's own threads.
 
     def begin_loading(self) -> None:
-        """Buffer workers' listings until the inherited jobs are loaded."""
+        """Buffer workers' listings until the inherited jobs are loaded.
+
+        Nothing is started before `mark_cancellations_known` is called.
+        """
         with self.lock:
             self.scheduler.buffer_listings()
         self.are_jobs_loaded = False
+        self.are_cancellations_known = False
 
     def load_inherited_jobs(
         self, jobs: Iterable[Job], cancelled: Iterable[str]
@@ -376,6 +381,12 @@
         if has_ends:
             self.save_requested.set()
 
+    def mark_cancellations_known(self) -> None:
+        """Allow starts: what was cancelled while jobs were loaded is known."""
+        self.are_cancellations_known = True
+        if self.scheduler.live_jobs:
+            self.plan_requested.set()
+
     def add_job(self, job: Job) -> None:
         """Add a job."""
         with self.lock:
@@ -404,7 +415,11 @@
             self.scheduler.discard_pending_cancellation(job_id)
 
     def plan(self) -> None:
-        """Plan the runs that fit somewhere, and send the resulting orders."""
+        """Plan the runs that fit somewhere, and send the resulting orders.
+
+        While a loaded job may be cancelled without being known to be, only
+        runs that must not continue are stopped.
+        """
         at_ms = now_ms()
         if not self.may_act(at_ms):
             return
@@ -416,8 +431,10 @@
             )
             self.scheduler.expire_leases(at_ms)
             stops = self.scheduler.stop_incomplete_gangs()
-            stops.extend(self.scheduler.plan_migrations(at_ms))
-            orders = self.scheduler.plan(at_ms)
+            orders: list[StartOrder] = []
+            if self.are_cancellations_known:
+                stops.extend(self.scheduler.plan_migrations(at_ms))
+                orders = self.scheduler.plan(at_ms)
             self.counters.set(
                 'jobs_waiting', self.scheduler.count_unstarted_jobs()
             )
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -8,6 +8,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
+from itertools import repeat
 from typing import Final, TypeVar
 from urllib.parse import quote
 
@@ -90,6 +91,9 @@
 """How long a watch request waits. An unresponsive connection must be detected,
 and the cfg re-read, within the cluster's limit on activating a cfg."""
 
+MIN_WATCH_WAIT_MS: Final = 1
+"""Wait of a watch request that only asks for the changes made so far."""
+
 WATCH_RESPONSE_MARGIN_MS: Final = 500
 """Maximum delay of the start of a watch response after the wait has ended."""
 
@@ -212,18 +216,22 @@
 
         Raises `StoreCompactedError` if that history has been compacted.
         """
-        path = f'kv-watch?prefix={quote(prefix, safe="")}'
         after = revision
-        while True:
-            response = self._fetch(
-                f'{path}&after={after}&wait_ms={WATCH_WAIT_MS}',
-                WATCH_WAIT_MS + WATCH_RESPONSE_MARGIN_MS,
-            )
-            if response.status == _GONE:
-                raise StoreCompactedError(store_refused(prefix, _GONE))
-            batch = _decoded(response, WireEvents)
-            after = max(after, batch.store_revision)
-            yield ChangeBatch(tuple(map(_change, batch.events)), after)
+        for wait_ms in repeat(WATCH_WAIT_MS):
+            path = _watch_path(prefix, after, wait_ms)
+            response = self._fetch(path, wait_ms + WATCH_RESPONSE_MARGIN_MS)
+            batch = _batch(response, prefix, after)
+            after = batch.revision
+            yield batch
+
+    def read_changes(self, prefix: str, revision: int) -> ChangeBatch:
+        """Return the changes below `prefix` that are newer than `revision`.
+
+        Raises `StoreCompactedError` if that history has been compacted.
+        """
+        path = _watch_path(prefix, revision, MIN_WATCH_WAIT_MS)
+        response = self._fetch(path, IDLE_TIMEOUT_MS)
+        return _batch(response, prefix, revision)
 
     def call_count(self) -> int:
         """Return the number of calls sent so far."""
@@ -301,6 +309,20 @@
         raise StoreAnswerLostError(str(exc)) from exc
 
 
+def _watch_path(prefix: str, after: int, wait_ms: int) -> str:
+    quoted = quote(prefix, safe='')
+    return f'kv-watch?prefix={quoted}&after={after}&wait_ms={wait_ms}'
+
+
+def _batch(response: HttpResponse, prefix: str, after: int) -> ChangeBatch:
+    """Return the changes in the response to a watch."""
+    if response.status == _GONE:
+        raise StoreCompactedError(store_refused(prefix, _GONE))
+    batch = _decoded(response, WireEvents)
+    changes = tuple(map(_change, batch.events))
+    return ChangeBatch(changes, max(after, batch.store_revision))
+
+
 def _encoded(body: bytes) -> str:
     return b64encode(body).decode()
 
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -195,6 +195,14 @@
         Raises a `StoreError` when the connection fails or stops responding.
         """
 
+    def read_changes(self, prefix: str, revision: int) -> ChangeBatch:
+        """Return the changes below `prefix` that are newer than `revision`.
+
+        Contains every change made before the call. A store that cannot report
+        without waiting returns the next batch of a watch. Raises as `watch`.
+        """
+        return next(iter(self.watch(prefix, revision)))
+
     @abstractmethod
     def call_count(self) -> int:
         """Return the number of calls sent so far; a watch counts as one."""
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -16,6 +16,16 @@
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
+class _AlwaysTrue:
+    """An attribute that ignores its assignments."""
+
+    def __get__(self, owner: Any, kind: Any = None) -> bool:
+        return True
+
+    def __set__(self, owner: Any, assigned: bool) -> None:
+        """Ignore it."""
+
+
 def replace(owner: Any, name: str, member: Any) -> None:
     """Replace a member of a class or module."""
     setattr(owner, name, member)
@@ -74,6 +84,11 @@
     replace(Scheduler, 'is_handover_complete', lambda *_: True)
 
 
+def cancellations_first() -> None:
+    """Start loaded jobs before what was cancelled meanwhile is known."""
+    replace(SchedulerService, 'are_cancellations_known', _AlwaysTrue())
+
+
 def suspensions() -> None:
     """Throttle by the model alone, without suspensions."""
     replace(pacing, 'update_suspension', lambda *_: False)
@@ -92,6 +107,7 @@
 
 
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
+    'cancellations-first': cancellations_first,
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
     'handover': handover,
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -5,12 +5,16 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 import pytest
 
 from gentianpulley.cluster.job_storage import (
+    CANCELLATION_PREFIX,
     LEADER_KEY,
+    SPEC_PREFIX,
     LeaderJobStore,
+    cancellation_key,
     job_key,
 )
 from gentianpulley.cluster.leader import (
@@ -30,11 +34,13 @@
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.http_conn import HttpAddress
+from gentianpulley.jobs.job import JobState
 from gentianpulley.jobs.spec import encode_job
 from gentianpulley.platform.directory import SERVERS_PREFIX
 from gentianpulley.platform.kv_store import KvStore, connect_kv_store
 from gentianpulley.logs import EventLog
 from gentianpulley.store import (
+    ChangeBatch,
     CommitResult,
     Entry,
     Precondition,
@@ -50,6 +56,9 @@
 
 WORKER_ID = 'w1'
 SHORT_TERM_S = 3.0
+OTHER_ID = 'b' * 16
+SLOW_S = 0.5
+GATED = pytest.mark.proof('cancellations-first')
 
 
 @pytest.fixture
@@ -323,3 +332,70 @@
     )
     wait_until(lambda: JOB_ID in service.scheduler.jobs)
     leader.close()
+
+
+class CancellingStore(KvStore):
+    """A slow store in which a caller cancels a job during one read of it."""
+
+    def __init__(self, server: GridStore, prefix: str) -> None:
+        """Cancel when the first page below `prefix` has been read."""
+        super().__init__(HttpAddress(HOST, server.port), create_counters())
+        self._server = server
+        self._prefix = prefix
+        self.is_compacting = False
+        self.is_losing = False
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return a page, which is older than the cancellation."""
+        page = super().read_page(prefix, after)
+        if prefix == self._prefix:
+            self._prefix = ''
+            self._server.put(cancellation_key(JOB_ID), b'')
+            if self.is_compacting:
+                self._server.forget_history()
+        return page
+
+    def watch(self, prefix: str, revision: int) -> Iterator[ChangeBatch]:
+        """Report cancellations late, and lose the first report if told to."""
+        if prefix == CANCELLATION_PREFIX:
+            time.sleep(SLOW_S)
+            if self.is_losing:
+                self.is_losing = False
+                raise StoreAnswerLostError(prefix)
+        return super().watch(prefix, revision)
+
+    def read_changes(self, prefix: str, revision: int) -> ChangeBatch:
+        """Return the changes since a revision, late as well."""
+        return next(self.watch(prefix, revision))
+
+
+@pytest.mark.parametrize(
+    ('prefix', 'is_compacting', 'is_losing'),
+    [
+        (SPEC_PREFIX, False, False),
+        pytest.param(CANCELLATION_PREFIX, False, False, marks=GATED),
+        pytest.param(CANCELLATION_PREFIX, True, False, marks=GATED),
+        pytest.param(CANCELLATION_PREFIX, False, True, marks=GATED),
+    ],
+)
+def test_a_job_cancelled_while_the_leader_loads_was_started(
+    store: GridStore, prefix: str, is_compacting: bool, is_losing: bool
+) -> None:
+    """Its copy was read before the cancellation, which came by watch only."""
+    for job_id in (JOB_ID, OTHER_ID):
+        spec = replace(job(step(), job_id=job_id).spec, payload='{}')
+        store.put(job_key(job_id), encode_job(spec))
+    store.put(ROSTER_KEY, json.loads(encode_roster(Roster())))
+    client = CancellingStore(store, prefix)
+    client.is_compacting = is_compacting
+    client.is_losing = is_losing
+    with _worker(store) as worker:
+        leader = create_leader(store, client)
+        service = _open_service(leader)
+        wait_until(lambda: worker.started)
+        cancelled = service.scheduler.jobs[JOB_ID]
+        wait_until(lambda: cancelled.state.is_final)
+        leader.close()
+        started = {task.partition('.')[0] for task, _ in worker.started}
+    assert started == {OTHER_ID}
+    assert cancelled.state is JobState.CANCELLED
