A start that was answered is over with its worker

Cause: `may_start_late` was true for each run that was not listed, also for one whose start was answered, which cannot arrive again, and for one that was never sent. `end_incarnation` kept all of these for 12.5 s for a next incarnation under the same id, also where a 421 had shown a worker with another id at the address. A start that was refused with 421 was kept in the same way.

Now a reservation tells two things apart: - a start may still arrive (no reply, or none yet): kept for 12.5 s as before, whoever is at the address, as the worker may start again under its id; - an answered, unlisted start may be in the next incarnation under the same id, as replies carry no `born`. It is kept until the first listing of that incarnation; a stop that is answered meanwhile no longer delays this. If another id has answered (`WorkerReplacedError`, or 421 to a start), it is over, as is what was never sent.

A changed directory entry or `born` still counts as a restart under the same id, and leaving the directory or a refused connection as no proof of anything. The roster lists such a worker as in use only for what is kept.

Two set-ups of tests/scheduling/test_runs.py now claim the sending that they are about: the start "not answered" was never sent, and such a start is free at once now, which gets a case of its own. The test of 12.5 s now also checks that nothing runs before.

--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -115,6 +115,14 @@
             or _was_sent_to_past_incarnation(reservation)
         ):
             return []
+        reservation.start_deadline_worker_ms = (
+            worker.clock.lease_deadline_worker_ms
+        )
+        if reply.verdict is StartVerdict.GONE:
+            name = reply.verdict.name
+            self.log.start_refused(order.key, worker.worker_id, name)
+            self.end_incarnation(order.worker_id, now_ms, is_replaced=True)
+            return []
         if _is_other_incarnation(worker, reservation, reply):
             # The other incarnation may hold the run.
             reservation.confirmed_ms = now_ms
@@ -214,9 +222,6 @@
         now_ms: int,
     ) -> list[Order]:
         verdict = reply.verdict
-        reservation.start_deadline_worker_ms = (
-            worker.clock.lease_deadline_worker_ms
-        )
         if verdict is StartVerdict.LOST:
             _record_lost_start(worker, reservation, now_ms)
             # Send the same run again: if the worker has it, it answers alike.
@@ -360,18 +365,15 @@
     ) -> None:
         """Requeue runs that the worker certainly does not have.
 
-        The poll was sent after the start or the stop was answered, so a run
-        that is neither running nor among the ends was never there. Without an
-        answer, a start is refused from its deadline on.
+        The poll was sent after the start or a stop was answered, so a run that
+        is neither running nor among the ends is not there. Without an answer, a
+        start is refused from its deadline on.
         """
         present = {row.key for row in listing.running}
         for key, reservation in tuple(worker.reservations.items()):
-            answered_ms = (
-                reservation.stop_confirmed_ms or reservation.confirmed_ms
-            )
             if key in present:
                 continue
-            if 0 < answered_ms < sent_ms:
+            if 0 < reservation.first_answer_ms < sent_ms:
                 self.requeue_run(worker, key, 'not listed')
             elif reservation.is_too_late(listing.clock_worker_ms):
                 self.requeue_run(worker, key, 'too late to start')
@@ -385,9 +387,6 @@
     ) -> None:
         verdict = reply.verdict
         self.log.start_refused(order.key, worker.worker_id, verdict.name)
-        if verdict is StartVerdict.GONE:
-            self.end_incarnation(worker.worker_id, now_ms)
-            return
         self.requeue_run(worker, order.key, verdict.name)
         if verdict is StartVerdict.NO_TICKET:
             step = self.step_of(order.key.task_id)
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -311,11 +311,15 @@
         self.plan_requested.set()
         return is_withdrawn
 
-    def on_incarnation_ended(self, worker: Worker) -> None:
+    def on_incarnation_ended(
+        self, worker: Worker, *, is_replaced: bool
+    ) -> None:
         """Report that the worker's incarnation has ended."""
         with self.lock:
             if self.scheduler.is_current_incarnation(worker):
-                self.scheduler.end_incarnation(worker.worker_id, now_ms())
+                self.scheduler.end_incarnation(
+                    worker.worker_id, now_ms(), is_replaced=is_replaced
+                )
         self.plan_requested.set()
 
     def claim_start_send(self, order: StartOrder) -> bool:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -41,6 +41,8 @@
     `is_stopping` is set once a stop is ordered, `is_listed` once this
     incarnation of the worker has listed the run. `late_start_until_ms` is until
     when a start without a reply may still arrive, zero if each got one.
+    `past_orders_until_ms` is until when orders to a past incarnation may still
+    arrive, zero if the run was ordered of this one.
     `last_sent_ms` is when the start was last sent, `sent_worker_ms` the latest
     time seen on the worker's clock by then, and `start_deadline_worker_ms` when
     the worker refuses all starts sent so far, on its clock; zero while one is
@@ -65,6 +67,7 @@
     stop_confirmed_ms: int = 0
     is_stopping: bool = False
     late_start_until_ms: int = 0
+    past_orders_until_ms: int = 0
     is_listed: bool = False
     last_sent_ms: int = 0
     sent_worker_ms: int = 0
@@ -112,24 +115,45 @@
         """Return whether no start sent so far can be carried out any more."""
         return 0 < self.start_deadline_worker_ms < clock_worker_ms
 
+    @property
+    def first_answer_ms(self) -> int:
+        """Return when the worker first answered the start or a stop, or 0."""
+        answers = (self.confirmed_ms, self.stop_confirmed_ms)
+        return min(filter(None, answers), default=0)
+
     @property
     def has_lost_start(self) -> bool:
         """Return whether a start of the run got no reply."""
         return self.late_start_until_ms > 0
 
+    @property
+    def is_in_flight(self) -> bool:
+        """Return whether the reply to the latest start is still awaited."""
+        return self.last_sent_ms > 0 and not self.start_deadline_worker_ms
+
     def may_start_late(self, answered_poll_ms: int) -> bool:
-        """Return whether the worker's next incarnation may hold the run.
+        """Return whether a start may still arrive once the incarnation ends.
 
-        A start without a reply may still arrive there, unless this incarnation
-        answered a poll sent after the time for that. One that was accepted but
-        never listed may have reached the next incarnation already.
+        One that was answered cannot, nor can one that was never sent. One
+        without a reply may, unless this incarnation answered a poll sent after
+        the time for that.
         """
-        if not self.is_listed:
-            return True
+        if self.is_in_flight:
+            return self.has_lost_start or not self.is_listed
         return self.has_lost_start and (
             answered_poll_ms <= self.late_start_until_ms
         )
 
+    @property
+    def may_have_moved(self) -> bool:
+        """Return whether the worker may have restarted before the run began.
+
+        The reply to a start does not always tell which incarnation under the
+        worker's id has answered. A listing does.
+        """
+        was_sent = self.last_sent_ms or self.confirmed_ms or self.has_lost_start
+        return bool(was_sent) and not self.is_listed
+
     @property
     def processors_milli(self) -> int:
         """Return the processors reserved, zero for a best-effort task."""
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -2,7 +2,9 @@
 
 When an incarnation ends, its runs are requeued. Starts without a reply may
 still arrive at the next incarnation under the same id; they are stopped there
-before their tasks run anywhere else.
+before their tasks run anywhere else. Starts that were answered may be there
+already if the worker restarted under its id, which its first listing shows. If
+a worker with another id has answered at the address, they are over.
 """
 
 import sys
@@ -97,8 +99,14 @@
         """Record that a poll failed; the worker gets no runs meanwhile."""
         worker.unresponsive_since_ms = worker.unresponsive_since_ms or now_ms
 
-    def end_incarnation(self, worker_id: str, now_ms: int) -> None:
-        """End the current incarnation of a worker."""
+    def end_incarnation(
+        self, worker_id: str, now_ms: int, *, is_replaced: bool = False
+    ) -> None:
+        """End the current incarnation of a worker.
+
+        With `is_replaced`, a worker with another id has answered at its
+        address, so that nothing it has answered for runs any more.
+        """
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
@@ -110,13 +118,11 @@
             reservation
             for reservation in worker.reservations.values()
             if reservation.may_start_late(worker.answered_poll_ms)
+            or (reservation.may_have_moved and not is_replaced)
         ]
         for reservation in kept:
             worker.release(reservation.key)
-            reservation.sent_ms = now_ms
-            reservation.late_start_until_ms = (
-                reservation.late_start_until_ms or now_ms + MAX_ORDER_DELAY_MS
-            )
+            _keep_beyond_incarnation(reservation, now_ms)
             self.mark_run_missing(reservation.key)
         if kept:
             self._unanswered_starts[worker_id] = kept
@@ -203,6 +209,10 @@
             kept = worker.reserve(reservation.key, reservation.spec, now_ms)
             kept.is_stopping = True
             kept.late_start_until_ms = reservation.late_start_until_ms
+            kept.past_orders_until_ms = reservation.past_orders_until_ms
+            if not reservation.has_lost_start:
+                # The first listing shows whether the run is there.
+                kept.confirmed_ms = reservation.confirmed_ms
             orders.append(StopOrder(registration.worker_id, reservation.key))
         return orders
 
@@ -242,14 +252,27 @@
     return not clock.seen_at_ms or clock.has_lease_expired(now_ms)
 
 
+def _keep_beyond_incarnation(reservation: Reservation, now_ms: int) -> None:
+    """Record until when orders to the incarnation that ends may arrive."""
+    until_ms = now_ms + MAX_ORDER_DELAY_MS
+    reservation.sent_ms = now_ms
+    if reservation.is_in_flight:
+        reservation.late_start_until_ms = until_ms
+    reservation.past_orders_until_ms = (
+        reservation.past_orders_until_ms
+        or reservation.late_start_until_ms
+        or until_ms
+    )
+
+
 def _late_runs_until_ms(
     reservations: Iterable[Reservation], timing: Timing
 ) -> int:
-    """Return until when starts that arrive late may run, wherever that is.
+    """Return until when runs kept from past incarnations may continue.
 
-    Each of them prolongs the lease of all runs of its worker.
+    Each order that arrives late prolongs the lease of all runs of its worker.
     """
-    arrival_ms = max(each.late_start_until_ms for each in reservations)
+    arrival_ms = max(each.past_orders_until_ms for each in reservations)
     return arrival_ms + timing.max_run_ms
 
 
--- a/src/gentianpulley/cluster/worker_poller.py
+++ b/src/gentianpulley/cluster/worker_poller.py
@@ -17,6 +17,7 @@
     WorkerError,
     WorkerFencedError,
     WorkerGoneError,
+    WorkerReplacedError,
 )
 from gentianpulley.task_signal import Signal
 
@@ -122,8 +123,10 @@
         except WorkerFencedError as exc:
             self._service.resign(exc.text)
             return False
-        except WorkerGoneError:
-            self._service.on_incarnation_ended(self._worker)
+        except WorkerGoneError as exc:
+            self._service.on_incarnation_ended(
+                self._worker, is_replaced=isinstance(exc, WorkerReplacedError)
+            )
             self.is_closed = True
             return False
         except WorkerError as exc:
--- a/src/gentianpulley/cluster/worker_protocol.py
+++ b/src/gentianpulley/cluster/worker_protocol.py
@@ -171,7 +171,8 @@
 
     `poll`, `stop` and `pace` raise `WorkerUnreachableError` if nothing was
     sent, `WorkerSilentError` if the effect is unknown, and `WorkerFencedError`
-    or `WorkerGoneError` if the answer of the worker says so.
+    or `WorkerGoneError` if the answer of the worker says so. The latter is a
+    `WorkerReplacedError` if a worker with another id answered.
     """
 
     @abstractmethod
--- a/src/gentianpulley/errors.py
+++ b/src/gentianpulley/errors.py
@@ -104,6 +104,10 @@
     """Another incarnation of the worker responded; the expected one is over."""
 
 
+class WorkerReplacedError(WorkerGoneError):
+    """A worker with another id responded at the address of the expected one."""
+
+
 class MachineParkError(GentianpulleyError):
     """The platform did not answer a query about its machines."""
 
--- a/src/gentianpulley/platform/worker_client.py
+++ b/src/gentianpulley/platform/worker_client.py
@@ -25,6 +25,7 @@
 from gentianpulley.errors import (
     WorkerFencedError,
     WorkerGoneError,
+    WorkerReplacedError,
     WorkerSilentError,
     WorkerUnreachableError,
 )
@@ -198,7 +199,7 @@
 def _checked(path: str, response: HttpResponse) -> HttpResponse:
     """Return a successful response, or one that the next poll explains."""
     if response.status == _MISDIRECTED:
-        raise WorkerGoneError(worker_call_failed(response.status, path))
+        raise WorkerReplacedError(worker_call_failed(response.status, path))
     if response.status == _CONFLICT:
         reason = _reply(response).reason
         if reason == _FENCE:
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -11,6 +11,7 @@
 from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.worker import Reservation
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.platform import directory
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
@@ -58,6 +59,20 @@
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
 
 
+def answered_start() -> None:
+    """Treat any run that was not listed as one that may still begin."""
+    replace(
+        Reservation,
+        'may_start_late',
+        lambda reservation, _: not reservation.is_listed,
+    )
+
+
+def restarted_start() -> None:
+    """Take an answered start for one of the incarnation that is known."""
+    replace(Reservation, 'may_have_moved', False)
+
+
 def poll_before_start() -> None:
     """Send what waits for an unresponsive worker without polling it first."""
 
@@ -92,6 +107,7 @@
 
 
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
+    'answered-start': answered_start,
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
     'handover': handover,
@@ -99,6 +115,7 @@
     'look-before-start': poll_before_start,
     'nesting': nesting,
     'old-registrations': replaced_registrations,
+    'restarted-start': restarted_start,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
 }
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -28,6 +28,7 @@
 )
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import LeaderTerm
+from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.record import JobRecord, create_record, restore_job
 from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
@@ -99,6 +100,10 @@
         """Return the leader that holds the key."""
         return self.leaders[-1]
 
+    def extra_actions(self) -> list[WeightedAction]:
+        """Return the actions that only this kind of simulation has."""
+        return []
+
     # Actions.
 
     def add_job(self) -> None:
@@ -139,9 +144,7 @@
         for worker in self.workers.values():
             worker.advance(self.now_ms)
         for late in due:
-            # An order names the incarnation it is meant for; docs/QUESTIONS.md.
-            worker = self.workers[late.order.worker_id]
-            if worker.incarnation_ms == late.incarnation_ms:
+            if self._is_accepted_late(late):
                 self._deliver(late.order, late.token, late.lease_ms)
 
     def poll_workers(self) -> None:
@@ -151,35 +154,8 @@
             return
         worker_id = self.rng.choice(sorted(self.workers))
         existing = leader.scheduler.workers.get(worker_id)
-        if existing is None or self._is_partitioned(index, worker_id):
-            return
-        worker = self.workers[worker_id]
-        if existing.registration.incarnation_ms != worker.incarnation_ms:
-            leader.scheduler.end_incarnation(worker_id, self.now_ms)
-            return
-        order = leader.scheduler.poll_order(existing, 0)
-        if order.token < worker.token:
-            leader.leadership.resign('fenced')
-            return
-        worker.token = order.token
-        self._acknowledge(worker, order.acked_end_number)
-        worker.lease_ms = max(worker.lease_ms, order.lease_deadline_worker_ms)
-        rows = tuple(
-            RunningRow(run.key, '', 50, 0) for run in worker.runs.values()
-        )
-        listing = Listing(
-            worker.clock(self.now_ms),
-            worker.incarnation_ms,
-            rows,
-            tuple(worker.ended),
-        )
-        sent_ms = self.now_ms
-        self.now_ms += 1
-        leader.queue.extend(
-            leader.scheduler.handle_listing(
-                existing, listing, sent_ms, self.now_ms
-            )
-        )
+        if existing is not None and not self._is_partitioned(index, worker_id):
+            self._poll(leader, existing)
 
     def send_orders(self) -> None:
         """Let a leader send its next order."""
@@ -343,6 +319,36 @@
     def _is_partitioned(self, index: int, worker_id: str) -> bool:
         return self.partitions.get((index, worker_id), 0) > self.now_ms
 
+    def _poll(self, leader: SimulatedLeader, existing: Worker) -> None:
+        worker_id = existing.worker_id
+        worker = self.workers[worker_id]
+        if existing.registration.incarnation_ms != worker.incarnation_ms:
+            leader.scheduler.end_incarnation(worker_id, self.now_ms)
+            return
+        order = leader.scheduler.poll_order(existing, 0)
+        if order.token < worker.token:
+            leader.leadership.resign('fenced')
+            return
+        worker.token = order.token
+        self._acknowledge(worker, order.acked_end_number)
+        worker.lease_ms = max(worker.lease_ms, order.lease_deadline_worker_ms)
+        rows = tuple(
+            RunningRow(run.key, '', 50, 0) for run in worker.runs.values()
+        )
+        listing = Listing(
+            worker.clock(self.now_ms),
+            worker.incarnation_ms,
+            rows,
+            tuple(worker.ended),
+        )
+        sent_ms = self.now_ms
+        self.now_ms += 1
+        leader.queue.extend(
+            leader.scheduler.handle_listing(
+                existing, listing, sent_ms, self.now_ms
+            )
+        )
+
     def _send_start(
         self, index: int, leader: SimulatedLeader, order: StartOrder
     ) -> None:
@@ -386,6 +392,14 @@
             scheduler.handle_start_reply(order, reply, self.now_ms)
         )
 
+    def _is_accepted_late(self, late: DelayedStart) -> bool:
+        """Return whether the incarnation that a start is meant for is up.
+
+        An order names it; docs/QUESTIONS.md, 2.
+        """
+        worker = self.workers[late.order.worker_id]
+        return worker.incarnation_ms == late.incarnation_ms
+
     def _delay(self, order: StartOrder, token: int, lease_ms: int) -> None:
         """Let a start arrive seconds later."""
         at_ms = self.now_ms + self.rng.randint(*ARRIVAL_DELAY_MS)
@@ -479,15 +493,16 @@
     short_terms: bool = False,
     drains: bool = False,
     hands_over: bool = False,
+    simulation_type: type[Simulation] = Simulation,
 ) -> Simulation:
     """Run random actions, then return the simulation.
 
     With `short_terms`, leaders change often, load their jobs after the first
     listings have arrived, and workers leave the directory. With `drains`,
     workers drain and are ready again. With `hands_over`, leaders sometimes
-    hand over.
+    hand over. A `simulation_type` may bring more actions.
     """
-    simulation = Simulation(seed, short_terms=short_terms)
+    simulation = simulation_type(seed, short_terms=short_terms)
     weighted_actions: list[WeightedAction] = [
         (simulation.advance_time, 30),
         (simulation.poll_workers, 40),
@@ -512,6 +527,7 @@
         weighted_actions.append((simulation.drain_worker, 3))
     if hands_over:
         weighted_actions.append((simulation.hand_over, 4))
+    weighted_actions += simulation.extra_actions()
     actions, weights = zip(*weighted_actions, strict=True)
     for action in simulation.rng.choices(actions, weights, k=steps):
         action()
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.scheduling.simulated_replacements import ReplacementSimulation
 from tests.scheduling.simulation import run_simulation
 
 NON_EXCLUSIVE_SEEDS = (161, 243, 255)
@@ -23,6 +24,14 @@
 """Seed that runs a job twice if a leader that has lost its key accepts jobs
 that arrived while it loaded."""
 
+MOVED_SEED = 7
+"""Seed that runs a job twice where addresses change hands if a start that was
+answered counts as over once its worker has restarted under its id."""
+
+MOVED_SHORT_TERM_SEED = 332
+"""The same in short leader terms."""
+
+REPLACEMENT_SEEDS = (*range(60), MOVED_SHORT_TERM_SEED)
 DRAIN_SEEDS = (*range(60), REMAINING_RUN_SEED, LOADING_SEED)
 SHORT_TERM_SEEDS = (*range(60), *UNRECORDED_USE_SEEDS, LAPSE_SEED)
 SEEDS = (*range(120), *NON_EXCLUSIVE_SEEDS)
@@ -56,6 +65,50 @@
     assert simulation.violations == []
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {},
+        {'short_terms': True},
+        {'short_terms': True, 'drains': True, 'hands_over': True},
+    ],
+    ids=['long terms', 'short terms', 'handovers'],
+)
+@pytest.mark.parametrize('seed', REPLACEMENT_SEEDS)
+def test_nothing_runs_twice_where_addresses_change_hands(
+    seed: int, changes: dict[str, bool]
+) -> None:
+    """Workers end while starts that they answered are not listed yet."""
+    simulation = run_simulation(
+        seed, STEPS, simulation_type=ReplacementSimulation, **changes
+    )
+    assert simulation.violations == []
+
+
+@pytest.mark.proof('restarted-start')
+def test_a_start_may_have_reached_the_next_incarnation() -> None:
+    simulation = run_simulation(
+        MOVED_SEED, STEPS, simulation_type=ReplacementSimulation
+    )
+    assert simulation.violations == []
+
+
+def test_the_model_of_addresses_does_something() -> None:
+    simulations = [
+        run_simulation(seed, STEPS, simulation_type=ReplacementSimulation)
+        for seed in range(20)
+    ]
+    counts = [
+        (each.refused_by_others, each.unlisted_accepted, each.accepted_unawares)
+        for each in simulations
+        if isinstance(each, ReplacementSimulation)
+    ]
+    refused, unlisted, unawares = map(sum, zip(*counts, strict=True))
+    assert refused > 10
+    assert unlisted > 25
+    assert unawares > 0
+
+
 def test_the_model_does_something() -> None:
     simulations = [run_simulation(seed, STEPS) for seed in range(10)]
     assert sum(simulation.starts for simulation in simulations) > 300
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -196,6 +196,8 @@
         # May still reach the new incarnation, so a stop is confirmed first.
         (StartVerdict.LOST, True),
         ('not answered', True),
+        # Is in a queue of this leader, which drops it.
+        ('not sent', False),
     ],
 )
 def test_a_start_without_an_answer_is_barred_at_the_next_life(
@@ -204,6 +206,8 @@
     harness = create_harness('w1')
     harness.scheduler.add_job(job(step()))
     order = harness.plan()[0]
+    if verdict != 'not sent':
+        assert harness.scheduler.claim_start_send(order, harness.at_ms)
     if isinstance(verdict, StartVerdict):
         harness.answer(order, verdict)
     elif verdict == 'listed':
@@ -227,10 +231,14 @@
 def test_a_start_cannot_arrive_for_ever() -> None:
     harness = create_harness('w1')
     harness.scheduler.add_job(job(step()))
-    harness.plan()
+    (order,) = harness.plan()
+    assert harness.scheduler.claim_start_send(order, harness.at_ms)
     harness.scheduler.end_incarnation('w1', harness.at_ms)
     harness.add_worker('w2')
-    harness.at_ms += MAX_ORDER_DELAY_MS + 1
+    harness.at_ms += MAX_ORDER_DELAY_MS
+    harness.scheduler.expire_leases(harness.at_ms)
+    assert not harness.plan()
+    harness.at_ms += 1
     harness.scheduler.expire_leases(harness.at_ms)
     assert len(harness.plan()) == 1
 
--- a/tests/scheduling/test_session.py
+++ b/tests/scheduling/test_session.py
@@ -31,6 +31,7 @@
 from gentianpulley.errors import (
     WorkerError,
     WorkerGoneError,
+    WorkerReplacedError,
     WorkerUnreachableError,
 )
 from gentianpulley.logs import EventLog
@@ -47,6 +48,7 @@
 SETTLE_S = 0.5
 LOST = WorkerUnreachableError('connection reset')
 RESTARTED = WorkerGoneError('another incarnation')
+REPLACED = WorkerReplacedError('another worker')
 
 
 class ScriptedLink(WorkerClient):
@@ -173,6 +175,23 @@
     assert not fixture.link.started
 
 
+@pytest.mark.parametrize(
+    ('error', 'is_over'), [(REPLACED, True), (RESTARTED, False)]
+)
+def test_an_accepted_start_is_over_once_a_look_meets_another_worker(
+    fixture: SessionFixture, error: WorkerGoneError, *, is_over: bool
+) -> None:
+    scheduler = fixture.service.scheduler
+    fixture.service.plan()
+    wait_until(lambda: fixture.link.started)
+    reservations = fixture.session.worker.reservations
+    wait_until(lambda: all(run.confirmed_ms for run in reservations.values()))
+    fixture.answer_poll(error)
+    wait_until(lambda: 'w' not in scheduler.workers)
+    (step_run,) = scheduler.jobs[JOB_ID].steps.values()
+    assert bool(step_run.waiting) is is_over
+
+
 def _drain(scheduler: Scheduler) -> None:
     scheduler.update_worker(registration('w', is_draining=True), now_ms())
 
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -22,7 +22,12 @@
 from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
-from gentianpulley.errors import WorkerError, WorkerUnreachableError
+from gentianpulley.errors import (
+    WorkerError,
+    WorkerGoneError,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
 from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.spec import TaskId
 from gentianpulley.logs import EventLog
@@ -130,6 +135,34 @@
         _close(client)
 
 
+@pytest.mark.parametrize(
+    ('response', 'error_type', 'verdict'),
+    [
+        (
+            build_response(b'{"clock_ms":4,"born":2}', 421),
+            WorkerReplacedError,
+            StartVerdict.GONE,
+        ),
+        (
+            RUN_LISTS.replace(b'"born":1', b'"born":2'),
+            WorkerGoneError,
+            StartVerdict.ACCEPTED,
+        ),
+    ],
+)
+def test_another_worker_is_told_from_another_life(
+    response: bytes, error_type: type[WorkerGoneError], verdict: StartVerdict
+) -> None:
+    """The worker may start again under its id; another worker does not."""
+    with scripted_server(lambda _: (response,)) as server:
+        client = _client(server.port)
+        with pytest.raises(WorkerGoneError) as raised:
+            run(client.poll(POLL))
+        assert raised.type is error_type
+        assert run(client.start(START, CONTEXT)).verdict is verdict
+        _close(client)
+
+
 class SlowWorker(GridWorker):
     """Responds to polls `late_s` after it wrote the run lists."""
 
