--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -3,7 +3,8 @@
 The order matters. The leader's key comes first, then the workers, then a fence
 at each worker, which returns its run list and renews its lease. Jobs are loaded
 meanwhile, because loading takes longer the more is stored. The run lists are
-processed only after that.
+processed only after that, and nothing is started before the cancellations that
+were stored meanwhile are known.
 """
 
 import threading
@@ -42,6 +43,7 @@
 from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.timing import LEADER_TTL_S, Timing
 from gentianpulley.cluster.maintenance_loop import MaintenanceLoop
+from gentianpulley.cluster.wave_records import WaveRecords
 from gentianpulley.counters import Counters
 from gentianpulley.deadline import MS_PER_SECOND, now_ms
 from gentianpulley.errors import StoreError
@@ -242,9 +244,11 @@
     ) -> None:
         machine_provider = self._dependencies.machine_provider
         if machine_provider is not None:
-            maintenance_ms = self._dependencies.maintenance_ms
             self._maintenance_loop = MaintenanceLoop(
-                service, machine_provider, self._handover_state, maintenance_ms
+                service,
+                machine_provider,
+                WaveRecords(self._store, self._log),
+                self._dependencies.maintenance_ms,
             )
             self._maintenance_loop.start()
         if self._dependencies.advice_service is not None:
@@ -377,8 +381,8 @@
 ) -> None:
     jobs = JobWatch(service, store, job_store)
     cancels = CancellationWatch(service, store)
-    _start('jobs', lambda: jobs.run(loaded.jobs_revision))
     _start('cancels', lambda: cancels.run(loaded.cancellations_revision))
+    _start('jobs', lambda: jobs.run(loaded.jobs_revision))
 
 
 def _plan_pause_s(service: SchedulerService) -> float:
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -8,14 +8,33 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianpulley.cluster import pacing, run_tracker
+from gentianpulley.cluster import (
+    maintenance,
+    maintenance_loop,
+    pacing,
+    run_tracker,
+    wave_records,
+)
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
+from gentianpulley.cluster.worker import Reservation
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.platform import directory
+from gentianpulley.store import Transaction
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
+class _AlwaysTrue:
+    """An attribute that ignores its assignments."""
+
+    def __get__(self, owner: Any, kind: Any = None) -> bool:
+        return True
+
+    def __set__(self, owner: Any, assigned: bool) -> None:
+        """Ignore it."""
+
+
 def replace(owner: Any, name: str, member: Any) -> None:
     """Replace a member of a class or module."""
     setattr(owner, name, member)
@@ -58,6 +77,20 @@
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
 
 
+def answered_start() -> None:
+    """Treat any run that was not listed as one that may still begin."""
+    replace(
+        Reservation,
+        'may_start_late',
+        lambda reservation, _: not reservation.is_listed,
+    )
+
+
+def restarted_start() -> None:
+    """Take an answered start for one of the incarnation that is known."""
+    replace(Reservation, 'may_have_moved', False)
+
+
 def poll_before_start() -> None:
     """Send what waits for an unresponsive worker without polling it first."""
 
@@ -74,6 +107,11 @@
     replace(Scheduler, 'is_handover_complete', lambda *_: True)
 
 
+def cancellations_first() -> None:
+    """Start loaded jobs before what was cancelled meanwhile is known."""
+    replace(SchedulerService, 'are_cancellations_known', _AlwaysTrue())
+
+
 def suspensions() -> None:
     """Throttle by the model alone, without suspensions."""
     replace(pacing, 'update_suspension', lambda *_: False)
@@ -91,7 +129,38 @@
     replace(TaskClient, '_send', send)
 
 
+def wave_intent() -> None:
+    """Record a machine of a wave only once its maintenance has started."""
+    save = WaveRecords.save
+
+    def save_started(records: Any, number: int, progress: Any) -> None:
+        save(records, number, WaveProgress(started=progress.started))
+
+    replace(WaveRecords, 'save', save_started)
+
+
+def wave_late_write() -> None:
+    """Write the record of a wave whatever its revision."""
+    replace(wave_records, 'Transaction', lambda _, puts: Transaction((), puts))
+
+
+def wave_out_of_service() -> None:
+    """Give tasks to a machine again once its maintenance is ordered."""
+    replace(
+        maintenance._Member,
+        'is_out_of_service',
+        property(lambda member: member.stage is maintenance._Stage.DRAINING),
+    )
+
+
+def wave_drained() -> None:
+    """Order a machine down whatever runs there."""
+    replace(maintenance_loop, 'is_drained', lambda *_: True)
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
+    'cancellations-first': cancellations_first,
+    'answered-start': answered_start,
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
     'handover': handover,
@@ -99,6 +168,11 @@
     'look-before-start': poll_before_start,
     'nesting': nesting,
     'old-registrations': replaced_registrations,
+    'restarted-start': restarted_start,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
+    'wave-drained': wave_drained,
+    'wave-intent': wave_intent,
+    'wave-late-write': wave_late_write,
+    'wave-out-of-service': wave_out_of_service,
 }
