A successor waits for the last lease of a worker that was lost, not a handover

Cause: the stored roster told of a worker only that it was in use. Its successor had to assume a lease granted by the former leader's last moment, and held back all inherited tasks for 9.8 s from its own term, though the last lease that anybody had granted was over long before. After a 421 of the new worker at that address it began a whole handover anew for the old id.

Now: a worker whose polls fail twice in a row is suspended. From before the roster is written that tells what is left of its lease, it gets no longer lease and no start, on any incarnation, until a roster that shows it in use is stored for certain. So what can be read is true from the first moment: a poll in flight counts with the longest lease sent so far; a write without an answer leaves the worker suspended; one that lands late meets another revision, or another leader; a leader that is deposed can't store and so renews nothing there; a leader whose key may be gone suspends nobody; an incarnation that the roster doesn't show starts suspended. A worker with a start in flight, or without an answer, stays in use, as its run need not end with the lease. A successor passes on what was left, and trusts it for later incarnations too. A thread of its own writes the roster, at most once in 0.15 s, so that a worker that answers again isn't kept waiting by records.

Cost: none in calm. One write when workers become unresponsive, one a second while something is left to wait for, one when they answer again; 6.7 a second at most.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -37,6 +37,7 @@
 )
 from gentianpulley.cluster.worker_protocol import WorkerClientFactory
 from gentianpulley.cluster.machines import MachineProvider, WaveRequest
+from gentianpulley.cluster.roster_loop import RosterLoop
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import LeaderTerm
@@ -250,7 +251,8 @@
         if self._dependencies.advice_service is not None:
             AdviceLoop(service, self._dependencies.advice_service).start()
         _start('plan', lambda: self._plan_loop(service))
-        _start('save', lambda: self._save_loop(service, worker_watch))
+        _start('save', lambda: self._save_loop(service))
+        RosterLoop(service, worker_watch).start()
 
     def _plan_loop(self, service: SchedulerService) -> None:
         while not self._leadership.is_over():
@@ -264,15 +266,13 @@
                 self._log.internal_fault(repr(error))
             threading.Event().wait(_plan_pause_s(service))
 
-    def _save_loop(
-        self, service: SchedulerService, worker_watch: WorkerWatch
-    ) -> None:
+    def _save_loop(self, service: SchedulerService) -> None:
         while not self._leadership.is_over():
             service.save_requested.wait(MAX_SAVE_WAIT_S)
             service.save_requested.clear()
             pause_s = MIN_SAVE_PAUSE_S
             try:
-                self._save_and_prune(service, worker_watch)
+                self._save_and_prune(service)
             except DeposedError as exc:
                 service.resign(exc.text)
             except StoreError as exc:
@@ -285,11 +285,8 @@
                 pause_s = RETRY_DELAY_S
             threading.Event().wait(pause_s)
 
-    def _save_and_prune(
-        self, service: SchedulerService, worker_watch: WorkerWatch
-    ) -> None:
+    def _save_and_prune(self, service: SchedulerService) -> None:
         self._save(service)
-        worker_watch.prune_roster()
         self._save_interference(service)
         self._job_store.delete_ended(now_ms() - self._dependencies.status_ms)
 
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -23,8 +23,10 @@
     WorkerClientFactory,
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService
+from gentianpulley.cluster.worker import Worker
 from gentianpulley.cluster.worker_lifecycle import FOREVER
 from gentianpulley.cluster.worker_session import open_session
+from gentianpulley.cluster.worker_suspension import suspend
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreCompactedError, StoreError
 
@@ -35,10 +37,6 @@
 """Pause between two batches of directory changes. Hundreds of workers renew
 their registration each second, and the changes may be delayed this long."""
 
-MIN_ROSTER_SAVE_INTERVAL_MS: Final = 1000
-"""Minimum interval between two writes of a shrinking roster. If the leader
-dies, the next one may have to wait for runs up to this much longer."""
-
 
 class LeaderWatch(ABC):
     """Watches one part of the store until the leadership is over."""
@@ -137,7 +135,6 @@
         self._client_factory = client_factory
         self._handover_state = handover_state
         self._roster_lock = Lock()
-        self._next_roster_save_ms = 0
 
     def watch_changes(self, revision: int) -> None:
         """Report workers that are added, changed or removed."""
@@ -169,16 +166,13 @@
                 self._update_worker(registration)
 
     def prune_roster(self) -> None:
-        """Write how long runs may continue unseen on workers that are gone.
+        """Write how long runs may continue on workers that get no orders.
 
-        Workers on which nothing can run any more are omitted.
+        Workers on which nothing can run any more are omitted, and workers that
+        answer again are used again.
         """
-        at_ms = now_ms()
-        if at_ms < self._next_roster_save_ms:
-            return
         with self._roster_lock:
             self._save_roster(frozenset())
-        self._next_roster_save_ms = at_ms + MIN_ROSTER_SAVE_INTERVAL_MS
 
     def save_final_roster(self) -> None:
         """Write which workers and runs the next leader has to expect."""
@@ -191,12 +185,17 @@
 
     def _save_roster(self, used: frozenset[str]) -> None:
         """Write the roster, with `used` among the workers in use."""
+        service = self.scheduler_service
         previous_ids = self._handover_state.roster.worker_ids
-        with self.scheduler_service.lock:
-            roster = self.scheduler_service.scheduler.build_roster(
-                previous_ids, used, now_ms()
-            )
+        at_ms = now_ms()
+        with service.lock:
+            # What is not stored would suspend workers for nothing.
+            if service.leadership.is_exclusive(at_ms):
+                service.scheduler.suspend_unresponsive(at_ms)
+            roster = service.scheduler.build_roster(previous_ids, used, at_ms)
         self._handover_state.save_roster(roster)
+        with service.lock:
+            service.scheduler.resume(roster.in_use)
 
     def _apply_changes(self, batch: tuple[RegistrationChange, ...]) -> None:
         """Apply changes in order: a removed worker may be back by now."""
@@ -232,14 +231,26 @@
                 registration.worker_id
                 for registration in registrations
                 if not scheduler.is_drained(registration)
+                and not scheduler.is_suspended(registration)
             )
 
+    def _suspend_if_unmarked(self, worker: Worker) -> None:
+        """Suspend a new incarnation that the stored roster does not show.
+
+        The previous one may have ended since the roster was written.
+        """
+        worker_ids = frozenset((worker.worker_id,))
+        if not self._handover_state.has_marked_used(worker_ids):
+            suspend(worker)
+
     def _update_worker(self, registration: WorkerRegistration) -> None:
         service = self.scheduler_service
         with service.lock:
             previous = service.scheduler.workers.get(registration.worker_id)
             orders = service.scheduler.update_worker(registration, now_ms())
             worker = service.scheduler.workers[registration.worker_id]
+            if worker is not previous:
+                self._suspend_if_unmarked(worker)
         if worker is not previous:
             client = self._client_factory.connect(registration)
             session = open_session(service, worker, client)
--- a/src/gentianpulley/cluster/order_sender.py
+++ b/src/gentianpulley/cluster/order_sender.py
@@ -100,7 +100,7 @@
         """
         order = queued.order
         if isinstance(order, StartOrder):
-            if not self._poller.is_reachable:
+            if not self._poller.is_reachable or self._worker.is_suspended:
                 return self._service.withdraw_start(order)
             is_stale = now_ms() > queued.queued_ms + MAX_START_QUEUE_MS
             if is_stale and self._service.withdraw_delayed_start(order):
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -118,6 +118,7 @@
         ('unlisted', not worker.is_registered),
         ('unfenced', not worker.is_fenced),
         ('silent', worker.unresponsive_since_ms > 0),
+        ('suspended', worker.is_suspended),
         ('unanswered', bool(worker.unanswered_starts)),
         ('quarantined', now_ms < worker.quarantined_until_ms),
         ('backing_off', now_ms < worker.backoff_until_ms),
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -84,7 +84,7 @@
         worker.clock.update(listing.clock_worker_ms, now_ms)
         # From here on any previous leader is fenced off. Its leases were not
         # longer, so whatever runs there ends within the lease granted now.
-        self.grant_lease(worker)
+        self.include_earlier_leases(worker)
         worker.last_contact_ms = now_ms
         worker.answered_poll_ms = max(worker.answered_poll_ms, sent_ms)
         worker.unresponsive_since_ms = 0
@@ -157,6 +157,8 @@
         worker = self.workers[order.worker_id]
         if worker.is_closing or self.is_domain_closed(worker):
             return False
+        if worker.is_suspended:
+            return False
         # Sending on to an unresponsive worker would delay the time at which its
         # runs are certain to have ended.
         idle_ms = now_ms - worker.last_contact_ms
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -172,6 +172,7 @@
         self.plan_requested = PlanTrigger()
         self._plan_metrics = PlanMetrics(counters, log)
         self.save_requested = threading.Event()
+        self.roster_save_requested = threading.Event()
         self.are_jobs_loaded = True
         self.plan_cost_s: float = 0
         # Replaced, never changed in place, so that any thread may iterate.
@@ -257,6 +258,7 @@
         self.leadership.resign(reason)
         self.plan_requested.set()
         self.save_requested.set()
+        self.roster_save_requested.set()
 
     def resign_and_back_off(self, reason: str) -> None:
         """Stop leading: another instance may see more."""
@@ -287,12 +289,18 @@
         self.counters.add('worker_looks')
         if listing.ended:
             self.save_requested.set()
+        if worker.is_suspended:
+            self.roster_save_requested.set()
         self.plan_requested.set()
 
     def on_poll_failed(self, worker: Worker) -> None:
         """Report that a poll of a worker failed."""
+        at_ms = now_ms()
         with self.lock:
-            self.scheduler.mark_unresponsive(worker, now_ms())
+            self.scheduler.mark_unresponsive(worker, at_ms)
+            can_suspend = self.scheduler.can_suspend(worker, at_ms)
+        if can_suspend:
+            self.roster_save_requested.set()
 
     def withdraw_start(self, order: StartOrder) -> bool:
         """Withdraw a start that was never sent; return False if it was."""
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from gentianpulley.cluster.advice import AdviceQuery, Permit, TicketCache
 from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
@@ -25,6 +26,10 @@
 from gentianpulley.jobs.spec import TaskId
 from gentianpulley.logs import EventLog
 
+SUSPENDED_WAIT_MS: Final = 100
+"""Maximum wait of a poll whose lease cannot be renewed yet. A write of the
+roster takes about as long, and little may be left of the lease."""
+
 Order = StartOrder | StopOrder | PaceOrder
 
 
@@ -50,14 +55,20 @@
         """Return the time until which an earlier leader's leases may last."""
         return self.since_ms + self.timing.handover_ms
 
+    def earlier_runs_until_ms(self, worker_id: str) -> int:
+        """Return until when an earlier leader's runs on a worker may last.
+
+        This holds for every incarnation of the worker.
+        """
+        until_ms = self.handover_until_ms
+        return min(
+            until_ms, self.predecessor_runs_until_ms.get(worker_id, until_ms)
+        )
+
     def unseen_runs_until_ms(self) -> dict[str, int]:
         """Return until when runs may continue unseen, by worker."""
-        until_ms = self.handover_until_ms
         return {
-            worker_id: min(
-                until_ms,
-                self.predecessor_runs_until_ms.get(worker_id, until_ms),
-            )
+            worker_id: self.earlier_runs_until_ms(worker_id)
             for worker_id in self.roster
         }
 
@@ -172,8 +183,11 @@
     def poll_order(self, worker: Worker, wait_ms: int) -> PollOrder:
         """Return the next poll of a worker; it renews the lease.
 
-        The poll waits less while a task may suffer interference there.
+        The poll waits less while a task may suffer interference there, or
+        while the lease cannot be renewed.
         """
+        if worker.is_suspended:
+            wait_ms = min(wait_ms, SUSPENDED_WAIT_MS)
         if is_watched(worker):
             bound_ms = self.term.timing.interference_bound_ms
             wait_ms = min(wait_ms, int(WATCH_SHARE * bound_ms))
@@ -186,10 +200,20 @@
 
     def grant_lease(self, worker: Worker) -> int:
         """Return the lease that an order to the worker carries."""
+        if worker.is_suspended:
+            return worker.max_lease_worker_ms
         if not self._grants_leases:
             return worker.clock.lease_deadline_worker_ms
         return worker.clock.next_lease(self.term.timing.lease_ms)
 
+    def include_earlier_leases(self, worker: Worker) -> None:
+        """Take leases of earlier leaders into account when a worker answers.
+
+        None of them is longer than one that is granted now.
+        """
+        if self._grants_leases:
+            worker.clock.next_lease(self.term.timing.lease_ms)
+
     def is_domain_closed(self, worker: Worker) -> bool:
         """Return whether nothing may start in the worker's failure domain."""
         return worker.registration.failure_domain in self.closed_domains
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -4,8 +4,8 @@
 
 from gentianpulley.cluster.worker_protocol import Listing, WorkerRegistration
 from gentianpulley.cluster.roster import Roster
-from gentianpulley.cluster.run_tracker import RunTracker
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
+from gentianpulley.cluster.worker_suspension import WorkerSuspension
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun
 from gentianpulley.logs import EventLog
@@ -20,7 +20,7 @@
     received_ms: int
 
 
-class Takeover(RunTracker):
+class Takeover(WorkerSuspension):
     """Tracks which runs of earlier leaders may still continue.
 
     While jobs load, listings are buffered: they renew leases and fence off
@@ -64,7 +64,7 @@
         ):
             return super().handle_listing(worker, listing, sent_ms, now_ms)
         worker.clock.update(listing.clock_worker_ms, now_ms)
-        self.grant_lease(worker)
+        self.include_earlier_leases(worker)
         worker.last_contact_ms = now_ms
         worker.unresponsive_since_ms = 0
         buffered = _BufferedListing(worker, listing, sent_ms, now_ms)
@@ -110,15 +110,12 @@
         undrained = {
             worker.worker_id
             for worker in self.workers.values()
-            if not worker.is_drained
+            if not worker.is_drained and not self.remains_suspended(worker)
         }
         used = used.union(undrained, self._unanswered_starts)
         left_ms = {}
         for worker_id in previous - used:
-            # A worker that was listed may have restarted since.
-            until_ms = self.unseen_runs_until_ms.get(
-                worker_id, self.term.handover_until_ms
-            )
+            until_ms = self._left_runs_until_ms(worker_id)
             if now_ms <= until_ms:
                 left_ms[worker_id] = until_ms - now_ms
         return Roster(used, left_ms)
@@ -139,6 +136,29 @@
             left_ms[worker_id] = max(0, until_ms - now_ms)
         return Roster(roster.in_use & self._unanswered_starts.keys(), left_ms)
 
+    def end_incarnation(self, worker_id: str, now_ms: int) -> None:
+        """End the current incarnation of a worker.
+
+        An earlier leader that had suspended the worker starts nothing on the
+        next incarnation either.
+        """
+        super().end_incarnation(worker_id, now_ms)
+        until_ms = self.unseen_runs_until_ms.get(worker_id)
+        if until_ms is not None:
+            self.unseen_runs_until_ms[worker_id] = min(
+                until_ms, self.term.earlier_runs_until_ms(worker_id)
+            )
+
+    def _left_runs_until_ms(self, worker_id: str) -> int:
+        """Return until when a worker that gets no orders may have runs."""
+        worker = self.workers.get(worker_id)
+        if worker and self.remains_suspended(worker):
+            return self._runs_until_ms(worker)
+        # A worker that was listed may have restarted since.
+        return self.unseen_runs_until_ms.get(
+            worker_id, self.term.earlier_runs_until_ms(worker_id)
+        )
+
     def _runs_until_ms(self, worker: Worker) -> int:
         """Return until when any incarnation of a worker may have runs."""
         max_run_ms = self.term.timing.max_run_ms
@@ -149,6 +169,7 @@
         ]
         # An earlier leader may have met a new incarnation of it.
         earlier_ms = self.unseen_runs_until_ms.get(
-            worker.worker_id, self.term.handover_until_ms
+            worker.worker_id,
+            self.term.earlier_runs_until_ms(worker.worker_id),
         )
         return max(worker.clock.lease_expiry_ms(), earlier_ms, *ends_ms)
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -187,6 +187,9 @@
     much; `state_version` increases when both are invalidated and with each run
     that is added or released. `unanswered_starts` are runs whose starts got no
     reply since the worker last answered an order for them or listed them.
+    `is_suspended` is set while the stored roster may not show the worker as
+    used: then it is sent no starts, and no longer lease than
+    `max_lease_worker_ms`.
     """
 
     def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
@@ -223,6 +226,8 @@
         self.foreign_runs: set[RunKey] = set()
         self.unanswered_starts: set[RunKey] = set()
         self.unacked_ends: deque[tuple[int, int]] = deque()
+        self.is_suspended = False
+        self.max_lease_worker_ms = 0
 
     @property
     def worker_id(self) -> str:
@@ -263,7 +268,7 @@
         """
         if self.is_closing or self.unresponsive_since_ms or self.foreign_runs:
             return False
-        if self.unanswered_starts:
+        if self.unanswered_starts or self.is_suspended:
             return False
         closed_until_ms = max(self.quarantined_until_ms, self.backoff_until_ms)
         is_known = self.is_fenced and self.is_registered
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -59,7 +59,7 @@
         existing = self.workers.get(registration.worker_id)
         if existing and registration.revision < existing.registration.revision:
             return []
-        if existing is not None and _is_new_incarnation(
+        if existing is not None and is_new_incarnation(
             existing.registration, registration
         ):
             self.end_incarnation(registration.worker_id, now_ms)
@@ -264,9 +264,10 @@
     return deregistered_for_ms > term.timing.handover_ms
 
 
-def _is_new_incarnation(
+def is_new_incarnation(
     existing: WorkerRegistration, registration: WorkerRegistration
 ) -> bool:
+    """Return whether a registration is that of another incarnation."""
     if registration.incarnation_ms and existing.incarnation_ms:
         return registration.incarnation_ms != existing.incarnation_ms
     return registration.address != existing.address
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -8,10 +8,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianpulley.cluster import pacing, run_tracker
+from gentianpulley.cluster import (
+    pacing,
+    run_tracker,
+    worker_suspension,
+)
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.scheduler_state import SchedulerState
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
+from gentianpulley.cluster.worker_suspension import WorkerSuspension
 from gentianpulley.platform import directory
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
@@ -79,6 +85,26 @@
     replace(pacing, 'update_suspension', lambda *_: False)
 
 
+def suspended_wait() -> None:
+    """Suspend no worker, so that the next leader waits for each for long."""
+    replace(WorkerSuspension, 'suspend_unresponsive', lambda *_: None)
+
+
+def suspension() -> None:
+    """Renew leases as soon as a suspended worker answers."""
+
+    def grant_lease(state: Any, worker: Any) -> int:
+        lease_ms = state.term.timing.lease_ms
+        return int(worker.clock.next_lease(lease_ms))
+
+    replace(SchedulerState, 'grant_lease', grant_lease)
+
+
+def open_starts() -> None:
+    """Suspend workers whatever may still arrive there."""
+    replace(worker_suspension, '_may_still_arrive', lambda *_: False)
+
+
 def unanswered_sending() -> None:
     """Treat the response to one sending of an order as conclusive for all."""
 
@@ -99,6 +125,9 @@
     'look-before-start': poll_before_start,
     'nesting': nesting,
     'old-registrations': replaced_registrations,
+    'open-starts': open_starts,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
+    'suspended-wait': suspended_wait,
+    'suspension': suspension,
 }
--- a/tests/scheduling/simulated_leader.py
+++ b/tests/scheduling/simulated_leader.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from gentianpulley.cluster.handover_state import HandoverState
 from gentianpulley.cluster.worker_protocol import StartOrder
 from gentianpulley.cluster.scheduler_service import Leadership
 from gentianpulley.cluster.scheduler import Scheduler
@@ -39,7 +40,8 @@
     """A scheduler with its order queue, active until its leadership ends.
 
     `unread_jobs` are jobs that its watch of the store has yet to process. It
-    places nothing before it has loaded the stored jobs.
+    places nothing before it has loaded the stored jobs. `handover_state` is
+    None where writes of the roster cannot fail.
     """
 
     scheduler: Scheduler
@@ -47,6 +49,7 @@
     queue: list[Order] = field(default_factory=list)
     unread_jobs: list[JobSpec] = field(default_factory=list)
     has_loaded: bool = False
+    handover_state: HandoverState | None = None
 
     def depose(self, at_ms: int) -> None:
         """Lose the key: no longer exclusive, old work goes on for a while."""
--- /dev/null
+++ b/tests/scheduling/simulated_store.py
@@ -0,0 +1,96 @@
+"""A simulated store whose commits may fail, land late or lose their answers."""
+
+import enum
+import random
+from typing import cast
+
+from gentianpulley.cluster.handover_state import HandoverState
+from gentianpulley.cluster.leader_store import create_leader_store
+from gentianpulley.errors import StoreError
+from gentianpulley.logs import EventLog
+from gentianpulley.store import (
+    ABSENT,
+    CommitResult,
+    Entry,
+    Precondition,
+    Put,
+    Store,
+    Transaction,
+)
+
+LEADER_KEY = 'leader'
+MAX_DELAY_MS = 9000
+
+
+class CommitDelivery(enum.Enum):
+    """The outcome of sending a transaction."""
+
+    NEVER_SENT = enum.auto()
+    DELAYED = enum.auto()
+    ANSWER_LOST = enum.auto()
+    ANSWERED = enum.auto()
+
+
+COMMIT_DELIVERIES = tuple(CommitDelivery)
+COMMIT_DELIVERY_WEIGHTS = (5, 10, 10, 75)
+
+
+class SimulatedStore:
+    """Entries with revisions; a late commit counts if its conditions hold."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start empty; `rng` draws what becomes of each commit."""
+        self.now_ms = 0
+        self._rng = rng
+        self._revision = 0
+        self._entries: dict[str, Entry] = {}
+        self._late_commits: list[tuple[int, Transaction]] = []
+
+    def elect_leader(self) -> HandoverState:
+        """Replace the leader's key; return the next leader's state."""
+        self._apply(Transaction((), (Put(LEADER_KEY, b''),)))
+        leader = Precondition(LEADER_KEY, self._revision)
+        leader_store = create_leader_store(cast(Store, self), leader)
+        return HandoverState(leader_store, EventLog())
+
+    def read(self, key: str) -> Entry | None:
+        """Return an entry, None if it does not exist."""
+        return self._entries.get(key)
+
+    def commit(self, txn: Transaction) -> CommitResult:
+        """Apply a transaction, if it arrives and its conditions hold."""
+        delivery = self._rng.choices(
+            COMMIT_DELIVERIES, COMMIT_DELIVERY_WEIGHTS
+        )[0]
+        if delivery is CommitDelivery.ANSWERED:
+            return self._apply(txn)
+        if delivery is CommitDelivery.ANSWER_LOST:
+            self._apply(txn)
+        elif delivery is CommitDelivery.DELAYED:
+            delay_ms = self._rng.randint(1, MAX_DELAY_MS)
+            self._late_commits.append((self.now_ms + delay_ms, txn))
+        raise StoreError('no answer')
+
+    def apply_late_commits(self, now_ms: int) -> None:
+        """Apply the transactions that arrive by now."""
+        due = [txn for at_ms, txn in self._late_commits if at_ms <= now_ms]
+        self._late_commits = [
+            late for late in self._late_commits if late[0] > now_ms
+        ]
+        for txn in due:
+            self._apply(txn)
+
+    def _apply(self, txn: Transaction) -> CommitResult:
+        if not all(map(self._holds, txn.preconditions)):
+            return CommitResult(
+                False, self._revision, tuple(self._entries.values())
+            )
+        self._revision += 1
+        for put in txn.puts:
+            self._entries[put.key] = Entry(put.key, put.body, self._revision)
+        return CommitResult(True, self._revision)
+
+    def _holds(self, precondition: Precondition) -> bool:
+        entry = self._entries.get(precondition.key)
+        revision = entry.revision if entry else ABSENT
+        return precondition.revision == revision
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -20,6 +20,7 @@
     StartVerdict,
     StopOrder,
 )
+from gentianpulley.cluster.handover_state import HandoverState
 from gentianpulley.cluster.scheduler_service import Leadership
 from gentianpulley.cluster.roster import (
     Roster,
@@ -28,6 +29,8 @@
 )
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import LeaderTerm
+from gentianpulley.cluster.worker_suspension import suspend
+from gentianpulley.errors import StoreError
 from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.record import JobRecord, create_record, restore_job
 from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
@@ -36,6 +39,7 @@
     SimulatedLeader,
     NullEventLog,
 )
+from tests.scheduling.simulated_store import SimulatedStore
 from tests.scheduling.simulated_worker import SimulatedWorker, ActiveRun
 from tests.scheduling.harness import START_MS, TIMING, job, step
 
@@ -62,15 +66,28 @@
 TWO_STEPS_PERCENT = 40
 FAILURE_PERCENT = 10
 ANY_LEADER_PERCENT = 50
+CRASH_PERCENT = 40
+LONG_CUT_MS = 9000
+SHORT_RUNS_MS = (100, 900, 4000)
+LONG_RUNS_MS = (900, 4000, 30_000)
+LOST_POLL_PERCENT = 10
 JOB_AT_CHANGE_PERCENT = 50
 
 
 class Simulation:
     """Leaders, workers and jobs with one clock and one random generator."""
 
-    def __init__(self, seed: int, *, short_terms: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        short_terms: bool = False,
+        loses_workers: bool = False,
+    ) -> None:
         """Start with one leader, some workers and some jobs."""
         self._short_terms = short_terms
+        self._loses_workers = loses_workers
+        self._durations_ms = LONG_RUNS_MS if loses_workers else SHORT_RUNS_MS
         self.rng = random.Random(seed)
         self.now_ms = START_MS
         self.violations: list[str] = []
@@ -91,6 +108,9 @@
         self.leaders: list[SimulatedLeader] = []
         self.listed = set(self.workers)
         self.roster = encode_roster(Roster())
+        self.store = SimulatedStore(self.rng)
+        self.down_until_ms: dict[str, int] = {}
+        self.waits_ms: list[int] = []
         self.starts = 0
         self.change_leader()
 
@@ -126,6 +146,8 @@
     def advance_time(self) -> None:
         """Advance the time a little; deliver the late orders that are due."""
         self.now_ms += self.rng.choice((20, 100, 300, 1200))
+        if self._loses_workers:
+            self.store.apply_late_commits(self.now_ms)
         due = [
             late
             for late in self.delayed_starts
@@ -150,36 +172,7 @@
         if leader is None:
             return
         worker_id = self.rng.choice(sorted(self.workers))
-        existing = leader.scheduler.workers.get(worker_id)
-        if existing is None or self._is_partitioned(index, worker_id):
-            return
-        worker = self.workers[worker_id]
-        if existing.registration.incarnation_ms != worker.incarnation_ms:
-            leader.scheduler.end_incarnation(worker_id, self.now_ms)
-            return
-        order = leader.scheduler.poll_order(existing, 0)
-        if order.token < worker.token:
-            leader.leadership.resign('fenced')
-            return
-        worker.token = order.token
-        self._acknowledge(worker, order.acked_end_number)
-        worker.lease_ms = max(worker.lease_ms, order.lease_deadline_worker_ms)
-        rows = tuple(
-            RunningRow(run.key, '', 50, 0) for run in worker.runs.values()
-        )
-        listing = Listing(
-            worker.clock(self.now_ms),
-            worker.incarnation_ms,
-            rows,
-            tuple(worker.ended),
-        )
-        sent_ms = self.now_ms
-        self.now_ms += 1
-        leader.queue.extend(
-            leader.scheduler.handle_listing(
-                existing, listing, sent_ms, self.now_ms
-            )
-        )
+        self._poll_worker(index, leader, worker_id)
 
     def send_orders(self) -> None:
         """Let a leader send its next order."""
@@ -227,14 +220,19 @@
             if not scheduler.is_drained(
                 self.workers[worker_id].create_registration()
             )
+            and not scheduler.is_suspended(
+                self.workers[worker_id].create_registration()
+            )
         }
-        self._save_roster(frozenset(used))
+        if not self._mark_used(frozenset(used)):
+            return
         for worker_id, worker in self.workers.items():
             if worker_id in self.listed:
                 orders = scheduler.update_worker(
                     worker.create_registration(), self.now_ms
                 )
                 self.leader.queue.extend(orders)
+                self._suspend_if_unmarked(worker_id)
             else:
                 scheduler.mark_deregistered(worker_id, self.now_ms)
 
@@ -259,12 +257,46 @@
         duration_ms = self.rng.randint(500, 9000)
         self.partitions[(index, worker_id)] = self.now_ms + duration_ms
 
+    def lose_worker_and_leader(self) -> None:
+        """Lose a worker, and within a second or so the leader as well.
+
+        The worker crashes and is down for a while, or it is cut off and runs
+        on: from the leader for a while, and from the next one for long.
+        """
+        worker_id = self.rng.choice(sorted(self.workers))
+        index = len(self.leaders) - 1
+        until_ms = self.now_ms + self.rng.choice((300, 1000, 3000, 6000))
+        if self._happens(CRASH_PERCENT):
+            self.down_until_ms[worker_id] = until_ms
+            self.workers[worker_id] = SimulatedWorker(
+                worker_id, self.workers[worker_id].clock_rate, self.now_ms
+            )
+        else:
+            self.partitions[(index, worker_id)] = until_ms
+            self.partitions[(index + 1, worker_id)] = until_ms + LONG_CUT_MS
+        for _ in range(self.rng.randint(0, 4)):
+            self._poll_worker(index, self.leader, worker_id)
+            self.advance_time()
+            self.save_roster()
+        deposed = self.leader
+        self.change_leader()
+        for _ in range(self.rng.randint(0, 12)):
+            self.advance_time()
+            if deposed.leadership.may_act(self.now_ms):
+                self._poll_worker(index, deposed, worker_id)
+            self.poll_workers()
+
     def change_leader(self) -> None:
         """Let another instance lead; the previous one acts on for a while."""
         if self.leaders:
             self.leader.depose(self.now_ms)
         self.token += 1
-        roster = decode_roster(self.roster)
+        handover_state = None
+        if self._loses_workers:
+            handover_state = self.store.elect_leader()
+            roster = handover_state.load_roster()
+        else:
+            roster = decode_roster(self.roster)
         term = LeaderTerm(
             self.token,
             self.now_ms,
@@ -276,7 +308,15 @@
         scheduler.buffer_listings()
         forever_ms = self.now_ms + FOREVER_MS
         leadership = Leadership(forever_ms, forever_ms)
-        self.leaders.append(SimulatedLeader(scheduler, leadership))
+        self.leaders.append(
+            SimulatedLeader(
+                scheduler, leadership, handover_state=handover_state
+            )
+        )
+        self.waits_ms.extend(
+            until_ms - self.now_ms
+            for until_ms in scheduler.unseen_runs_until_ms.values()
+        )
         self.read_directory()
         if not self._short_terms:
             self._load(self.leader)
@@ -300,6 +340,47 @@
         if leader.leadership.is_exclusive(self.now_ms):
             self._load(leader)
 
+    def _poll_worker(
+        self, index: int, leader: SimulatedLeader, worker_id: str
+    ) -> None:
+        existing = leader.scheduler.workers.get(worker_id)
+        if existing is None:
+            return
+        if self._is_partitioned(index, worker_id):
+            if self._loses_workers:
+                leader.scheduler.mark_unresponsive(existing, self.now_ms)
+            return
+        worker = self.workers[worker_id]
+        if existing.registration.incarnation_ms != worker.incarnation_ms:
+            leader.scheduler.end_incarnation(worker_id, self.now_ms)
+            return
+        order = leader.scheduler.poll_order(existing, 0)
+        if order.token < worker.token:
+            leader.leadership.resign('fenced')
+            return
+        worker.token = order.token
+        self._acknowledge(worker, order.acked_end_number)
+        worker.lease_ms = max(worker.lease_ms, order.lease_deadline_worker_ms)
+        if self._loses_workers and self._happens(LOST_POLL_PERCENT):
+            leader.scheduler.mark_unresponsive(existing, self.now_ms)
+            return
+        rows = tuple(
+            RunningRow(run.key, '', 50, 0) for run in worker.runs.values()
+        )
+        listing = Listing(
+            worker.clock(self.now_ms),
+            worker.incarnation_ms,
+            rows,
+            tuple(worker.ended),
+        )
+        sent_ms = self.now_ms
+        self.now_ms += 1
+        leader.queue.extend(
+            leader.scheduler.handle_listing(
+                existing, listing, sent_ms, self.now_ms
+            )
+        )
+
     def _load(self, leader: SimulatedLeader) -> None:
         for job_id, spec in self.specs.items():
             loaded = self._load_job(job_id, spec)
@@ -308,10 +389,43 @@
         leader.queue.extend(leader.scheduler.process_buffered_listings())
         leader.has_loaded = True
 
-    def _save_roster(self, used: frozenset[str]) -> None:
+    def _mark_used(self, used: frozenset[str]) -> bool:
+        """Mark workers as used; return False if that may have failed."""
+        handover_state = self.leader.handover_state
+        if handover_state is None or not handover_state.has_marked_used(used):
+            return self._save_roster(used)
+        return True
+
+    def _suspend_if_unmarked(self, worker_id: str) -> None:
+        handover_state = self.leader.handover_state
+        if handover_state is None:
+            return
+        if not handover_state.has_marked_used(frozenset((worker_id,))):
+            suspend(self.leader.scheduler.workers[worker_id])
+
+    def _save_roster(self, used: frozenset[str]) -> bool:
+        """Write the roster; return False if that may have failed."""
+        if self.leader.handover_state is not None:
+            return self._try_to_save_roster(self.leader.handover_state, used)
         previous = decode_roster(self.roster).worker_ids
         roster = self.leader.scheduler.build_roster(previous, used, self.now_ms)
         self.roster = encode_roster(roster)
+        return True
+
+    def _try_to_save_roster(
+        self, handover_state: HandoverState, used: frozenset[str]
+    ) -> bool:
+        scheduler = self.leader.scheduler
+        previous = handover_state.roster.worker_ids
+        scheduler.suspend_unresponsive(self.now_ms)
+        roster = scheduler.build_roster(previous, used, self.now_ms)
+        self.store.now_ms = self.now_ms
+        try:
+            handover_state.save_roster(roster)
+        except StoreError:
+            return False
+        scheduler.resume(roster.in_use)
+        return True
 
     def _happens(self, percent: int) -> bool:
         return self.rng.randrange(100) < percent
@@ -341,6 +455,8 @@
         return index, leader
 
     def _is_partitioned(self, index: int, worker_id: str) -> bool:
+        if self.down_until_ms.get(worker_id, 0) > self.now_ms:
+            return True
         return self.partitions.get((index, worker_id), 0) > self.now_ms
 
     def _send_start(
@@ -413,7 +529,7 @@
         if existing or order.key.run <= worker.rejected_runs.get(task_id, 0):
             return StartVerdict.OUTDATED
         self._check_start(worker, order.key)
-        duration_ms = self.rng.choice((100, 900, 4000))
+        duration_ms = self.rng.choice(self._durations_ms)
         fails = self._happens(FAILURE_PERCENT)
         ends_ms = self.now_ms + duration_ms
         worker.runs[task_id] = ActiveRun(order.key, ends_ms, fails)
@@ -479,15 +595,20 @@
     short_terms: bool = False,
     drains: bool = False,
     hands_over: bool = False,
+    loses_workers: bool = False,
 ) -> Simulation:
     """Run random actions, then return the simulation.
 
     With `short_terms`, leaders change often, load their jobs after the first
     listings have arrived, and workers leave the directory. With `drains`,
     workers drain and are ready again. With `hands_over`, leaders sometimes
-    hand over.
+    hand over. With `loses_workers`, a worker and the leader are lost together,
+    polls fail or are answered in vain, and writes of the roster fail, land late
+    or lose their answers.
     """
-    simulation = Simulation(seed, short_terms=short_terms)
+    simulation = Simulation(
+        seed, short_terms=short_terms, loses_workers=loses_workers
+    )
     weighted_actions: list[WeightedAction] = [
         (simulation.advance_time, 30),
         (simulation.poll_workers, 40),
@@ -512,6 +633,11 @@
         weighted_actions.append((simulation.drain_worker, 3))
     if hands_over:
         weighted_actions.append((simulation.hand_over, 4))
+    if loses_workers:
+        weighted_actions += [
+            (simulation.lose_worker_and_leader, 2),
+            (simulation.save_roster, 15),
+        ]
     actions, weights = zip(*weighted_actions, strict=True)
     for action in simulation.rng.choices(actions, weights, k=steps):
         action()
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.scheduling.harness import TIMING
 from tests.scheduling.simulation import run_simulation
 
 NON_EXCLUSIVE_SEEDS = (161, 243, 255)
@@ -25,8 +26,14 @@
 
 DRAIN_SEEDS = (*range(60), REMAINING_RUN_SEED, LOADING_SEED)
 SHORT_TERM_SEEDS = (*range(60), *UNRECORDED_USE_SEEDS, LAPSE_SEED)
+UNSTORED_LEASE_SEEDS = (157, 312, 334)
+"""Seeds that run a job twice after a worker and the leader are lost if a leader
+renews a lease before the roster shows the worker as used again."""
+
+LOSS_SEEDS = (*range(60), *UNSTORED_LEASE_SEEDS)
 SEEDS = (*range(120), *NON_EXCLUSIVE_SEEDS)
 STEPS = 700
+SHORT_WAITS = 20
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -56,6 +63,48 @@
     assert simulation.violations == []
 
 
+@pytest.mark.parametrize('seed', LOSS_SEEDS)
+def test_nothing_runs_twice_after_a_worker_and_the_leader_are_lost(
+    seed: int,
+) -> None:
+    """The next leader waits for the last lease of a suspended worker only."""
+    assert run_simulation(seed, STEPS, loses_workers=True).violations == []
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_nothing_runs_twice_in_short_reigns_that_lose_workers(
+    seed: int,
+) -> None:
+    """Later leaders rely on what is left of a suspended worker's lease."""
+    simulation = run_simulation(
+        seed, STEPS, short_terms=True, drains=True, loses_workers=True
+    )
+    assert simulation.violations == []
+
+
+@pytest.mark.proof('suspension')
+def test_the_model_finds_a_lease_that_is_renewed_too_early() -> None:
+    """Without the guard, these seeds run a job twice."""
+    simulations = [
+        run_simulation(seed, STEPS, loses_workers=True)
+        for seed in UNSTORED_LEASE_SEEDS
+    ]
+    assert not any(simulation.violations for simulation in simulations)
+
+
+def test_a_lost_worker_is_waited_for_no_longer_than_its_lease() -> None:
+    """The model leads to short waits, not only to complete ones."""
+    simulations = [
+        run_simulation(seed, STEPS, loses_workers=True) for seed in range(10)
+    ]
+    short = sum(
+        wait_ms <= TIMING.lease_ms
+        for simulation in simulations
+        for wait_ms in simulation.waits_ms
+    )
+    assert short > SHORT_WAITS
+
+
 def test_the_model_does_something() -> None:
     simulations = [run_simulation(seed, STEPS) for seed in range(10)]
     assert sum(simulation.starts for simulation in simulations) > 300
