--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -172,9 +172,10 @@
         self.plan_requested = PlanTrigger()
         self._plan_metrics = PlanMetrics(counters, log)
         self.save_requested = threading.Event()
+        self.roster_save_requested = threading.Event()
         self.are_jobs_loaded = True
         self.are_cancellations_known = True
-        self.plan_cost_s: float = 0
+        self._plan_cost_s: float = 0
         # Replaced, never changed in place, so that any thread may iterate.
         self._sinks: Mapping[str, OrderSink] = {}
         self._sinks_lock = threading.Lock()
@@ -199,6 +200,11 @@
                 self._session_loop = start_session_loop()
             return self._session_loop
 
+    @property
+    def plan_cost_s(self) -> float:
+        """Return how long the latest plan took."""
+        return self._plan_cost_s
+
     def attach(self, worker_id: str, sink: OrderSink) -> None:
         """Send a worker's orders to a session; close the previous one.
 
@@ -258,6 +264,7 @@
         self.leadership.resign(reason)
         self.plan_requested.set()
         self.save_requested.set()
+        self.roster_save_requested.set()
 
     def resign_and_back_off(self, reason: str) -> None:
         """Stop leading: another instance may see more."""
@@ -288,12 +295,18 @@
         self.counters.add('worker_looks')
         if listing.ended:
             self.save_requested.set()
+        if worker.is_suspended:
+            self.roster_save_requested.set()
         self.plan_requested.set()
 
     def on_poll_failed(self, worker: Worker) -> None:
         """Report that a poll of a worker failed."""
+        at_ms = now_ms()
         with self.lock:
-            self.scheduler.mark_unresponsive(worker, now_ms())
+            self.scheduler.mark_unresponsive(worker, at_ms)
+            can_suspend = self.scheduler.can_suspend(worker, at_ms)
+        if can_suspend:
+            self.roster_save_requested.set()
 
     def withdraw_start(self, order: StartOrder) -> bool:
         """Withdraw a start that was never sent; return False if it was."""
@@ -443,8 +456,8 @@
                 'jobs_waiting', self.scheduler.count_unstarted_jobs()
             )
             placements = [self._placement(order) for order in orders]
-        self.plan_cost_s = time.monotonic() - started_s
-        self._plan_metrics.record_plan(self.plan_cost_s, lag_s)
+        self._plan_cost_s = time.monotonic() - started_s
+        self._plan_metrics.record_plan(self._plan_cost_s, lag_s)
         self.dispatch((*stops, *orders))
         self._log_starts(orders, placements, at_ms)
         if self._plan_metrics.is_due():
--- a/tests/scheduling/simulated_replacements.py
+++ b/tests/scheduling/simulated_replacements.py
@@ -33,13 +33,21 @@
     unknown to their sender has accepted.
     """
 
-    def __init__(self, seed: int, *, short_terms: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        short_terms: bool = False,
+        loses_workers: bool = False,
+    ) -> None:
         """Start with one worker at each address."""
         self.former: set[str] = set()
         self.refused_by_others = 0
         self.unlisted_accepted = 0
         self.accepted_unawares = 0
-        super().__init__(seed, short_terms=short_terms)
+        super().__init__(
+            seed, short_terms=short_terms, loses_workers=loses_workers
+        )
         for worker in tuple(self.workers.values()):
             other_id = _other_id(worker.worker_id)
             self.workers[other_id] = SimulatedWorker(
