Waves: a task counts as at work only while its worker answers

A wave stopped the second of two serving tasks with may_miss 1 while the worker of the first had been dead for 4.6 s and had left the directory.

Cause: whether a task is at work was read from its last listing alone.

Now it isn't while its worker's poll has failed, nor since the worker left the directory, until it answers again; a worker that answers counts although its registration is missing. This holds up no wave for good: the task is restarted elsewhere once the lease has expired, and the test shows the stop that follows.

--- a/src/gentianpulley/cluster/draining.py
+++ b/src/gentianpulley/cluster/draining.py
@@ -1,7 +1,7 @@
 """Drains workers before their machines go down: what is stopped, what may end.
 
 These are the scheduler's rules for maintenance. Long-running tasks are stopped
-only while few enough other tasks of their step are unavailable.
+only while few enough other tasks of their step are unavailable, or may be.
 """
 
 from collections.abc import Iterable
@@ -108,13 +108,31 @@
 
 
 def _is_running(task: Task, workers: dict[str, Worker]) -> bool:
+    """Return whether a task is at work on a worker that answers.
+
+    One on a worker that does not is restarted elsewhere once its lease has
+    expired, so this does not delay maintenance for good.
+    """
     if task.phase is not TaskPhase.PLACED:
         return False
     worker = workers.get(task.worker_id)
-    if worker is None:
+    if worker is None or not _answers(worker):
         return False
     return any(
         reservation.progress_percent >= FULL_PERCENT
         and not reservation.is_stopping
         for reservation in worker.reservations_of(task.task_id)
     )
+
+
+def _answers(worker: Worker) -> bool:
+    """Return whether a worker answers, as far as is known.
+
+    One that has left the directory may be dead until it answers again; its poll
+    fails only seconds later.
+    """
+    if worker.unresponsive_since_ms:
+        return False
+    return worker.is_registered or (
+        worker.last_contact_ms > worker.deregistered_ms
+    )
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from gentianpulley.cluster import (
+    draining,
     maintenance,
     maintenance_loop,
     pacing,
@@ -99,6 +100,11 @@
     replace(TaskClient, '_send', send)
 
 
+def serving_worker_known() -> None:
+    """Take tasks of workers that do not answer for tasks at work."""
+    replace(draining, '_answers', lambda _: True)
+
+
 def wave_intent() -> None:
     """Record a machine of a wave only once its maintenance has started."""
     save = WaveRecords.save
@@ -137,6 +143,7 @@
     'nesting': nesting,
     'old-registrations': replaced_registrations,
     'rests': suspensions,
+    'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
     'wave-drained': wave_drained,
     'wave-intent': wave_intent,
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -1,5 +1,7 @@
 """Maintenance waves: how many machines are down, and what is drained first."""
 
+from collections.abc import Callable
+
 import pytest
 
 from gentianpulley.cluster.draining import drain_workers, is_drained
@@ -21,9 +23,17 @@
 )
 from gentianpulley.cluster.wave_records import WaveProgress
 from gentianpulley.jobs.spec import StepSpec
-from tests.scheduling.harness import SchedulerHarness, create_harness, job, step
+from gentianpulley.resources import Resources
+from tests.scheduling.harness import (
+    TIMING,
+    SchedulerHarness,
+    create_harness,
+    job,
+    step,
+)
 
 MAINTENANCE_MS = 2000
+HALF_WORKER = Resources(40_000, 1000, 0)
 SERVING = step(2, is_endless=True, estimated_ms=0)
 
 
@@ -205,6 +215,74 @@
     assert [order.key for order in again] == rest
 
 
+def _two_serving_workers() -> SchedulerHarness:
+    """Return a harness with a serving task on each of two workers."""
+    harness = create_harness('w1', 'w2')
+    spec = step(
+        2, is_endless=True, estimated_ms=0, max_away=1, resources=HALF_WORKER
+    )
+    harness.scheduler.add_job(job(spec))
+    assert {each.worker_id for each in harness.start_all()} == {'w1', 'w2'}
+    for worker_id in ('w1', 'w2'):
+        _list_all(harness, worker_id)
+    return harness
+
+
+def _list_all(harness: SchedulerHarness, worker_id: str) -> None:
+    present = harness.scheduler.workers[worker_id].reservations
+    harness.report_listing(
+        worker_id, tuple(RunningRow(key, '', 100, 9) for key in present)
+    )
+
+
+def _stops_of_second(harness: SchedulerHarness) -> int:
+    """Return how many tasks stop for maintenance of the second worker."""
+    drain = Drain('m2', 'w2', harness.at_ms - 1)
+    stops = len(drain_workers(harness.scheduler, [drain], harness.at_ms))
+    assert is_drained(harness.scheduler, drain, harness.at_ms) is bool(stops)
+    return stops
+
+
+def _stop_answering(harness: SchedulerHarness) -> None:
+    first = harness.scheduler.workers['w1']
+    harness.scheduler.mark_unresponsive(first, harness.at_ms)
+
+
+def _leave_directory(harness: SchedulerHarness) -> None:
+    harness.scheduler.mark_deregistered('w1', harness.at_ms)
+
+
+@pytest.mark.proof('serving-worker-known')
+@pytest.mark.parametrize('lose', [_stop_answering, _leave_directory])
+def test_a_task_on_a_worker_that_may_be_dead_is_not_at_work(
+    lose: Callable[[SchedulerHarness], None],
+) -> None:
+    """A wave stopped the second serving task while the first one was gone."""
+    harness = _two_serving_workers()
+    lose(harness)
+    assert not _stops_of_second(harness)
+    harness.at_ms += 1
+    _list_all(harness, 'w1')
+    assert _stops_of_second(harness) == 1
+
+
+def test_a_dead_worker_does_not_hold_up_a_wave_for_good() -> None:
+    harness = _two_serving_workers()
+    _stop_answering(harness)
+    _leave_directory(harness)
+    harness.add_worker('w3')
+    assert not _stops_of_second(harness)
+    harness.at_ms += 2 * TIMING.max_run_ms
+    for worker_id in ('w2', 'w3'):
+        _list_all(harness, worker_id)
+    harness.scheduler.expire_leases(harness.at_ms)
+    (restarted,) = harness.start_all()
+    assert restarted.worker_id == 'w3'
+    assert not _stops_of_second(harness)
+    _list_all(harness, 'w3')
+    assert _stops_of_second(harness) == 1
+
+
 def test_a_worker_whose_wave_was_taken_back_is_used_again() -> None:
     harness = create_harness('w1')
     drain_workers(harness.scheduler, [Drain('m1', 'w1', 0)], harness.at_ms)
