Waves: a worker that has not listed its runs to a new leader is not drained

Now it isn't drained until it has listed its runs, or until the time up to which the roster says that runs of earlier leaders may continue, so a worker that is gone holds up no wave for longer than a handover.

--- a/src/gentianpulley/cluster/draining.py
+++ b/src/gentianpulley/cluster/draining.py
@@ -34,8 +34,11 @@
     """Return whether a worker may go: no runs, or its deadline has passed.
 
     A long-running task blocks this as long as too many other tasks of its step
-    are unavailable.
+    are unavailable. So does a worker that an earlier leader used and that has
+    not listed its runs to this one, until they are over.
     """
+    if now_ms <= state.unseen_runs_until_ms.get(drain.worker_id, 0):
+        return False
     worker = state.workers.get(drain.worker_id)
     if worker is None or not worker.reservations:
         return True
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -18,6 +18,7 @@
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.platform import directory
@@ -134,6 +135,11 @@
     replace(maintenance_loop, 'is_drained', lambda *_: True)
 
 
+def wave_unseen_runs() -> None:
+    """Expect no runs that no listing has shown."""
+    replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
@@ -149,4 +155,5 @@
     'wave-intent': wave_intent,
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
+    'wave-unseen-runs': wave_unseen_runs,
 }
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -29,6 +29,7 @@
     SchedulerHarness,
     create_harness,
     job,
+    registration,
     step,
 )
 
@@ -283,6 +284,23 @@
     assert _stops_of_second(harness) == 1
 
 
+@pytest.mark.proof('wave-unseen-runs')
+def test_a_worker_that_has_not_listed_its_runs_yet_may_not_go() -> None:
+    """A new leader took it for empty; an upkeep would end all that ran."""
+    harness = create_harness(roster=frozenset(('w1', 'gone')))
+    harness.scheduler.update_worker(registration('w1'), harness.at_ms)
+    drains = {
+        worker_id: Drain('m', worker_id, harness.at_ms - 1)
+        for worker_id in ('w1', 'gone')
+    }
+    assert not is_drained(harness.scheduler, drains['w1'], harness.at_ms)
+    harness.report_listing('w1')
+    assert is_drained(harness.scheduler, drains['w1'], harness.at_ms)
+    assert not is_drained(harness.scheduler, drains['gone'], harness.at_ms)
+    over_ms = harness.scheduler.term.handover_until_ms + 1
+    assert is_drained(harness.scheduler, drains['gone'], over_ms)
+
+
 def test_a_worker_whose_wave_was_taken_back_is_used_again() -> None:
     harness = create_harness('w1')
     drain_workers(harness.scheduler, [Drain('m1', 'w1', 0)], harness.at_ms)
