Waves: end work only while no other instance can lead

- A leader whose key may be gone went on for 2 s more to stop serving tasks for a wave, and to repeat orders that end them, while its successor let other tasks of the same step go (AVAIL).
- A new leader, also after a planned hand-over, took a task that its predecessor was stopping for one at work, as listings don't show stops, and could stop the next one (AVAIL).

Now both are given only while the key is certain, and not before stop_ms of the new leader's term is over. Workers stay out of service meanwhile.

Two older tests of this file run until the first order, which is sent later now; the one that uses the guard wave-intent lets two machines go at once, as the certainty alone would keep it green.

--- a/src/gentianpulley/cluster/draining.py
+++ b/src/gentianpulley/cluster/draining.py
@@ -4,7 +4,7 @@
 only while few enough other tasks of their step are unavailable, or may be.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from gentianpulley.cluster.worker_protocol import StopOrder
 from gentianpulley.cluster.scheduler_state import SchedulerState
@@ -14,22 +14,28 @@
 
 
 def drain_workers(
-    state: SchedulerState, drains: Iterable[Drain], now_ms: int
+    state: SchedulerState, drains: Collection[Drain], now_ms: int
 ) -> list[StopOrder]:
     """Mark these workers as leaving; returns stops of runs that have to go.
 
     A leaving worker gets no new runs. Every other worker may get runs again.
     """
-    deadlines = {drain.worker_id: drain.deadline_ms for drain in drains}
+    mark_leaving(state, drains)
     orders: list[StopOrder] = []
-    for worker in state.workers.values():
-        worker.is_leaving = worker.worker_id in deadlines
-        if worker.is_leaving:
-            left_ms = deadlines[worker.worker_id] - now_ms
-            orders.extend(_drain(state, worker, left_ms))
+    for drain in drains:
+        worker = state.workers.get(drain.worker_id)
+        if worker is not None:
+            orders.extend(_drain(state, worker, drain.deadline_ms - now_ms))
     return orders
 
 
+def mark_leaving(state: SchedulerState, drains: Collection[Drain]) -> None:
+    """Mark the workers of these drains as leaving, and no others."""
+    leaving_ids = {drain.worker_id for drain in drains}
+    for worker in state.workers.values():
+        worker.is_leaving = worker.worker_id in leaving_ids
+
+
 def is_drained(state: SchedulerState, drain: Drain, now_ms: int) -> bool:
     """Return whether a worker may go: no runs, or its deadline has passed.
 
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -10,7 +10,11 @@
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
-from gentianpulley.cluster.draining import drain_workers, is_drained
+from gentianpulley.cluster.draining import (
+    drain_workers,
+    is_drained,
+    mark_leaving,
+)
 from gentianpulley.cluster.leader_store import DeposedError
 from gentianpulley.cluster.machines import (
     MachineProvider,
@@ -84,12 +88,30 @@
             )
         ]
         service = self._service
+        if not self._may_end_work():
+            with service.lock:
+                mark_leaving(service.scheduler, drains)
+            return
         with service.lock:
             orders = drain_workers(service.scheduler, drains, now_ms())
         service.dispatch(orders)
         for wave in tuple(self._waves.values()):
             self._advance(wave, drains)
 
+    def _may_end_work(self) -> bool:
+        """Return whether stops and orders may be given now.
+
+        Another leader may let a different task of the same step go. So they are
+        given only while none can lead, and not before the stops of the previous
+        one have taken effect, as listings do not show them.
+        """
+        at_ms = now_ms()
+        term = self._service.term
+        return (
+            at_ms > term.since_ms + term.timing.stop_ms
+            and self._service.leadership.is_exclusive(at_ms)
+        )
+
     def _drained_machines(self, drains: list[Drain]) -> frozenset[str]:
         """Return the machines that may go down as things are now."""
         at_ms = now_ms()
@@ -133,7 +155,7 @@
         # The write may have taken long.
         if order.machine_id not in self._drained_machines(drains):
             return
-        if not self._service.may_act(now_ms()):
+        if not self._may_end_work():
             return
         outcome = self._machine_provider.begin_maintenance(order)
         self._service.log.upkeep(order.machine_id, order.wave, outcome.name)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -106,6 +106,15 @@
     replace(draining, '_answers', lambda _: True)
 
 
+def wave_former_stops() -> None:
+    """Act for a wave as long as the leadership is not over."""
+    replace(
+        maintenance_loop.MaintenanceLoop,
+        '_may_end_work',
+        lambda loop: not loop._service.leadership.is_over(),
+    )
+
+
 def wave_intent() -> None:
     """Record a machine of a wave only once its maintenance has started."""
     save = WaveRecords.save
@@ -152,6 +161,7 @@
     'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
     'wave-drained': wave_drained,
+    'wave-former-stops': wave_former_stops,
     'wave-intent': wave_intent,
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
--- a/tests/scheduling/test_upkeep_takeover.py
+++ b/tests/scheduling/test_upkeep_takeover.py
@@ -14,8 +14,15 @@
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.logs import EventLog
 from gentianpulley.store import Precondition, Put, Transaction
-from tests.scheduling.harness import START_MS, create_harness
+from tests.scheduling.harness import (
+    START_MS,
+    TIMING,
+    create_harness,
+    job,
+    step,
+)
 from tests.scheduling.upkeep_site import (
+    FIRST_ORDER_MS,
     KEY_MS,
     LATE_MS,
     LEADERSHIP_MS,
@@ -29,6 +36,7 @@
 MACHINES = ('m1', 'm2', 'm3', 'm4')
 WITHIN_MS = 60_000
 LONG_MS = 30_000
+MANY = 1000
 
 
 def _request(
@@ -74,9 +82,9 @@
 def test_a_leader_that_cannot_record_an_upkeep_begins_none(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    site = _site(monkeypatch, _request(*MACHINES))
+    site = _site(monkeypatch, _request(*MACHINES, at_most=2))
     first = site.elect(create_harness())
-    site.run(PASS_MS, first)
+    site.run(FIRST_ORDER_MS, first)
     first.link.is_cut = True
     site.run(2 * LEADERSHIP_MS, first)
     assert _begun_machines(site) == ['m1']
@@ -91,7 +99,7 @@
     site.platform.states['m1'] = MachineState.MOVING
     site.platform.unanswered = 2
     first = site.elect(create_harness())
-    site.run(PASS_MS, first)
+    site.run(FIRST_ORDER_MS, first)
     assert site.platform.unanswered == 1
     site.platform.states['m1'] = MachineState.UP
     second = site.elect(create_harness())
@@ -100,6 +108,54 @@
     assert _begun_machines(site) == ['m2', 'm1']
 
 
+@pytest.mark.proof('certainty')
+def test_a_leader_whose_key_may_be_gone_repeats_no_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What that ends adds to what its successor lets go."""
+    site = _site(monkeypatch, _request('m1'))
+    site.platform.unanswered = MANY
+    first = site.elect(create_harness())
+    site.run(FIRST_ORDER_MS, first)
+    first.link.is_cut = True
+    cut_ms = site.platform.at_ms
+    site.run(2 * LEADERSHIP_MS, first)
+    assert cut_ms <= max(site.platform.ordered_ms) < cut_ms + KEY_MS
+
+
+@pytest.mark.proof('certainty')
+def test_a_leader_whose_key_may_be_gone_stops_nothing_for_a_wave(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = _site(monkeypatch, _request('m1'))
+    harness = create_harness('m1-1')
+    spec = step(1, is_endless=True, estimated_ms=0)
+    harness.scheduler.add_job(job(spec))
+    assert harness.start_all()
+    first = site.elect(harness)
+    site.run(FIRST_ORDER_MS - PASS_MS, first)
+    first.link.is_cut = True
+    site.platform.at_ms += KEY_MS
+    site.run(LEADERSHIP_MS, first)
+    worker = harness.scheduler.workers['m1-1']
+    assert worker.is_leaving
+    assert [each.is_stopping for each in worker.reservations.values()] == [
+        False
+    ]
+
+
+@pytest.mark.proof('wave-former-stops')
+def test_a_new_leader_waits_for_the_stops_of_the_former_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A listing shows what is being stopped as at work."""
+    site = _site(monkeypatch, _request('m1'))
+    leader = site.elect(create_harness())
+    elected_ms = site.platform.at_ms
+    site.run(LONG_MS, leader)
+    assert site.platform.ordered_ms[0] > elected_ms + TIMING.stop_ms
+
+
 def test_a_deposed_leader_orders_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -117,7 +173,7 @@
     site = _site(monkeypatch, _request('m1', 'm2'))
     first = site.elect(create_harness())
     first.link.is_late = True
-    site.run(PASS_MS, first)
+    site.run(FIRST_ORDER_MS, first)
     assert not site.platform.begun
     first.link.is_late = False
     for write in first.link.late_writes:
--- a/tests/scheduling/test_upkeep_unanswered.py
+++ b/tests/scheduling/test_upkeep_unanswered.py
@@ -21,6 +21,7 @@
     step,
 )
 from tests.scheduling.upkeep_site import (
+    FIRST_ORDER_MS,
     MAINTENANCE_MS,
     PASS_MS,
     Platform,
@@ -51,7 +52,7 @@
     site.platform.unanswered = 2
     harness = create_harness(WORKER)
     leader = site.elect(harness)
-    site.run(2 * PASS_MS, leader)
+    site.run(FIRST_ORDER_MS + PASS_MS, leader)
     assert not site.platform.unanswered
     harness.scheduler.add_job(job(SERVING))
     assert not harness.plan()
@@ -72,7 +73,7 @@
     site: UpkeepSite,
 ) -> None:
     site.platform.unanswered = 1
-    site.run(PASS_MS, site.elect(create_harness()))
+    site.run(FIRST_ORDER_MS, site.elect(create_harness()))
     harness = create_harness(WORKER)
     harness.scheduler.add_job(job(SERVING))
     harness.start_all()
--- a/tests/scheduling/upkeep_site.py
+++ b/tests/scheduling/upkeep_site.py
@@ -38,6 +38,9 @@
 LEADERSHIP_MS = 4000
 KEY_MS = 2000
 PASS_MS = 200
+FIRST_ORDER_MS = 1200
+"""Until a new leader has sent its first order: the former one's stops are over
+by then."""
 
 
 @dataclass
@@ -122,6 +125,7 @@
         self.states = dict.fromkeys(machine_ids, MachineState.UP)
         self.lives = dict.fromkeys(machine_ids, 1)
         self.begun: list[Begun] = []
+        self.ordered_ms: list[int] = []
         self.unanswered = 0
         self.on_begin: Callable[[str], None] = lambda worker_id: None
         self.on_end: Callable[[str], None] = lambda worker_id: None
@@ -153,6 +157,7 @@
 
     def begin_maintenance(self, order: MaintenanceOrder) -> MaintenanceOutcome:
         """Handle an order, or lose it on the way."""
+        self.ordered_ms.append(self.at_ms)
         if self.unanswered:
             self.unanswered -= 1
             self._late.append((self.at_ms + LATE_MS, order))
@@ -221,7 +226,9 @@
         service = SchedulerService(
             harness.scheduler, leadership, create_counters(), EventLog()
         )
-        harness.scheduler.term = replace(service.term, token=token)
+        harness.scheduler.term = replace(
+            service.term, token=token, since_ms=self.platform.at_ms
+        )
         records = WaveRecords(
             create_leader_store(link, Precondition(LEADER_KEY, token)),
             EventLog(),
