Waves: the workers of the last wave are used again

Found by reading. When the last wave was withdrawn, or ended as its last machine turned out not to be of it, the loop returned before the workers that were marked as leaving were unmarked: they got no runs until the next change of leader.

Now they are unmarked once no wave is left. Evidence: the two new tests are red with the guard wave-workers-returned off, which is the code before.

--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -57,6 +57,7 @@
         self._maintenance_ms = maintenance_ms
         self._waves: dict[int, MaintenanceWave] = {}
         self._completed: dict[int, MaintenanceWave] = {}
+        self._has_drains = False
         self.wave_requests: tuple[WaveRequest, ...] = ()
 
     def step(self) -> None:
@@ -75,6 +76,7 @@
     def _pass(self) -> None:
         self._update_waves(self.wave_requests)
         if not self._waves:
+            self._return_workers()
             return
         listed_ms = now_ms()
         machines = self._machine_provider.list_machines()
@@ -87,6 +89,7 @@
                 machines, listed_ms, now_ms(), self._down_elsewhere(number)
             )
         ]
+        self._has_drains = True
         service = self._service
         if not self._may_end_work():
             with service.lock:
@@ -98,6 +101,13 @@
         for wave in tuple(self._waves.values()):
             self._advance(wave, drains)
 
+    def _return_workers(self) -> None:
+        """Use all workers again once no wave is left."""
+        if self._has_drains:
+            with self._service.lock:
+                mark_leaving(self._service.scheduler, ())
+            self._has_drains = False
+
     def _may_end_work(self) -> bool:
         """Return whether stops and orders may be given now.
 
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -149,6 +149,11 @@
     replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
 
 
+def wave_workers_returned() -> None:
+    """Change nothing at the workers after the last wave."""
+    replace(maintenance_loop.MaintenanceLoop, '_return_workers', lambda _: None)
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
@@ -166,4 +171,5 @@
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
     'wave-unseen-runs': wave_unseen_runs,
+    'wave-workers-returned': wave_workers_returned,
 }
--- a/tests/scheduling/test_upkeep_unanswered.py
+++ b/tests/scheduling/test_upkeep_unanswered.py
@@ -60,6 +60,26 @@
     assert [begun.machine_id for begun in site.platform.begun] == ['m1']
 
 
+@pytest.mark.parametrize('is_withdrawn', [True, False])
+@pytest.mark.proof('wave-workers-returned')
+def test_a_worker_of_the_last_wave_is_used_again(
+    site: UpkeepSite, *, is_withdrawn: bool
+) -> None:
+    """It got no tasks until the next change of leader."""
+    harness = create_harness(OTHER)
+    site.requests = (WaveRequest(1, ('m2',), START_MS + 60_000, 1),)
+    leader = site.elect(harness)
+    site.run(PASS_MS, leader)
+    assert harness.scheduler.workers[OTHER].is_leaving
+    if is_withdrawn:
+        leader.loop.wave_requests = ()
+    else:
+        site.platform.refusal = MaintenanceOutcome.NOT_IN_WAVE
+    site.run(FOR_LONG_MS, leader)
+    assert not harness.scheduler.workers[OTHER].is_leaving
+    assert not site.platform.begun
+
+
 def _list_all(harness: SchedulerHarness, worker_id: str) -> None:
     """List every run of a worker as at work."""
     keys = harness.scheduler.workers[worker_id].reservations
--- a/tests/scheduling/upkeep_site.py
+++ b/tests/scheduling/upkeep_site.py
@@ -3,7 +3,6 @@
 Each leader has its own link to the store, which can be cut.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from gentianpulley.cluster.job_storage import LEADER_KEY
@@ -116,7 +115,8 @@
 class Platform(MachineProvider):
     """Machines that are renewed; fences count for each machine separately.
 
-    The next `unanswered` orders get no answer and arrive `LATE_MS` later.
+    The next `unanswered` orders get no answer and arrive `LATE_MS` later. A
+    `refusal` is the answer to all others.
     """
 
     def __init__(self, machine_ids: tuple[str, ...]) -> None:
@@ -127,8 +127,7 @@
         self.begun: list[Begun] = []
         self.ordered_ms: list[int] = []
         self.unanswered = 0
-        self.on_begin: Callable[[str], None] = lambda worker_id: None
-        self.on_end: Callable[[str], None] = lambda worker_id: None
+        self.refusal: MaintenanceOutcome | None = None
         self._fences = dict.fromkeys(machine_ids, 0)
         self._late: list[tuple[int, MaintenanceOrder]] = []
         self._done: set[tuple[str, int]] = set()
@@ -162,7 +161,7 @@
             self.unanswered -= 1
             self._late.append((self.at_ms + LATE_MS, order))
             return MaintenanceOutcome.LOST
-        return self._handle(order)
+        return self.refusal or self._handle(order)
 
     def advance(self, duration_ms: int) -> None:
         """Let time pass: maintenance ends, and late orders arrive."""
@@ -172,7 +171,6 @@
             if self.at_ms - duration_ms < ends_ms <= self.at_ms:
                 self.states[begun.machine_id] = MachineState.UP
                 self.lives[begun.machine_id] += 1
-                self.on_end(self.worker_id(begun.machine_id))
         due = [each for each in self._late if each[0] <= self.at_ms]
         for arrival in due:
             self._late.remove(arrival)
@@ -194,7 +192,6 @@
             if state is MachineState.MAINTENANCE
         )
         self.begun.append(Begun(machine_id, order.token, self.at_ms, others))
-        self.on_begin(self.worker_id(machine_id))
         self.states[machine_id] = MachineState.MAINTENANCE
         return MaintenanceOutcome.BEGUN
 
