Waves: a new leader reports a completed wave at once

A new leader writes `running` for each requested wave before it restores what was done. Now its completion is reported in the first pass. It writes no order, so it needs no wait.

--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -90,6 +90,9 @@
             )
         ]
         self._has_drains = True
+        for wave in tuple(self._waves.values()):
+            if wave.is_completed:
+                self._complete(wave)
         service = self._service
         if not self._may_end_work():
             with service.lock:
@@ -149,9 +152,6 @@
 
     def _advance(self, wave: MaintenanceWave, drains: list[Drain]) -> None:
         """Send the next order of a wave, and report its completion."""
-        if wave.is_completed:
-            self._complete(wave)
-            return
         number = wave.request.number
         order = wave.next_order(
             self._drained_machines(drains),
--- a/tests/scheduling/test_upkeep_takeover.py
+++ b/tests/scheduling/test_upkeep_takeover.py
@@ -37,6 +37,8 @@
 WITHIN_MS = 60_000
 LONG_MS = 30_000
 MANY = 1000
+STATUS_KEY = 'status/wave/1'
+COMPLETED = b'True'
 
 
 def _request(
@@ -156,6 +158,18 @@
     assert site.platform.ordered_ms[0] > elected_ms + TIMING.stop_ms
 
 
+def test_a_new_leader_reports_a_completed_wave_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = _site(monkeypatch, _request('m1'))
+    site.run(LONG_MS, site.elect(create_harness()))
+    assert site.store.entries[STATUS_KEY].body == COMPLETED
+    second = site.elect(create_harness())
+    site.run(PASS_MS, second)
+    assert site.store.entries[STATUS_KEY].body == COMPLETED
+    assert len(site.platform.ordered_ms) == 1
+
+
 def test_a_deposed_leader_orders_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
