--- a/src/gentianpulley/cluster/draining.py
+++ b/src/gentianpulley/cluster/draining.py
@@ -1,10 +1,10 @@
 """Drains workers before their machines go down: what is stopped, what may end.
 
 These are the scheduler's rules for maintenance. Long-running tasks are stopped
-only while few enough other tasks of their step are unavailable.
+only while few enough other tasks of their step are unavailable, or may be.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from gentianpulley.cluster.worker_protocol import StopOrder
 from gentianpulley.cluster.scheduler_state import SchedulerState
@@ -14,28 +14,37 @@
 
 
 def drain_workers(
-    state: SchedulerState, drains: Iterable[Drain], now_ms: int
+    state: SchedulerState, drains: Collection[Drain], now_ms: int
 ) -> list[StopOrder]:
     """Mark these workers as leaving; returns stops of runs that have to go.
 
     A leaving worker gets no new runs. Every other worker may get runs again.
     """
-    deadlines = {drain.worker_id: drain.deadline_ms for drain in drains}
+    mark_leaving(state, drains)
     orders: list[StopOrder] = []
-    for worker in state.workers.values():
-        worker.is_leaving = worker.worker_id in deadlines
-        if worker.is_leaving:
-            left_ms = deadlines[worker.worker_id] - now_ms
-            orders.extend(_drain(state, worker, left_ms))
+    for drain in drains:
+        worker = state.workers.get(drain.worker_id)
+        if worker is not None:
+            orders.extend(_drain(state, worker, drain.deadline_ms - now_ms))
     return orders
 
 
+def mark_leaving(state: SchedulerState, drains: Collection[Drain]) -> None:
+    """Mark the workers of these drains as leaving, and no others."""
+    leaving_ids = {drain.worker_id for drain in drains}
+    for worker in state.workers.values():
+        worker.is_leaving = worker.worker_id in leaving_ids
+
+
 def is_drained(state: SchedulerState, drain: Drain, now_ms: int) -> bool:
     """Return whether a worker may go: no runs, or its deadline has passed.
 
     A long-running task blocks this as long as too many other tasks of its step
-    are unavailable.
+    are unavailable. So does a worker that an earlier leader used and that has
+    not listed its runs to this one, until they are over.
     """
+    if now_ms <= state.unseen_runs_until_ms.get(drain.worker_id, 0):
+        return False
     worker = state.workers.get(drain.worker_id)
     if worker is None or not worker.reservations:
         return True
@@ -108,13 +117,31 @@
 
 
 def _is_running(task: Task, workers: dict[str, Worker]) -> bool:
+    """Return whether a task is at work on a worker that answers.
+
+    One on a worker that does not is restarted elsewhere once its lease has
+    expired, so this does not delay maintenance for good.
+    """
     if task.phase is not TaskPhase.PLACED:
         return False
     worker = workers.get(task.worker_id)
-    if worker is None:
+    if worker is None or not _answers(worker):
         return False
     return any(
         reservation.progress_percent >= FULL_PERCENT
         and not reservation.is_stopping
         for reservation in worker.reservations_of(task.task_id)
     )
+
+
+def _answers(worker: Worker) -> bool:
+    """Return whether a worker answers, as far as is known.
+
+    One that has left the directory may be dead until it answers again; its poll
+    fails only seconds later.
+    """
+    if worker.unresponsive_since_ms:
+        return False
+    return worker.is_registered or (
+        worker.last_contact_ms > worker.deregistered_ms
+    )
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -10,7 +10,11 @@
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
-from gentianpulley.cluster.draining import drain_workers, is_drained
+from gentianpulley.cluster.draining import (
+    drain_workers,
+    is_drained,
+    mark_leaving,
+)
 from gentianpulley.cluster.leader_store import DeposedError
 from gentianpulley.cluster.machines import (
     MachineProvider,
@@ -53,6 +57,7 @@
         self._maintenance_ms = maintenance_ms
         self._waves: dict[int, MaintenanceWave] = {}
         self._completed: dict[int, MaintenanceWave] = {}
+        self._has_drains = False
         self.wave_requests: tuple[WaveRequest, ...] = ()
 
     def step(self) -> None:
@@ -71,6 +76,7 @@
     def _pass(self) -> None:
         self._update_waves(self.wave_requests)
         if not self._waves:
+            self._return_workers()
             return
         listed_ms = now_ms()
         machines = self._machine_provider.list_machines()
@@ -83,13 +89,42 @@
                 machines, listed_ms, now_ms(), self._down_elsewhere(number)
             )
         ]
+        self._has_drains = True
+        for wave in tuple(self._waves.values()):
+            if wave.is_completed:
+                self._complete(wave)
         service = self._service
+        if not self._may_end_work():
+            with service.lock:
+                mark_leaving(service.scheduler, drains)
+            return
         with service.lock:
             orders = drain_workers(service.scheduler, drains, now_ms())
         service.dispatch(orders)
         for wave in tuple(self._waves.values()):
             self._advance(wave, drains)
 
+    def _return_workers(self) -> None:
+        """Use all workers again once no wave is left."""
+        if self._has_drains:
+            with self._service.lock:
+                mark_leaving(self._service.scheduler, ())
+            self._has_drains = False
+
+    def _may_end_work(self) -> bool:
+        """Return whether stops and orders may be given now.
+
+        Another leader may let a different task of the same step go. So they are
+        given only while none can lead, and not before the stops of the previous
+        one have taken effect, as listings do not show them.
+        """
+        at_ms = now_ms()
+        term = self._service.term
+        return (
+            at_ms > term.since_ms + term.timing.stop_ms
+            and self._service.leadership.is_exclusive(at_ms)
+        )
+
     def _drained_machines(self, drains: list[Drain]) -> frozenset[str]:
         """Return the machines that may go down as things are now."""
         at_ms = now_ms()
@@ -117,9 +152,6 @@
 
     def _advance(self, wave: MaintenanceWave, drains: list[Drain]) -> None:
         """Send the next order of a wave, and report its completion."""
-        if wave.is_completed:
-            self._complete(wave)
-            return
         number = wave.request.number
         order = wave.next_order(
             self._drained_machines(drains),
@@ -133,7 +165,7 @@
         # The write may have taken long.
         if order.machine_id not in self._drained_machines(drains):
             return
-        if not self._service.may_act(now_ms()):
+        if not self._may_end_work():
             return
         outcome = self._machine_provider.begin_maintenance(order)
         self._service.log.upkeep(order.machine_id, order.wave, outcome.name)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from gentianpulley.cluster import (
+    draining,
     maintenance,
     maintenance_loop,
     pacing,
@@ -18,7 +19,7 @@
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
-from gentianpulley.cluster.scheduler_state import SchedulerState
+from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker import Reservation
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
@@ -152,6 +153,20 @@
     replace(TaskClient, '_send', send)
 
 
+def serving_worker_known() -> None:
+    """Take tasks of workers that do not answer for tasks at work."""
+    replace(draining, '_answers', lambda _: True)
+
+
+def wave_former_stops() -> None:
+    """Act for a wave as long as the leadership is not over."""
+    replace(
+        maintenance_loop.MaintenanceLoop,
+        '_may_end_work',
+        lambda loop: not loop._service.leadership.is_over(),
+    )
+
+
 def wave_intent() -> None:
     """Record a machine of a wave only once its maintenance has started."""
     save = WaveRecords.save
@@ -181,9 +196,19 @@
     replace(maintenance_loop, 'is_drained', lambda *_: True)
 
 
+def wave_unseen_runs() -> None:
+    """Expect no runs that no listing has shown."""
+    replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
+
+
+def wave_workers_returned() -> None:
+    """Change nothing at the workers after the last wave."""
+    replace(maintenance_loop.MaintenanceLoop, '_return_workers', lambda _: None)
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
-    'cancellations-first': cancellations_first,
     'answered-start': answered_start,
+    'cancellations-first': cancellations_first,
     'certainty': leader_exclusivity,
     'earlier-sending': earlier_sending,
     'handover': handover,
@@ -194,11 +219,15 @@
     'open-starts': open_starts,
     'restarted-start': restarted_start,
     'rests': suspensions,
+    'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
     'suspended-wait': suspended_wait,
     'suspension': suspension,
     'wave-drained': wave_drained,
+    'wave-former-stops': wave_former_stops,
     'wave-intent': wave_intent,
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
+    'wave-unseen-runs': wave_unseen_runs,
+    'wave-workers-returned': wave_workers_returned,
 }
