No roster is written over the final one of a leader that has left

Found by reading: the thread that writes the roster waits for up to a second, and wrote after the leadership had ended; before the thread that writes records could do so too. If the key isn't given up by then, the next leader finds all workers in use again and waits a whole handover for each that it can't reach.

The test failed first: the final roster was replaced by one with two workers in use. A worker that it meets after that isn't on the stored roster and starts suspended, so nothing is started there.

--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -184,8 +184,13 @@
             self._handover_state.save_roster(roster)
 
     def _save_roster(self, used: frozenset[str]) -> None:
-        """Write the roster, with `used` among the workers in use."""
+        """Write the roster, with `used` among the workers in use.
+
+        Not once the leadership is over: the final roster may be stored.
+        """
         service = self.scheduler_service
+        if service.leadership.is_over():
+            return
         previous_ids = self._handover_state.roster.worker_ids
         at_ms = now_ms()
         with service.lock:
--- a/tests/scheduling/test_suspension.py
+++ b/tests/scheduling/test_suspension.py
@@ -258,6 +258,13 @@
         )
         self.watch.prune_roster()
 
+    def stub_sessions(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Open no connections to workers."""
+        monkeypatch.setattr(self.watch, '_client_factory', _NoClients())
+        monkeypatch.setattr(
+            'gentianpulley.cluster.leader_watches.open_session', _no_session
+        )
+
     @property
     def worker(self) -> Worker:
         """Return the worker that is lost."""
@@ -322,6 +329,21 @@
     assert watch.store.commits == commits
 
 
+def test_a_leader_that_has_left_writes_no_roster_over_its_final_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next leader would wait for what the final roster had settled."""
+    watch = _watch_of_lost_worker()
+    watch.stub_sessions(monkeypatch)
+    watch.service.leadership.resign('handed over')
+    watch.watch.save_final_roster()
+    final = watch.state.roster
+    assert final.remaining_ms
+    watch.watch.prune_roster()
+    watch.watch.open_sessions(DirectoryPage((registration('w2'),), 1))
+    assert watch.state.roster == final
+
+
 class _Client:
     """A client that nobody calls, as the session is not started."""
 
@@ -343,12 +365,7 @@
         return list(update(registered, at_ms))
 
     monkeypatch.setattr(scheduler, 'update_worker', update_after_end)
-    monkeypatch.setattr(
-        watch.watch, '_client_factory', _NoClients(), raising=True
-    )
-    monkeypatch.setattr(
-        'gentianpulley.cluster.leader_watches.open_session', _no_session
-    )
+    watch.stub_sessions(monkeypatch)
     watch.watch.open_sessions(DirectoryPage((known,), 1))
     assert scheduler.workers['w1'].is_suspended
 
