Waves: a new leader trusts no list that may be older than an upkeep

A leader takes a machine for up again only by a list requested a maintenance after it began, as lists lag (docs/DESIGN.md). What a successor restored had no such time: a list that lagged, read right after a planned hand-over, showed a machine as up that had just gone down, and the next upkeep began beside it (LIMIT).

Now the time counts from the reading of the record. A wave loses up to upkeep_s (2 s in the deployments) for each change of leader, stop_ms of which it waits anyway. Evidence: the new test is red with the guard wave-restored-lag off, which is the code before.

--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -48,8 +48,8 @@
 
     `drain_deadline_ms` is when draining ends at the latest, zero before it has
     started. `down_since_ms` is when the first maintenance order was sent or,
-    once maintenance has started, when the response came; zero before the first
-    order.
+    once maintenance has started, when the response came, or when what a
+    previous leader recorded was read; zero before the first order.
     """
 
     machine_id: str
@@ -116,12 +116,13 @@
             if member.is_down
         )
 
-    def restore(self, progress: WaveProgress) -> None:
+    def restore(self, progress: WaveProgress, now_ms: int) -> None:
         """Restore the progress that a previous leader recorded.
 
         What it ordered may start at any time, and what it started may not be
         over. So all these machines count as down: the former until an order of
-        this leader is answered, all until they are listed as up again.
+        this leader is answered, all until they are listed as up again. It may
+        have started a moment ago, so lists count only from a maintenance on.
         """
         stages = dict.fromkeys(progress.ordered, _Stage.ORDERED)
         stages.update(dict.fromkeys(progress.started, _Stage.STARTED))
@@ -130,6 +131,7 @@
             if member is not None:
                 member.stage = stage
                 member.is_down = True
+                member.down_since_ms = now_ms
 
     def update_machines(
         self,
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -144,7 +144,8 @@
             is_existing = number in self._waves or number in self._completed
             if not is_existing:
                 wave = create_wave(request, self._maintenance_ms)
-                wave.restore(self._wave_records.load(number))
+                progress = self._wave_records.load(number)
+                wave.restore(progress, now_ms())
                 self._machine_provider.report_wave(
                     number, self._wave_records.store, is_completed=False
                 )
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -18,6 +18,7 @@
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
+from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
@@ -144,6 +145,16 @@
     replace(maintenance_loop, 'is_drained', lambda *_: True)
 
 
+def wave_restored_lag() -> None:
+    """Trust any list on what a previous leader started."""
+    restore = MaintenanceWave.restore
+    replace(
+        MaintenanceWave,
+        'restore',
+        lambda wave, progress, _: restore(wave, progress, -FOREVER),
+    )
+
+
 def wave_unseen_runs() -> None:
     """Expect no runs that no listing has shown."""
     replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
@@ -170,6 +181,7 @@
     'wave-intent': wave_intent,
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
+    'wave-restored-lag': wave_restored_lag,
     'wave-unseen-runs': wave_unseen_runs,
     'wave-workers-returned': wave_workers_returned,
 }
--- a/tests/scheduling/test_upkeep.py
+++ b/tests/scheduling/test_upkeep.py
@@ -127,12 +127,24 @@
 
 def test_a_successor_goes_on_and_counts_what_may_be_down() -> None:
     wave = _wave('a', 'b')
-    wave.restore(WaveProgress(started=('a',)))
+    wave.restore(WaveProgress(started=('a',)), 0)
     down = MachineInfo('a', MachineState.MAINTENANCE)
     assert not wave.update_machines([down, *_machines_up('b')], 5000, 5000)
     assert _draining_machines(wave, 9000, 'a', 'b') == {'b'}
 
 
+@pytest.mark.proof('wave-restored-lag')
+def test_a_successor_trusts_no_list_that_may_be_older_than_an_upkeep() -> None:
+    """A list that lags showed a machine as up that had just gone down."""
+    wave = _wave('a', 'b')
+    restored_ms = 1000
+    wave.restore(WaveProgress(started=('a',)), restored_ms)
+    over_ms = restored_ms + MAINTENANCE_MS
+    assert not _draining_machines(wave, restored_ms + 1, 'a', 'b')
+    assert not _draining_machines(wave, over_ms, 'a', 'b')
+    assert _draining_machines(wave, over_ms + 1, 'a', 'b') == {'b'}
+
+
 def test_the_time_to_clear_a_machine_leaves_time_for_the_rest() -> None:
     wave = _wave('a', 'b', within_ms=20_000)
     (row,) = wave.update_machines(_machines_up('a', 'b'), 0, 0)
--- a/tests/scheduling/test_upkeep_unanswered.py
+++ b/tests/scheduling/test_upkeep_unanswered.py
@@ -140,7 +140,7 @@
     is_completed: bool,
 ) -> None:
     wave = create_wave(REQUEST, MAINTENANCE_MS)
-    wave.restore(WaveProgress(ordered=('m1',)))
+    wave.restore(WaveProgress(ordered=('m1',)), START_MS)
     (drain,) = wave.update_machines(listed, START_MS, START_MS)
     assert is_drained(create_harness(WORKER).scheduler, drain, START_MS)
     order = wave.next_order(frozenset(('m1',)), 7, START_MS)
@@ -151,7 +151,7 @@
 
 def test_a_successor_gives_inherited_work_time_to_end() -> None:
     wave = create_wave(REQUEST, MAINTENANCE_MS)
-    wave.restore(WaveProgress(ordered=('m1',)))
+    wave.restore(WaveProgress(ordered=('m1',)), START_MS)
     machine = MachineInfo('m1', MachineState.UP, WORKER)
     (drain,) = wave.update_machines((machine,), START_MS, START_MS)
     assert START_MS < drain.deadline_ms < REQUEST.deadline_ms
