Evacuations: a leader knows the closed domains of now when it first plans

What could be seen: a start in a zone that was evacuated (EVAC).

Cause: the elector passed operators' requests to the leader only when it had opened. The scheduler began with the domains that were closed before the load, of up to tens of seconds; the plan thread was started before the newer ones were passed on. An older set could also overwrite a newer one for good, as the elector's and the watch's thread passed them without a lock, and the watch passes a set only when it changes. And an instance could lead before its own watch had read the operators' keys at all, with no domain closed.

Now the leader gets each request from before it opens, under a lock that also covers the moment in which its scheduler comes into being; the same holds for waves. An instance runs for leader only after its first read of the operators' keys, which the watch reports even if nothing is closed; it looks for that each 20 ms, so the first election isn't delayed by an interval.

Evidence: test_campaign, a domain closed while the leader loads: failed before (the task started), passes; closed domains not read: red with its guard only (the test's wait was too short in its first run on the former code, which passed, and is 4 s now). Guards domains-amid-load and domains-first are red. The electors of test_campaign are now told that nothing is closed, as the watch does.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -129,7 +129,9 @@
         self._token = leader_key.revision
         self._scheduler_service: SchedulerService | None = None
         self._save_lock = threading.Lock()
+        self._operator_lock = threading.Lock()
         self._closed_domains: frozenset[str] = frozenset()
+        self._wave_requests: tuple[WaveRequest, ...] = ()
         self._next_interference_save_ms = 0
         self._saved_interference = b''
         self._maintenance_loop: MaintenanceLoop | None = None
@@ -174,17 +176,20 @@
 
     def replace_closed_domains(self, domains: frozenset[str]) -> None:
         """Start no runs in these failure domains from now on."""
-        self._closed_domains = domains
-        service = self._scheduler_service
-        if service is not None:
-            with service.lock:
-                service.scheduler.closed_domains = domains
-            service.plan_requested.set()
+        with self._operator_lock:
+            self._closed_domains = domains
+            service = self._scheduler_service
+            if service is not None:
+                with service.lock:
+                    service.scheduler.closed_domains = domains
+                service.plan_requested.set()
 
     def replace_wave_requests(self, requests: tuple[WaveRequest, ...]) -> None:
         """Carry out these maintenance waves from now on."""
-        if self._maintenance_loop is not None:
-            self._maintenance_loop.wave_requests = requests
+        with self._operator_lock:
+            self._wave_requests = requests
+            if self._maintenance_loop is not None:
+                self._maintenance_loop.wave_requests = requests
 
     def hand_over(self) -> None:
         """Wait for responses in flight, then save the state and close."""
@@ -217,12 +222,13 @@
 
     def _open_service(self, term: LeaderTerm) -> SchedulerService:
         scheduler = create_scheduler(term, self._log)
-        scheduler.closed_domains = self._closed_domains
         service = SchedulerService(
             scheduler, self._leadership, self._dependencies.counters, self._log
         )
         self._load_interference(service)
-        self._scheduler_service = service
+        with self._operator_lock:
+            scheduler.closed_domains = self._closed_domains
+            self._scheduler_service = service
         return service
 
     def _load_interference(self, service: SchedulerService) -> None:
@@ -244,10 +250,13 @@
         machine_provider = self._dependencies.machine_provider
         if machine_provider is not None:
             maintenance_ms = self._dependencies.maintenance_ms
-            self._maintenance_loop = MaintenanceLoop(
+            loop = MaintenanceLoop(
                 service, machine_provider, self._handover_state, maintenance_ms
             )
-            self._maintenance_loop.start()
+            with self._operator_lock:
+                loop.wave_requests = self._wave_requests
+                self._maintenance_loop = loop
+            loop.start()
         if self._dependencies.advice_service is not None:
             AdviceLoop(service, self._dependencies.advice_service).start()
         _start('plan', lambda: self._plan_loop(service))
--- a/src/gentianpulley/cluster/leader_elector.py
+++ b/src/gentianpulley/cluster/leader_elector.py
@@ -42,6 +42,9 @@
 STORE_CHECK_INTERVAL_S: Final = 0.05
 """Interval at which a leader that stops checks whether the store answers."""
 
+DOMAINS_CHECK_INTERVAL_S: Final = 0.02
+"""Interval at which a new instance checks whether closed domains are known."""
+
 OFFER_CHECK_STEPS: Final = 3
 """Number of steps between two checks of the leader for a takeover offer."""
 
@@ -67,9 +70,11 @@
         self._lease: StoreLease | None = None
         self._leadership: Leadership | None = None
         self._leader: Leader | None = None
+        self._informed_leader: Leader | None = None
+        self._operator_lock = threading.Lock()
         self._steps = 0
         self._token = 0
-        self._closed_domains: frozenset[str] = frozenset()
+        self._closed_domains: frozenset[str] | None = None
         self._wave_requests: tuple[WaveRequest, ...] = ()
 
     @property
@@ -78,21 +83,26 @@
         return self._leader is not None
 
     def replace_closed_domains(self, domains: frozenset[str]) -> None:
-        """Start no runs in these failure domains while leading."""
-        self._closed_domains = domains
-        leader = self._leader
-        if leader is not None:
-            leader.replace_closed_domains(domains)
+        """Start no runs in these failure domains while leading.
+
+        The instance runs for leader only after the first call.
+        """
+        with self._operator_lock:
+            self._closed_domains = domains
+            if self._informed_leader is not None:
+                self._informed_leader.replace_closed_domains(domains)
 
     def replace_wave_requests(self, requests: tuple[WaveRequest, ...]) -> None:
         """Carry out these maintenance waves while leading."""
-        self._wave_requests = requests
-        leader = self._leader
-        if leader is not None:
-            leader.replace_wave_requests(requests)
+        with self._operator_lock:
+            self._wave_requests = requests
+            if self._informed_leader is not None:
+                self._informed_leader.replace_wave_requests(requests)
 
     def step(self) -> None:
         """Continue leading if this instance leads, else run for leader."""
+        while self._closed_domains is None and not self.is_stopping:
+            self.pause(DOMAINS_CHECK_INTERVAL_S)
         try:
             if self._leader is None:
                 self._run_election()
@@ -172,7 +182,11 @@
             Precondition(LEADER_KEY, self._token),
             leadership,
         )
-        leader.replace_closed_domains(self._closed_domains)
+        with self._operator_lock:
+            # Requests that come while it loads have to reach it, too.
+            self._informed_leader = leader
+            leader.replace_closed_domains(self._closed_domains or frozenset())
+            leader.replace_wave_requests(self._wave_requests)
         self._leadership = leadership
         with ExitStack() as undo:
             undo.callback(self._revoke_lease)
@@ -182,8 +196,6 @@
             self._open_leader(leader)
             undo.pop_all()
         self._leader = leader
-        leader.replace_closed_domains(self._closed_domains)
-        leader.replace_wave_requests(self._wave_requests)
 
     def _open_leader(self, leader: Leader) -> None:
         """Open a leader; close it again and back off if that fails."""
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -57,6 +57,7 @@
         self._closed_domains: frozenset[str] = frozenset()
         self._wave_requests: dict[str, WaveRequest] = {}
         self._has_store = True
+        self._has_read = False
         self.last_contact_ms = 0
 
     def step(self) -> None:
@@ -113,7 +114,8 @@
         self._publish_waves()
 
     def _update_closed_domains(self, domains: frozenset[str]) -> None:
-        if domains != self._closed_domains:
+        if domains != self._closed_domains or not self._has_read:
+            self._has_read = True
             self._closed_domains = domains
             self.log.dependency('domains', 'closed', ','.join(sorted(domains)))
             self._listener.replace_closed_domains(domains)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from gentianpulley.cluster import pacing, run_tracker
+from gentianpulley.cluster.leader import Leader
+from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
@@ -89,6 +91,29 @@
     replace(SchedulerService, 'are_cancellations_known', _AlwaysTrue())
 
 
+def domains_amid_load() -> None:
+    """Tell a leader that has not loaded yet of no closed domain."""
+    tell = Leader.replace_closed_domains
+
+    def replace_closed_domains(leader: Any, domains: frozenset[str]) -> None:
+        service = leader.scheduler_service
+        if service is None or service.are_jobs_loaded:
+            tell(leader, domains)
+
+    replace(Leader, 'replace_closed_domains', replace_closed_domains)
+
+
+def domains_first() -> None:
+    """Let an instance lead that has not read the closed domains."""
+    create = LeaderElector.__init__
+
+    def __init__(elector: Any, *args: Any) -> None:
+        create(elector, *args)
+        elector._closed_domains = frozenset()
+
+    replace(LeaderElector, '__init__', __init__)
+
+
 def suspensions() -> None:
     """Throttle by the model alone, without suspensions."""
     replace(pacing, 'update_suspension', lambda *_: False)
@@ -109,6 +134,8 @@
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'cancellations-first': cancellations_first,
     'certainty': leader_exclusivity,
+    'domains-amid-load': domains_amid_load,
+    'domains-first': domains_first,
     'earlier-sending': earlier_sending,
     'handover': handover,
     'lapse-certainty': lapse_certainty,
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -1,5 +1,6 @@
 """Elections between instances of different sizes, over a fake store."""
 
+import json
 import threading
 import time
 from base64 import b64decode
@@ -13,14 +14,23 @@
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.election_policy import Candidate, decode_candidate
 from gentianpulley.cluster.capacity import InstanceCapacity
-from gentianpulley.cluster.job_storage import LEADER_KEY, SPEC_PREFIX
-from gentianpulley.cluster.leader import LeaderDependencies
+from gentianpulley.cluster.handover_state import ROSTER_KEY
+from gentianpulley.cluster.job_storage import (
+    LEADER_KEY,
+    SPEC_PREFIX,
+    LeaderJobStore,
+    LoadedJobs,
+    job_key,
+)
+from gentianpulley.cluster.leader import Leader, LeaderDependencies
+from gentianpulley.cluster.roster import Roster, encode_roster
 from gentianpulley.cluster.takeover_offers import OFFER_KEY, OfferPublisher
 from gentianpulley.cluster.timing import LEADER_TTL_S, Timing, create_timing
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreAnswerLostError
 from gentianpulley.http_conn import HttpAddress
+from gentianpulley.jobs.spec import encode_job
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.kv_store import KvStore, connect_kv_store
@@ -36,6 +46,7 @@
 )
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
+from tests.scheduling.harness import job, step
 
 SMALL = 516
 LARGEST = 8000
@@ -44,6 +55,8 @@
 TAKEOVER_S = 18
 MAX_HAND_OVER_S = 1.8
 LOADING_S = 4.0
+PAUSE_S = 1.0
+UNOPPOSED_S = 4.0
 SHORT_TIMING = Timing(
     lease_ms=500,
     max_lease_ms=500,
@@ -117,6 +130,7 @@
             _candidate(name, milli), dependencies, lambda: True
         )
         self.electors.append(elector)
+        elector.replace_closed_domains(frozenset())
         elector.start()
         return elector
 
@@ -124,11 +138,19 @@
         self, name: str, milli: int, is_healthy: bool = True
     ) -> LeaderElector:
         """Start the elector of an instance."""
+        elector = self.create(name, milli, is_healthy)
+        elector.replace_closed_domains(frozenset())
+        elector.start()
+        return elector
+
+    def create(
+        self, name: str, milli: int, is_healthy: bool = True
+    ) -> LeaderElector:
+        """Create an elector that knows of no operators' requests yet."""
         elector = LeaderElector(
             _candidate(name, milli), self.dependencies(), lambda: is_healthy
         )
         self.electors.append(elector)
-        elector.start()
         return elector
 
     def dependencies(self) -> LeaderDependencies:
@@ -164,6 +186,52 @@
         self.store.server_close()
 
 
+@pytest.mark.proof('domains-amid-load')
+def test_a_domain_closed_while_the_leader_loads_got_a_start(
+    election: Election, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first plan used the domains that were closed before the load."""
+    spec = replace(job(step()).spec, payload='{}')
+    election.store.put(job_key(spec.job_id), encode_job(spec))
+    roster = json.loads(encode_roster(Roster()))
+    election.store.put(ROSTER_KEY, roster)
+    worker = GridWorker(election.store, 'w1', 'a')
+    worker.run_in_background()
+    load, leader_open = LeaderJobStore.load, Leader.open
+
+    def slow_load(job_store: LeaderJobStore) -> LoadedJobs:
+        loaded = load(job_store)
+        election.electors[0].replace_closed_domains(frozenset('a'))
+        return loaded
+
+    def slow_open(leader: Leader) -> None:
+        leader_open(leader)
+        time.sleep(PAUSE_S)
+
+    monkeypatch.setattr(LeaderJobStore, 'load', slow_load)
+    monkeypatch.setattr(Leader, 'open', slow_open)
+    elector = election.join('only', SMALL)
+    wait_until(lambda: elector.is_leading)
+    assert not worker.started
+    elector.replace_closed_domains(frozenset())
+    wait_until(lambda: worker.started)
+    worker.shutdown()
+    worker.server_close()
+
+
+@pytest.mark.proof('domains-first')
+def test_one_that_has_not_read_the_closed_domains_does_not_lead(
+    election: Election,
+) -> None:
+    """It would start runs in a domain that was closed before it began."""
+    elector = election.create('only', SMALL)
+    elector.start()
+    time.sleep(UNOPPOSED_S)
+    assert not election.leader()
+    elector.replace_closed_domains(frozenset())
+    wait_until(lambda: elector.is_leading)
+
+
 def _candidate(name: str, milli: int) -> Candidate:
     return Candidate(name, InstanceCapacity(processors_milli=milli))
 
