--- a/soak/callers.py
+++ b/soak/callers.py
@@ -142,6 +142,7 @@
         self._site = site
         self._rng = random.Random(seed)
         self._conns: dict[str, HTTPConnection] = {}
+        self._cancel_requests = 0
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -161,14 +162,24 @@
     def _run(self) -> None:
         while not self._stopping.wait(self._rng.uniform(*PAUSE_S)):
             open_stories = [story for story in self.stories if _is_open(story)]
-            if not open_stories or self._rng.random() < SUBMIT_SHARE:
-                self._submit(
-                    sum(_is_long_running(each) for each in open_stories)
-                )
-            elif self._rng.random() < CANCEL_SHARE:
-                self._call(self._rng.choice(open_stories), 'DELETE')
+            if self._cancel_requests < self._site.cancel_requests:
+                self._cancel_requests = self._site.cancel_requests
+                self._cancel_latest(open_stories)
             else:
-                self._call(self._rng.choice(open_stories), 'GET')
+                self._call_at_random(open_stories)
+
+    def _call_at_random(self, open_stories: list[Story]) -> None:
+        if not open_stories or self._rng.random() < SUBMIT_SHARE:
+            self._submit(sum(_is_long_running(each) for each in open_stories))
+        elif self._rng.random() < CANCEL_SHARE:
+            self._call(self._rng.choice(open_stories), 'DELETE')
+        else:
+            self._call(self._rng.choice(open_stories), 'GET')
+
+    def _cancel_latest(self, open_stories: list[Story]) -> None:
+        """Cancel the job that has most likely not started."""
+        for story in open_stories[-1:]:
+            self._call(story, 'DELETE')
 
     def _submit(self, long_running: int) -> None:
         plan = draw_job(self._rng)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,12 @@
     StaleConns,
     StoreLink,
 )
+from soak.paired_faults import (
+    CancelAmidTakeover,
+    CrashAndKill,
+    CutAmidWave,
+    UnansweredUpkeep,
+)
 from soak.site import SoakSite
 from soak.site_faults import (
     CfgChange,
@@ -36,6 +42,7 @@
 )
 
 MEAN_GAP_S: Final = 1.5
+MEAN_PAIR_GAP_S: Final = 8.0
 SHORTEST_S: Final = 0.2
 LONGEST_S: Final = 6.0
 FIRST_S: Final = 2.0
@@ -66,6 +73,18 @@
     }
 )
 
+PAIRS: Final = MappingProxyType(
+    {
+        kind.__name__: kind
+        for kind in (
+            CancelAmidTakeover,
+            CrashAndKill,
+            CutAmidWave,
+            UnansweredUpkeep,
+        )
+    }
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Episode:
@@ -88,15 +107,25 @@
 
 
 def draw_episodes(rng: random.Random, seconds: float) -> list[Episode]:
-    """Return the faults of a soak test; all start within `seconds`."""
+    """Return the faults of a soak test; all start within `seconds`.
+
+    Pairs are drawn last, so that a seed draws the same single faults as before
+    there were pairs.
+    """
+    singles = _draw(rng, seconds, sorted(FAULTS), MEAN_GAP_S)
+    return singles + _draw(rng, seconds, sorted(PAIRS), MEAN_PAIR_GAP_S)
+
+
+def _draw(
+    rng: random.Random, seconds: float, kinds: list[str], mean_gap_s: float
+) -> list[Episode]:
     episodes = []
     at_s = FIRST_S
-    kinds = sorted(FAULTS)
     while at_s < seconds:
         ends_s = at_s + rng.uniform(SHORTEST_S, LONGEST_S)
         kind = rng.choice(kinds)
         episodes.append(Episode(at_s, ends_s, kind, rng.getrandbits(SEED_BITS)))
-        at_s += rng.expovariate(1 / MEAN_GAP_S)
+        at_s += rng.expovariate(1 / mean_gap_s)
     return episodes
 
 
@@ -133,7 +162,8 @@
     def _run(self, episode: Episode) -> None:
         rng = random.Random(episode.seed)
         self._sleep_until(episode.begins_s)
-        fault: Fault = FAULTS[episode.kind](self._site, rng)
+        kinds = {**FAULTS, **PAIRS}
+        fault: Fault = kinds[episode.kind](self._site, rng)
         begins_s = time.monotonic()
         target = fault.strike()
         self._print_line(f'{episode.begins_s:6.1f} {episode.kind}: {target}')
--- a/soak/site.py
+++ b/soak/site.py
@@ -17,6 +17,7 @@
 from gentianpulley.http_conn import HttpAddress
 from soak.process import ENTRY_PROGRAM, InstanceProcess
 from standins.grid_site import Route, cfg_document, fetch, node_file
+from standins.grid_machines import GridMachines
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
 from standins.http_server import OK
@@ -78,11 +79,17 @@
 
 @dataclass
 class SoakSite:
-    """All components of the cluster."""
+    """All components of the cluster.
+
+    Each caller cancels a job when `cancel_requests` has increased.
+    """
 
     store: GridStore
     folder: Path
+    machines: GridMachines
     cfg_version: int = 1
+    cancel_requests: int = 0
+    wave_number: int = 0
     instances: list[Instance] = field(default_factory=list)
     workers: list[LinkedWorker] = field(default_factory=list)
 
@@ -101,6 +108,22 @@
         routes = (*ROUTES, *more)
         self.store.put('op/config', cfg_document(self.cfg_version, routes))
 
+    def request_wave(self, linked: list[LinkedWorker], within_s: int) -> str:
+        """Request a maintenance wave of one machine at a time.
+
+        Returns the key of the request.
+        """
+        self.wave_number += 1
+        key = f'op/wave/{self.wave_number}'
+        wave = {
+            'wave': self.wave_number,
+            'machines': [f'm-{each.worker.worker_id}' for each in linked],
+            'within_s': within_s,
+            'at_most': 1,
+        }
+        self.store.put(key, wave)
+        return key
+
     def start(self) -> None:
         """Start the instances; raises `TimeoutError` if one is not ready."""
         for instance in self.instances:
@@ -116,6 +139,7 @@
     def heal(self) -> None:
         """End every fault that may still be active."""
         self.store.faults = {}
+        self.machines.faults = {}
         for instance in self.instances:
             instance.link.switch(LinkState.UP)
             instance.process.tell(signal.SIGCONT)
@@ -130,6 +154,7 @@
         for linked in self.workers:
             linked.link.close()
             linked.worker.shutdown()
+        self.machines.shutdown()
         self.store.shutdown()
 
 
@@ -139,11 +164,17 @@
     """Return a cluster whose instances are not started yet."""
     store = GridStore()
     store.run_in_background()
-    site = SoakSite(store, Path(tempfile.mkdtemp(prefix='soak-')))
-    site.write_cfg()
-    site.workers = [
+    workers = [
         _start_worker(store, number, rng) for number in range(size.workers)
     ]
+    machines = GridMachines(
+        {each.worker.worker_id: each.worker for each in workers}
+    )
+    machines.run_in_background()
+    folder = Path(tempfile.mkdtemp(prefix='soak-'))
+    site = SoakSite(store, folder, machines)
+    site.write_cfg()
+    site.workers = workers
     site.instances = [
         _create_instance(site, number, program)
         for number in range(size.instances)
@@ -175,7 +206,7 @@
     link = TcpProxy(site.store.port)
     # Later settings override earlier ones.
     settings = (
-        node_file(name, link.port, '', ''),
+        node_file(name, link.port, '', f'{HOST}:{site.machines.port}'),
         f'zone={DOMAINS[number % len(DOMAINS)]}',
         f'listen.front={HOST}:{front.port}',
         f'listen.ready={HOST}:{ready.port}',
