--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,10 @@
 .PHONY: prove-red
 prove-red: setup
 	$(BIN)/python -m tests.prove_red
+
+# The cases of the independent review, each with its trouble and without; one
+# run takes a minute or two. None is part of `make test`.
+REVIEWS ?= 1 2 3 4 5
+.PHONY: review
+review: setup
+	$(BIN)/python -m tests.review_runs $(REVIEWS)
