Directory: a new leader starts nothing before it has read the workers again

Cause: the directory is read before the jobs and watched from that revision only after them, beside the first plan; after a load longer than the store's history the watch even has to read it anew first, 0.2 s later.

Now the watch begins with that reading, and the first plan waits for it as for the cancellations (Reread names both; a leader notes what is outdated when it begins to load). The directory is read whole rather than followed: workers renew their registration, so the changes of a long load may be larger than it. Cost: one read of the directory for a term, and the first plan that much later.

--- a/src/gentianpulley/cluster/job_watches.py
+++ b/src/gentianpulley/cluster/job_watches.py
@@ -18,7 +18,7 @@
     waiting_job_id,
 )
 from gentianpulley.cluster.leader_watches import LeaderWatch
-from gentianpulley.cluster.scheduler_service import SchedulerService
+from gentianpulley.cluster.scheduler_service import Reread, SchedulerService
 from gentianpulley.jobs.job import create_job
 from gentianpulley.prefix_scan import PrefixScan
 from gentianpulley.store import Change, ChangeBatch, Entry, Store
@@ -126,10 +126,10 @@
         stored so far, which an idle watch would report only after its wait.
         """
         watched_revision = revision
-        if not self.scheduler_service.are_cancellations_known:
+        if self.scheduler_service.is_outdated(Reread.CANCELLATIONS):
             batch = self._store.read_changes(CANCELLATION_PREFIX, revision)
             self._apply_batch(batch)
-            self.scheduler_service.mark_cancellations_known()
+            self.scheduler_service.mark_reread(Reread.CANCELLATIONS)
             watched_revision = batch.revision
         for batch in self._store.watch(CANCELLATION_PREFIX, watched_revision):
             self._apply_batch(batch)
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -22,7 +22,7 @@
     WorkerRegistration,
     WorkerClientFactory,
 )
-from gentianpulley.cluster.scheduler_service import SchedulerService
+from gentianpulley.cluster.scheduler_service import Reread, SchedulerService
 from gentianpulley.cluster.worker_lifecycle import FOREVER
 from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.deadline import now_ms
@@ -140,8 +140,18 @@
         self._next_roster_save_ms = 0
 
     def watch_changes(self, revision: int) -> None:
-        """Report workers that are added, changed or removed."""
-        for batch in self._directory.watch(revision):
+        """Report workers that are added, changed or removed.
+
+        A leader that has just loaded starts nothing before it has read the
+        directory again. What has changed since its first read may be larger
+        than the directory, as workers renew their registration.
+        """
+        watched_revision = revision
+        if self.scheduler_service.is_outdated(Reread.WORKERS):
+            watched_revision = self.read_all()
+            self.advance_revision(watched_revision)
+            self.scheduler_service.mark_reread(Reread.WORKERS)
+        for batch in self._directory.watch(watched_revision):
             self._apply_changes(batch.changes)
             self.advance_revision(batch.revision)
             if self.scheduler_service.leadership.is_over():
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -4,6 +4,7 @@
 passes the scheduler's orders on to them.
 """
 
+import enum
 import threading
 import time
 from abc import ABC, abstractmethod
@@ -57,6 +58,16 @@
     over_target: int
 
 
+class Reread(enum.Enum):
+    """What a new leader reads again, or further, once it has loaded.
+
+    The load takes long, and these may be older than the jobs by then.
+    """
+
+    CANCELLATIONS = enum.auto()
+    WORKERS = enum.auto()
+
+
 class OrderSink(ABC):
     """Receives the orders for one worker."""
 
@@ -173,7 +184,7 @@
         self._plan_metrics = PlanMetrics(counters, log)
         self.save_requested = threading.Event()
         self.are_jobs_loaded = True
-        self.are_cancellations_known = True
+        self._outdated: frozenset[Reread] = frozenset()
         self.plan_cost_s: float = 0
         # Replaced, never changed in place, so that any thread may iterate.
         self._sinks: Mapping[str, OrderSink] = {}
@@ -357,12 +368,12 @@
     def begin_loading(self) -> None:
         """Buffer workers' listings until the inherited jobs are loaded.
 
-        Nothing is started before `mark_cancellations_known` is called.
+        Nothing is started before `mark_reread` was called for everything.
         """
         with self.lock:
             self.scheduler.buffer_listings()
+            self._outdated = frozenset(Reread)
         self.are_jobs_loaded = False
-        self.are_cancellations_known = False
 
     def load_inherited_jobs(
         self, jobs: Iterable[Job], cancelled: Iterable[str]
@@ -381,11 +392,16 @@
         if has_ends:
             self.save_requested.set()
 
-    def mark_cancellations_known(self) -> None:
-        """Allow starts: what was cancelled while jobs were loaded is known."""
-        self.are_cancellations_known = True
-        if self.scheduler.live_jobs:
-            self.plan_requested.set()
+    def is_outdated(self, part: Reread) -> bool:
+        """Return whether a part has not been read again since the load."""
+        return part in self._outdated
+
+    def mark_reread(self, part: Reread) -> None:
+        """Record that changes made during the load are known."""
+        with self.lock:
+            self._outdated -= {part}
+            if self.scheduler.live_jobs:
+                self.plan_requested.set()
 
     def add_job(self, job: Job) -> None:
         """Add a job."""
@@ -417,8 +433,8 @@
     def plan(self) -> None:
         """Plan the runs that fit somewhere, and send the resulting orders.
 
-        While a loaded job may be cancelled without being known to be, only
-        runs that must not continue are stopped.
+        Until it is known which jobs were cancelled and which workers drain
+        since they were read, only runs that must not continue are stopped.
         """
         at_ms = now_ms()
         if not self.may_act(at_ms):
@@ -432,7 +448,7 @@
             self.scheduler.expire_leases(at_ms)
             stops = self.scheduler.stop_incomplete_gangs()
             orders: list[StartOrder] = []
-            if self.are_cancellations_known:
+            if not self._outdated:
                 stops.extend(self.scheduler.plan_migrations(at_ms))
                 orders = self.scheduler.plan(at_ms)
             self.counters.set(
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -11,23 +11,17 @@
 from gentianpulley.cluster import pacing, run_tracker
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
-from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
+from gentianpulley.cluster.scheduler_service import (
+    Leadership,
+    Reread,
+    SchedulerService,
+)
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.platform import directory
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
-class _AlwaysTrue:
-    """An attribute that ignores its assignments."""
-
-    def __get__(self, owner: Any, kind: Any = None) -> bool:
-        return True
-
-    def __set__(self, owner: Any, assigned: bool) -> None:
-        """Ignore it."""
-
-
 def replace(owner: Any, name: str, member: Any) -> None:
     """Replace a member of a class or module."""
     setattr(owner, name, member)
@@ -86,9 +80,24 @@
     replace(Scheduler, 'is_handover_complete', lambda *_: True)
 
 
+def _skip_reread(part: Reread) -> None:
+    begin = SchedulerService.begin_loading
+
+    def begin_loading(service: SchedulerService) -> None:
+        begin(service)
+        service.mark_reread(part)
+
+    replace(SchedulerService, 'begin_loading', begin_loading)
+
+
 def cancellations_first() -> None:
     """Start loaded jobs before what was cancelled meanwhile is known."""
-    replace(SchedulerService, 'are_cancellations_known', _AlwaysTrue())
+    _skip_reread(Reread.CANCELLATIONS)
+
+
+def workers_first() -> None:
+    """Start before the directory is read again after the load."""
+    _skip_reread(Reread.WORKERS)
 
 
 def domains_amid_load() -> None:
@@ -144,4 +153,5 @@
     'old-registrations': replaced_registrations,
     'rests': suspensions,
     'silent-sending': unanswered_sending,
+    'workers-first': workers_first,
 }
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -58,6 +58,7 @@
 SHORT_TERM_S = 3.0
 OTHER_ID = 'b' * 16
 SLOW_S = 0.5
+TASKS_OF_TWO = 16
 GATED = pytest.mark.proof('cancellations-first')
 
 
@@ -95,9 +96,11 @@
 
 
 @contextmanager
-def _worker(store: GridStore) -> Iterator[GridWorker]:
+def _worker(
+    store: GridStore, worker_id: str = WORKER_ID
+) -> Iterator[GridWorker]:
     """Yield a running worker."""
-    worker = GridWorker(store, WORKER_ID)
+    worker = GridWorker(store, worker_id)
     worker.run_in_background()
     yield worker
     worker.shutdown()
@@ -399,3 +402,41 @@
         started = {task.partition('.')[0] for task, _ in worker.started}
     assert started == {OTHER_ID}
     assert cancelled.state is JobState.CANCELLED
+
+
+class SlowDirectoryStore(KvStore):
+    """A store in which a worker drains while the jobs are read."""
+
+    def __init__(self, server: GridStore, worker: GridWorker) -> None:
+        """Drain `worker` when the first page of jobs has been read."""
+        super().__init__(HttpAddress(HOST, server.port), create_counters())
+        self._worker = worker
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return a page; that of the jobs is older than the drain."""
+        page = super().read_page(prefix, after)
+        if prefix == SPEC_PREFIX:
+            self._worker.register('draining')
+        return page
+
+    def watch(self, prefix: str, revision: int) -> Iterator[ChangeBatch]:
+        """Report changes of the directory late."""
+        if prefix == SERVERS_PREFIX:
+            time.sleep(SLOW_S)
+        return super().watch(prefix, revision)
+
+
+@pytest.mark.proof('workers-first')
+def test_a_worker_that_drained_while_the_leader_loaded_got_starts(
+    store: GridStore,
+) -> None:
+    """The directory was read before the jobs and watched only after them."""
+    spec = replace(job(step(count=TASKS_OF_TWO)).spec, payload='{"ms": 9000}')
+    store.put(job_key(JOB_ID), encode_job(spec))
+    store.put(ROSTER_KEY, json.loads(encode_roster(Roster())))
+    with _worker(store) as leaving, _worker(store, 'w2') as staying:
+        leader = create_leader(store, SlowDirectoryStore(store, leaving))
+        leader.open()
+        wait_until(lambda: len(staying.started) == TASKS_OF_TWO // 2)
+        leader.close()
+    assert not leaving.started
