--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -17,7 +17,13 @@
     wave_records,
     worker_suspension,
 )
-from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
+from gentianpulley.cluster.leader import Leader
+from gentianpulley.cluster.leader_elector import LeaderElector
+from gentianpulley.cluster.scheduler_service import (
+    Leadership,
+    Reread,
+    SchedulerService,
+)
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
@@ -30,16 +36,6 @@
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
 
 
-class _AlwaysTrue:
-    """An attribute that ignores its assignments."""
-
-    def __get__(self, owner: Any, kind: Any = None) -> bool:
-        return True
-
-    def __set__(self, owner: Any, assigned: bool) -> None:
-        """Ignore it."""
-
-
 def replace(owner: Any, name: str, member: Any) -> None:
     """Replace a member of a class or module."""
     setattr(owner, name, member)
@@ -112,9 +108,47 @@
     replace(Scheduler, 'is_handover_complete', lambda *_: True)
 
 
+def _skip_reread(part: Reread) -> None:
+    begin = SchedulerService.begin_loading
+
+    def begin_loading(service: SchedulerService) -> None:
+        begin(service)
+        service.mark_reread(part)
+
+    replace(SchedulerService, 'begin_loading', begin_loading)
+
+
 def cancellations_first() -> None:
     """Start loaded jobs before what was cancelled meanwhile is known."""
-    replace(SchedulerService, 'are_cancellations_known', _AlwaysTrue())
+    _skip_reread(Reread.CANCELLATIONS)
+
+
+def workers_first() -> None:
+    """Start before the directory is read again after the load."""
+    _skip_reread(Reread.WORKERS)
+
+
+def domains_amid_load() -> None:
+    """Tell a leader that has not loaded yet of no closed domain."""
+    tell = Leader.replace_closed_domains
+
+    def replace_closed_domains(leader: Any, domains: frozenset[str]) -> None:
+        service = leader.scheduler_service
+        if service is None or service.are_jobs_loaded:
+            tell(leader, domains)
+
+    replace(Leader, 'replace_closed_domains', replace_closed_domains)
+
+
+def domains_first() -> None:
+    """Let an instance lead that has not read the closed domains."""
+    create = LeaderElector.__init__
+
+    def __init__(elector: Any, *args: Any) -> None:
+        create(elector, *args)
+        elector._closed_domains = frozenset()
+
+    replace(LeaderElector, '__init__', __init__)
 
 
 def suspensions() -> None:
@@ -221,6 +255,8 @@
     'answered-start': answered_start,
     'cancellations-first': cancellations_first,
     'certainty': leader_exclusivity,
+    'domains-amid-load': domains_amid_load,
+    'domains-first': domains_first,
     'earlier-sending': earlier_sending,
     'handover': handover,
     'lapse-certainty': lapse_certainty,
@@ -242,4 +278,5 @@
     'wave-restored-lag': wave_restored_lag,
     'wave-unseen-runs': wave_unseen_runs,
     'wave-workers-returned': wave_workers_returned,
+    'workers-first': workers_first,
 }
