The roster tells of a kept start as long as its leader would wait for it

Cause: `_runs_until_ms` counted from the sending alone. It now counts from the last time at which an order to a past incarnation may arrive, as the leader's own expiry does. The test failed before, and passes.

--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -165,7 +165,7 @@
         """Return until when any incarnation of a worker may have runs."""
         max_run_ms = self.term.timing.max_run_ms
         ends_ms = [
-            max(reservation.sent_ms, reservation.last_sent_ms) + max_run_ms
+            reservation.latest_arrival_ms + max_run_ms
             for reservation in worker.reservations.values()
             if not reservation.is_listed
         ]
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -131,6 +131,14 @@
         """Return whether the reply to the latest start is still awaited."""
         return self.last_sent_ms > 0 and not self.start_deadline_worker_ms
 
+    @property
+    def latest_arrival_ms(self) -> int:
+        """Return when an order may last prolong a run that is not listed.
+
+        Orders to a past incarnation may arrive at the worker's current one.
+        """
+        return max(self.sent_ms, self.last_sent_ms, self.past_orders_until_ms)
+
     def may_start_late(self, answered_poll_ms: int) -> bool:
         """Return whether a start may still arrive once the incarnation ends.
 
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -9,6 +9,7 @@
 import enum
 import random
 from collections.abc import Callable
+from contextlib import suppress
 
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
@@ -330,9 +331,7 @@
         """Let the holder of the key leave; its orders may still arrive."""
         leader = self.leader
         leader.leadership.resign('handed over')
-        previous = decode_roster(self.roster).worker_ids
-        roster = leader.scheduler.build_final_roster(previous, self.now_ms)
-        self.roster = encode_roster(roster)
+        self._save_final_roster(leader)
         self.change_leader()
 
     def load_jobs(self) -> None:
@@ -401,6 +400,20 @@
         scheduler.resume(roster.in_use)
         return True
 
+    def _save_final_roster(self, leader: SimulatedLeader) -> None:
+        """Write the final roster; the write may fail in a modelled store."""
+        scheduler = leader.scheduler
+        if leader.handover_state is None:
+            previous = decode_roster(self.roster).worker_ids
+            roster = scheduler.build_final_roster(previous, self.now_ms)
+            self.roster = encode_roster(roster)
+            return
+        previous = leader.handover_state.roster.worker_ids
+        roster = scheduler.build_final_roster(previous, self.now_ms)
+        self.store.now_ms = self.now_ms
+        with suppress(StoreError):
+            leader.handover_state.save_roster(roster)
+
     def _happens(self, percent: int) -> bool:
         return self.rng.randrange(100) < percent
 
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -78,8 +78,10 @@
         {},
         {'short_terms': True},
         {'short_terms': True, 'drains': True, 'hands_over': True},
+        {'loses_workers': True, 'hands_over': True},
+        {'short_terms': True, 'loses_workers': True, 'hands_over': True},
     ],
-    ids=['long terms', 'short terms', 'handovers'],
+    ids=['long terms', 'short terms', 'handovers', 'losses', 'short losses'],
 )
 @pytest.mark.parametrize('seed', REPLACEMENT_SEEDS)
 def test_nothing_runs_twice_where_addresses_change_hands(
--- a/tests/scheduling/test_suspension.py
+++ b/tests/scheduling/test_suspension.py
@@ -1,6 +1,7 @@
 """A worker that does not answer is suspended, and waited for no longer."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import cast
 
 import pytest
@@ -17,6 +18,7 @@
 from gentianpulley.cluster.worker_protocol import (
     RunningRow,
     StartOrder,
+    StartReply,
     StartVerdict,
     WorkerClientFactory,
     WorkerRegistration,
@@ -178,6 +180,16 @@
     harness.answer(_send(harness), StartVerdict.ACCEPTED)
 
 
+def _answer_after_restart(harness: SchedulerHarness) -> None:
+    """Let a restarted worker, whose clock is lower, accept a start."""
+    reply = StartReply(StartVerdict.ACCEPTED, 1)
+    order = _send(harness)
+    harness.scheduler.handle_start_reply(order, reply, harness.at_ms)
+    restarted = replace(registration('w1'), incarnation_ms=5, revision=9)
+    harness.scheduler.update_worker(restarted, harness.at_ms)
+    assert order.key in _worker(harness).reservations
+
+
 def _answer_at_once(harness: SchedulerHarness) -> None:
     """Let the worker answer before the second failure."""
     _lose(harness)
@@ -206,6 +218,20 @@
     assert roster.remaining_ms.get('w1', 0) >= least_ms
 
 
+def test_the_roster_tells_of_a_kept_start_what_its_leader_waits_for() -> None:
+    """It told of its lease alone, so the next leader waited too short."""
+    harness, _ = _harness_with_a_run()
+    _answer_after_restart(harness)
+    remaining_ms = _suspend(harness).remaining_ms['w1']
+    until_ms = harness.at_ms + remaining_ms
+    harness.at_ms = until_ms
+    harness.scheduler.expire_leases(harness.at_ms)
+    assert _worker(harness).reservations
+    harness.at_ms = until_ms + 1
+    harness.scheduler.expire_leases(harness.at_ms)
+    assert not _worker(harness).reservations
+
+
 def test_one_failed_poll_suspends_nothing() -> None:
     harness, _ = _harness_with_a_run()
     _answer_at_once(harness)
