Soak: pairs of faults, drawn apart from the single ones

A worker's crash and a kill of the leader within a second, in either order; the leader cut off from the store amid a wave; each caller cancels its latest job amid a takeover; orders for upkeep without an answer. The soak's site has machines for it. Not checked: the limits of waves.

Cause: a fault of that pair, not of the project: a crash first, then a pause, put the kill behind the episode's end, and the process was let up before it had ended, so its end counted as its own. A killed process is now awaited, as a stopped one is.

--- a/soak/paired_faults.py
+++ b/soak/paired_faults.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from soak.fault import Fault
-from soak.site import Instance, LinkedWorker, SoakSite
+from soak.site import STOP_S, Instance, LinkedWorker, SoakSite
 from standins.tcp_proxy import LinkState
 
 MAX_GAP_S: Final = 1.0
@@ -23,26 +23,27 @@
 MOST_LOST: Final = 2
 
 
-class LeaderPair(Fault):
-    """A fault of the leader, or of another instance if none leads."""
+class LeaderKill(Fault):
+    """The leader is killed, or another instance if none leads."""
 
     def __init__(self, site: SoakSite, rng: random.Random) -> None:
         """Create the fault; the leader is chosen when it is hit."""
         super().__init__(site, rng)
         self.instance: Instance = site.instances[0]
 
-    def choose_leader(self) -> None:
-        """Choose the instance that leads now."""
-        self.instance = self.site.leader or self.rng.choice(self.site.instances)
-
     def kill_leader(self) -> None:
         """Kill the leader's process; it stays down until `heal`."""
-        self.choose_leader()
+        self.instance = choose_leader(self.site, self.rng)
         self.instance.process.hold_down()
         self.instance.process.tell(signal.SIGKILL)
 
+    def heal(self) -> None:
+        """Restart the process once it has ended."""
+        self.instance.process.await_end(STOP_S)
+        self.instance.process.let_up()
+
 
-class CrashAndKill(LeaderPair):
+class CrashAndKill(LeaderKill):
     """A worker crashes and the leader is killed, in either order."""
 
     def strike(self) -> str:
@@ -59,12 +60,8 @@
             linked.worker.crash()
         return f'{linked.worker.worker_id}, {self.instance.name}'
 
-    def heal(self) -> None:
-        """Restart the process."""
-        self.instance.process.let_up()
-
 
-class CancelAmidTakeover(LeaderPair):
+class CancelAmidTakeover(LeaderKill):
     """The leader is killed, and each caller cancels a job meanwhile."""
 
     def strike(self) -> str:
@@ -74,12 +71,8 @@
         self.site.cancel_requests += 1
         return self.instance.name
 
-    def heal(self) -> None:
-        """Restart the process."""
-        self.instance.process.let_up()
-
 
-class CutAmidWave(LeaderPair):
+class CutAmidWave(Fault):
     """The leader is cut off from the store amid a maintenance wave."""
 
     def strike(self) -> str:
@@ -88,13 +81,13 @@
             self.rng.sample(self.site.workers, WAVE_MACHINES), WAVE_S
         )
         time.sleep(self.rng.uniform(0, MAX_GAP_S))
-        self.choose_leader()
-        self.instance.link.switch(LinkState.CUT)
-        return f'{self.instance.name}, {self._key}'
+        self._instance = choose_leader(self.site, self.rng)
+        self._instance.link.switch(LinkState.CUT)
+        return f'{self._instance.name}, {self._key}'
 
     def heal(self) -> None:
         """Restore the link and withdraw the wave."""
-        self.instance.link.switch(LinkState.UP)
+        self._instance.link.switch(LinkState.UP)
         self.site.store.remove(self._key)
 
 
@@ -114,3 +107,8 @@
         """Answer orders again and withdraw the wave."""
         self.site.machines.faults.clear()
         self.site.store.remove(self._key)
+
+
+def choose_leader(site: SoakSite, rng: random.Random) -> Instance:
+    """Return the instance that leads now, or any if none does."""
+    return site.leader or rng.choice(site.instances)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """Short soak tests; run long ones by hand with `make soak`."""
 
+import random
 import subprocess
 import sys
 
 import pytest
 
+from soak.schedule import FAULTS, PAIRS, draw_episodes
 from standins.process import own_env
 
 SOAK_TIMEOUT_S = 150
@@ -20,6 +22,19 @@
 """Seeds and durations in seconds: one initial run, then past failures."""
 
 
+DRAWN_SEEDS = range(20)
+DRAWN_S = 30
+
+
+def test_each_fault_and_each_pair_is_drawn() -> None:
+    drawn = {
+        episode.kind
+        for seed in DRAWN_SEEDS
+        for episode in draw_episodes(random.Random(seed), DRAWN_S)
+    }
+    assert drawn == {*FAULTS, *PAIRS}
+
+
 @pytest.mark.parametrize(('seed', 'seconds'), SEEDS)
 def test_promises_hold_under_random_faults(seed: int, seconds: int) -> None:
     done = subprocess.run(
