--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -175,7 +175,7 @@
             for registration in page.registrations:
                 self._update_worker(registration)
 
-    def prune_roster(self) -> None:
+    def refresh_roster(self) -> None:
         """Write how long runs may continue on workers that get no orders.
 
         Workers on which nothing can run any more are omitted, and workers that
--- a/src/gentianpulley/cluster/roster_loop.py
+++ b/src/gentianpulley/cluster/roster_loop.py
@@ -49,7 +49,7 @@
 
     def _save(self) -> None:
         try:
-            self._worker_watch.prune_roster()
+            self._worker_watch.refresh_roster()
         except DeposedError as deposed:
             self._service.resign(deposed.text)
         except StoreError as exc:
--- a/tests/scheduling/test_suspension.py
+++ b/tests/scheduling/test_suspension.py
@@ -282,7 +282,7 @@
             cast(WorkerClientFactory, None),
             self.state,
         )
-        self.watch.prune_roster()
+        self.watch.refresh_roster()
 
     def stub_sessions(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Open no connections to workers."""
@@ -312,7 +312,7 @@
 ) -> None:
     watch = _watch_of_lost_worker()
     assert watch.service.roster_save_requested.is_set()
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     worker = watch.worker
     assert worker.is_suspended
     assert not watch.state.roster.in_use
@@ -320,13 +320,13 @@
     watch.store.loses_answers = loses_answers
     if loses_answers:
         with pytest.raises(StoreError):
-            watch.watch.prune_roster()
+            watch.watch.refresh_roster()
         assert worker.is_suspended
         watch.store.loses_answers = False
         with pytest.raises(StoreError, match='another revision'):
-            watch.watch.prune_roster()
+            watch.watch.refresh_roster()
         assert worker.is_suspended
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     assert not worker.is_suspended
     assert watch.state.has_marked_used(W1)
 
@@ -334,7 +334,7 @@
 def test_an_update_of_its_registration_uses_no_suspended_worker() -> None:
     """A worker that is cut off from its leader still renews its entry."""
     watch = _watch_of_lost_worker()
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     known = watch.worker.registration
     watch.watch.open_sessions(DirectoryPage((known,), 1))
     assert watch.worker.is_suspended
@@ -343,7 +343,7 @@
 
 def test_a_leader_that_may_be_without_the_store_suspends_nobody() -> None:
     watch = _watch_of_lost_worker(exclusive_ms=-MARGIN_MS)
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     assert not watch.worker.is_suspended
 
 
@@ -351,7 +351,7 @@
     harness, _ = _harness_with_a_run()
     watch = _Watch(harness, ACTING_MS)
     commits = watch.store.commits
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     assert watch.store.commits == commits
 
 
@@ -365,7 +365,7 @@
     watch.watch.save_final_roster()
     final = watch.state.roster
     assert final.remaining_ms
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     watch.watch.open_sessions(DirectoryPage((registration('w2'),), 1))
     assert watch.state.roster == final
 
@@ -379,7 +379,7 @@
 ) -> None:
     """The former one ended between the roster's write and the update."""
     watch = _watch_of_lost_worker()
-    watch.watch.prune_roster()
+    watch.watch.refresh_roster()
     scheduler = watch.service.scheduler
     known = scheduler.workers['w1'].registration
     update = scheduler.update_worker
