--- a/standins/grid_machines.py
+++ b/standins/grid_machines.py
@@ -2,8 +2,9 @@
 
 Each machine runs one worker of `grid_worker`. Maintenance ends the worker's
 incarnation; a new one registers after `UPKEEP_S`. The fault `lose_orders`
-executes the next N orders but delays their responses by `HANG_S`; `busy`
-rejects the next N orders.
+executes the next N orders but delays their responses by `HANG_S`; `late_orders`
+executes them after that, `drop_orders` never; `busy` rejects the next N
+orders.
 """
 
 import json
@@ -19,6 +20,7 @@
 HANG_S: Final = 3.0
 CONFLICT: Final = 409
 BAD_REQUEST: Final = 400
+UNAVAILABLE: Final = 503
 
 
 class GridMachines(StandinServer):
@@ -43,9 +45,13 @@
         if call.method == 'GET':
             return _reply({'machines': self._rows(), 'next_token': None})
         order = json.loads(call.body)
-        reply = self._start_maintenance(
-            order, int(call.headers['X-Fence-Token'])
-        )
+        token = int(call.headers['X-Fence-Token'])
+        if self._consume_fault('late_orders'):
+            time.sleep(HANG_S)
+        if self._consume_fault('drop_orders'):
+            time.sleep(HANG_S)
+            return _reply({}, UNAVAILABLE)
+        reply = self._start_maintenance(order, token)
         if self._consume_fault('lose_orders'):
             time.sleep(HANG_S)
         return reply
--- a/standins/grid_store.py
+++ b/standins/grid_store.py
@@ -8,6 +8,7 @@
 - `drop_requests`: hangs on the next N writes before it executes them.
 - `late`: executes the next N writes after `LATE_S`, when their callers have
   timed out.
+- `keys`: limits these three to writes of keys with this prefix.
 - `silent_watches`: responds to no watch.
 - `silent`: responds to no request.
 - `compacted`: responds to every watch with 410.
@@ -173,6 +174,8 @@
                 self._changed.wait(min(remaining_s, 0.1))
 
     def _faulty_txn(self, req: Json) -> Reply:
+        if not self._writes_faulty_key(req):
+            return self._txn(req)
         if self._consume_fault('drop_requests'):
             time.sleep(HANG_S)
         if self._consume_fault('late'):
@@ -183,6 +186,11 @@
             time.sleep(HANG_S)
         return reply
 
+    def _writes_faulty_key(self, req: Json) -> bool:
+        prefix = self.faults.get('keys', '')
+        written = (*(put['key'] for put in req.get('puts', ())), '')
+        return any(key.startswith(prefix) for key in written)
+
     def _txn(self, req: Json) -> Reply:
         with self._changed:
             self._expire()
--- a/standins/grid_worker.py
+++ b/standins/grid_worker.py
@@ -7,6 +7,8 @@
 
 - `lose_orders`: executes the next N orders, then hangs before it responds.
 - `late_orders`: executes the next N orders `LATE_S` later.
+- `drop_orders`: never executes the next N orders.
+- `verbs`: limits these three to these orders; polls count only if named.
 - `silent`: responds to no request, polls included.
 
 With `needs_tickets`, a task starts only with a ticket of `grid_adviser`.
@@ -34,6 +36,8 @@
 CONFLICT: Final = 409
 BAD_REQUEST: Final = 400
 MISDIRECTED: Final = 421
+UNAVAILABLE: Final = 503
+ORDERS: Final = frozenset(('run-start', 'run-stop', 'pace'))
 
 Json = dict[str, Any]
 
@@ -194,11 +198,16 @@
         except ValueError:
             return self._reply({}, BAD_REQUEST)
         verb = call.path.rsplit('/', maxsplit=1)[-1]
-        if verb != 'hold' and self._consume_fault('late_orders'):
+        if verb not in self.faults.get('verbs', ORDERS):
+            return self._execute(verb, order)
+        if self._consume_fault('late_orders'):
             threading.Timer(LATE_S, self._execute, (verb, order)).start()
             time.sleep(HANG_S)
+        if self._consume_fault('drop_orders'):
+            time.sleep(HANG_S)
+            return self._reply({}, UNAVAILABLE)
         reply = self._execute(verb, order)
-        if verb != 'hold' and self._consume_fault('lose_orders'):
+        if self._consume_fault('lose_orders'):
             time.sleep(HANG_S)
         return reply
 
--- a/tests/test_platform_upkeep.py
+++ b/tests/test_platform_upkeep.py
@@ -55,7 +55,18 @@
     site.store.put('op/wave/1', wave)
 
 
-@pytest.mark.parametrize('faults', [{}, {'lose_orders': 1}, {'busy': 2}])
+@pytest.mark.parametrize(
+    'faults',
+    [
+        {},
+        {'lose_orders': 1},
+        {'late_orders': 1},
+        pytest.param(
+            {'drop_orders': 1}, marks=pytest.mark.proof('unanswered-upkeep')
+        ),
+        {'busy': 2},
+    ],
+)
 def test_a_wave_takes_machines_down_one_by_one(
     site: Site, faults: dict[str, int]
 ) -> None:
