Callers: a cancellation without an answer is not called refused

Callers saw 503 for a DELETE whose cancellation was stored and stopped the job's tasks: the store's answer was lost, and no later attempt was answered before the deadline. 503 says that nothing was done.

Cause: an attempt whose answer is lost was treated as one that was refused. Submissions told the two apart for POST only.

Evidence: tests/test_submissions.py drops the answer after the effect, at the first attempt or at all, before a store that is down. Before: REFUSED after one effect, the test failed for cancellations and passed for submissions. Now both give 504, after which callers ask again; a second cancellation is harmless. Red with the guard off (unanswered-write).

--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -1,8 +1,8 @@
 """Requests of callers to queues, as an entry instance serves them.
 
 A job is accepted only after it is stored. Each response states reliably whether
-the job was stored: a refusal means that this request left nothing behind, and
-if the store's response was lost, the caller is asked to retry.
+the job was stored, or cancelled: a refusal means that this request left nothing
+behind, and if the store's response was lost, the caller is asked to retry.
 """
 
 import random
@@ -39,6 +39,9 @@
     UNCERTAIN = 'uncertain'
 
 
+_FAILURES: Final = frozenset((RequestOutcome.REFUSED, RequestOutcome.UNCERTAIN))
+
+
 @dataclass(frozen=True, slots=True)
 class RequestResult:
     """The response to a caller; `retry_after_s` is 0 for no retry."""
@@ -86,13 +89,20 @@
         return RequestResult(RequestOutcome.OK, job_status)
 
     def cancel(self, job_id: str, deadline_ms: int) -> RequestResult:
-        """Cancel a job; storing the cancellation twice is harmless."""
+        """Cancel a job; storing the cancellation twice is harmless.
+
+        The outcome is uncertain if the answer to any attempt was lost.
+        """
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
+        failure = _retry_later()
         while True:
             response = self._try_to_cancel(job_id)
-            is_answered = response.outcome is not RequestOutcome.REFUSED
-            if is_answered or has_passed(deadline_ms):
+            if response.outcome not in _FAILURES:
                 return response
+            if response.outcome is RequestOutcome.UNCERTAIN:
+                failure = response
+            if has_passed(deadline_ms):
+                return failure
             _pause(backoff, deadline_ms)
 
     def count_waiting(self, queue: str, deadline_ms: int) -> RequestResult:
@@ -119,6 +129,9 @@
     def _try_to_cancel(self, job_id: str) -> RequestResult:
         try:
             job_status = self._job_store.cancel(job_id)
+        except StoreAnswerLostError as lost:
+            self._log.store_trouble(lost.text)
+            return RequestResult(RequestOutcome.UNCERTAIN)
         except StoreError as exc:
             self._log.store_trouble(exc.text)
             return _retry_later()
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -25,6 +25,7 @@
 from gentianpulley.worker import TaskList
 from gentianpulley.worker_fleet import WorkerFleet
 from gentianpulley.worker_reconciler import WorkerReconciler
+from tests.answer_guards import ANSWER_GUARDS
 from tests.cluster_guards import CLUSTER_GUARDS, replace
 
 VARIABLE: Final = 'GENTIANPULLEY_TEST_GUARD_OFF'
@@ -214,6 +215,7 @@
     'succession': succession,
     'stale-list': stale_list,
     'stopped-is-cancelled': stopped_is_cancelled,
+    **ANSWER_GUARDS,
     **CLUSTER_GUARDS,
 }
 
