Front: a job whose numbers are out of range is refused

Callers saw: one POST with "est_runtime_ms": 10**400 got 200, and after it no job of anybody was started. The leader's watch of jobs failed at that job again and again (OverflowError in JobSpec.objective_ms), a plan failed with a huge "cpu" beside a serving image, and no other instance could load the jobs to lead. A cfg with a stretch of 1e308 did the same to each job of its queue.

Cause: the decoder takes integers of any size; the scheduler computes with floats. Numbers of submissions and cfgs now have to fit into 64 bits, so that sums and products stay in a float's range. Others get 400, a cfg is left out with a line in the log, and the one in force stays.

--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -4,11 +4,21 @@
 that are misleading. Fields omitted from a message are 0, false or empty.
 """
 
-from typing import Any
+from typing import Annotated, Any, Final, TypeAlias
 
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 from msgspec.json import Decoder
 
+_NUMBER_BITS: Final = 63
+
+MAX_NUMBER: Final = (1 << _NUMBER_BITS) - 1
+"""Sums and products of numbers up to this stay in the range of a float."""
+
+_IN_RANGE: Final = Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)
+
+BoundedInt: TypeAlias = Annotated[int, _IN_RANGE]
+BoundedFloat: TypeAlias = Annotated[float, _IN_RANGE]
+
 # The store.
 
 
@@ -246,12 +256,12 @@
 class WireStep(Struct, frozen=True):
     """One step of a submitted job."""
 
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    estimated_ms: int = field(name='est_runtime_ms', default=0)
-    after: tuple[int, ...] = ()
+    count: BoundedInt = 0
+    cpu: BoundedInt = 0
+    mem_mb: BoundedInt = 0
+    gpus: BoundedInt = 0
+    estimated_ms: BoundedInt = field(name='est_runtime_ms', default=0)
+    after: tuple[BoundedInt, ...] = ()
     is_gang: bool = field(name='gang', default=False)
     same_rack: bool = False
     # One label, although the wire name is a plural.
@@ -259,14 +269,14 @@
     # The rack that holds the data, not an affinity to other tasks.
     data_rack: str = field(name='affinity', default='')
     # The maximum number of the step's tasks on one worker, not an exclusion.
-    max_per_worker: int = field(name='anti_affinity', default=0)
+    max_per_worker: BoundedInt = field(name='anti_affinity', default=0)
     may_copy: bool = field(name='speculative', default=False)
     checkpoints: bool = field(name='checkpointing', default=False)
     is_endless: bool = field(name='long_running', default=False)
     fills_spare: bool = field(name='fills', default=False)
     image: str = ''
-    tail_target_ms: float = field(name='target_ms', default=0)
-    may_miss: int = 0
+    tail_target_ms: BoundedFloat = field(name='target_ms', default=0)
+    may_miss: BoundedInt = 0
 
 
 class WireJob(Struct, frozen=True):
@@ -275,9 +285,9 @@
     steps: tuple[WireStep, ...] = field(name='phases')
     payload: str = field(name='task_spec', default='')
     # Due times are in ms since 1970.
-    first_due_ms: int = field(name='first_ms', default=0)
-    interval_ms: int = 0
-    occurrences: int = field(name='times', default=0)
+    first_due_ms: BoundedInt = field(name='first_ms', default=0)
+    interval_ms: BoundedInt = 0
+    occurrences: BoundedInt = field(name='times', default=0)
 
 
 # The operators' documents.
@@ -286,9 +296,9 @@
 class WireAdvicePolicy(Struct, frozen=True):
     """Response times and ticket validity of a queue's advice service."""
 
-    decide_ms: float = 0
-    each_ms: float = 0
-    valid_ms: int = 0
+    decide_ms: BoundedFloat = 0
+    each_ms: BoundedFloat = 0
+    valid_ms: BoundedInt = 0
 
 
 class WireRoute(Struct, frozen=True):
@@ -298,11 +308,11 @@
     host: str
     prefix: str
     service: str
-    timeout_ms: int = 0
-    target_latency_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1
+    timeout_ms: BoundedInt = 0
+    target_latency_ms: BoundedInt = 0
+    priority: BoundedInt = 0
+    max_attempts: BoundedInt = 1
+    stretch: BoundedFloat = 1
     advice: WireAdvicePolicy | None = None
 
 
@@ -317,10 +327,10 @@
 class WireLimits(Struct, frozen=True):
     """Limits on HTTP requests."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: int = 3000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: BoundedInt = 16_384
+    max_body_bytes: BoundedInt = 262_144
+    header_timeout_ms: BoundedInt = 3000
+    idle_timeout_ms: BoundedInt = 15_000
 
 
 class WireCfg(Struct, frozen=True):
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -27,6 +27,7 @@
 from gentianpulley.worker_reconciler import WorkerReconciler
 from tests.answer_guards import ANSWER_GUARDS
 from tests.cluster_guards import CLUSTER_GUARDS, replace
+from tests.input_guards import INPUT_GUARDS
 from tests.pause_guards import PAUSE_GUARDS
 
 VARIABLE: Final = 'GENTIANPULLEY_TEST_GUARD_OFF'
@@ -218,6 +219,7 @@
     'stopped-is-cancelled': stopped_is_cancelled,
     **ANSWER_GUARDS,
     **CLUSTER_GUARDS,
+    **INPUT_GUARDS,
     **PAUSE_GUARDS,
 }
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -348,3 +348,13 @@
             == 503
         )
     )
+
+
+@pytest.mark.proof('number-bounds')
+def test_a_job_with_a_huge_number_holds_up_no_other(site: Site) -> None:
+    """No new job was taken up any more, and no other instance could lead."""
+    path = '/batch/00000000000000d1'
+    huge = job_body({'est_runtime_ms': 10**400}, ms=20)
+    assert call(site.nodes[0], 'POST', path, huge)[0] == 400
+    call(site.nodes[0], 'POST', JOB, job_body(ms=20))
+    _wait_completed(site)
