--- a/tests/guards.py
+++ b/tests/guards.py
@@ -25,7 +25,10 @@
 from gentianpulley.worker import TaskList
 from gentianpulley.worker_fleet import WorkerFleet
 from gentianpulley.worker_reconciler import WorkerReconciler
+from tests.answer_guards import ANSWER_GUARDS
 from tests.cluster_guards import CLUSTER_GUARDS, replace
+from tests.input_guards import INPUT_GUARDS
+from tests.pause_guards import PAUSE_GUARDS
 
 VARIABLE: Final = 'GENTIANPULLEY_TEST_GUARD_OFF'
 HUGE_EPOCH: Final = 1 << 40
@@ -214,7 +217,10 @@
     'succession': succession,
     'stale-list': stale_list,
     'stopped-is-cancelled': stopped_is_cancelled,
+    **ANSWER_GUARDS,
     **CLUSTER_GUARDS,
+    **INPUT_GUARDS,
+    **PAUSE_GUARDS,
 }
 
 
