Waves: what a withdrawn one has ordered counts until it can't begin

What operators saw: a wave is withdrawn while its order for a machine has no answer, and another wave with that machine is requested. The late order began while another machine of the second wave was down for it: two of a wave for one at a time (LIMIT). The machine also got tasks again, which the order then ended.

Cause: the loop dropped the state of a wave with its request, and the next leader read the records of requested waves only.

A new leader reads all records, in one call, and counts from its read. The record goes once nothing of the wave is down. If the wave is requested again, its order is repeated as before.

--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -8,7 +8,9 @@
 
 A machine counts as down from the order on, until the platform lists it as up
 again in a response to a request sent after the maintenance started. One that is
-down for another wave, or that the platform lists so, counts as well.
+down for another wave, or that the platform lists so, counts as well. If a wave
+is withdrawn, an order without a reply is not sent again, and its machine counts
+until the order cannot arrive any more.
 """
 
 import enum
@@ -24,6 +26,7 @@
     WaveRequest,
 )
 from gentianpulley.cluster.wave_records import WaveProgress
+from gentianpulley.cluster.worker_lifecycle import MAX_ORDER_DELAY_MS
 
 DRAIN_TIME_SHARE: Final = 0.8
 """Fraction of the time per machine in which its work may end. The rest is for
@@ -33,13 +36,21 @@
 
 
 class _Stage(enum.Enum):
-    """The progress of one machine of a wave."""
+    """The progress of one machine of a wave.
+
+    An order for one that is WITHDRAWN may have been sent, and none is sent
+    again.
+    """
 
     WAITING = enum.auto()
     DRAINING = enum.auto()
     ORDERED = enum.auto()
     STARTED = enum.auto()
     OMITTED = enum.auto()
+    WITHDRAWN = enum.auto()
+
+
+_FINISHED: Final = frozenset((_Stage.STARTED, _Stage.OMITTED, _Stage.WITHDRAWN))
 
 
 @dataclass(slots=True)
@@ -49,7 +60,8 @@
     `drain_deadline_ms` is when draining ends at the latest, zero before it has
     started. `down_since_ms` is when the first maintenance order was sent or,
     once maintenance has started, when the response came, or when what a
-    previous leader recorded was read; zero before the first order.
+    previous leader recorded was read; zero before the first order. Once the
+    machine is withdrawn, it is until when an order may arrive.
     """
 
     machine_id: str
@@ -61,8 +73,26 @@
     @property
     def is_out_of_service(self) -> bool:
         """Return whether its worker gets no runs, and is drained."""
+        if self.stage is _Stage.WITHDRAWN:
+            return self.is_down
         return self.stage in {_Stage.DRAINING, _Stage.ORDERED}
 
+    def withdraw(self, now_ms: int) -> None:
+        """Send no more orders; one without a reply may arrive late."""
+        if self.stage is _Stage.ORDERED:
+            self.stage = _Stage.WITHDRAWN
+            self.down_since_ms = now_ms + MAX_ORDER_DELAY_MS
+        elif self.stage not in _FINISHED:
+            self.stage = _Stage.OMITTED
+
+    def request_again(self) -> None:
+        """Send orders for a machine that was withdrawn or omitted."""
+        if self.stage is _Stage.WITHDRAWN and self.is_down:
+            self.stage = _Stage.ORDERED
+        elif self.stage in {_Stage.WITHDRAWN, _Stage.OMITTED}:
+            self.stage = _Stage.WAITING
+            self.drain_deadline_ms = 0
+
     def record_order(self, now_ms: int) -> None:
         """Record that an order is sent, for the first time or again."""
         self.stage = _Stage.ORDERED
@@ -87,24 +117,33 @@
     """The state of one maintenance wave and the rules that it follows.
 
     `listed_down` are its machines that the latest list shows in maintenance.
+    `is_withdrawn` is set once operators have withdrawn the request.
     """
 
     request: WaveRequest
     maintenance_ms: int
     members: dict[str, _Member] = field(default_factory=dict)
     listed_down: frozenset[str] = frozenset()
+    is_withdrawn: bool = False
 
     @property
     def is_completed(self) -> bool:
         """Whether every machine that is not omitted has started maintenance."""
-        finished = {_Stage.STARTED, _Stage.OMITTED}
-        return all(member.stage in finished for member in self.members.values())
+        return all(
+            member.stage in _FINISHED for member in self.members.values()
+        )
 
     @property
     def progress(self) -> WaveProgress:
         """Return what the next leader has to know."""
+        withdrawn = (
+            member.machine_id
+            for member in self._members_in(_Stage.WITHDRAWN)
+            if member.is_down
+        )
         return WaveProgress(
-            self._ids_in(_Stage.ORDERED), self._ids_in(_Stage.STARTED)
+            (*self._ids_in(_Stage.ORDERED), *withdrawn),
+            self._ids_in(_Stage.STARTED),
         )
 
     @property
@@ -127,11 +166,23 @@
         stages = dict.fromkeys(progress.ordered, _Stage.ORDERED)
         stages.update(dict.fromkeys(progress.started, _Stage.STARTED))
         for machine_id, stage in stages.items():
-            member = self.members.get(machine_id)
-            if member is not None:
-                member.stage = stage
-                member.is_down = True
-                member.down_since_ms = now_ms
+            self.members[machine_id] = _Member(
+                machine_id, stage, down_since_ms=now_ms, is_down=True
+            )
+
+    def withdraw(self, now_ms: int) -> None:
+        """Send no more orders; what was ordered or started counts as down."""
+        self.is_withdrawn = True
+        for member in self.members.values():
+            member.withdraw(now_ms)
+
+    def resume(self, request: WaveRequest) -> None:
+        """Carry out the wave again after it was withdrawn."""
+        self.request = request
+        self.is_withdrawn = False
+        for machine_id in request.machine_ids:
+            member = self.members.setdefault(machine_id, _Member(machine_id))
+            member.request_again()
 
     def update_machines(
         self,
@@ -229,15 +280,18 @@
     def _update_from_listing(
         self, member: _Member, machine: MachineInfo | None, requested_ms: int
     ) -> None:
-        if machine is None:
-            if member.stage in {_Stage.WAITING, _Stage.DRAINING}:
-                # The machine has left the platform permanently.
-                member.stage = _Stage.OMITTED
-            return
+        has_left = machine is None
+        if has_left and member.stage in {_Stage.WAITING, _Stage.DRAINING}:
+            # The machine has left the platform permanently.
+            member.stage = _Stage.OMITTED
         # A response from before the maintenance may still list it as up.
         is_new = requested_ms > member.down_since_ms + self.maintenance_ms
-        has_started = member.stage is _Stage.STARTED
-        if has_started and machine.state is MachineState.UP and is_new:
+        if not is_new:
+            return
+        is_up = machine is not None and machine.state is MachineState.UP
+        if member.stage is _Stage.STARTED and is_up:
+            member.is_down = False
+        if member.stage is _Stage.WITHDRAWN and (is_up or has_left):
             member.is_down = False
 
     def _start_draining(
@@ -277,3 +331,13 @@
         machine_id: _Member(machine_id) for machine_id in request.machine_ids
     }
     return MaintenanceWave(request, maintenance_ms, members)
+
+
+def restore_withdrawn_wave(
+    number: int, progress: WaveProgress, maintenance_ms: int, now_ms: int
+) -> MaintenanceWave:
+    """Return a wave of a previous leader that is not requested any more."""
+    wave = create_wave(WaveRequest(number, (), 0, 0), maintenance_ms)
+    wave.restore(progress, now_ms)
+    wave.withdraw(now_ms)
+    return wave
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -26,6 +26,7 @@
     Drain,
     MaintenanceWave,
     create_wave,
+    restore_withdrawn_wave,
 )
 from gentianpulley.cluster.wave_records import WaveRecords
 from gentianpulley.deadline import now_ms
@@ -56,7 +57,8 @@
         self._wave_records = wave_records
         self._maintenance_ms = maintenance_ms
         self._waves: dict[int, MaintenanceWave] = {}
-        self._completed: dict[int, MaintenanceWave] = {}
+        self._closed: dict[int, MaintenanceWave] = {}
+        self._has_loaded = False
         self._has_drains = False
         self.wave_requests: tuple[WaveRequest, ...] = ()
 
@@ -75,20 +77,19 @@
 
     def _pass(self) -> None:
         self._update_waves(self.wave_requests)
-        if not self._waves:
+        if not self._waves and not self._has_withdrawn_machines():
             self._return_workers()
             return
         listed_ms = now_ms()
         machines = self._machine_provider.list_machines()
-        for completed in self._completed.values():
-            completed.update_machines(machines, listed_ms, now_ms())
         drains = [
             drain
-            for number, wave in self._waves.items()
+            for number, wave in (*self._closed.items(), *self._waves.items())
             for drain in wave.update_machines(
                 machines, listed_ms, now_ms(), self._down_elsewhere(number)
             )
         ]
+        self._delete_old_records()
         self._has_drains = True
         for wave in tuple(self._waves.values()):
             if wave.is_completed:
@@ -137,19 +138,52 @@
 
     def _update_waves(self, requests: Iterable[WaveRequest]) -> None:
         """Open new waves and close those that operators withdrew."""
+        if not self._has_loaded:
+            self._load()
         requested = {request.number: request for request in requests}
         for number in self._waves.keys() - requested.keys():
-            self._waves.pop(number)
+            self._closed[number] = self._waves.pop(number)
+        for number in self._closed.keys() - requested.keys():
+            self._closed[number].withdraw(now_ms())
         for number, request in requested.items():
-            is_existing = number in self._waves or number in self._completed
-            if not is_existing:
-                wave = create_wave(request, self._maintenance_ms)
-                progress = self._wave_records.load(number)
-                wave.restore(progress, now_ms())
-                self._machine_provider.report_wave(
-                    number, self._wave_records.store, is_completed=False
-                )
-                self._waves[number] = wave
+            closed = self._closed.get(number)
+            is_finished = closed is not None and not closed.is_withdrawn
+            if number not in self._waves and not is_finished:
+                self._open(request)
+
+    def _load(self) -> None:
+        """Restore all waves; those that are still requested are resumed."""
+        for number, progress in self._wave_records.load().items():
+            self._closed[number] = restore_withdrawn_wave(
+                number, progress, self._maintenance_ms, now_ms()
+            )
+        self._has_loaded = True
+
+    def _open(self, request: WaveRequest) -> None:
+        """Open a new wave, or resume one that was withdrawn."""
+        number = request.number
+        self._machine_provider.report_wave(
+            number, self._wave_records.store, is_completed=False
+        )
+        wave = self._closed.pop(number, None)
+        if wave is None:
+            wave = create_wave(request, self._maintenance_ms)
+        wave.resume(request)
+        self._waves[number] = wave
+
+    def _has_withdrawn_machines(self) -> bool:
+        """Return whether machines may be down for withdrawn waves."""
+        return any(
+            wave.is_withdrawn and wave.down_machines
+            for wave in self._closed.values()
+        )
+
+    def _delete_old_records(self) -> None:
+        """Delete the records of withdrawn waves for which nothing is down."""
+        for number, wave in tuple(self._closed.items()):
+            if wave.is_withdrawn and not wave.down_machines:
+                self._wave_records.delete(number)
+                self._closed.pop(number)
 
     def _advance(self, wave: MaintenanceWave, drains: list[Drain]) -> None:
         """Send the next order of a wave, and report its completion."""
@@ -180,7 +214,7 @@
 
     def _down_elsewhere(self, number: int) -> frozenset[str]:
         """Return the machines that are down for other waves than this one."""
-        waves = {**self._completed, **self._waves}
+        waves = {**self._closed, **self._waves}
         return frozenset(
             machine_id
             for other, wave in waves.items()
@@ -194,5 +228,5 @@
         self._machine_provider.report_wave(
             number, self._wave_records.store, is_completed=True
         )
-        self._completed[number] = wave
+        self._closed[number] = wave
         self._waves.pop(number, None)
--- a/src/gentianpulley/cluster/wave_records.py
+++ b/src/gentianpulley/cluster/wave_records.py
@@ -14,7 +14,7 @@
 from gentianpulley.errors import StoreError
 from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
-from gentianpulley.store import ABSENT, Precondition, Put, Transaction
+from gentianpulley.store import ABSENT, Entry, Precondition, Put, Transaction
 
 WAVE_PREFIX: Final = 'gp/wave/'
 
@@ -53,17 +53,22 @@
         self._revisions: dict[int, int] = {}
         self._saved: dict[int, WaveProgress] = {}
 
-    def load(self, number: int) -> WaveProgress:
-        """Return the progress that the previous leader recorded."""
-        entry = self.store.read(_key(number))
-        if entry is None:
-            return WaveProgress()
-        self._revisions[number] = entry.revision
-        try:
-            return _decode(entry.body)
-        except msgspec.DecodeError as exc:
-            self._log.document_damaged(entry.key, str(exc))
-        return WaveProgress()
+    def load(self) -> dict[int, WaveProgress]:
+        """Return the progress that previous leaders recorded, by wave.
+
+        That is of all waves, as one that was withdrawn may still have orders
+        under way.
+        """
+        entries = {
+            _number(entry.key): entry
+            for entry in self.store.reader.read_prefix(WAVE_PREFIX).entries
+        }
+        self._revisions = {
+            number: entry.revision for number, entry in entries.items()
+        }
+        return {
+            number: self._progress(entry) for number, entry in entries.items()
+        }
 
     def save(self, number: int, progress: WaveProgress) -> None:
         """Record the progress of a wave, unless it is certainly recorded.
@@ -87,6 +92,25 @@
         self._revisions[number] = commit.revision
         self._saved[number] = progress
 
+    def delete(self, number: int) -> None:
+        """Delete the record of a wave; raises `StoreError`."""
+        key = _key(number)
+        precondition = Precondition(key, self._revisions.get(number, ABSENT))
+        self.store.commit(Transaction((precondition,), (), (key,)))
+        self._revisions.pop(number, None)
+        self._saved.pop(number, None)
+
+    def _progress(self, entry: Entry) -> WaveProgress:
+        try:
+            return _decode(entry.body)
+        except msgspec.DecodeError as exc:
+            self._log.document_damaged(entry.key, str(exc))
+        return WaveProgress()
+
+
+def _number(key: str) -> int:
+    return int(key.removeprefix(WAVE_PREFIX))
+
 
 def _key(number: int) -> str:
     return f'{WAVE_PREFIX}{number}'
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -246,6 +246,11 @@
     replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
 
 
+def wave_withdrawn() -> None:
+    """Forget what a wave has ordered once it is withdrawn."""
+    replace(MaintenanceWave, 'withdraw', lambda wave, _: wave.members.clear())
+
+
 def wave_workers_returned() -> None:
     """Change nothing at the workers after the last wave."""
     replace(maintenance_loop.MaintenanceLoop, '_return_workers', lambda _: None)
@@ -277,6 +282,7 @@
     'wave-out-of-service': wave_out_of_service,
     'wave-restored-lag': wave_restored_lag,
     'wave-unseen-runs': wave_unseen_runs,
+    'wave-withdrawn': wave_withdrawn,
     'wave-workers-returned': wave_workers_returned,
     'workers-first': workers_first,
 }
--- a/tests/scheduling/test_upkeep_takeover.py
+++ b/tests/scheduling/test_upkeep_takeover.py
@@ -244,7 +244,7 @@
     records.save(1, newer)
     for write in link.late_writes:
         store.commit(write)
-    assert records.load(1) == newer
+    assert records.load()[1] == newer
 
 
 def test_a_record_whose_answer_was_lost_is_written_again() -> None:
@@ -262,7 +262,7 @@
     revision = store.revision
     records.save(1, progress)
     assert store.revision == revision
-    assert records.load(1) == progress
+    assert records.load()[1] == progress
 
 
 @pytest.mark.parametrize(
@@ -281,4 +281,4 @@
     store = _store_with_leader()
     records, _ = _records(store)
     store.commit(Transaction((), (Put(f'{WAVE_PREFIX}1', body),)))
-    assert records.load(1) == progress
+    assert records.load()[1] == progress
--- a/tests/scheduling/upkeep_site.py
+++ b/tests/scheduling/upkeep_site.py
@@ -26,6 +26,7 @@
     ABSENT,
     CommitResult,
     Entry,
+    Page,
     Precondition,
     Put,
     Transaction,
@@ -78,6 +79,8 @@
         self.revision += 1
         for put in txn.puts:
             self.entries[put.key] = Entry(put.key, put.body, self.revision)
+        for key in txn.deletes:
+            self.entries.pop(key, None)
         return CommitResult(applied=True, revision=self.revision)
 
 
@@ -107,6 +110,16 @@
         self._check()
         return self.store.entries.get(key)
 
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return all entries below a prefix, which is one page."""
+        self._check()
+        entries = tuple(
+            entry
+            for key, entry in sorted(self.store.entries.items())
+            if key.startswith(prefix) and key > after
+        )
+        return Page(entries, self.store.revision, is_last=True)
+
     def _check(self) -> None:
         if self.is_cut:
             raise StoreUnreachableError('cut')
@@ -126,6 +139,7 @@
         self.lives = dict.fromkeys(machine_ids, 1)
         self.begun: list[Begun] = []
         self.ordered_ms: list[int] = []
+        self.lists = 0
         self.unanswered = 0
         self.refusal: MaintenanceOutcome | None = None
         self._fences = dict.fromkeys(machine_ids, 0)
@@ -138,6 +152,7 @@
 
     def list_machines(self) -> tuple[MachineInfo, ...]:
         """Return all machines."""
+        self.lists += 1
         return tuple(
             MachineInfo(
                 machine_id,
@@ -163,6 +178,10 @@
             return MaintenanceOutcome.LOST
         return self.refusal or self._handle(order)
 
+    def forget_late_orders(self) -> None:
+        """Lose the orders that have not arrived."""
+        self._late.clear()
+
     def advance(self, duration_ms: int) -> None:
         """Let time pass: maintenance ends, and late orders arrive."""
         self.at_ms += duration_ms
