Waves: a damaged record is waited out

What operators saw: a new leader that can't read the record of a wave orders a machine down while an order of the former leader, which had no answer, begins at another (LIMIT).

Cause: a damaged record counted as nothing ordered, and the next save overwrote it.

Evidence: scheduling/test_upkeep_takeover, "damaged record", on a simulated clock, for a wave that goes on and for one that was withdrawn. Both failed before; red with `wave-unknown` off. The cases of the decoder expected "nothing ordered" of damaged records, which was the fault; they now expect "unknown", and as strictly that a key that names no wave is passed over.

--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -28,7 +28,8 @@
     create_wave,
     restore_withdrawn_wave,
 )
-from gentianpulley.cluster.wave_records import WaveRecords
+from gentianpulley.cluster.wave_records import UNKNOWN_PROGRESS, WaveRecords
+from gentianpulley.cluster.worker_lifecycle import MAX_ORDER_DELAY_MS
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import MachineParkError, StoreError
 
@@ -59,6 +60,7 @@
         self._waves: dict[int, MaintenanceWave] = {}
         self._closed: dict[int, MaintenanceWave] = {}
         self._has_loaded = False
+        self._held_until_ms = 0
         self._has_drains = False
         self.wave_requests: tuple[WaveRequest, ...] = ()
 
@@ -117,12 +119,14 @@
 
         Another leader may let a different task of the same step go. So they are
         given only while none can lead, and not before the stops of the previous
-        one have taken effect, as listings do not show them.
+        one have taken effect, as listings do not show them. After a damaged
+        record, no order whose sending is unknown can arrive any more by then.
         """
         at_ms = now_ms()
         term = self._service.term
         return (
             at_ms > term.since_ms + term.timing.stop_ms
+            and not self._is_held()
             and self._service.leadership.is_exclusive(at_ms)
         )
 
@@ -153,9 +157,16 @@
 
     def _load(self) -> None:
         """Restore all waves; those that are still requested are resumed."""
-        for number, progress in self._wave_records.load().items():
+        loaded = self._wave_records.load()
+        at_ms = now_ms()
+        for number, progress in loaded.items():
             self._closed[number] = restore_withdrawn_wave(
-                number, progress, self._maintenance_ms, now_ms()
+                number, progress, self._maintenance_ms, at_ms
+            )
+        if UNKNOWN_PROGRESS in loaded.values():
+            # Until then, what is not known may begin, or not be over.
+            self._held_until_ms = (
+                at_ms + MAX_ORDER_DELAY_MS + self._maintenance_ms
             )
         self._has_loaded = True
 
@@ -178,8 +189,14 @@
             for wave in self._closed.values()
         )
 
+    def _is_held(self) -> bool:
+        """Return whether a damaged record may stand for a machine down."""
+        return now_ms() <= self._held_until_ms
+
     def _delete_old_records(self) -> None:
         """Delete the records of withdrawn waves for which nothing is down."""
+        if self._is_held():
+            return
         for number, wave in tuple(self._closed.items()):
             if wave.is_withdrawn and not wave.down_machines:
                 self._wave_records.delete(number)
--- a/src/gentianpulley/cluster/wave_records.py
+++ b/src/gentianpulley/cluster/wave_records.py
@@ -24,11 +24,16 @@
     """Which machines of a wave are or were down.
 
     Orders for those in `ordered` may have been sent, and their maintenance may
-    start at any time; that of those in `started` has started.
+    start at any time; that of those in `started` has started. Unless the
+    progress `is_known`, either may hold for any machine.
     """
 
     ordered: tuple[str, ...] = ()
     started: tuple[str, ...] = ()
+    is_known: bool = True
+
+
+UNKNOWN_PROGRESS: Final = WaveProgress(is_known=False)
 
 
 class _Document(msgspec.Struct, frozen=True):
@@ -57,11 +62,12 @@
         """Return the progress that previous leaders recorded, by wave.
 
         That is of all waves, as one that was withdrawn may still have orders
-        under way.
+        under way. Keys that name no wave are no leader's.
         """
         entries = {
             _number(entry.key): entry
             for entry in self.store.reader.read_prefix(WAVE_PREFIX).entries
+            if entry.key.removeprefix(WAVE_PREFIX).isdecimal()
         }
         self._revisions = {
             number: entry.revision for number, entry in entries.items()
@@ -105,7 +111,7 @@
             return _decode(entry.body)
         except msgspec.DecodeError as exc:
             self._log.document_damaged(entry.key, str(exc))
-        return WaveProgress()
+        return UNKNOWN_PROGRESS
 
 
 def _number(key: str) -> int:
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -241,6 +241,11 @@
     )
 
 
+def wave_unknown() -> None:
+    """Take a damaged record of a wave for one of nothing ordered."""
+    replace(wave_records, 'UNKNOWN_PROGRESS', WaveProgress())
+
+
 def wave_unseen_runs() -> None:
     """Expect no runs that no listing has shown."""
     replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
@@ -281,6 +286,7 @@
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
     'wave-restored-lag': wave_restored_lag,
+    'wave-unknown': wave_unknown,
     'wave-unseen-runs': wave_unseen_runs,
     'wave-withdrawn': wave_withdrawn,
     'wave-workers-returned': wave_workers_returned,
--- a/tests/scheduling/test_upkeep_takeover.py
+++ b/tests/scheduling/test_upkeep_takeover.py
@@ -7,6 +7,7 @@
 from gentianpulley.cluster.leader_store import create_leader_store
 from gentianpulley.cluster.machines import MachineState, WaveRequest
 from gentianpulley.cluster.wave_records import (
+    UNKNOWN_PROGRESS,
     WAVE_PREFIX,
     WaveProgress,
     WaveRecords,
@@ -110,6 +111,51 @@
     assert _begun_machines(site) == ['m2', 'm1']
 
 
+def _damage_record(site: UpkeepSite) -> None:
+    put = Put(f'{WAVE_PREFIX}1', b'{')
+    site.store.commit(Transaction((), (put,)))
+
+
+@pytest.mark.parametrize('number', [1, 2])
+@pytest.mark.proof('wave-unknown')
+def test_a_successor_with_a_damaged_record_waits_for_any_order(
+    monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    """It took nothing for ordered, and a late order began beside its own."""
+    site = _site(monkeypatch, _request('m1', 'm2'))
+    site.platform.unanswered = 1
+    site.run(FIRST_ORDER_MS, site.elect(create_harness()))
+    assert not site.platform.unanswered
+    site.run(LATE_MS - 2 * FIRST_ORDER_MS)
+    _damage_record(site)
+    site.platform.states['m1'] = MachineState.MOVING
+    site.requests = (_request('m1', 'm2', number=number),)
+    second = site.elect(create_harness())
+    site.run(FIRST_ORDER_MS + PASS_MS, second)
+    site.platform.states['m1'] = MachineState.UP
+    site.run(LONG_MS, second)
+    assert _most_down(site) == 1
+    assert set(_begun_machines(site)) == {'m1', 'm2'}
+    assert site.store.entries[f'status/wave/{number}'].body == COMPLETED
+
+
+@pytest.mark.proof('wave-unknown')
+def test_a_damaged_record_stays_until_nothing_can_be_down(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The leader after the next one has to wait as well."""
+    site = _site(monkeypatch, _request('m1', number=2))
+    _damage_record(site)
+    site.run(LATE_MS, site.elect(create_harness()))
+    assert f'{WAVE_PREFIX}1' in site.store.entries
+    second = site.elect(create_harness())
+    site.run(LATE_MS, second)
+    assert not site.platform.ordered_ms
+    site.run(LATE_MS, second)
+    assert len(site.platform.ordered_ms) == 1
+    assert f'{WAVE_PREFIX}1' not in site.store.entries
+
+
 @pytest.mark.proof('certainty')
 def test_a_leader_whose_key_may_be_gone_repeats_no_order(
     monkeypatch: pytest.MonkeyPatch,
@@ -262,7 +308,7 @@
     revision = store.revision
     records.save(1, progress)
     assert store.revision == revision
-    assert records.load()[1] == progress
+    assert records.load() == {1: progress}
 
 
 @pytest.mark.parametrize(
@@ -270,9 +316,9 @@
     [
         (b'["a","b"]', WaveProgress(started=('a', 'b'))),
         (b'{"ordered":["a"],"started":[]}', WaveProgress(ordered=('a',))),
-        (b'{"ordered":1,"started":[]}', WaveProgress()),
-        (b'[[]]', WaveProgress()),
-        (b'{', WaveProgress()),
+        (b'{"ordered":1,"started":[]}', UNKNOWN_PROGRESS),
+        (b'[[]]', UNKNOWN_PROGRESS),
+        (b'{', UNKNOWN_PROGRESS),
     ],
 )
 def test_records_of_older_releases_and_damaged_ones_are_read(
@@ -280,5 +326,6 @@
 ) -> None:
     store = _store_with_leader()
     records, _ = _records(store)
+    store.commit(Transaction((), (Put(f'{WAVE_PREFIX}other', body),)))
     store.commit(Transaction((), (Put(f'{WAVE_PREFIX}1', body),)))
-    assert records.load()[1] == progress
+    assert records.load() == {1: progress}
