Cancellations: nothing starts while their watch is stuck

Cause: only a leader that had just loaded waited for cancellations. The two watches of jobs and cancellations fail one without the other.

Why it works: each report of the watch, also one without changes, tells until when cancellations are known. Nothing is placed while that is more than 2.5 s before the last answered renewal of the leader's key was sent. A store that answers no renewal stores no cancellations. The rule stands in `read_freshness`, with what a leader reads again after its load, taken out of `scheduler_service`.

--- a/src/gentianpulley/cluster/job_watches.py
+++ b/src/gentianpulley/cluster/job_watches.py
@@ -18,7 +18,9 @@
     waiting_job_id,
 )
 from gentianpulley.cluster.leader_watches import LeaderWatch
-from gentianpulley.cluster.scheduler_service import Reread, SchedulerService
+from gentianpulley.cluster.read_freshness import Reread
+from gentianpulley.cluster.scheduler_service import SchedulerService
+from gentianpulley.deadline import now_ms
 from gentianpulley.jobs.job import create_job
 from gentianpulley.prefix_scan import PrefixScan
 from gentianpulley.store import Change, ChangeBatch, Entry, Store
@@ -126,7 +128,9 @@
         stored so far, which an idle watch would report only after its wait.
         """
         watched_revision = revision
-        if self.scheduler_service.is_outdated(Reread.CANCELLATIONS):
+        if self.scheduler_service.read_freshness.is_outdated(
+            Reread.CANCELLATIONS
+        ):
             batch = self._store.read_changes(CANCELLATION_PREFIX, revision)
             self._apply_batch(batch)
             self.scheduler_service.mark_reread(Reread.CANCELLATIONS)
@@ -138,16 +142,19 @@
 
     def read_all(self) -> int:
         """Report all cancellations; those applied before have no effect."""
+        began_ms = now_ms()
         scan = PrefixScan(self._store, CANCELLATION_PREFIX)
         for page in scan.pages():
             self.mark_read()
             for entry in page:
                 self.scheduler_service.cancel(cancelled_job_id(entry.key))
+        self.scheduler_service.read_freshness.mark_cancellations(began_ms)
         return scan.revision
 
     def _apply_batch(self, batch: ChangeBatch) -> None:
         for change in batch.changes:
             self._apply_change(change)
+        self.scheduler_service.read_freshness.mark_cancellations(now_ms())
         self.advance_revision(batch.revision)
 
     def _apply_change(self, change: Change) -> None:
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -39,10 +39,14 @@
 from gentianpulley.cluster.worker_protocol import WorkerClientFactory
 from gentianpulley.cluster.machines import MachineProvider, WaveRequest
 from gentianpulley.cluster.roster_loop import RosterLoop
-from gentianpulley.cluster.scheduler_service import SchedulerService, Leadership
+from gentianpulley.cluster.scheduler_service import (
+    EXCLUSIVE_MS,
+    Leadership,
+    SchedulerService,
+)
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import LeaderTerm
-from gentianpulley.cluster.timing import LEADER_TTL_S, Timing
+from gentianpulley.cluster.timing import Timing
 from gentianpulley.cluster.maintenance_loop import MaintenanceLoop
 from gentianpulley.cluster.wave_records import WaveRecords
 from gentianpulley.counters import Counters
@@ -75,10 +79,6 @@
 """Interval between two writes of the learned interference. A write takes one
 call, and the next leader has to learn at most one second of it again."""
 
-LEASE_SAFETY_MARGIN_MS: Final = 100
-"""Subtracted from the lease of the leader's key to allow for rounding and clock
-drift."""
-
 ROSTER_RETRIES: Final = 2
 """Number of retries of a roster write. If a write was applied but its response
 was lost, the next attempt is rejected because it expects an older revision."""
@@ -341,7 +341,7 @@
 
 def exclusive_end_ms(sent_ms: int) -> int:
     """Return until when a renewal sent at `sent_ms` guarantees the key."""
-    return sent_ms + LEADER_TTL_S * MS_PER_SECOND - LEASE_SAFETY_MARGIN_MS
+    return sent_ms + EXCLUSIVE_MS
 
 
 def create_leadership(sent_ms: int, timing: Timing) -> Leadership:
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -22,7 +22,8 @@
     WorkerRegistration,
     WorkerClientFactory,
 )
-from gentianpulley.cluster.scheduler_service import Reread, SchedulerService
+from gentianpulley.cluster.read_freshness import Reread
+from gentianpulley.cluster.scheduler_service import SchedulerService
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.cluster.worker_lifecycle import FOREVER
 from gentianpulley.cluster.worker_session import open_session
@@ -144,7 +145,7 @@
         than the directory, as workers renew their registration.
         """
         watched_revision = revision
-        if self.scheduler_service.is_outdated(Reread.WORKERS):
+        if self.scheduler_service.read_freshness.is_outdated(Reread.WORKERS):
             watched_revision = self.read_all()
             self.advance_revision(watched_revision)
             self.scheduler_service.mark_reread(Reread.WORKERS)
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -4,7 +4,6 @@
 passes the scheduler's orders on to them.
 """
 
-import enum
 import threading
 import time
 from abc import ABC, abstractmethod
@@ -22,23 +21,32 @@
     StopOrder,
 )
 from gentianpulley.cluster.plan_metrics import PlanMetrics, PlanTrigger
+from gentianpulley.cluster.read_freshness import ReadFreshness, Reread
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
 from gentianpulley.cluster.session_loop import (
     SessionLoop,
     start_session_loop,
 )
+from gentianpulley.cluster.timing import LEADER_TTL_S
 from gentianpulley.cluster.violation_report import count_over_target
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.counters import Counters
-from gentianpulley.deadline import now_ms
+from gentianpulley.deadline import MS_PER_SECOND, now_ms
 from gentianpulley.jobs.job import Job
 from gentianpulley.logs import EventLog
 
+LEASE_SAFETY_MARGIN_MS: Final = 100
+"""Subtracted from the lease of the leader's key to allow for rounding and clock
+drift."""
+
 EXCLUSIVITY_POLL_S: Final = 0.02
 """Interval of checks for exclusive leadership; the leader's key is renewed
 twice a second."""
 
+EXCLUSIVE_MS: Final = LEADER_TTL_S * MS_PER_SECOND - LEASE_SAFETY_MARGIN_MS
+"""How long no other instance can lead after a renewal that was answered."""
+
 _PERCENT: Final = 100
 
 _ORDER_KINDS: Final = MappingProxyType(
@@ -58,16 +66,6 @@
     over_target: int
 
 
-class Reread(enum.Enum):
-    """What a new leader reads again, or further, once it has loaded.
-
-    The load takes long, and these may be older than the jobs by then.
-    """
-
-    CANCELLATIONS = enum.auto()
-    WORKERS = enum.auto()
-
-
 class OrderSink(ABC):
     """Receives the orders for one worker."""
 
@@ -123,6 +121,10 @@
         """Return until when no other instance can hold the key."""
         return self._exclusive_until_ms
 
+    def answered_ms(self, at_ms: int) -> int:
+        """Return when the last renewal that was answered by then was sent."""
+        return min(at_ms, self._exclusive_until_ms - EXCLUSIVE_MS)
+
     def is_exclusive(self, at_ms: int) -> bool:
         """Return whether no other instance can lead at a time."""
         return at_ms < self._exclusive_until_ms and not self.is_over()
@@ -185,7 +187,7 @@
         self.save_requested = threading.Event()
         self.roster_save_requested = threading.Event()
         self.are_jobs_loaded = True
-        self._outdated: frozenset[Reread] = frozenset()
+        self.read_freshness = ReadFreshness()
         self._plan_cost_s: float = 0
         # Replaced, never changed in place, so that any thread may iterate.
         self._sinks: Mapping[str, OrderSink] = {}
@@ -389,7 +391,7 @@
         """
         with self.lock:
             self.scheduler.buffer_listings()
-            self._outdated = frozenset(Reread)
+            self.read_freshness.begin_loading()
         self.are_jobs_loaded = False
 
     def load_inherited_jobs(
@@ -409,14 +411,10 @@
         if has_ends:
             self.save_requested.set()
 
-    def is_outdated(self, part: Reread) -> bool:
-        """Return whether a part has not been read again since the load."""
-        return part in self._outdated
-
     def mark_reread(self, part: Reread) -> None:
         """Record that changes made during the load are known."""
         with self.lock:
-            self._outdated -= {part}
+            self.read_freshness.mark_reread(part)
             if self.scheduler.live_jobs:
                 self.plan_requested.set()
 
@@ -450,7 +448,7 @@
     def plan(self) -> None:
         """Plan the runs that fit somewhere, and send the resulting orders.
 
-        Until it is known which jobs were cancelled and which workers drain
+        While it isn't known which jobs were cancelled and which workers drain
         since they were read, only runs that must not continue are stopped.
         """
         at_ms = now_ms()
@@ -465,7 +463,9 @@
             self.scheduler.expire_leases(at_ms)
             stops = self.scheduler.stop_incomplete_gangs()
             orders: list[StartOrder] = []
-            if not self._outdated:
+            if self.read_freshness.allows_starts(
+                self.leadership.answered_ms(at_ms)
+            ):
                 stops.extend(self.scheduler.plan_migrations(at_ms))
                 orders = self.scheduler.plan(at_ms)
             self.counters.set(
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -13,15 +13,16 @@
     maintenance,
     maintenance_loop,
     pacing,
+    read_freshness,
     run_tracker,
     wave_records,
     worker_suspension,
 )
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
+from gentianpulley.cluster.read_freshness import Reread
 from gentianpulley.cluster.scheduler_service import (
     Leadership,
-    Reread,
     SchedulerService,
 )
 from gentianpulley.cluster.scheduler import Scheduler
@@ -123,6 +124,11 @@
     _skip_reread(Reread.CANCELLATIONS)
 
 
+def cancellations_watched() -> None:
+    """Start jobs however long no cancellations were reported."""
+    replace(read_freshness, 'MAX_CANCELLATION_AGE_MS', FOREVER)
+
+
 def workers_first() -> None:
     """Start before the directory is read again after the load."""
     _skip_reread(Reread.WORKERS)
@@ -264,6 +270,7 @@
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'answered-start': answered_start,
     'cancellations-first': cancellations_first,
+    'cancellations-watched': cancellations_watched,
     'certainty': leader_exclusivity,
     'domains-amid-load': domains_amid_load,
     'domains-first': domains_first,
