Roster: the answer to a refused write shows what is stored

What was seen, in a test: a worker that answers again after two failed polls gets no longer lease until a roster that has it in use is stored. With a store that loses the answer of each write that it applies, every second write was refused, as the one before it had been applied unseen; so no write counted, the worker stayed suspended, and its runs lapsed, though the leader's key was renewed.

Cause: a refused write only told the revision; what was stored there was not read, though the answer holds it.

Evidence: scheduling/test_suspension, "each applied write has no answer", failed before (with `stored-roster` off as well).

Why it works: only this leader can write the roster, each write expects the revision before, and none that was sent for an older one can land any more. So the refused write's answer is what a successor would read, and if that expects no less than the roster to be written (`covers`), nothing more is needed. One answered call is now enough, as it is for the leader's key.

--- a/src/gentianpulley/cluster/handover_state.py
+++ b/src/gentianpulley/cluster/handover_state.py
@@ -11,6 +11,7 @@
 from gentianpulley.cluster.roster import (
     UNKNOWN_ROSTER,
     Roster,
+    covers,
     decode_roster,
     encode_roster,
 )
@@ -41,10 +42,11 @@
         self._roster_revision = ABSENT
 
     def save_roster(self, roster: Roster) -> None:
-        """Write the roster; raises `StoreError` if the write is rejected.
+        """Write the roster; raises `StoreError` if it may not be written.
 
         A write whose response was lost may still be applied late. The
-        precondition keeps it from overwriting a newer one.
+        precondition keeps it from overwriting a newer one, and the response to
+        the next write shows what it has stored, which may be enough.
         """
         if self._is_roster_written and roster == self.roster:
             return
@@ -57,16 +59,18 @@
             self._roster_revision = commit.revision
             self._is_roster_written = True
             return
-        current = {entry.key: entry.revision for entry in commit.current}
-        self._roster_revision = current.get(ROSTER_KEY, ABSENT)
-        raise StoreError('the roster has another revision')
+        self._roster_revision = ABSENT
+        for entry in commit.current:
+            if entry.key == ROSTER_KEY:
+                self._apply_stored(entry)
+        if not (self._is_roster_written and covers(self.roster, roster)):
+            raise StoreError('the roster has another revision')
 
     def load_roster(self) -> Roster:
         """Return the roster that the previous leader wrote."""
         entry = self.store.read(ROSTER_KEY)
         if entry is not None:
-            self._roster_revision = entry.revision
-            self.roster = self._decode_roster(entry)
+            self._apply_stored(entry)
         return self.roster
 
     def has_marked_used(self, worker_ids: frozenset[str]) -> bool:
@@ -82,6 +86,11 @@
         entry = self.store.read(INTERFERENCE_KEY)
         return entry.body if entry else None
 
+    def _apply_stored(self, entry: Entry) -> None:
+        self._roster_revision = entry.revision
+        self._is_roster_written = True
+        self.roster = self._decode_roster(entry)
+
     def _decode_roster(self, entry: Entry) -> Roster:
         """Return the stored roster; one that is damaged may list anything."""
         try:
--- a/src/gentianpulley/cluster/roster.py
+++ b/src/gentianpulley/cluster/roster.py
@@ -47,6 +47,15 @@
 as long as any run of an earlier leader may continue."""
 
 
+def covers(stored: Roster, roster: Roster) -> bool:
+    """Return whether a leader that reads `stored` expects no less."""
+    return roster.in_use <= stored.in_use and all(
+        worker_id in stored.in_use
+        or stored.remaining_ms.get(worker_id, -1) >= left_ms
+        for worker_id, left_ms in roster.remaining_ms.items()
+    )
+
+
 class _Document(msgspec.Struct, frozen=True):
     """A roster as it is stored."""
 
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -10,6 +10,7 @@
 
 from gentianpulley.cluster import (
     draining,
+    handover_state,
     maintenance,
     maintenance_loop,
     pacing,
@@ -182,6 +183,11 @@
     replace(worker_suspension, '_may_still_arrive', lambda *_: False)
 
 
+def stored_roster() -> None:
+    """Take a roster for written only if its own write was answered."""
+    replace(handover_state, 'covers', lambda *_: False)
+
+
 def unanswered_sending() -> None:
     """Treat the response to one sending of an order as conclusive for all."""
 
@@ -285,6 +291,7 @@
     'rests': suspensions,
     'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
+    'stored-roster': stored_roster,
     'suspended-wait': suspended_wait,
     'suspension': suspension,
     'wave-drained': wave_drained,
