Waves: a request that is rewritten under its key is followed

What operators saw: a wave whose key is written again is carried out as first requested.

Cause: the watch of operators' keys took a known key for a known request, the loop a known number for a known wave, and progress was restored for requested machines only.

Evidence: tests/test_operator_watch and scheduling/test_upkeep_withdrawn, on simulated clocks. Two of the former failed before, read again and by watch. The latter's are red with `wave-changed` off; its case with a new leader isn't, as that reads the new request by itself. It holds the rule that the record keeps the machine.

Why it works: the watch compares what is written, so only a change is a new request, with a time of its own. The loop replaces a wave's request: what has begun stays begun, what was ordered and is not named any more counts as in a withdrawn wave, and draining deadlines are set anew. The status is `running` before anything of the change is done.

--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -176,13 +176,22 @@
         for member in self.members.values():
             member.withdraw(now_ms)
 
-    def resume(self, request: WaveRequest) -> None:
-        """Carry out the wave again after it was withdrawn."""
+    def replace_request(self, request: WaveRequest, now_ms: int) -> None:
+        """Carry out a changed request, or a wave that was withdrawn.
+
+        Orders for machines that it does not name are not sent again, but count
+        as those of a withdrawn wave.
+        """
         self.request = request
         self.is_withdrawn = False
+        for member in self.members.values():
+            if member.machine_id not in request.machine_ids:
+                member.withdraw(now_ms)
+            elif member.stage is _Stage.DRAINING:
+                member.drain_deadline_ms = 0
         for machine_id in request.machine_ids:
-            member = self.members.setdefault(machine_id, _Member(machine_id))
-            member.request_again()
+            requested = self.members.setdefault(machine_id, _Member(machine_id))
+            requested.request_again()
 
     def update_machines(
         self,
--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -141,7 +141,7 @@
             )
 
     def _update_waves(self, requests: Iterable[WaveRequest]) -> None:
-        """Open new waves and close those that operators withdrew."""
+        """Open new and changed waves, and close those that were withdrawn."""
         if not self._has_loaded:
             self._load()
         requested = {request.number: request for request in requests}
@@ -150,9 +150,8 @@
         for number in self._closed.keys() - requested.keys():
             self._closed[number].withdraw(now_ms())
         for number, request in requested.items():
-            closed = self._closed.get(number)
-            is_finished = closed is not None and not closed.is_withdrawn
-            if number not in self._waves and not is_finished:
+            wave = self._waves.get(number) or self._closed.get(number)
+            if wave is None or wave.is_withdrawn or wave.request != request:
                 self._open(request)
 
     def _load(self) -> None:
@@ -171,15 +170,15 @@
         self._has_loaded = True
 
     def _open(self, request: WaveRequest) -> None:
-        """Open a new wave, or resume one that was withdrawn."""
+        """Open a wave that is new, was withdrawn or has changed."""
         number = request.number
         self._machine_provider.report_wave(
             number, self._wave_records.store, is_completed=False
         )
-        wave = self._closed.pop(number, None)
+        wave = self._waves.get(number) or self._closed.pop(number, None)
         if wave is None:
             wave = create_wave(request, self._maintenance_ms)
-        wave.resume(request)
+        wave.replace_request(request, now_ms())
         self._waves[number] = wave
 
     def _has_withdrawn_machines(self) -> bool:
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -56,6 +56,7 @@
         self._listener = listener
         self._closed_domains: frozenset[str] = frozenset()
         self._wave_requests: dict[str, WaveRequest] = {}
+        self._wave_bodies: dict[str, bytes] = {}
         self._has_store = True
         self._has_read = False
         self.last_contact_ms = 0
@@ -80,7 +81,7 @@
         self._update_closed_domains(frozenset(closed))
         stored_keys = {entry.key for entry in snapshot.entries}
         for key in self._wave_requests.keys() - stored_keys:
-            self._wave_requests.pop(key)
+            self._remove_wave(key)
         for entry in snapshot.entries:
             self._update_cfg(entry)
             self._add_wave(entry)
@@ -106,7 +107,7 @@
                 if change.entry is not None:
                     closed.add(domain)
             elif change.entry is None:
-                self._wave_requests.pop(change.key, None)
+                self._remove_wave(change.key)
             else:
                 self._update_cfg(change.entry)
                 self._add_wave(change.entry)
@@ -121,10 +122,10 @@
             self._listener.replace_closed_domains(domains)
 
     def _add_wave(self, entry: Entry) -> None:
-        """Record a new wave; its time limit starts when it is first seen."""
+        """Record a new or changed wave; its time starts when that is seen."""
         if (
             not entry.key.startswith(WAVE_PREFIX)
-            or entry.key in self._wave_requests
+            or self._wave_bodies.get(entry.key) == entry.body
         ):
             return
         try:
@@ -132,6 +133,7 @@
         except msgspec.DecodeError as exc:
             self.log.document_damaged(entry.key, str(exc))
             return
+        self._wave_bodies[entry.key] = entry.body
         self._wave_requests[entry.key] = WaveRequest(
             wire.wave,
             wire.machine_ids,
@@ -139,6 +141,10 @@
             max(1, wire.at_most),
         )
 
+    def _remove_wave(self, key: str) -> None:
+        self._wave_requests.pop(key, None)
+        self._wave_bodies.pop(key, None)
+
     def _publish_waves(self) -> None:
         self._listener.replace_wave_requests(
             tuple(self._wave_requests.values())
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -238,6 +238,18 @@
     )
 
 
+def wave_changed() -> None:
+    """Keep the first request of a wave, however operators rewrite it."""
+    replace_request = MaintenanceWave.replace_request
+
+    def keep_request(wave: Any, request: Any, now_ms: int) -> None:
+        is_first = wave.is_withdrawn or not wave.request.machine_ids
+        kept = request if is_first else wave.request
+        replace_request(wave, kept, now_ms)
+
+    replace(MaintenanceWave, 'replace_request', keep_request)
+
+
 def wave_drained() -> None:
     """Order a machine down whatever runs there."""
     replace(maintenance_loop, 'is_drained', lambda *_: True)
@@ -294,6 +306,7 @@
     'stored-roster': stored_roster,
     'suspended-wait': suspended_wait,
     'suspension': suspension,
+    'wave-changed': wave_changed,
     'wave-drained': wave_drained,
     'wave-former-stops': wave_former_stops,
     'wave-intent': wave_intent,
--- a/tests/scheduling/test_upkeep_withdrawn.py
+++ b/tests/scheduling/test_upkeep_withdrawn.py
@@ -1,9 +1,9 @@
-"""Waves that operators withdraw: what they ordered before still counts."""
+"""Waves that operators withdraw or change: what was ordered still counts."""
 
 import pytest
 
 from gentianpulley.cluster import maintenance_loop
-from gentianpulley.cluster.machines import WaveRequest
+from gentianpulley.cluster.machines import MachineState, WaveRequest
 from gentianpulley.cluster.wave_records import WAVE_PREFIX
 from gentianpulley.cluster.worker_lifecycle import MAX_ORDER_DELAY_MS
 from tests.scheduling.harness import START_MS, create_harness
@@ -20,6 +20,9 @@
 WITHIN_MS = 60_000
 LONG_MS = 30_000
 SETTLED_MS = MAX_ORDER_DELAY_MS + MAINTENANCE_MS
+STATUS_KEY = 'status/wave/1'
+RUNNING = b'False'
+COMPLETED = b'True'
 RECORD_KEY = f'{WAVE_PREFIX}1'
 SECOND = WaveRequest(2, ('m1', 'm2'), START_MS + WITHIN_MS, 1)
 
@@ -33,12 +36,18 @@
     return UpkeepSite(platform, (first,))
 
 
-def _withdraw_unanswered(site: UpkeepSite) -> UpkeepLeader:
-    """Withdraw the wave after its order for m1 got no answer."""
+def _unanswered(site: UpkeepSite) -> UpkeepLeader:
+    """Return a leader whose order for m1 got no answer."""
     site.platform.unanswered = 1
     leader = site.elect(create_harness('m1-1'))
     site.run(FIRST_ORDER_MS, leader)
     assert not site.platform.unanswered
+    return leader
+
+
+def _withdraw_unanswered(site: UpkeepSite) -> UpkeepLeader:
+    """Withdraw the wave after its order for m1 got no answer."""
+    leader = _unanswered(site)
     site.requests = ()
     leader.loop.wave_requests = ()
     return leader
@@ -121,3 +130,70 @@
     site.run(LONG_MS, leader)
     assert RECORD_KEY not in site.store.entries
     assert site.platform.lists - calls < 3
+
+
+def _change(leader: UpkeepLeader, *machine_ids: str, at_most: int = 1) -> None:
+    """Rewrite the wave under its key."""
+    request = WaveRequest(1, machine_ids, START_MS + WITHIN_MS, at_most)
+    leader.loop.wave_requests = (request,)
+
+
+@pytest.mark.proof('wave-changed')
+def test_a_machine_that_is_added_to_a_wave_has_its_upkeep(
+    site: UpkeepSite,
+) -> None:
+    """The wave was said to be completed without it."""
+    leader = site.elect(create_harness())
+    _change(leader, 'm1')
+    site.run(PASS_MS, leader)
+    _change(leader, 'm1', 'm2')
+    site.run(LONG_MS, leader)
+    assert [begun.machine_id for begun in site.platform.begun] == ['m1', 'm2']
+    assert site.store.entries[STATUS_KEY].body == COMPLETED
+
+
+@pytest.mark.proof('wave-changed')
+def test_a_completed_wave_that_is_changed_runs_again(site: UpkeepSite) -> None:
+    leader = site.elect(create_harness())
+    site.run(LONG_MS, leader)
+    assert site.store.entries[STATUS_KEY].body == COMPLETED
+    site.platform.states['m2'] = MachineState.MOVING
+    _change(leader, 'm1', 'm2')
+    site.run(PASS_MS, leader)
+    assert site.store.entries[STATUS_KEY].body == RUNNING
+    site.platform.states['m2'] = MachineState.UP
+    site.run(LONG_MS, leader)
+    assert [begun.machine_id for begun in site.platform.begun] == ['m1', 'm2']
+    assert site.store.entries[STATUS_KEY].body == COMPLETED
+
+
+@pytest.mark.proof('wave-changed')
+def test_a_wave_keeps_to_a_lower_limit(site: UpkeepSite) -> None:
+    """It took as many machines down as the former request allowed."""
+    leader = site.elect(create_harness())
+    _change(leader, 'm1', 'm2', at_most=2)
+    site.run(PASS_MS, leader)
+    _change(leader, 'm1', 'm2', at_most=1)
+    site.run(LONG_MS, leader)
+    assert _most_down(site) == 1
+    assert len(site.platform.begun) == 2
+
+
+@pytest.mark.parametrize(
+    'has_successor',
+    [pytest.param(False, marks=pytest.mark.proof('wave-changed')), True],
+)
+def test_a_machine_that_is_taken_from_a_wave_counts_until_it_is_known(
+    site: UpkeepSite, *, has_successor: bool
+) -> None:
+    """Its late order began beside the machine that took its place."""
+    leader = _unanswered(site)
+    site.run(LATE_MS - FIRST_ORDER_MS - PASS_MS, leader)
+    _change(leader, 'm2')
+    site.requests = leader.loop.wave_requests
+    site.run(PASS_MS, leader)
+    if has_successor:
+        leader = site.elect(create_harness())
+    site.run(LONG_MS, leader)
+    assert _most_down(site) == 1
+    assert {begun.machine_id for begun in site.platform.begun} == {'m1', 'm2'}
