Proofs: red runs for held starts and unmarked incarnations

Three guards of a suspended worker had no red run: a start that was placed there before is not sent (`held-starts`), nothing is placed there (`held-placements`), and an incarnation that the stored roster does not show starts suspended (`unmarked-incarnations`). Each is red in scheduling/test_suspension.

--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -5,7 +5,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from gentianpulley.cluster import (
@@ -21,6 +22,7 @@
 )
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
+from gentianpulley.cluster.leader_watches import WorkerWatch
 from gentianpulley.cluster.read_freshness import Reread
 from gentianpulley.cluster.scheduler_service import (
     Leadership,
@@ -30,7 +32,7 @@
 from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
-from gentianpulley.cluster.worker import Reservation
+from gentianpulley.cluster.worker import Reservation, Worker
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.cluster.worker_suspension import WorkerSuspension
 from gentianpulley.platform import directory
@@ -178,6 +180,41 @@
     replace(SchedulerState, 'grant_lease', grant_lease)
 
 
+@contextmanager
+def _as_not_suspended(worker: Any) -> Iterator[None]:
+    is_suspended = worker.is_suspended
+    worker.is_suspended = False
+    yield
+    worker.is_suspended = is_suspended
+
+
+def held_starts() -> None:
+    """Send a suspended worker the starts that were placed there before."""
+    claim_start_send = Scheduler.claim_start_send
+
+    def claim(state: Any, order: Any, now_ms: int) -> bool:
+        with _as_not_suspended(state.workers[order.worker_id]):
+            return claim_start_send(state, order, now_ms)
+
+    replace(Scheduler, 'claim_start_send', claim)
+
+
+def held_placements() -> None:
+    """Place runs on a suspended worker."""
+    accepts_runs = Worker.accepts_runs
+
+    def accepts(worker: Any, now_ms: int) -> bool:
+        with _as_not_suspended(worker):
+            return accepts_runs(worker, now_ms)
+
+    replace(Worker, 'accepts_runs', accepts)
+
+
+def unmarked_incarnations() -> None:
+    """Use a new incarnation that the stored roster does not show."""
+    replace(WorkerWatch, '_suspend_if_unmarked', lambda *_: None)
+
+
 def open_starts() -> None:
     """Suspend workers whatever may still arrive there."""
     replace(worker_suspension, '_may_still_arrive', lambda *_: False)
@@ -294,6 +331,8 @@
     'domains-first': domains_first,
     'earlier-sending': earlier_sending,
     'handover': handover,
+    'held-placements': held_placements,
+    'held-starts': held_starts,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
     'nesting': nesting,
@@ -306,6 +345,7 @@
     'stored-roster': stored_roster,
     'suspended-wait': suspended_wait,
     'suspension': suspension,
+    'unmarked-incarnations': unmarked_incarnations,
     'wave-changed': wave_changed,
     'wave-drained': wave_drained,
     'wave-former-stops': wave_former_stops,
--- a/tests/scheduling/test_suspension.py
+++ b/tests/scheduling/test_suspension.py
@@ -136,6 +136,7 @@
     assert renewed.wait_ms == TIMING.poll_wait_ms
 
 
+@pytest.mark.proof('held-starts', 'held-placements')
 def test_a_suspended_worker_gets_no_start_before_it_is_stored() -> None:
     harness, running = _harness_with_a_run()
     harness.scheduler.add_job(job(step(), job_id='b' * 16))
@@ -426,6 +427,7 @@
     """A client that nobody calls, as the session is not started."""
 
 
+@pytest.mark.proof('unmarked-incarnations')
 def test_an_incarnation_that_the_roster_does_not_show_starts_suspended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
