--- a/src/gentianpulley/cluster/maintenance_loop.py
+++ b/src/gentianpulley/cluster/maintenance_loop.py
@@ -26,8 +26,10 @@
     Drain,
     MaintenanceWave,
     create_wave,
+    restore_withdrawn_wave,
 )
-from gentianpulley.cluster.wave_records import WaveRecords
+from gentianpulley.cluster.wave_records import UNKNOWN_PROGRESS, WaveRecords
+from gentianpulley.cluster.worker_lifecycle import MAX_ORDER_DELAY_MS
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import MachineParkError, StoreError
 
@@ -56,7 +58,9 @@
         self._wave_records = wave_records
         self._maintenance_ms = maintenance_ms
         self._waves: dict[int, MaintenanceWave] = {}
-        self._completed: dict[int, MaintenanceWave] = {}
+        self._closed: dict[int, MaintenanceWave] = {}
+        self._has_loaded = False
+        self._held_until_ms = 0
         self._has_drains = False
         self.wave_requests: tuple[WaveRequest, ...] = ()
 
@@ -75,20 +79,19 @@
 
     def _pass(self) -> None:
         self._update_waves(self.wave_requests)
-        if not self._waves:
+        if not self._waves and not self._has_withdrawn_machines():
             self._return_workers()
             return
         listed_ms = now_ms()
         machines = self._machine_provider.list_machines()
-        for completed in self._completed.values():
-            completed.update_machines(machines, listed_ms, now_ms())
         drains = [
             drain
-            for number, wave in self._waves.items()
+            for number, wave in (*self._closed.items(), *self._waves.items())
             for drain in wave.update_machines(
                 machines, listed_ms, now_ms(), self._down_elsewhere(number)
             )
         ]
+        self._delete_old_records()
         self._has_drains = True
         for wave in tuple(self._waves.values()):
             if wave.is_completed:
@@ -116,12 +119,14 @@
 
         Another leader may let a different task of the same step go. So they are
         given only while none can lead, and not before the stops of the previous
-        one have taken effect, as listings do not show them.
+        one have taken effect, as listings do not show them. After a damaged
+        record, no order whose sending is unknown can arrive any more by then.
         """
         at_ms = now_ms()
         term = self._service.term
         return (
             at_ms > term.since_ms + term.timing.stop_ms
+            and not self._is_held()
             and self._service.leadership.is_exclusive(at_ms)
         )
 
@@ -136,20 +141,65 @@
             )
 
     def _update_waves(self, requests: Iterable[WaveRequest]) -> None:
-        """Open new waves and close those that operators withdrew."""
+        """Open new and changed waves, and close those that were withdrawn."""
+        if not self._has_loaded:
+            self._load()
         requested = {request.number: request for request in requests}
         for number in self._waves.keys() - requested.keys():
-            self._waves.pop(number)
+            self._closed[number] = self._waves.pop(number)
+        for number in self._closed.keys() - requested.keys():
+            self._closed[number].withdraw(now_ms())
         for number, request in requested.items():
-            is_existing = number in self._waves or number in self._completed
-            if not is_existing:
-                wave = create_wave(request, self._maintenance_ms)
-                progress = self._wave_records.load(number)
-                wave.restore(progress, now_ms())
-                self._machine_provider.report_wave(
-                    number, self._wave_records.store, is_completed=False
-                )
-                self._waves[number] = wave
+            wave = self._waves.get(number) or self._closed.get(number)
+            if wave is None or wave.is_withdrawn or wave.request != request:
+                self._open(request)
+
+    def _load(self) -> None:
+        """Restore all waves; those that are still requested are resumed."""
+        loaded = self._wave_records.load()
+        at_ms = now_ms()
+        for number, progress in loaded.items():
+            self._closed[number] = restore_withdrawn_wave(
+                number, progress, self._maintenance_ms, at_ms
+            )
+        if UNKNOWN_PROGRESS in loaded.values():
+            # Until then, what is not known may begin, or not be over.
+            self._held_until_ms = (
+                at_ms + MAX_ORDER_DELAY_MS + self._maintenance_ms
+            )
+        self._has_loaded = True
+
+    def _open(self, request: WaveRequest) -> None:
+        """Open a wave that is new, was withdrawn or has changed."""
+        number = request.number
+        self._machine_provider.report_wave(
+            number, self._wave_records.store, is_completed=False
+        )
+        wave = self._waves.get(number) or self._closed.pop(number, None)
+        if wave is None:
+            wave = create_wave(request, self._maintenance_ms)
+        wave.replace_request(request, now_ms())
+        self._waves[number] = wave
+
+    def _has_withdrawn_machines(self) -> bool:
+        """Return whether machines may be down for withdrawn waves."""
+        return any(
+            wave.is_withdrawn and wave.down_machines
+            for wave in self._closed.values()
+        )
+
+    def _is_held(self) -> bool:
+        """Return whether a damaged record may stand for a machine down."""
+        return now_ms() <= self._held_until_ms
+
+    def _delete_old_records(self) -> None:
+        """Delete the records of withdrawn waves for which nothing is down."""
+        if self._is_held():
+            return
+        for number, wave in tuple(self._closed.items()):
+            if wave.is_withdrawn and not wave.down_machines:
+                self._wave_records.delete(number)
+                self._closed.pop(number)
 
     def _advance(self, wave: MaintenanceWave, drains: list[Drain]) -> None:
         """Send the next order of a wave, and report its completion."""
@@ -180,7 +230,7 @@
 
     def _down_elsewhere(self, number: int) -> frozenset[str]:
         """Return the machines that are down for other waves than this one."""
-        waves = {**self._completed, **self._waves}
+        waves = {**self._closed, **self._waves}
         return frozenset(
             machine_id
             for other, wave in waves.items()
@@ -194,5 +244,5 @@
         self._machine_provider.report_wave(
             number, self._wave_records.store, is_completed=True
         )
-        self._completed[number] = wave
+        self._closed[number] = wave
         self._waves.pop(number, None)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -5,30 +5,34 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from gentianpulley.cluster import (
     draining,
+    handover_state,
     maintenance,
     maintenance_loop,
     pacing,
+    read_freshness,
     run_tracker,
     wave_records,
     worker_suspension,
 )
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
+from gentianpulley.cluster.leader_watches import WorkerWatch
+from gentianpulley.cluster.read_freshness import Reread
 from gentianpulley.cluster.scheduler_service import (
     Leadership,
-    Reread,
     SchedulerService,
 )
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
-from gentianpulley.cluster.worker import Reservation
+from gentianpulley.cluster.worker import Reservation, Worker
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.cluster.worker_suspension import WorkerSuspension
 from gentianpulley.platform import directory
@@ -123,6 +127,11 @@
     _skip_reread(Reread.CANCELLATIONS)
 
 
+def cancellations_watched() -> None:
+    """Start jobs however long no cancellations were reported."""
+    replace(read_freshness, 'MAX_CANCELLATION_AGE_MS', FOREVER)
+
+
 def workers_first() -> None:
     """Start before the directory is read again after the load."""
     _skip_reread(Reread.WORKERS)
@@ -171,11 +180,51 @@
     replace(SchedulerState, 'grant_lease', grant_lease)
 
 
+@contextmanager
+def _as_not_suspended(worker: Any) -> Iterator[None]:
+    is_suspended = worker.is_suspended
+    worker.is_suspended = False
+    yield
+    worker.is_suspended = is_suspended
+
+
+def held_starts() -> None:
+    """Send a suspended worker the starts that were placed there before."""
+    claim_start_send = Scheduler.claim_start_send
+
+    def claim(state: Any, order: Any, now_ms: int) -> bool:
+        with _as_not_suspended(state.workers[order.worker_id]):
+            return claim_start_send(state, order, now_ms)
+
+    replace(Scheduler, 'claim_start_send', claim)
+
+
+def held_placements() -> None:
+    """Place runs on a suspended worker."""
+    accepts_runs = Worker.accepts_runs
+
+    def accepts(worker: Any, now_ms: int) -> bool:
+        with _as_not_suspended(worker):
+            return accepts_runs(worker, now_ms)
+
+    replace(Worker, 'accepts_runs', accepts)
+
+
+def unmarked_incarnations() -> None:
+    """Use a new incarnation that the stored roster does not show."""
+    replace(WorkerWatch, '_suspend_if_unmarked', lambda *_: None)
+
+
 def open_starts() -> None:
     """Suspend workers whatever may still arrive there."""
     replace(worker_suspension, '_may_still_arrive', lambda *_: False)
 
 
+def stored_roster() -> None:
+    """Take a roster for written only if its own write was answered."""
+    replace(handover_state, 'covers', lambda *_: False)
+
+
 def unanswered_sending() -> None:
     """Treat the response to one sending of an order as conclusive for all."""
 
@@ -226,6 +275,18 @@
     )
 
 
+def wave_changed() -> None:
+    """Keep the first request of a wave, however operators rewrite it."""
+    replace_request = MaintenanceWave.replace_request
+
+    def keep_request(wave: Any, request: Any, now_ms: int) -> None:
+        is_first = wave.is_withdrawn or not wave.request.machine_ids
+        kept = request if is_first else wave.request
+        replace_request(wave, kept, now_ms)
+
+    replace(MaintenanceWave, 'replace_request', keep_request)
+
+
 def wave_drained() -> None:
     """Order a machine down whatever runs there."""
     replace(maintenance_loop, 'is_drained', lambda *_: True)
@@ -241,11 +302,21 @@
     )
 
 
+def wave_unknown() -> None:
+    """Take a damaged record of a wave for one of nothing ordered."""
+    replace(wave_records, 'UNKNOWN_PROGRESS', WaveProgress())
+
+
 def wave_unseen_runs() -> None:
     """Expect no runs that no listing has shown."""
     replace(LeaderTerm, 'unseen_runs_until_ms', lambda _: {})
 
 
+def wave_withdrawn() -> None:
+    """Forget what a wave has ordered once it is withdrawn."""
+    replace(MaintenanceWave, 'withdraw', lambda wave, _: wave.members.clear())
+
+
 def wave_workers_returned() -> None:
     """Change nothing at the workers after the last wave."""
     replace(maintenance_loop.MaintenanceLoop, '_return_workers', lambda _: None)
@@ -254,11 +325,14 @@
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'answered-start': answered_start,
     'cancellations-first': cancellations_first,
+    'cancellations-watched': cancellations_watched,
     'certainty': leader_exclusivity,
     'domains-amid-load': domains_amid_load,
     'domains-first': domains_first,
     'earlier-sending': earlier_sending,
     'handover': handover,
+    'held-placements': held_placements,
+    'held-starts': held_starts,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
     'nesting': nesting,
@@ -268,15 +342,20 @@
     'rests': suspensions,
     'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
+    'stored-roster': stored_roster,
     'suspended-wait': suspended_wait,
     'suspension': suspension,
+    'unmarked-incarnations': unmarked_incarnations,
+    'wave-changed': wave_changed,
     'wave-drained': wave_drained,
     'wave-former-stops': wave_former_stops,
     'wave-intent': wave_intent,
     'wave-late-write': wave_late_write,
     'wave-out-of-service': wave_out_of_service,
     'wave-restored-lag': wave_restored_lag,
+    'wave-unknown': wave_unknown,
     'wave-unseen-runs': wave_unseen_runs,
+    'wave-withdrawn': wave_withdrawn,
     'wave-workers-returned': wave_workers_returned,
     'workers-first': workers_first,
 }
