A new leader asks absent workers at their stored addresses

A worker that is cut off from the store alone lost its runs with its leader, as the next one did not renew its lease.

Cause: the next leader reaches workers by the directory only. One that is missing there, or whose entry outlives it, was waited for until all leases of former leaders were over (9.8 s after the term began), though another worker had its address a second after the crash and would have said so.

What changed. The roster keeps the address at which each of its workers was last sent orders; it is stored before the session opens. The new leader asks the absent ones there, under its token:

- a listing fences the worker off; it is used on without new runs, and its lease renewed;
- a 421 ends the wait, if it was asked for once no former leader sends orders: 4.2 s after the term began for workers in use, at once for those that were suspended or left by a planned stop;
- a refused connection, a timeout or a reset changes nothing.

Why a 421 does not count before that: the worker may start there again under its id, and a former leader that has not noticed would start runs on it, unseen.

A worker is asked once a second, while it is waited for. Older rosters have no addresses, and older releases pass over them: such workers are waited for as before. The interference model learns nothing from a worker whose capacity is unknown, as its load would be taken for huge.

`test_a_worker_that_comes_back_is_noted_as_used` compares the address as well now; `RosterStore` moved to a module of its own, unchanged.

--- a/src/gentianpulley/cluster/handover_state.py
+++ b/src/gentianpulley/cluster/handover_state.py
@@ -4,6 +4,8 @@
 between images. `wave_records` adds the progress of maintenance waves.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -28,6 +30,8 @@
 ROSTER_KEY: Final = 'gp/roster'
 INTERFERENCE_KEY: Final = 'gp/harm'
 
+NO_ADDRESSES: Final[Mapping[str, str]] = MappingProxyType({})
+
 
 class HandoverState:
     """Reads and writes the handover state of one leader."""
@@ -69,9 +73,19 @@
             self.roster = self._decode_roster(entry)
         return self.roster
 
-    def has_marked_used(self, worker_ids: frozenset[str]) -> bool:
-        """Return whether the stored roster is certain to show these as used."""
-        return self._is_roster_written and worker_ids <= self.roster.in_use
+    def has_marked_used(
+        self,
+        worker_ids: frozenset[str],
+        addresses: Mapping[str, str] = NO_ADDRESSES,
+    ) -> bool:
+        """Return whether the stored roster is certain to show these as used.
+
+        With `addresses`, at these addresses.
+        """
+        if not self._is_roster_written:
+            return False
+        is_used = worker_ids <= self.roster.in_use
+        return is_used and addresses.items() <= self.roster.addresses.items()
 
     def save_interference(self, body: bytes) -> None:
         """Write the learned interference between images."""
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -16,10 +16,11 @@
 
 import msgspec
 
+from gentianpulley.cluster.absent_worker_prober import AbsentWorkerProber
 from gentianpulley.cluster.advice import AdviceService
 from gentianpulley.cluster.advice_loop import AdviceLoop
 from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
-from gentianpulley.cluster.directory import WorkerDirectory
+from gentianpulley.cluster.directory import DirectoryPage, WorkerDirectory
 from gentianpulley.cluster.job_storage import (
     LeaderJobStore,
     LoadedJobs,
@@ -155,13 +156,14 @@
         page = call_with_retries(self._dependencies.directory.read, self._log)
         service = self._open_service(term)
         service.begin_loading()
-        worker_watch = _create_worker_watch(
-            service, self._dependencies, self._handover_state
+        worker_watch = WorkerWatch(
+            service,
+            self._dependencies.directory,
+            self._dependencies.worker_client_factory,
+            self._handover_state,
         )
         self._worker_watch = worker_watch
-        call_with_retries(
-            partial(worker_watch.open_sessions, page), self._log, ROSTER_RETRIES
-        )
+        _open_sessions(worker_watch, page, self._dependencies)
         loaded = self._job_store.load()
         if loaded.jobs:
             # The next leader may have started jobs that arrived during the
@@ -366,17 +368,14 @@
     )
 
 
-def _create_worker_watch(
-    service: SchedulerService,
-    dependencies: LeaderDependencies,
-    handover_state: HandoverState,
-) -> WorkerWatch:
-    return WorkerWatch(
-        service,
-        dependencies.directory,
-        dependencies.worker_client_factory,
-        handover_state,
+def _open_sessions(
+    watch: WorkerWatch, page: DirectoryPage, dependencies: LeaderDependencies
+) -> None:
+    """Open sessions with the workers of a page, and ask absent ones."""
+    call_with_retries(
+        partial(watch.open_sessions, page), dependencies.log, ROSTER_RETRIES
     )
+    AbsentWorkerProber(watch, dependencies.worker_client_factory).start()
 
 
 def _start_job_watches(
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -24,6 +24,7 @@
 )
 from gentianpulley.cluster.scheduler_service import Reread, SchedulerService
 from gentianpulley.cluster.worker import Worker
+from gentianpulley.cluster.worker_addresses import WorkerAddresses
 from gentianpulley.cluster.worker_lifecycle import FOREVER
 from gentianpulley.cluster.worker_session import open_session
 from gentianpulley.cluster.worker_suspension import suspend
@@ -135,6 +136,7 @@
         self._client_factory = client_factory
         self._handover_state = handover_state
         self._roster_lock = Lock()
+        self.addresses = WorkerAddresses(handover_state.roster.addresses)
 
     def watch_changes(self, revision: int) -> None:
         """Report workers that are added, changed or removed.
@@ -175,6 +177,27 @@
             for registration in page.registrations:
                 self._update_worker(registration)
 
+    def open_unregistered(self, registration: WorkerRegistration) -> None:
+        """Open a session with a worker that is not in the directory.
+
+        Raises `StoreError` if the stored roster cannot show it as used.
+        """
+        service = self.scheduler_service
+        worker_id = registration.worker_id
+        with self._roster_lock:
+            # It may have registered since it was asked.
+            if worker_id in service.scheduler.workers:
+                return
+            self._mark_used((registration,))
+            with service.lock:
+                orders = service.scheduler.add_unregistered_worker(
+                    registration, now_ms()
+                )
+                worker = service.scheduler.workers[worker_id]
+                self._suspend_if_unmarked(worker)
+            self._open_session(worker)
+        service.dispatch(orders)
+
     def refresh_roster(self) -> None:
         """Write how long runs may continue on workers that get no orders.
 
@@ -191,7 +214,7 @@
             with self.scheduler_service.lock:
                 scheduler = self.scheduler_service.scheduler
                 roster = scheduler.build_final_roster(previous_ids, now_ms())
-            self._handover_state.save_roster(roster)
+            self._handover_state.save_roster(self.addresses.add_to(roster))
 
     def _save_roster(self, used: frozenset[str]) -> None:
         """Write the roster, with `used` among the workers in use.
@@ -208,7 +231,7 @@
             if service.leadership.is_exclusive(at_ms):
                 service.scheduler.suspend_unresponsive(at_ms)
             roster = service.scheduler.build_roster(previous_ids, used, at_ms)
-        self._handover_state.save_roster(roster)
+        self._handover_state.save_roster(self.addresses.add_to(roster))
         with service.lock:
             service.scheduler.resume(roster.in_use)
 
@@ -226,8 +249,10 @@
 
     def _mark_used(self, registrations: Iterable[WorkerRegistration]) -> None:
         """Mark these workers as used in the stored roster."""
+        self.addresses.record(registrations)
         ids = self._possibly_used_ids(registrations)
-        if not self._handover_state.has_marked_used(ids):
+        addresses = self.addresses.of_workers(ids)
+        if not self._handover_state.has_marked_used(ids, addresses):
             self._save_roster(ids)
 
     def _mark_deregistered(self, change: RegistrationChange) -> None:
@@ -255,7 +280,8 @@
         The previous one may have ended since the roster was written.
         """
         worker_ids = frozenset((worker.worker_id,))
-        if not self._handover_state.has_marked_used(worker_ids):
+        addresses = self.addresses.of_workers(worker_ids)
+        if not self._handover_state.has_marked_used(worker_ids, addresses):
             suspend(worker)
 
     def _update_worker(self, registration: WorkerRegistration) -> None:
@@ -267,8 +293,12 @@
             if worker is not previous:
                 self._suspend_if_unmarked(worker)
         if worker is not previous:
-            client = self._client_factory.connect(registration)
-            session = open_session(service, worker, client)
-            service.attach(registration.worker_id, session)
+            self._open_session(worker)
         service.dispatch(orders)
         service.plan_requested.set()
+
+    def _open_session(self, worker: Worker) -> None:
+        service = self.scheduler_service
+        client = self._client_factory.connect(worker.registration)
+        session = open_session(service, worker, client)
+        service.attach(worker.worker_id, session)
--- a/src/gentianpulley/cluster/pacing.py
+++ b/src/gentianpulley/cluster/pacing.py
@@ -25,6 +25,7 @@
     Reservation,
     Worker,
 )
+from gentianpulley.resources import NO_RESOURCES
 
 ALLOWED_TAIL_SHARE: Final = 0.75
 """Maximum expected tail, as a fraction of its target. The margin is there
@@ -76,8 +77,11 @@
 def update_model(worker: Worker, model: InterferenceModel, now_ms: int) -> bool:
     """Learn from a worker's newest reports; returns whether a sample was due.
 
-    The model learns from a few randomly chosen tasks of each sample.
+    The model learns from a few randomly chosen tasks of each sample, and
+    nothing from a worker whose capacity is unknown.
     """
+    if worker.registration.capacity == NO_RESOURCES:
+        return False
     if now_ms < worker.sample.taken_ms + MIN_SAMPLE_INTERVAL_MS:
         return False
     worker.sample = worker.sample.next_sample(
--- a/src/gentianpulley/cluster/roster.py
+++ b/src/gentianpulley/cluster/roster.py
@@ -23,11 +23,13 @@
     For those others, `remaining_ms` gives how long after the roster was written
     a run of an earlier leader may continue. It is a duration, as clocks of
     instances differ: counted from the time of reading it is too long, never
-    too short.
+    too short. `addresses` gives the address at which each worker was last sent
+    orders, where it is known.
     """
 
     in_use: frozenset[str] = frozenset()
     remaining_ms: Mapping[str, int] = field(default_factory=dict)
+    addresses: Mapping[str, str] = field(default_factory=dict)
 
     @property
     def worker_ids(self) -> frozenset[str]:
@@ -47,11 +49,15 @@
 as long as any run of an earlier leader may continue."""
 
 
-class _Document(msgspec.Struct, frozen=True):
-    """A roster as it is stored."""
+class _Document(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A roster as it is stored.
+
+    `at` are the addresses of `used`, then of `left_ms`, in that order.
+    """
 
     used: list[str]
     left_ms: dict[str, int]
+    at: list[str] = []
 
 
 _DECODER: Final[msgspec.json.Decoder[_Document | list[str]]] = (
@@ -61,7 +67,11 @@
 
 def encode_roster(roster: Roster) -> bytes:
     """Encode a roster for the store."""
-    document = _Document(sorted(roster.in_use), dict(roster.remaining_ms))
+    used = sorted(roster.in_use)
+    left_ms = dict(roster.remaining_ms)
+    worker_ids = [*used, *left_ms]
+    at = [roster.addresses.get(each, '') for each in worker_ids]
+    document = _Document(used, left_ms, at if any(at) else [])
     return msgspec.json.encode(document)
 
 
@@ -70,4 +80,10 @@
     decoded = decode_json(_DECODER, body)
     if isinstance(decoded, list):
         return Roster(frozenset(decoded))
-    return Roster(frozenset(decoded.used), decoded.left_ms)
+    worker_ids = (*decoded.used, *decoded.left_ms)
+    addresses = {
+        worker_id: address
+        for worker_id, address in zip(worker_ids, decoded.at, strict=False)
+        if address
+    }
+    return Roster(frozenset(decoded.used), decoded.left_ms, addresses)
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
 from gentianpulley.cluster.link_starvation import link_starved_steps
@@ -37,7 +38,6 @@
 )
 from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.start_limiter import create_start_limiter
-from gentianpulley.cluster.takeover import Takeover
 from gentianpulley.cluster.wait_reasons import WaitReason, WaitingSteps
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import Job, StepRun, Task
@@ -53,7 +53,7 @@
 without a write."""
 
 
-class Scheduler(Takeover):
+class Scheduler(AbsentWorkers):
     """State and decisions of one leader."""
 
     def __init__(self, term: LeaderTerm, log: EventLog) -> None:
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -66,6 +66,11 @@
         """
         return (self.lease_ms - self.poll_wait_ms) // 2 - LEASE_EXPIRY_MARGIN_MS
 
+    @property
+    def final_lease_ms(self) -> int:
+        """Return how long the last order of a leader may prolong runs."""
+        return int(self.lease_ms / (1 - CLOCK_DRIFT))
+
     @property
     def handover_ms(self) -> int:
         """Return after how long all leases of a previous leader have expired.
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from gentianpulley.cluster import (
+    absent_worker_prober,
     draining,
     maintenance,
     maintenance_loop,
@@ -17,6 +18,8 @@
     wave_records,
     worker_suspension,
 )
+from gentianpulley.cluster.absent_worker_prober import AbsentWorkerProber
+from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.scheduler_service import (
@@ -31,6 +34,7 @@
 from gentianpulley.cluster.worker import Reservation
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
 from gentianpulley.cluster.worker_suspension import WorkerSuspension
+from gentianpulley.errors import WorkerError
 from gentianpulley.platform import directory
 from gentianpulley.store import Transaction
 from gentianpulley.task_client import MAX_SUBMIT_ATTEMPTS, TaskClient
@@ -151,6 +155,21 @@
     replace(LeaderElector, '__init__', __init__)
 
 
+def absent_workers() -> None:
+    """Ask no worker that is missing from the directory."""
+    replace(AbsentWorkerProber, 'ask_due', lambda *_: None)
+
+
+def former_orders() -> None:
+    """Take any answer of another worker for the end of the former one."""
+    replace(AbsentWorkers, 'earliest_proof_ms', lambda *_: 0)
+
+
+def replaced_only() -> None:
+    """Take a worker that doesn't answer for replaced."""
+    replace(absent_worker_prober, 'WorkerReplacedError', WorkerError)
+
+
 def suspensions() -> None:
     """Throttle by the model alone, without suspensions."""
     replace(pacing, 'update_suspension', lambda *_: False)
@@ -252,18 +271,21 @@
 
 
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
+    'absent-workers': absent_workers,
     'answered-start': answered_start,
     'cancellations-first': cancellations_first,
     'certainty': leader_exclusivity,
     'domains-amid-load': domains_amid_load,
     'domains-first': domains_first,
     'earlier-sending': earlier_sending,
+    'former-orders': former_orders,
     'handover': handover,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
     'nesting': nesting,
     'old-registrations': replaced_registrations,
     'open-starts': open_starts,
+    'replaced-only': replaced_only,
     'restarted-start': restarted_start,
     'rests': suspensions,
     'serving-worker-known': serving_worker_known,
--- a/tests/scheduling/simulated_replacements.py
+++ b/tests/scheduling/simulated_replacements.py
@@ -49,7 +49,7 @@
             seed, short_terms=short_terms, loses_workers=loses_workers
         )
         for worker in tuple(self.workers.values()):
-            other_id = _other_id(worker.worker_id)
+            other_id = other_id_of(worker.worker_id)
             self.workers[other_id] = SimulatedWorker(
                 other_id, worker.clock_rate, worker.incarnation_ms
             )
@@ -61,8 +61,20 @@
 
     def replace_worker(self) -> None:
         """Let the other worker take an address; its entry may stay a while."""
+        self._replace(
+            self.rng.choice(sorted(self.workers.keys() - self.former))
+        )
+
+    def crash_worker(self) -> None:
+        """Restart a worker that is up under its id."""
         worker_id = self.rng.choice(sorted(self.workers.keys() - self.former))
-        other_id = _other_id(worker_id)
+        previous = self.workers[worker_id]
+        self.workers[worker_id] = SimulatedWorker(
+            worker_id, previous.clock_rate, self.now_ms
+        )
+
+    def _replace(self, worker_id: str) -> None:
+        other_id = other_id_of(worker_id)
         previous = self.workers[worker_id]
         self._count_unlisted(worker_id)
         self.workers[worker_id] = SimulatedWorker(
@@ -76,14 +88,6 @@
         if self._happens(HALF_PERCENT):
             self.listed.discard(worker_id)
 
-    def crash_worker(self) -> None:
-        """Restart a worker that is up under its id."""
-        worker_id = self.rng.choice(sorted(self.workers.keys() - self.former))
-        previous = self.workers[worker_id]
-        self.workers[worker_id] = SimulatedWorker(
-            worker_id, previous.clock_rate, self.now_ms
-        )
-
     def _poll(self, leader: SimulatedLeader, existing: Worker) -> None:
         if existing.worker_id in self.former:
             leader.scheduler.end_incarnation(
@@ -164,6 +168,6 @@
             )
 
 
-def _other_id(worker_id: str) -> str:
+def other_id_of(worker_id: str) -> str:
     """Return the id of the other worker of an address."""
     return worker_id.removesuffix('b') if 'b' in worker_id else f'{worker_id}b'
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.scheduling.harness import TIMING
+from tests.scheduling.simulated_probes import ProbeSimulation
 from tests.scheduling.simulated_replacements import ReplacementSimulation
 from tests.scheduling.simulation import run_simulation
 
@@ -41,6 +42,22 @@
 
 LOSS_SEEDS = (*range(60), *UNSTORED_LEASE_SEEDS)
 SEEDS = (*range(120), *NON_EXCLUSIVE_SEEDS)
+FORMER_ORDER_SEEDS = (146, 303)
+"""Seeds that run a job twice where absent workers are asked if another worker's
+answer counts while a former leader still sends orders to that address."""
+
+PROBE_SEEDS = (*range(40), *FORMER_ORDER_SEEDS)
+KINDS = {
+    'long terms': {},
+    'short terms': {'short_terms': True},
+    'handovers': {'short_terms': True, 'drains': True, 'hands_over': True},
+    'losses': {'loses_workers': True, 'hands_over': True},
+    'short losses': {
+        'short_terms': True,
+        'loses_workers': True,
+        'hands_over': True,
+    },
+}
 STEPS = 700
 SHORT_WAITS = 20
 
@@ -72,17 +89,7 @@
     assert simulation.violations == []
 
 
-@pytest.mark.parametrize(
-    'changes',
-    [
-        {},
-        {'short_terms': True},
-        {'short_terms': True, 'drains': True, 'hands_over': True},
-        {'loses_workers': True, 'hands_over': True},
-        {'short_terms': True, 'loses_workers': True, 'hands_over': True},
-    ],
-    ids=['long terms', 'short terms', 'handovers', 'losses', 'short losses'],
-)
+@pytest.mark.parametrize('changes', KINDS.values(), ids=KINDS.keys())
 @pytest.mark.parametrize('seed', REPLACEMENT_SEEDS)
 def test_nothing_runs_twice_where_addresses_change_hands(
     seed: int, changes: dict[str, bool]
@@ -118,6 +125,45 @@
     assert unawares > 0
 
 
+@pytest.mark.parametrize('changes', KINDS.values(), ids=KINDS.keys())
+@pytest.mark.parametrize('seed', PROBE_SEEDS)
+def test_nothing_runs_twice_where_absent_workers_are_asked(
+    seed: int, changes: dict[str, bool]
+) -> None:
+    """Another worker's answer ends the wait for a worker."""
+    simulation = run_simulation(
+        seed, STEPS, simulation_type=ProbeSimulation, **changes
+    )
+    assert simulation.violations == []
+
+
+@pytest.mark.proof('former-orders')
+def test_the_model_finds_orders_of_a_former_leader() -> None:
+    """Without the guard, these seeds run a job twice."""
+    simulations = [
+        run_simulation(seed, STEPS, simulation_type=ProbeSimulation)
+        for seed in FORMER_ORDER_SEEDS
+    ]
+    assert not any(simulation.violations for simulation in simulations)
+
+
+def test_the_model_of_absent_workers_does_something() -> None:
+    simulations = [
+        run_simulation(
+            seed, STEPS, short_terms=True, simulation_type=ProbeSimulation
+        )
+        for seed in range(10)
+    ]
+    counts = [
+        (each.ended_waits, each.adopted)
+        for each in simulations
+        if isinstance(each, ProbeSimulation)
+    ]
+    ended_waits, adopted = map(sum, zip(*counts, strict=True))
+    assert ended_waits > 50
+    assert adopted > 40
+
+
 @pytest.mark.parametrize('seed', LOSS_SEEDS)
 def test_nothing_runs_twice_after_a_worker_and_the_leader_are_lost(
     seed: int,
--- a/tests/scheduling/test_roster.py
+++ b/tests/scheduling/test_roster.py
@@ -1,7 +1,8 @@
 """The roster tells the next leader which workers may have runs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+import msgspec
 import pytest
 
 from gentianpulley.cluster.worker_protocol import (
@@ -246,9 +247,38 @@
             encode_roster(Roster(frozenset(('w1',)), {'gone': 500})),
             Roster(frozenset(('w1',)), {'gone': 500}),
         ),
+        (
+            b'{"used":["w1"],"left_ms":{"gone":500},"later":{}}',
+            Roster(frozenset(('w1',)), {'gone': 500}),
+        ),
     ],
 )
 def test_rosters_of_older_releases_are_read(
     body: bytes, roster: Roster
 ) -> None:
     assert decode_roster(body) == roster
+
+
+ADDRESSES = {'w1': '10.0.0.1:80', 'gone': '10.0.0.2:80', 'left': '10.0.0.3:80'}
+
+
+@pytest.mark.parametrize('known', [(), ('gone',), ('w1', 'left'), ADDRESSES])
+def test_addresses_are_read_as_written(known: Iterable[str]) -> None:
+    addresses = {worker_id: ADDRESSES[worker_id] for worker_id in known}
+    roster = Roster(
+        frozenset(('w1', 'w0')), {'left': 800, 'gone': 500}, addresses
+    )
+    assert decode_roster(encode_roster(roster)) == roster
+
+
+class _FormerDocument(msgspec.Struct):
+    """A roster as the release before addresses reads it."""
+
+    used: list[str]
+    left_ms: dict[str, int]
+
+
+def test_an_older_release_reads_a_roster_with_addresses() -> None:
+    roster = Roster(frozenset(('w1',)), {'gone': 500}, ADDRESSES)
+    former = msgspec.json.decode(encode_roster(roster), type=_FormerDocument)
+    assert former == _FormerDocument(['w1'], {'gone': 500})
--- a/tests/scheduling/test_suspension.py
+++ b/tests/scheduling/test_suspension.py
@@ -28,7 +28,6 @@
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.logs import EventLog
-from gentianpulley.store import CommitResult, Entry, Transaction
 from tests.scheduling.harness import (
     TIMING,
     SchedulerHarness,
@@ -37,6 +36,7 @@
     registration,
     step,
 )
+from tests.scheduling.roster_store import RosterStore
 
 MARGIN_MS = 1000
 ACTING_MS = 60_000
@@ -240,35 +240,12 @@
     assert not _worker(harness).is_suspended
 
 
-class _RosterStore:
-    """A store that applies each commit, and may lose the answers."""
-
-    def __init__(self) -> None:
-        self.loses_answers = False
-        self.commits = 0
-        self._entry: Entry | None = None
-
-    def commit(self, txn: Transaction) -> CommitResult:
-        """Apply a transaction whose precondition holds."""
-        revision = self._entry.revision if self._entry else 0
-        if txn.preconditions[0].revision != revision:
-            return CommitResult(
-                False, revision, tuple(filter(None, (self._entry,)))
-            )
-        self.commits += 1
-        (put,) = txn.puts
-        self._entry = Entry(put.key, put.body, self.commits)
-        if self.loses_answers:
-            raise StoreError('no answer')
-        return CommitResult(True, self.commits)
-
-
 class _Watch:
     """The real watch of a leader's workers, over a store of its own."""
 
     def __init__(self, harness: SchedulerHarness, exclusive_ms: int) -> None:
         at_ms = harness.at_ms
-        self.store = _RosterStore()
+        self.store = RosterStore()
         self.service = SchedulerService(
             harness.scheduler,
             Leadership(at_ms + ACTING_MS, at_ms + exclusive_ms),
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -264,11 +264,14 @@
     """
     left = Roster(remaining_ms={WORKER_ID: TIMING.handover_ms})
     store.put(ROSTER_KEY, json.loads(encode_roster(left)))
-    with _worker(store):
+    with _worker(store) as worker:
         leader = _leader(store)
         leader.open()
         handover_state = _handover_state(store)
-        assert handover_state.load_roster() == Roster(frozenset((WORKER_ID,)))
+        addresses = {WORKER_ID: f'{HOST}:{worker.port}'}
+        assert handover_state.load_roster() == Roster(
+            frozenset((WORKER_ID,)), addresses=addresses
+        )
         leader.close()
 
 
