--- a/tests/scheduling/test_suspension.py
+++ b/tests/scheduling/test_suspension.py
@@ -10,7 +10,7 @@
 from gentianpulley.cluster.handover_state import HandoverState
 from gentianpulley.cluster.leader_store import LeaderStore
 from gentianpulley.cluster.leader_watches import WorkerWatch
-from gentianpulley.cluster.roster import Roster, covers, decode_roster
+from gentianpulley.cluster.roster import Roster, covers
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_service import Leadership, SchedulerService
 from gentianpulley.cluster.scheduler_state import LeaderTerm
@@ -28,7 +28,6 @@
 from gentianpulley.deadline import now_ms
 from gentianpulley.errors import StoreError
 from gentianpulley.logs import EventLog
-from gentianpulley.store import CommitResult, Entry, Transaction
 from tests.scheduling.harness import (
     TIMING,
     SchedulerHarness,
@@ -37,6 +36,7 @@
     registration,
     step,
 )
+from tests.scheduling.roster_store import RosterStore
 
 MARGIN_MS = 1000
 ACTING_MS = 60_000
@@ -241,41 +241,12 @@
     assert not _worker(harness).is_suspended
 
 
-class _RosterStore:
-    """A store that applies each commit, and may lose the answers."""
-
-    def __init__(self) -> None:
-        self.loses_answers = False
-        self.commits = 0
-        self._entry: Entry | None = None
-
-    @property
-    def roster(self) -> Roster:
-        """Return the roster that the next leader would read."""
-        assert self._entry is not None
-        return decode_roster(self._entry.body)
-
-    def commit(self, txn: Transaction) -> CommitResult:
-        """Apply a transaction whose precondition holds."""
-        revision = self._entry.revision if self._entry else 0
-        if txn.preconditions[0].revision != revision:
-            return CommitResult(
-                False, revision, tuple(filter(None, (self._entry,)))
-            )
-        self.commits += 1
-        (put,) = txn.puts
-        self._entry = Entry(put.key, put.body, self.commits)
-        if self.loses_answers:
-            raise StoreError('no answer')
-        return CommitResult(True, self.commits)
-
-
 class _Watch:
     """The real watch of a leader's workers, over a store of its own."""
 
     def __init__(self, harness: SchedulerHarness, exclusive_ms: int) -> None:
         at_ms = harness.at_ms
-        self.store = _RosterStore()
+        self.store = RosterStore()
         self.service = SchedulerService(
             harness.scheduler,
             Leadership(at_ms + ACTING_MS, at_ms + exclusive_ms),
@@ -376,12 +347,16 @@
         (Roster(W1, {'w2': 499}), False),
         (Roster(W1), False),
         (Roster(NO_WORKERS, {'w1': ACTING_MS, 'w2': 500}), False),
+        (Roster(W1, {'w2': 500}, {'w1': 'other:80'}), False),
     ],
 )
 def test_a_roster_that_tells_of_less_is_not_enough(
     stored: Roster, *, is_covered: bool
 ) -> None:
-    assert covers(stored, Roster(W1, {'w2': 500})) == is_covered
+    roster = Roster(W1, {'w2': 500}, {'w1': 'host:80'})
+    addresses = stored.addresses or roster.addresses
+    known = replace(stored, addresses=addresses)
+    assert covers(known, roster) == is_covered
 
 
 def test_an_update_of_its_registration_uses_no_suspended_worker() -> None:
