--- a/src/gentianpulley/cluster/election_policy.py
+++ b/src/gentianpulley/cluster/election_policy.py
@@ -54,11 +54,24 @@
 class Candidate:
     """An instance that leads or is a candidate for leader.
 
-    The capacity is None if an instance of an older version leads.
+    The capacity is None and the address empty if an instance of an older
+    version leads. Only one process at a time listens on the address.
     """
 
     instance: str
     capacity: InstanceCapacity | None = None
+    address: str = ''
+
+    def is_same_machine(self, other: 'Candidate') -> bool:
+        """Return whether another candidate is certain to be on this machine.
+
+        A machine that replaces another may get its name, at another address.
+        """
+        return (
+            bool(self.address)
+            and self.address == other.address
+            and self.instance == other.instance
+        )
 
     @property
     def size_milli(self) -> int | None:
--- a/src/gentianpulley/cluster/leader_elector.py
+++ b/src/gentianpulley/cluster/leader_elector.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
+from gentianpulley.cluster.ended_term import EndedTerm
 from gentianpulley.cluster.election_policy import Candidate, encode_candidate
 from gentianpulley.cluster.election_state import ElectionState
 from gentianpulley.cluster.job_storage import LEADER_KEY
@@ -63,6 +64,9 @@
             'campaign', LEADERSHIP_CHECK_INTERVAL_S, dependencies.log
         )
         self._election_state = ElectionState(own, dependencies, is_healthy)
+        self._ended_term = EndedTerm(
+            own, dependencies.store, dependencies.timing, dependencies.log
+        )
         self._dependencies = dependencies
         self._store = dependencies.store
         self._key_store = dependencies.store.with_own_conns()
@@ -101,6 +105,12 @@
 
     def step(self) -> None:
         """Continue leading if this instance leads, else run for leader."""
+        try:
+            self._ended_term.end(now_ms())
+        except StoreError as exc:
+            # This process runs for leader only once the store answers.
+            self.log.store_trouble(exc.text)
+            return
         while self._closed_domains is None and not self.is_stopping:
             self.pause(DOMAINS_CHECK_INTERVAL_S)
         try:
--- a/src/gentianpulley/cluster/leader_watches.py
+++ b/src/gentianpulley/cluster/leader_watches.py
@@ -190,7 +190,9 @@
             previous_ids = self._handover_state.roster.worker_ids
             with self.scheduler_service.lock:
                 scheduler = self.scheduler_service.scheduler
-                roster = scheduler.build_final_roster(previous_ids, now_ms())
+                at_ms = now_ms()
+                roster = scheduler.build_final_roster(previous_ids, at_ms)
+                roster = scheduler.with_term_record(roster, at_ms)
             self._handover_state.save_roster(roster)
 
     def _save_roster(self, used: frozenset[str]) -> None:
@@ -208,6 +210,7 @@
             if service.leadership.is_exclusive(at_ms):
                 service.scheduler.suspend_unresponsive(at_ms)
             roster = service.scheduler.build_roster(previous_ids, used, at_ms)
+            roster = service.scheduler.with_term_record(roster, at_ms)
         self._handover_state.save_roster(roster)
         with service.lock:
             service.scheduler.resume(roster.in_use)
--- a/src/gentianpulley/cluster/roster.py
+++ b/src/gentianpulley/cluster/roster.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from gentianpulley.cluster.term_record import TermRecord
 from gentianpulley.json_decoding import decode_json
 
 
@@ -23,11 +24,12 @@
     For those others, `remaining_ms` gives how long after the roster was written
     a run of an earlier leader may continue. It is a duration, as clocks of
     instances differ: counted from the time of reading it is too long, never
-    too short.
+    too short. `term` is None if the writer did not record its term.
     """
 
     in_use: frozenset[str] = frozenset()
     remaining_ms: Mapping[str, int] = field(default_factory=dict)
+    term: TermRecord | None = None
 
     @property
     def worker_ids(self) -> frozenset[str]:
@@ -47,11 +49,12 @@
 as long as any run of an earlier leader may continue."""
 
 
-class _Document(msgspec.Struct, frozen=True):
+class _Document(msgspec.Struct, frozen=True, omit_defaults=True):
     """A roster as it is stored."""
 
     used: list[str]
     left_ms: dict[str, int]
+    term: TermRecord | None = None
 
 
 _DECODER: Final[msgspec.json.Decoder[_Document | list[str]]] = (
@@ -61,7 +64,9 @@
 
 def encode_roster(roster: Roster) -> bytes:
     """Encode a roster for the store."""
-    document = _Document(sorted(roster.in_use), dict(roster.remaining_ms))
+    document = _Document(
+        sorted(roster.in_use), dict(roster.remaining_ms), roster.term
+    )
     return msgspec.json.encode(document)
 
 
@@ -70,4 +75,4 @@
     decoded = decode_json(_DECODER, body)
     if isinstance(decoded, list):
         return Roster(frozenset(decoded))
-    return Roster(frozenset(decoded.used), decoded.left_ms)
+    return Roster(frozenset(decoded.used), decoded.left_ms, decoded.term)
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -1,10 +1,12 @@
 """State that a leader takes over, and that it leaves to the next leader."""
 
+from dataclasses import replace
 from typing import NamedTuple
 
 from gentianpulley.cluster.worker_protocol import Listing, WorkerRegistration
 from gentianpulley.cluster.roster import Roster
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
+from gentianpulley.cluster.term_record import TermRecord
 from gentianpulley.cluster.worker_suspension import WorkerSuspension
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.jobs.job import StepRun
@@ -136,6 +138,22 @@
             left_ms[worker_id] = max(0, until_ms - now_ms)
         return Roster(roster.in_use & self._unanswered_starts.keys(), left_ms)
 
+    def with_term_record(self, roster: Roster, now_ms: int) -> Roster:
+        """Return a roster that also records the term that writes it.
+
+        An earlier leader that was cut off may meet the next incarnation of a
+        worker that this one has fenced, so only time ends its runs.
+        """
+        until_ms = max(
+            map(self.term.earlier_runs_until_ms, roster.in_use), default=now_ms
+        )
+        record = TermRecord(
+            self.term.token,
+            max(0, until_ms - now_ms),
+            frozenset(roster.in_use & self._unanswered_starts.keys()),
+        )
+        return replace(roster, term=record)
+
     def end_incarnation(
         self, worker_id: str, now_ms: int, *, is_replaced: bool = False
     ) -> None:
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -95,7 +95,9 @@
             log=log,
             link_bytes_s=settings.capacity.link_bytes_s,
         )
-        local_candidate = Candidate(settings.instance, settings.capacity)
+        local_candidate = Candidate(
+            settings.instance, settings.capacity, str(settings.front)
+        )
         self._elector = LeaderElector(
             local_candidate, components, self.is_ready
         )
--- a/tests/scheduling/simulated_store.py
+++ b/tests/scheduling/simulated_store.py
@@ -4,7 +4,9 @@
 import random
 from typing import cast
 
+from gentianpulley.cluster.election_policy import Candidate, encode_candidate
 from gentianpulley.cluster.handover_state import HandoverState
+from gentianpulley.cluster.job_storage import LEADER_KEY
 from gentianpulley.cluster.leader_store import create_leader_store
 from gentianpulley.errors import StoreError
 from gentianpulley.logs import EventLog
@@ -18,7 +20,6 @@
     Transaction,
 )
 
-LEADER_KEY = 'leader'
 MAX_DELAY_MS = 9000
 
 
@@ -46,9 +47,10 @@
         self._entries: dict[str, Entry] = {}
         self._late_commits: list[tuple[int, Transaction]] = []
 
-    def elect_leader(self) -> HandoverState:
+    def elect_leader(self, candidate: Candidate) -> HandoverState:
         """Replace the leader's key; return the next leader's state."""
-        self._apply(Transaction((), (Put(LEADER_KEY, b''),)))
+        put = Put(LEADER_KEY, encode_candidate(candidate))
+        self._apply(Transaction((), (put,)))
         leader = Precondition(LEADER_KEY, self._revision)
         leader_store = create_leader_store(cast(Store, self), leader)
         return HandoverState(leader_store, EventLog())
@@ -86,6 +88,8 @@
                 False, self._revision, tuple(self._entries.values())
             )
         self._revision += 1
+        for key in txn.deletes:
+            self._entries.pop(key, None)
         for put in txn.puts:
             self._entries[put.key] = Entry(put.key, put.body, self._revision)
         return CommitResult(True, self._revision)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
     Listing,
@@ -125,6 +126,10 @@
         """Return the actions that only this kind of simulation has."""
         return []
 
+    def create_candidate(self, index: int) -> Candidate:
+        """Return the candidate that leads as this one of the leaders."""
+        return Candidate(f'i{index}', address=f'10.0.0.{index}:80')
+
     # Actions.
 
     def add_job(self) -> None:
@@ -297,7 +302,10 @@
         self.token += 1
         handover_state = None
         if self._loses_workers:
-            handover_state = self.store.elect_leader()
+            handover_state = self.store.elect_leader(
+                self.create_candidate(len(self.leaders))
+            )
+            self.token = handover_state.store.leader.revision
             roster = handover_state.load_roster()
         else:
             roster = decode_roster(self.roster)
@@ -392,6 +400,7 @@
         previous = handover_state.roster.worker_ids
         scheduler.suspend_unresponsive(self.now_ms)
         roster = scheduler.build_roster(previous, used, self.now_ms)
+        roster = scheduler.with_term_record(roster, self.now_ms)
         self.store.now_ms = self.now_ms
         try:
             handover_state.save_roster(roster)
@@ -410,6 +419,7 @@
             return
         previous = leader.handover_state.roster.worker_ids
         roster = scheduler.build_final_roster(previous, self.now_ms)
+        roster = scheduler.with_term_record(roster, self.now_ms)
         self.store.now_ms = self.now_ms
         with suppress(StoreError):
             leader.handover_state.save_roster(roster)
