--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -10,6 +10,7 @@
 
 from gentianpulley.cluster import (
     draining,
+    ended_term,
     maintenance,
     maintenance_loop,
     pacing,
@@ -17,6 +18,7 @@
     wave_records,
     worker_suspension,
 )
+from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.scheduler_service import (
@@ -27,6 +29,7 @@
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
+from gentianpulley.cluster.takeover import Takeover
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker import Reservation
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
@@ -73,6 +76,35 @@
     )
 
 
+def earlier_terms() -> None:
+    """Ignore the leaders before the one whose process has ended."""
+    add_record = Takeover.with_term_record
+
+    def forget_earlier(state: Any, roster: Any, now_ms: int) -> Any:
+        recorded: Any = add_record(state, roster, now_ms)
+        record = dataclasses.replace(recorded.term, earlier_left_ms=0)
+        return dataclasses.replace(recorded, term=record)
+
+    replace(Takeover, 'with_term_record', forget_earlier)
+
+
+def ended_late() -> None:
+    """End a term whatever the revisions of the key and the roster."""
+    replace(
+        ended_term, 'Transaction', lambda _, *writes: Transaction((), *writes)
+    )
+
+
+def ended_term_kept() -> None:
+    """Leave the term of the previous process as it is."""
+    replace(ended_term.EndedTerm, 'end', lambda *_: None)
+
+
+def same_machine() -> None:
+    """Take any leader for the previous process of the same instance."""
+    replace(Candidate, 'is_same_machine', lambda *_: True)
+
+
 def earlier_sending() -> None:
     """Treat any refusal of a start as conclusive for all its sendings."""
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
@@ -258,6 +290,9 @@
     'domains-amid-load': domains_amid_load,
     'domains-first': domains_first,
     'earlier-sending': earlier_sending,
+    'earlier-terms': earlier_terms,
+    'ended-late': ended_late,
+    'ended-term': ended_term_kept,
     'handover': handover,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
@@ -266,6 +301,7 @@
     'open-starts': open_starts,
     'restarted-start': restarted_start,
     'rests': suspensions,
+    'same-machine': same_machine,
     'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
     'suspended-wait': suspended_wait,
--- a/tests/scheduling/simulated_store.py
+++ b/tests/scheduling/simulated_store.py
@@ -52,9 +52,13 @@
         put = Put(LEADER_KEY, encode_candidate(candidate))
         self._apply(Transaction((), (put,)))
         leader = Precondition(LEADER_KEY, self._revision)
-        leader_store = create_leader_store(cast(Store, self), leader)
+        leader_store = create_leader_store(self.as_store(), leader)
         return HandoverState(leader_store, EventLog())
 
+    def as_store(self) -> Store:
+        """Return this as the interface of which it has a part."""
+        return cast(Store, self)
+
     def read(self, key: str) -> Entry | None:
         """Return an entry, None if it does not exist."""
         return self._entries.get(key)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -90,7 +90,9 @@
         """Start with one leader, some workers and some jobs."""
         self._short_terms = short_terms
         self._loses_workers = loses_workers
-        self._durations_ms = LONG_RUNS_MS if loses_workers else SHORT_RUNS_MS
+        self._durations_ms: tuple[int, ...] = (
+            LONG_RUNS_MS if loses_workers else SHORT_RUNS_MS
+        )
         self.rng = random.Random(seed)
         self.now_ms = START_MS
         self.violations: list[str] = []
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.scheduling.harness import TIMING
+from tests.scheduling.simulated_process_ends import ProcessEndSimulation
 from tests.scheduling.simulated_replacements import ReplacementSimulation
 from tests.scheduling.simulation import run_simulation
 
@@ -39,9 +40,18 @@
 """Seeds that run a job twice after a worker and the leader are lost if a leader
 renews a lease before the roster shows the worker as used again."""
 
+EARLIER_TERM_SEEDS = (30, 33)
+"""Seeds that run a job twice in short leader terms if the end of a term ignores
+the leaders before it."""
+
+ACTING_LEADER_SEEDS = (47,)
+"""Seeds that run a job twice in short leader terms if a term is ended while its
+leader acts."""
+
 LOSS_SEEDS = (*range(60), *UNSTORED_LEASE_SEEDS)
 SEEDS = (*range(120), *NON_EXCLUSIVE_SEEDS)
 STEPS = 700
+PROCESS_STEPS = 500
 SHORT_WAITS = 20
 
 
@@ -147,6 +157,48 @@
     assert not any(simulation.violations for simulation in simulations)
 
 
+@pytest.mark.parametrize('short_terms', [False, True])
+@pytest.mark.parametrize('seed', range(30))
+def test_nothing_runs_twice_after_a_process_that_ended_a_term(
+    seed: int, short_terms: bool
+) -> None:
+    """The next leader waits for the last lease of a process that is gone."""
+    assert _end_processes(seed, short_terms=short_terms).violations == []
+
+
+@pytest.mark.proof('earlier-terms')
+@pytest.mark.parametrize('seed', EARLIER_TERM_SEEDS)
+def test_a_leader_before_the_ended_term_still_renews_leases(seed: int) -> None:
+    assert _end_processes(seed, short_terms=True).violations == []
+
+
+@pytest.mark.proof('same-machine')
+@pytest.mark.parametrize('seed', ACTING_LEADER_SEEDS)
+def test_a_term_was_ended_while_its_leader_acts(seed: int) -> None:
+    """A machine of the same name has started at another address."""
+    assert _end_processes(seed, short_terms=True).violations == []
+
+
+def test_the_model_of_processes_ends_terms_and_shortens_waits() -> None:
+    simulations = [
+        _end_processes(seed, short_terms=False) for seed in range(10)
+    ]
+    assert sum(each.ended_terms for each in simulations) > SHORT_WAITS
+    assert sum(each.short_waits for each in simulations) > SHORT_WAITS
+
+
+def _end_processes(seed: int, *, short_terms: bool) -> ProcessEndSimulation:
+    simulation = run_simulation(
+        seed,
+        PROCESS_STEPS,
+        short_terms=short_terms,
+        loses_workers=True,
+        simulation_type=ProcessEndSimulation,
+    )
+    assert isinstance(simulation, ProcessEndSimulation)
+    return simulation
+
+
 def test_a_lost_worker_is_waited_for_no_longer_than_its_lease() -> None:
     """The model leads to short waits, not only to complete ones."""
     simulations = [
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -12,7 +12,11 @@
 from gentianpulley.cluster import election_policy
 from gentianpulley.cluster.session_loop import THREAD_NAME
 from gentianpulley.cluster.leader_elector import LeaderElector
-from gentianpulley.cluster.election_policy import Candidate, decode_candidate
+from gentianpulley.cluster.election_policy import (
+    Candidate,
+    decode_candidate,
+    encode_candidate,
+)
 from gentianpulley.cluster.capacity import InstanceCapacity
 from gentianpulley.cluster.handover_state import ROSTER_KEY
 from gentianpulley.cluster.job_storage import (
@@ -232,8 +236,46 @@
     wait_until(lambda: elector.is_leading)
 
 
+@pytest.mark.proof('ended-term')
+def test_the_key_of_a_killed_leader_was_waited_for_beside_its_next_process(
+    election: Election,
+) -> None:
+    """Nobody led before the key's lease had expired."""
+    own = _candidate('killed', SMALL)
+    election.store.put(LEADER_KEY, json.loads(encode_candidate(own)))
+    elector = election.create('killed', SMALL)
+    elector.start()
+    wait_until(lambda: not election.leader(), 1)
+    elector.replace_closed_domains(frozenset())
+    wait_until(lambda: elector.is_leading)
+
+
+@pytest.mark.proof('same-machine')
+def test_the_key_of_a_machine_of_the_same_name_stays(
+    election: Election,
+) -> None:
+    own = replace(_candidate('replaced', SMALL), address='10.0.0.1:80')
+    election.store.put(LEADER_KEY, json.loads(encode_candidate(own)))
+    election.join('replaced', LARGE)
+    time.sleep(PAUSE_S)
+    assert election.leader() == 'replaced'
+
+
+def test_other_instances_go_before_one_whose_process_was_killed(
+    election: Election,
+) -> None:
+    """One that is killed each time it leads does not lead again at once."""
+    own = _candidate('killed', LARGE)
+    election.store.put(LEADER_KEY, json.loads(encode_candidate(own)))
+    other = election.join('other', LARGE)
+    time.sleep(PAUSE_S)
+    election.join('killed', LARGE)
+    wait_until(lambda: other.is_leading)
+
+
 def _candidate(name: str, milli: int) -> Candidate:
-    return Candidate(name, InstanceCapacity(processors_milli=milli))
+    capacity = InstanceCapacity(processors_milli=milli)
+    return Candidate(name, capacity, f'{name}:80')
 
 
 @pytest.fixture
