--- a/src/gentianpulley/cluster/roster.py
+++ b/src/gentianpulley/cluster/roster.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from gentianpulley.cluster.term_record import TermRecord
 from gentianpulley.json_decoding import decode_json
 
 
@@ -24,12 +25,14 @@
     a run of an earlier leader may continue. It is a duration, as clocks of
     instances differ: counted from the time of reading it is too long, never
     too short. `addresses` gives the address at which each worker was last sent
-    orders, where it is known.
+    orders, where it is known. `term` is None if the
+    writer did not record its term.
     """
 
     in_use: frozenset[str] = frozenset()
     remaining_ms: Mapping[str, int] = field(default_factory=dict)
     addresses: Mapping[str, str] = field(default_factory=dict)
+    term: TermRecord | None = None
 
     @property
     def worker_ids(self) -> frozenset[str]:
@@ -53,6 +56,8 @@
     """Return whether a leader that reads `stored` expects no less."""
     if not roster.addresses.items() <= stored.addresses.items():
         return False
+    if not _covers_term(stored.term, roster.term):
+        return False
     return roster.in_use <= stored.in_use and all(
         worker_id in stored.in_use
         or stored.remaining_ms.get(worker_id, -1) >= left_ms
@@ -60,6 +65,16 @@
     )
 
 
+def _covers_term(stored: TermRecord | None, term: TermRecord | None) -> bool:
+    """Return whether a stored record leaves no less to expect of its term.
+
+    That of another term, or none, tells nothing of it.
+    """
+    if stored is None or term is None or stored.token != term.token:
+        return True
+    return term.unanswered_start_ids <= stored.unanswered_start_ids
+
+
 class _Document(msgspec.Struct, frozen=True, omit_defaults=True):
     """A roster as it is stored.
 
@@ -69,6 +84,7 @@
     used: list[str]
     left_ms: dict[str, int]
     at: list[str] = []
+    term: TermRecord | None = None
 
 
 _DECODER: Final[msgspec.json.Decoder[_Document | list[str]]] = (
@@ -82,7 +98,7 @@
     left_ms = dict(roster.remaining_ms)
     worker_ids = [*used, *left_ms]
     at = [roster.addresses.get(each, '') for each in worker_ids]
-    document = _Document(used, left_ms, at if any(at) else [])
+    document = _Document(used, left_ms, at if any(at) else [], roster.term)
     return msgspec.json.encode(document)
 
 
@@ -97,4 +113,6 @@
         for worker_id, address in zip(worker_ids, decoded.at, strict=False)
         if address
     }
-    return Roster(frozenset(decoded.used), decoded.left_ms, addresses)
+    return Roster(
+        frozenset(decoded.used), decoded.left_ms, addresses, decoded.term
+    )
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -12,6 +12,7 @@
 from gentianpulley.cluster import (
     absent_worker_prober,
     draining,
+    ended_term,
     handover_state,
     maintenance,
     maintenance_loop,
@@ -23,6 +24,7 @@
 )
 from gentianpulley.cluster.absent_worker_prober import AbsentWorkerProber
 from gentianpulley.cluster.absent_workers import AbsentWorkers
+from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.leader_watches import WorkerWatch
@@ -34,6 +36,7 @@
 from gentianpulley.cluster.scheduler import Scheduler
 from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
+from gentianpulley.cluster.takeover import Takeover
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker import Reservation, Worker
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
@@ -81,6 +84,35 @@
     )
 
 
+def earlier_terms() -> None:
+    """Ignore the leaders before the one whose process has ended."""
+    add_record = Takeover.with_term_record
+
+    def forget_earlier(state: Any, roster: Any, now_ms: int) -> Any:
+        recorded: Any = add_record(state, roster, now_ms)
+        record = dataclasses.replace(recorded.term, earlier_left_ms=0)
+        return dataclasses.replace(recorded, term=record)
+
+    replace(Takeover, 'with_term_record', forget_earlier)
+
+
+def ended_late() -> None:
+    """End a term whatever the revisions of the key and the roster."""
+    replace(
+        ended_term, 'Transaction', lambda _, *writes: Transaction((), *writes)
+    )
+
+
+def ended_term_kept() -> None:
+    """Leave the term of the previous process as it is."""
+    replace(ended_term.EndedTerm, 'end', lambda *_: None)
+
+
+def same_machine() -> None:
+    """Take any leader for the previous process of the same instance."""
+    replace(Candidate, 'is_same_machine', lambda *_: True)
+
+
 def earlier_sending() -> None:
     """Treat any refusal of a start as conclusive for all its sendings."""
     replace(run_tracker, 'INCONCLUSIVE_VERDICTS', frozenset())
@@ -351,6 +383,9 @@
     'domains-first': domains_first,
     'earlier-sending': earlier_sending,
     'former-orders': former_orders,
+    'earlier-terms': earlier_terms,
+    'ended-late': ended_late,
+    'ended-term': ended_term_kept,
     'handover': handover,
     'held-placements': held_placements,
     'held-starts': held_starts,
@@ -362,6 +397,7 @@
     'replaced-only': replaced_only,
     'restarted-start': restarted_start,
     'rests': suspensions,
+    'same-machine': same_machine,
     'serving-worker-known': serving_worker_known,
     'silent-sending': unanswered_sending,
     'stored-roster': stored_roster,
