Workers: numbers out of range in an entry or list are not taken over

Callers would have seen: no job of anybody is started any more once one worker registers a capacity of 10**400, or lists such a clock, progress or measurement. Each plan failed with OverflowError (task_placement, timing, straggler_detection) as long as that worker was known.

Cause: as for submissions, integers of any size met floats. Those numbers have to fit into 64 bits now. An entry with others is no worker; a list with others is no answer, as with any row that can't be read.

The test failed before and is red with the guard off (worker-bounds).

--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -100,9 +100,9 @@
 class WireCapacity(Struct, frozen=True):
     """A worker's capacity; "cpu" is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: BoundedInt = 0
+    mem_mb: BoundedInt = 0
+    gpus: BoundedInt = 0
 
 
 class WireRegistration(Struct, frozen=True):
@@ -115,9 +115,9 @@
     capacity: WireCapacity = WireCapacity()
     labels: tuple[str, ...] = ()
     # How much longer the worker will be slow, not how long it has been cold.
-    cold_ms: int = field(name='cold_left_ms', default=0)
+    cold_ms: BoundedInt = field(name='cold_left_ms', default=0)
     # While the worker drains: the minimum time until it leaves.
-    leaves_ms: int = field(name='remaining_ms', default=0)
+    leaves_ms: BoundedInt = field(name='remaining_ms', default=0)
     born_ms: int = field(name='born', default=0)
 
 
@@ -170,7 +170,7 @@
     not list the pace.
     """
 
-    clock_ms: int = 0
+    clock_ms: BoundedInt = 0
     born_ms: int = field(name='born', default=0)
     running: tuple[tuple[Any, ...], ...] = ()
     ended: tuple[tuple[Any, ...], ...] = ()
@@ -179,7 +179,7 @@
 class WireWorkerResponse(Struct, frozen=True):
     """A worker's response to an order."""
 
-    clock_ms: int = 0
+    clock_ms: BoundedInt = 0
     born_ms: int = field(name='born', default=0)
     reason: str = ''
 
--- a/src/gentianpulley/platform/worker_client.py
+++ b/src/gentianpulley/platform/worker_client.py
@@ -34,6 +34,7 @@
 from gentianpulley.messages import worker_call_failed
 from gentianpulley.platform.task_names import parse_task_name, task_name
 from gentianpulley.platform.wire import (
+    MAX_NUMBER,
     RUN_LISTS_DECODER,
     WORKER_RESPONSE_DECODER,
     WireLeaseRenewal,
@@ -64,7 +65,7 @@
     AttributeError,
     OverflowError,
 )
-"""Errors of rows of run lists that are too short or have other types."""
+"""Errors of rows that are too short, or have other types or sizes."""
 
 _REASONS: Final = MappingProxyType(
     {
@@ -235,11 +236,19 @@
     return RunningRow(
         RunKey(parse_task_name(row[0]), int(row[1])),
         str(row[2] or ''),
-        int(progress or 0),
-        int(measurement or 0),
+        _bounded(progress or 0),
+        _bounded(measurement or 0),
     )
 
 
+def _bounded(cell: Any) -> int:
+    """Return the number in a cell; raises `ValueError` if out of range."""
+    number = int(cell)
+    if abs(number) > MAX_NUMBER:
+        raise ValueError(number)
+    return number
+
+
 def _ended_row(row: tuple[Any, ...]) -> EndedRow:
     number, *run, how, checkpoint = row
     return EndedRow(
--- a/tests/input_guards.py
+++ b/tests/input_guards.py
@@ -7,23 +7,48 @@
 from pathlib import Path
 from types import ModuleType
 
-from gentianpulley.platform import ingress, operator_watch, wire
+from gentianpulley.platform import (
+    directory,
+    ingress,
+    operator_watch,
+    wire,
+    worker_client,
+)
 from tests.cluster_guards import replace
 
 
 def number_bounds() -> None:
-    """Decode numbers of any size."""
+    """Decode numbers of submissions and cfgs of any size."""
+    _replace_decoders(
+        (wire, ingress, operator_watch),
+        ('JOB_DECODER', 'CFG_DECODER', 'WAVE_DECODER'),
+    )
+
+
+def worker_bounds() -> None:
+    """Decode numbers of workers of any size."""
+    _replace_decoders(
+        (directory, worker_client),
+        ('REGISTRATION_DECODER', 'RUN_LISTS_DECODER'),
+    )
+    replace(worker_client, '_bounded', int)
+
+
+def _replace_decoders(
+    modules: tuple[ModuleType, ...], names: tuple[str, ...]
+) -> None:
     source = Path(wire.__file__).read_text()
     for kind in ('int', 'float'):
         source = source.replace(f'Annotated[{kind}, _IN_RANGE]', kind)
     unbounded = ModuleType(wire.__name__)
     exec(source, unbounded.__dict__)
-    for name in ('JOB_DECODER', 'CFG_DECODER', 'WAVE_DECODER'):
-        for module in (wire, ingress, operator_watch):
+    for name in names:
+        for module in modules:
             if hasattr(module, name):
                 replace(module, name, getattr(unbounded, name))
 
 
 INPUT_GUARDS: dict[str, Callable[[], None]] = {
     'number-bounds': number_bounds,
+    'worker-bounds': worker_bounds,
 }
