Operators: a wave whose numbers are out of range is left out

Operators would have seen no wave begin any more: with one key op/wave/N that holds "within_s": 1e306, each instance failed in each read of op/ (OverflowError), followed no more changes and read all again 5 times a second. Numbers of a wave have to fit into 64 bits now; another one is left out with a line in the log.

--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -238,10 +238,10 @@
     """A maintenance wave requested by operators."""
 
     # The number of the wave.
-    wave: int
+    wave: BoundedInt
     machine_ids: tuple[str, ...] = field(name='machines')
-    within_s: float
-    at_most: int
+    within_s: BoundedFloat
+    at_most: BoundedInt
 
 
 class WireWaveStatus(Struct, frozen=True):
