Leader: a stored job that cannot be used is left out of the load

Callers would have seen: nothing starts any more, on any leader. Of a job whose stored steps name a step that does not exist, each plan failed (KeyError); one whose record could not be restored (done_mask, e.g.) ended the load of each instance that got the key, and, as a new job, kept the watch at its revision, so that no later job was taken up.

Cause: what a store holds was decoded, but only submissions were checked; an error in one job was an error of the load. decode_job now checks the structure of steps (not the limits on size, which may differ in an older release), and a job that can't be created or restored is logged and left out. Its state is answered from its record, and what it runs is stopped, as for any run of a job that the leader doesn't have. Restoring without its record was ruled out: done tasks would run again.

--- a/src/gentianpulley/cluster/job_storage.py
+++ b/src/gentianpulley/cluster/job_storage.py
@@ -186,6 +186,26 @@
             self._log.document_damaged(entry.key, str(exc))
         return None
 
+    def create_job(
+        self,
+        spec: JobSpec,
+        record: JobRecord | None = None,
+        *,
+        is_inherited: bool,
+    ) -> Job | None:
+        """Return a job; None if it cannot be used, which is logged.
+
+        One such job must not keep a leader from all others.
+        """
+        try:
+            job = create_job(spec, is_inherited=is_inherited)
+            if record is not None:
+                restore_job(job, record)
+        except Exception as error:
+            self._log.document_damaged(job_key(spec.job_id), repr(error))
+            return None
+        return job
+
     def has_ended(self, job_id: str) -> bool:
         """Return whether a job has a final record, or had one recently."""
         return job_id in self._ended or job_id in self._deleted_ids
@@ -237,15 +257,12 @@
     def _restore_if_unfinished(
         self, entry: Entry, records: Mapping[str, JobRecord]
     ) -> Job | None:
-        """Return a stored job, or None if it has ended or is corrupt."""
+        """Return a stored job, or None if it has ended or is unusable."""
         spec = self.decode_spec(entry)
         record = records.get(spec.job_id) if spec else None
         if spec is None or (record is not None and record.state.is_final):
             return None
-        job = create_job(spec, is_inherited=True)
-        if record is not None:
-            restore_job(job, record)
-        return job
+        return self.create_job(spec, record, is_inherited=True)
 
     def _load_records(self) -> dict[str, JobRecord]:
         records = {}
--- a/src/gentianpulley/cluster/job_watches.py
+++ b/src/gentianpulley/cluster/job_watches.py
@@ -19,7 +19,6 @@
 )
 from gentianpulley.cluster.leader_watches import LeaderWatch
 from gentianpulley.cluster.scheduler_service import Reread, SchedulerService
-from gentianpulley.jobs.job import create_job
 from gentianpulley.prefix_scan import PrefixScan
 from gentianpulley.store import Change, ChangeBatch, Entry, Store
 
@@ -106,7 +105,9 @@
             spec = self._job_store.decode_spec(entry)
             if spec is None or self._job_store.has_ended(spec.job_id):
                 continue
-            self.scheduler_service.add_job(create_job(spec, is_inherited=False))
+            job = self._job_store.create_job(spec, is_inherited=False)
+            if job is not None:
+                self.scheduler_service.add_job(job)
 
 
 class CancellationWatch(LeaderWatch):
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -205,13 +205,20 @@
 
 def _step_error(steps: tuple[StepSpec, ...]) -> str:
     for number, step in enumerate(steps):
-        if not 0 < step.task_count <= MAX_TASKS_IN_STEP:
+        if step.task_count > MAX_TASKS_IN_STEP:
             return f'step {number}: 1 to {MAX_TASKS_IN_STEP} tasks'
-        if any(not 0 <= before < number for before in step.after):
-            return f'step {number}: comes after a step that is not earlier'
         if min(step.resources.as_tuple()) < 0:
             return f'step {number}: negative resources'
-    return ''
+    return _structure_error(steps)
+
+
+def _structure_error(steps: tuple[StepSpec, ...]) -> str:
+    for number, step in enumerate(steps):
+        if step.task_count <= 0:
+            return f'step {number}: no tasks'
+        if any(not 0 <= before < number for before in step.after):
+            return f'step {number}: comes after a step that is not earlier'
+    return '' if steps else 'no steps'
 
 
 def encode_job(spec: JobSpec) -> bytes:
@@ -223,5 +230,12 @@
 
 
 def decode_job(body: bytes) -> JobSpec:
-    """Decode a stored job; raises `msgspec.DecodeError` if malformed."""
-    return decode_json(_SPEC_DECODER, body)
+    """Decode a stored job; raises `msgspec.DecodeError` if malformed.
+
+    A job of an older release may be larger than one is now accepted.
+    """
+    spec = decode_json(_SPEC_DECODER, body)
+    error = _structure_error(spec.steps)
+    if error:
+        raise msgspec.ValidationError(error)
+    return spec
--- a/tests/input_guards.py
+++ b/tests/input_guards.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 from pathlib import Path
 from types import ModuleType
+from typing import Any
 
+from gentianpulley.cluster.job_storage import LeaderJobStore
+from gentianpulley.jobs.job import Job, create_job
+from gentianpulley.jobs.record import restore_job
 from gentianpulley.platform import (
     directory,
     ingress,
@@ -34,6 +38,18 @@
     replace(worker_client, '_bounded', int)
 
 
+def unusable_jobs() -> None:
+    """Let a job that cannot be restored fail the load of all jobs."""
+
+    def create(_: Any, spec: Any, record: Any = None, **options: Any) -> Job:
+        job = create_job(spec, **options)
+        if record is not None:
+            restore_job(job, record)
+        return job
+
+    replace(LeaderJobStore, 'create_job', create)
+
+
 def _replace_decoders(
     modules: tuple[ModuleType, ...], names: tuple[str, ...]
 ) -> None:
@@ -50,5 +66,6 @@
 
 INPUT_GUARDS: dict[str, Callable[[], None]] = {
     'number-bounds': number_bounds,
+    'unusable-jobs': unusable_jobs,
     'worker-bounds': worker_bounds,
 }
