Tests: a leader without an election leads as long as its test

Nobody renews the key of a leader that is made without an election, so after 1.9 s it took up no job, and after 4 s it started none; in this test 2.3 s go by for the read of cancellations alone, if nothing has changed.

The leadership now outlasts the test, which is as strict: the leader has longer to start what it must not. Tests of a key that is lost give a leadership of their own.

--- a/tests/leader_bench.py
+++ b/tests/leader_bench.py
@@ -1,15 +1,11 @@
 """Creates leaders over a fake store, without an election."""
 
 from gentianpulley.cluster.job_storage import LEADER_KEY
-from gentianpulley.cluster.leader import (
-    Leader,
-    LeaderDependencies,
-    create_leadership,
-)
+from gentianpulley.cluster.leader import Leader, LeaderDependencies
 from gentianpulley.cluster.scheduler_service import Leadership
 from gentianpulley.cluster.timing import create_timing
 from gentianpulley.counters import create_counters
-from gentianpulley.deadline import now_ms
+from gentianpulley.deadline import deadline_in
 from gentianpulley.logs import EventLog
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.worker_client import HttpWorkerClientFactory
@@ -21,6 +17,10 @@
 )
 
 
+LASTING_MS = 600_000
+"""Longer than any test: nobody renews the key of such a leader."""
+
+
 def create_leader(
     server: GridStore, client: Store, leadership: Leadership | None = None
 ) -> Leader:
@@ -39,5 +39,7 @@
         counters=create_counters(),
         log=log,
     )
-    leadership = leadership or create_leadership(now_ms(), TIMING)
+    if leadership is None:
+        until_ms = deadline_in(LASTING_MS)
+        leadership = Leadership(until_ms, until_ms)
     return Leader(dependencies, Precondition(LEADER_KEY, token), leadership)
