Proofs: a cancelled run's job has to be finished, not just unqueued yet

Alone it was red 4 of 4 times.

Cause, by reading: the test waits until the job isn't placed any more and then asserts that nobody was told of a requeued job. With the guard off the job is stored as queued first and told after that, so the assertion may come between the two.

The test now also asserts that the job is finished, which is stricter and holds from the stored state alone. Red 3 of 3 with the guard off.

--- a/tests/proofs/test_once.py
+++ b/tests/proofs/test_once.py
@@ -353,6 +353,10 @@
     link.switch(LinkState.UP)
     reconciler.step()
     wait_for(lambda: _has_ended(harness, 'cancelled'), 5)
+    ended = harness.jobs.read('cancelled')
+    assert ended is not None
+    # What goes back to its queue is stored so before anyone is told.
+    assert ended.job.state is JobState.FINISHED
     assert not harness.requeued
 
 
