Tests: a damaged hand-over is left out however late the store answers

Its subject is the damage, not the store's pace. `await_store` lets the client wait for each response; what time-outs do is tested in tests/contracts and test_narrow_link.

--- a/tests/leader_bench.py
+++ b/tests/leader_bench.py
@@ -1,5 +1,7 @@
 """Creates leaders over a fake store, without an election."""
 
+import pytest
+
 from gentianpulley.cluster.job_storage import LEADER_KEY
 from gentianpulley.cluster.leader import Leader, LeaderDependencies
 from gentianpulley.cluster.scheduler_service import Leadership
@@ -7,6 +9,7 @@
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import deadline_in
 from gentianpulley.logs import EventLog
+from gentianpulley.platform import kv_store
 from gentianpulley.platform.directory import create_directory
 from gentianpulley.platform.worker_client import HttpWorkerClientFactory
 from gentianpulley.store import Precondition, Store
@@ -21,6 +24,18 @@
 """Longer than any test: nobody renews the key of such a leader."""
 
 
+PATIENCE_MS = 60_000
+
+
+def await_store(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let clients of the store wait for each response, however late.
+
+    For tests of other things than a store that is slow.
+    """
+    for kind in ('CALL', 'COMMIT', 'IDLE'):
+        monkeypatch.setattr(kv_store, f'{kind}_TIMEOUT_MS', PATIENCE_MS)
+
+
 def create_leader(
     server: GridStore, client: Store, leadership: Leadership | None = None
 ) -> Leader:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -50,7 +50,7 @@
 from standins.grid_site import wait_until
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
-from tests.leader_bench import TIMING, create_leader
+from tests.leader_bench import TIMING, await_store, create_leader
 from tests.scheduling.harness import JOB_ID, job, step
 
 
@@ -136,7 +136,10 @@
     ) == pytest.approx(learned, abs=0.01)
 
 
-def test_a_damaged_hand_over_is_left_out(store: GridStore) -> None:
+def test_a_damaged_hand_over_is_left_out(
+    store: GridStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await_store(monkeypatch)
     store.put(INTERFERENCE_KEY, b'{"serving"')
     leader = _leader(store)
     service = _open_service(leader)
