Tests: records are written, however late the store answers

- test_records_that_met_a_fault_are_written_later[True]: a leader that hands over writes once and doesn't try again, so one write that took over 0.6 s left the records to the next leader.
The subject is the fault before the write; the client now waits for the store (`await_store`).
- test_one_record_that_is_larger_than_a_usual_write_is_written read the record back over the narrow link, with a time-out that isn't its subject.
It now looks into the store, which is as strict.

That these were the causes at that time is likely, not shown.

--- a/tests/test_saving.py
+++ b/tests/test_saving.py
@@ -39,7 +39,7 @@
 from standins.grid_site import wait_until
 from standins.grid_store import HOST, GridStore
 from standins.tcp_proxy import TcpProxy
-from tests.leader_bench import create_leader
+from tests.leader_bench import await_store, create_leader
 from tests.scheduling.harness import job, step
 
 MAX_TRANSACTION_OPERATIONS = 32
@@ -118,6 +118,7 @@
             raise RuntimeError(errors.pop())
         return create_record(saved_job, saved_ms)
 
+    await_store(monkeypatch)
     monkeypatch.setattr(job_storage, 'create_record', failing_create_record)
     leader = create_leader(server, _client(server))
     leader.open()
@@ -228,7 +229,7 @@
     job_store.save(
         split_into_batches([_job_with_checkpoints(JOB_IDS[0], MAX_WIDTH)])
     )
-    assert client.read(record_key(JOB_IDS[0])) is not None
+    assert server.item(record_key(JOB_IDS[0])) is not None
     link.close()
 
 
