Interleavings: workers come back under their ids at other addresses

The next leader might ask at an address that another worker holds by then, and take its answer for the end of a worker that runs elsewhere.

--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -20,6 +20,7 @@
 )
 from gentianpulley.cluster.absent_worker_prober import AbsentWorkerProber
 from gentianpulley.cluster.absent_workers import AbsentWorkers
+from gentianpulley.cluster.handover_state import HandoverState
 from gentianpulley.cluster.leader import Leader
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.scheduler_service import (
@@ -155,6 +156,16 @@
     replace(LeaderElector, '__init__', __init__)
 
 
+def address_stored() -> None:
+    """Use a worker at an address that the stored roster may not show."""
+    has_marked_used = HandoverState.has_marked_used
+    replace(
+        HandoverState,
+        'has_marked_used',
+        lambda state, worker_ids, _=None: has_marked_used(state, worker_ids),
+    )
+
+
 def absent_workers() -> None:
     """Ask no worker that is missing from the directory."""
     replace(AbsentWorkerProber, 'ask_due', lambda *_: None)
@@ -272,6 +283,7 @@
 
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'absent-workers': absent_workers,
+    'address-stored': address_stored,
     'answered-start': answered_start,
     'cancellations-first': cancellations_first,
     'certainty': leader_exclusivity,
--- a/tests/scheduling/simulated_worker.py
+++ b/tests/scheduling/simulated_worker.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
@@ -44,6 +44,7 @@
     ended: list[EndedRow] = field(default_factory=list)
     end_count: int = 0
     is_draining: bool = False
+    address: str = ''
     lease_expiries: int = 0
     lease_expiries_at_end: dict[int, int] = field(default_factory=dict)
 
@@ -53,12 +54,13 @@
 
     def create_registration(self) -> WorkerRegistration:
         """Return the worker's registration."""
-        return registration(
+        known = registration(
             self.worker_id,
             incarnation_ms=self.incarnation_ms,
             is_draining=self.is_draining,
             drain_remaining_ms=DRAIN_REMAINING_MS,
         )
+        return replace(known, address=self.address or known.address)
 
     def used_milli(self, needs: Callable[[TaskId], int]) -> int:
         """Return the processors in use, in thousandths of one."""
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -362,10 +362,22 @@
         leader.queue.extend(leader.scheduler.process_buffered_listings())
         leader.has_loaded = True
 
+    def _complete_roster(
+        self, leader: SimulatedLeader, roster: Roster
+    ) -> Roster:
+        """Return a leader's roster as it is written."""
+        return roster
+
+    def _used_addresses(self, used: frozenset[str]) -> dict[str, str]:
+        """Return the addresses that the stored roster has to show."""
+        return {}
+
     def _mark_used(self, used: frozenset[str]) -> bool:
         """Mark workers as used; return False if that may have failed."""
         handover_state = self.leader.handover_state
-        if handover_state is None or not handover_state.has_marked_used(used):
+        if handover_state is None or not handover_state.has_marked_used(
+            used, self._used_addresses(used)
+        ):
             return self._save_roster(used)
         return True
 
@@ -373,7 +385,8 @@
         handover_state = self.leader.handover_state
         if handover_state is None:
             return
-        if not handover_state.has_marked_used(frozenset((worker_id,))):
+        used = frozenset((worker_id,))
+        if not handover_state.has_marked_used(used, self._used_addresses(used)):
             suspend(self.leader.scheduler.workers[worker_id])
 
     def _save_roster(self, used: frozenset[str]) -> bool:
@@ -382,7 +395,7 @@
             return self._try_to_save_roster(self.leader.handover_state, used)
         previous = decode_roster(self.roster).worker_ids
         roster = self.leader.scheduler.build_roster(previous, used, self.now_ms)
-        self.roster = encode_roster(roster)
+        self.roster = encode_roster(self._complete_roster(self.leader, roster))
         return True
 
     def _try_to_save_roster(
@@ -394,7 +407,9 @@
         roster = scheduler.build_roster(previous, used, self.now_ms)
         self.store.now_ms = self.now_ms
         try:
-            handover_state.save_roster(roster)
+            handover_state.save_roster(
+                self._complete_roster(self.leader, roster)
+            )
         except StoreError:
             return False
         scheduler.resume(roster.in_use)
@@ -406,13 +421,15 @@
         if leader.handover_state is None:
             previous = decode_roster(self.roster).worker_ids
             roster = scheduler.build_final_roster(previous, self.now_ms)
-            self.roster = encode_roster(roster)
+            self.roster = encode_roster(self._complete_roster(leader, roster))
             return
         previous = leader.handover_state.roster.worker_ids
         roster = scheduler.build_final_roster(previous, self.now_ms)
         self.store.now_ms = self.now_ms
         with suppress(StoreError):
-            leader.handover_state.save_roster(roster)
+            leader.handover_state.save_roster(
+                self._complete_roster(leader, roster)
+            )
 
     def _happens(self, percent: int) -> bool:
         return self.rng.randrange(100) < percent
--- a/tests/scheduling/test_absent_workers.py
+++ b/tests/scheduling/test_absent_workers.py
@@ -517,6 +517,7 @@
     assert ('w1' in leader.scheduler.absent_ids(now_ms())) == case.is_absent
 
 
+@pytest.mark.proof('address-stored')
 def test_a_worker_at_another_address_is_stored_before_it_is_used() -> None:
     """The next leader would ask at the old address, whose new holder's answer
     says nothing of the worker."""
--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.scheduling.harness import TIMING
+from tests.scheduling.simulated_moves import MoveSimulation
 from tests.scheduling.simulated_probes import ProbeSimulation
 from tests.scheduling.simulated_replacements import ReplacementSimulation
 from tests.scheduling.simulation import run_simulation
@@ -137,6 +138,18 @@
     assert simulation.violations == []
 
 
+@pytest.mark.parametrize('changes', KINDS.values(), ids=KINDS.keys())
+@pytest.mark.parametrize('seed', range(20))
+def test_nothing_runs_twice_where_workers_come_back_elsewhere(
+    seed: int, changes: dict[str, bool]
+) -> None:
+    """Others hold the addresses at which the next leader might ask."""
+    simulation = run_simulation(
+        seed, STEPS, simulation_type=MoveSimulation, **changes
+    )
+    assert simulation.violations == []
+
+
 @pytest.mark.proof('former-orders')
 def test_the_model_finds_orders_of_a_former_leader() -> None:
     """Without the guard, these seeds run a job twice."""
@@ -164,6 +177,24 @@
     assert adopted > 40
 
 
+def test_the_model_of_moved_workers_does_something() -> None:
+    simulations = [
+        run_simulation(
+            seed, STEPS, short_terms=True, simulation_type=MoveSimulation
+        )
+        for seed in range(10)
+    ]
+    counts = [
+        (each.moves, each.ended_waits, each.adopted)
+        for each in simulations
+        if isinstance(each, MoveSimulation)
+    ]
+    moves, ended_waits, adopted = map(sum, zip(*counts, strict=True))
+    assert moves > 50
+    assert ended_waits > 20
+    assert adopted > 40
+
+
 @pytest.mark.parametrize('seed', LOSS_SEEDS)
 def test_nothing_runs_twice_after_a_worker_and_the_leader_are_lost(
     seed: int,
