--- a/soak/process.py
+++ b/soak/process.py
@@ -64,6 +64,11 @@
         if popen is not None and popen.poll() is None:
             popen.send_signal(number)
 
+    @property
+    def pid(self) -> int:
+        """Return the process id, zero before the first start."""
+        return self._popen.pid if self._popen else 0
+
     def is_running(self) -> bool:
         """Return whether the process is running."""
         return self._popen is not None and self._popen.poll() is None
--- a/standins/tcp_proxy.py
+++ b/standins/tcp_proxy.py
@@ -46,7 +46,10 @@
 
 
 class TcpProxy:
-    """Forwards connections to a loopback port, with simulated failures."""
+    """Forwards connections to a loopback port, with simulated failures.
+
+    `sent_bytes` counts what clients have sent, dropped bytes included.
+    """
 
     def __init__(self, port: int) -> None:
         """Listen on a free port and forward to `port` on loopback."""
@@ -56,6 +59,7 @@
         self._silenced_below = 0
         self._lanes: dict[bool, _Lane] = {}
         self._queued_s: float = 0
+        self.sent_bytes = 0
         self._listener = socket.create_server((HOST, 0), backlog=128)
         self.port = int(self._listener.getsockname()[1])
         self._open: set[socket.socket] = set()
@@ -153,6 +157,7 @@
     def _should_forward(
         self, is_request: bool, generation: int, size: int
     ) -> bool:
+        self.sent_bytes += size if is_request else 0
         time.sleep(self._queued_s)
         lane = self._lanes.get(is_request)
         if lane is not None:
