--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -74,7 +74,7 @@
         waiting.
         """
         self.evict_ended_jobs(now_ms)
-        self._start_limiter.begin_plan(self.workers, now_ms)
+        self._start_limiter.remove_answered(self.workers, now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
         self._unplaceable.begin_plan(view)
--- a/src/gentianpulley/cluster/start_limiter.py
+++ b/src/gentianpulley/cluster/start_limiter.py
@@ -14,15 +14,7 @@
 from gentianpulley.deadline import MS_PER_SECOND
 
 MAX_LINK_BUSY_MS: Final = 100
-"""How long the starts in flight may keep the whole link busy if the leader
-plans without delay."""
-
-MAX_PLAN_GAP_MS: Final = 300
-"""How much longer they may do so on a leader whose plans come late."""
-
-GROWTH_FACTOR: Final = 4
-"""How many times as much as was answered since the previous plan may be in
-flight."""
+"""How long the starts in flight may keep the whole link busy."""
 
 START_OVERHEAD_BYTES: Final = 500
 """Size of a start beside its payload: names, headers and packet overhead."""
@@ -44,11 +36,9 @@
 class StartLimiter:
     """The starts in flight of one leader."""
 
-    def __init__(self, link_bytes_s: int) -> None:
+    def __init__(self, max_in_flight_bytes: int) -> None:
         """Start with none in flight."""
-        self._link_bytes_s = link_bytes_s
-        self._max_bytes = _link_bytes(link_bytes_s, MAX_LINK_BUSY_MS)
-        self._planned_ms = 0
+        self._max_bytes = max_in_flight_bytes
         self._bytes = 0
         self._starts: dict[RunKey, _InFlightStart] = {}
 
@@ -60,26 +50,6 @@
         """
         return self._bytes < self._max_bytes
 
-    def begin_plan(self, workers: Mapping[str, Worker], now_ms: int) -> None:
-        """Allow for what the link can send until the next plan.
-
-        If the link held back starts, it may have been idle since it sent those
-        of the previous plan, and the next plan is expected as late as this one.
-        The allowance grows only as far as replies show that the link sends as
-        much.
-        """
-        gap_ms = 0 if self.has_capacity else now_ms - self._planned_ms
-        self._planned_ms = now_ms
-        busy_ms = MAX_LINK_BUSY_MS + max(0, min(gap_ms, MAX_PLAN_GAP_MS))
-        answered = self._remove_answered(workers, now_ms)
-        self._max_bytes = max(
-            _link_bytes(self._link_bytes_s, MAX_LINK_BUSY_MS),
-            min(
-                _link_bytes(self._link_bytes_s, busy_ms),
-                GROWTH_FACTOR * answered,
-            ),
-        )
-
     def add(self, order: StartOrder, now_ms: int) -> None:
         """Count an ordered start as in flight."""
         until_ms = now_ms + IN_FLIGHT_TIMEOUT_MS
@@ -95,33 +65,21 @@
         if start is not None:
             self._bytes -= start.size_bytes
 
-    def _remove_answered(
+    def remove_answered(
         self, workers: Mapping[str, Worker], now_ms: int
-    ) -> int:
-        """Remove the starts that no longer await a reply.
-
-        Returns the size of those that did not time out.
-        """
-        answered_bytes = 0
+    ) -> None:
+        """Remove the starts that no longer await a reply."""
         for key, start in tuple(self._starts.items()):
             worker = workers.get(start.worker_id)
             reservation = worker.reservations.get(key) if worker else None
-            if not _awaits_reply(reservation):
-                answered_bytes += start.size_bytes
-                self.remove(key)
-            elif now_ms >= start.until_ms:
+            if now_ms >= start.until_ms or not _awaits_reply(reservation):
                 self.remove(key)
-        return answered_bytes
 
 
 def create_start_limiter(link_bytes_s: int) -> StartLimiter:
     """Return the limiter of a leader with this link bandwidth."""
-    return StartLimiter(link_bytes_s)
-
-
-def _link_bytes(link_bytes_s: int, busy_ms: int) -> int:
-    """Return how much a link sends in a time, at least one byte."""
-    return max(1, link_bytes_s * busy_ms // MS_PER_SECOND)
+    max_bytes = link_bytes_s * MAX_LINK_BUSY_MS // MS_PER_SECOND
+    return StartLimiter(max(1, max_bytes))
 
 
 def _size_bytes(order: StartOrder) -> int:
