Revert "Turns of idle jobs on a full link alternate with other starts"

On the small twins, where the processor is what binds, jobs are on time no more often, and jobs of which most tasks wait have nothing running for longer.

--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -10,7 +10,7 @@
 
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
-from gentianpulley.cluster.link_starvation import LinkTurns
+from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.migration import plan_migrations
@@ -66,7 +66,6 @@
         self._unplaceable = UnplaceableShapes()
         self._holds = CapacityHolds()
         self._start_limiter = create_start_limiter(term.link_bytes_s)
-        self._link_turns = LinkTurns()
 
     def plan(self, now_ms: int) -> list[StartOrder]:
         """Place waiting tasks and return the starts to be sent.
@@ -141,31 +140,17 @@
             step for step in steps if not step.overdue_restarts(view.now_ms)
         ]
         orders = self._place_overdue_first_start(others, view)
-        orders.extend(self._place_starved(others, view))
+        for starved in link_starved_steps(others, self._waits, view):
+            first = {min(starved.waiting)}
+            orders.extend(self._try_step(starved, first, view))
         for group in sort_tasks(others, view.now_ms):
             step = group.step
             if group.kind is WorkKind.FIRST_START and step.waiting_restarts:
                 # Its restarts have just found no capacity of the same size.
                 continue
             indexes = group.indexes & step.waiting
-            started = indexes and self._try_step(step, indexes, view)
-            if started:
-                orders.extend(started)
-                self._link_turns.record_other_start()
-        return orders
-
-    def _place_starved(
-        self, steps: list[StepRun], view: PlacementContext
-    ) -> list[StartOrder]:
-        """Place one task of each job whose turn on a full link has come."""
-        orders: list[StartOrder] = []
-        for step in self._link_turns.begin_plan(steps, self._waits, view):
-            if not self._link_turns.is_due:
-                break
-            started = self._try_step(step, {min(step.waiting)}, view)
-            if started:
-                orders.extend(started)
-                self._link_turns.record_turn()
+            if indexes:
+                orders.extend(self._try_step(step, indexes, view))
         return orders
 
     def _view(self, now_ms: int) -> PlacementContext:
--- a/tests/scheduling/link_load.py
+++ b/tests/scheduling/link_load.py
@@ -32,7 +32,6 @@
 TICK_MS = 10
 SAVE_MS = 50
 TASK_MIB = 1000
-FINISH_MS = 14_000
 MS_PER_S = 1000
 
 
@@ -73,8 +72,8 @@
     """What callers saw: ends of jobs by kind, and waits of tasks in ms.
 
     A wait lasts from the time at which a task's step could begin until its
-    first start. `idle_ms` is the longest time, from `FINISH_MS` after the
-    traffic on, for which a job that could go on had no task on a worker.
+    first start. `idle_ms` is the longest time, after the traffic, for which a
+    job had none of its tasks on a worker before the next one started.
     `unstarted` are tasks that could have started and never did.
     """
 
@@ -245,9 +244,8 @@
                 self._ready_ms.setdefault((job_id, each.number), at_ms)
 
     def _note_idle(self, job_id: str) -> None:
-        """Note how long a job had nothing running at the end."""
-        finish_ms = self._traffic_end_ms + FINISH_MS
-        since_ms = max(self._idle_since_ms[job_id], finish_ms)
+        """Note how long a job had nothing running, the traffic left out."""
+        since_ms = max(self._idle_since_ms[job_id], self._traffic_end_ms)
         idle_ms = self._harness.at_ms - since_ms
         self._outcome.idle_ms = max(self._outcome.idle_ms, idle_ms)
 
