Gangs have their turn on a full link, as other jobs do

Callers of a gang that was late waited without end: while the leader's link was full, work that could be on time went first for as long as it arrived. Cause: only jobs of single tasks got a turn after a second with nothing running (`link_starvation`), since a gang needs all of its tasks at once. But a gang is placed as a whole whatever of the link is left, so its turn costs no more than its size.

--- a/src/gentianpulley/cluster/link_starvation.py
+++ b/src/gentianpulley/cluster/link_starvation.py
@@ -21,18 +21,17 @@
 ) -> list[StepRun]:
     """Return one step of each job that the link keeps from running.
 
-    The job that has been idle the longest comes first. Nothing is returned
-    while most processors are reserved: then capacity is what jobs wait for.
-    Long-running tasks have deadlines of their own, and a gang needs all of its
-    tasks at once.
+    The job that has been idle the longest comes first, so that each has a turn
+    whatever else arrives. Nothing is returned while most processors are
+    reserved: then capacity is what jobs wait for. Long-running tasks have
+    deadlines of their own.
     """
     if view.is_busy:
         return []
     starved: dict[str, StepRun] = {}
     for step in steps:
         idle_ms = step.job.idle_ms(view.now_ms)
-        is_alone = step.spec.is_endless or step.spec.is_gang
-        if is_alone or idle_ms <= STARVATION_MS:
+        if step.spec.is_endless or idle_ms <= STARVATION_MS:
             continue
         if waits.waited_for_link(step):
             starved.setdefault(step.job.spec.job_id, step)
--- a/tests/scheduling/test_start_bound.py
+++ b/tests/scheduling/test_start_bound.py
@@ -140,6 +140,19 @@
     assert ids.count(LATE_ID) == late_starts
 
 
+def test_a_late_gang_gets_its_turn() -> None:
+    """Gangs had no turn: others went first for as long as they arrived."""
+    harness = _limited_harness()
+    harness.scheduler.add_job(job(step(URGENT_TASKS), priority=0))
+    gang = step(3, is_gang=True)
+    harness.scheduler.add_job(job(gang, job_id=LATE_ID, priority=2))
+    for order in harness.plan():
+        harness.answer(order, StartVerdict.ACCEPTED)
+    harness.at_ms += STARVATION_MS + 1
+    ids = [order.key.task_id.job_id for order in harness.plan()]
+    assert ids.count(LATE_ID) == 3
+
+
 def test_a_full_cluster_gives_the_link_to_urgent_work() -> None:
     harness = _harness_with_late_job(STARVATION_MS + 1)
     for worker in harness.scheduler.workers.values():
