Bench: a leader's delay of replies, from its own metrics

`python -m bench.small_leader` also prints the median time from sending an order to its reply: with it a full link, a slow processor and a slow worker differ.

--- a/bench/small_leader.py
+++ b/bench/small_leader.py
@@ -31,6 +31,7 @@
 DEFAULT_PAYLOAD_BYTES: Final = 2000
 SETTLE_S: Final = 5
 WAITING_TASKS: Final = 800
+MEDIAN: Final = '0.5'
 FULL: Final = 0.9
 """Used share of a resource above which it counts as what ends the rate."""
 
@@ -48,7 +49,8 @@
     """What a leader carried: starts a second, and its use of resources.
 
     `link_share` and `cores` are used bandwidth and processors;
-    `bytes_per_start` includes everything else that the leader sent.
+    `bytes_per_start` includes everything else that the leader sent, and
+    `delay_ms` is the median time from sending an order to its reply.
     """
 
     size: LeaderSize
@@ -57,6 +59,7 @@
     cores: float
     bytes_per_start: float
     plans_per_s: float
+    delay_ms: float
     waiting_link: float
     waiting_other: float
 
@@ -85,7 +88,8 @@
     print(f'connection: {HANDSHAKE_BYTES} bytes')
     print(
         f'{"Mbit/s":>6} {"cores":>5} {"starts/s":>8} {"link":>5} {"used":>5} '
-        f'{"bytes/start":>11} {"plans/s":>7} {"us/start":>8} limit'
+        f'{"bytes/start":>11} {"plans/s":>7} {"reply ms":>8} '
+        f'{"us/start":>8} limit'
     )
     for link_mbps in LINKS_MBPS:
         for cores in CORES:
@@ -109,6 +113,7 @@
         before = site.usage()
         time.sleep(seconds)
         after = site.usage()
+        delay_ms = site.order_delay_ms(MEDIAN)
     # The instance buffers its log, so it is read after the end.
     reports = [
         report
@@ -125,6 +130,7 @@
         (after.processor_s - before.processor_s) / passed_s,
         sent_bytes / max(1, starts),
         _mean(report['plans'] for report in reports),
+        delay_ms,
         _mean(report.get('waiting_link', 0) for report in reports),
         _mean(map(_waiting_otherwise, reports)),
     )
@@ -157,7 +163,8 @@
         f'{rate.size.link_mbps:6} {rate.size.cores:5} '
         f'{rate.starts_per_s:8.0f} {rate.link_share:5.0%} '
         f'{rate.cores:5.2f} {rate.bytes_per_start:11.0f} '
-        f'{rate.plans_per_s:7.1f} {us_per_start:8.0f} {rate.limit}',
+        f'{rate.plans_per_s:7.1f} {rate.delay_ms:8.1f} '
+        f'{us_per_start:8.0f} {rate.limit}',
         flush=True,
     )
 
--- a/bench/small_leader_site.py
+++ b/bench/small_leader_site.py
@@ -19,12 +19,19 @@
 from bench.processor_quota import ProcessorQuota, processor_s
 from gentianpulley.cluster.job_storage import job_key
 from gentianpulley.deadline import now_ms
+from gentianpulley.http_conn import HttpAddress
 from gentianpulley.jobs.spec import JobSpec, QueuePolicy, StepSpec, encode_job
 from gentianpulley.resources import Resources
 from soak.process import ENTRY_PROGRAM, InstanceProcess
-from standins.grid_site import cfg_document, node_file, wait_until
+from standins.grid_site import (
+    cfg_document,
+    fetch,
+    node_file,
+    wait_until,
+)
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
+from standins.ports import free_port
 from standins.tcp_proxy import TcpProxy
 
 BYTES_PER_MBIT: Final = 125_000
@@ -37,6 +44,9 @@
 LEADER: Final = 'n0'
 LEADS_S: Final = 40.0
 STOP_S: Final = 5.0
+METRICS_PATH: Final = '/metrics'
+ORDER_DELAY: Final = 'gentianpulley_worker_order_us'
+US_PER_MS: Final = 1000
 
 
 @dataclass(frozen=True)
@@ -120,7 +130,13 @@
         store_port, *ports = self._link.recv()
         for (key, entry), port in zip(entries, ports, strict=True):
             self.store.put(key, {**entry, 'addr': f'{HOST}:{port}'})
-        self._instance = _create_instance(store_port, link_mbps, cores)
+        self._metrics = HttpAddress(HOST, free_port())
+        self._instance = _create_instance(
+            store_port,
+            f'listen.metrics={self._metrics}',
+            f'limits.cpu_share={cores}',
+            f'limits.link_mbps={link_mbps}',
+        )
         self._instance.start()
         self.pid = self._instance.pid
         with ExitStack() as undo:
@@ -143,6 +159,14 @@
         lines = self._instance.log.read_text().splitlines()
         return [json.loads(line) for line in lines if ':plan_report"' in line]
 
+    def order_delay_ms(self, quantile: str) -> float:
+        """Return a quantile of the time from sending an order to its reply."""
+        _, text = fetch(self._metrics, METRICS_PATH)
+        name = f'{ORDER_DELAY}{{quantile="{quantile}"}} '
+        lines = text.splitlines()
+        values = [line for line in lines if line.startswith(name)]
+        return float(values[0].split()[1]) / US_PER_MS if values else 0
+
     def feed(self, waiting_tasks: int) -> None:
         """Keep at least so many tasks waiting, from now on."""
         threading.Thread(
@@ -227,11 +251,10 @@
     return int(conn.recv())
 
 
-def _create_instance(
-    store_port: int, link_mbps: float, cores: float
-) -> InstanceProcess:
+def _create_instance(store_port: int, *changes: str) -> InstanceProcess:
+    """Return an instance whose settings end with these lines."""
     folder = Path(tempfile.mkdtemp(prefix='small-leader-'))
     settings = folder / f'{LEADER}.conf'
-    limits = f'limits.cpu_share={cores}\nlimits.link_mbps={link_mbps}'
-    settings.write_text(f'{node_file(LEADER, store_port, "", "")}\n{limits}')
+    lines = (node_file(LEADER, store_port, '', ''), *changes)
+    settings.write_text('\n'.join(lines))
     return InstanceProcess(settings, folder / f'{LEADER}.log', ENTRY_PROGRAM)
--- a/tests/test_small_leader.py
+++ b/tests/test_small_leader.py
@@ -31,7 +31,7 @@
     cores: float, link_share: float, waiting_link: float, limit: str
 ) -> None:
     size = LeaderSize(2, 0.12)
-    rate = StartRate(size, 1, link_share, cores, 1, 1, waiting_link, 0)
+    rate = StartRate(size, 1, link_share, cores, 1, 1, 1, waiting_link, 0)
     assert rate.limit == limit
 
 
@@ -40,3 +40,4 @@
     assert rate.starts_per_s > 0
     assert rate.bytes_per_start > PAYLOAD_BYTES
     assert rate.cores < 1
+    assert rate.delay_ms > 0
