Tests: the roster that a leader writes records its term

test_a_worker_that_comes_back_is_noted_as_used compared the stored roster as a whole and failed, as the roster now records the term that wrote it. It compares the same as before, and the token with the leader's.

--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -267,8 +267,12 @@
     with _worker(store):
         leader = _leader(store)
         leader.open()
-        handover_state = _handover_state(store)
-        assert handover_state.load_roster() == Roster(frozenset((WORKER_ID,)))
+        roster = _handover_state(store).load_roster()
+        service = leader.scheduler_service
+        assert service is not None
+        assert roster.term is not None
+        assert roster.term.token == service.term.token
+        assert roster == Roster(frozenset((WORKER_ID,)), term=roster.term)
         leader.close()
 
 
