Stand-in: the end of a lease deletes only the keys that are bound to it

After a process had ended its former term, each leader led for about a second, "the leader key has changed", without end.

Cause: GridStore kept a key with the lease under which it was first written, though it had been deleted and written under another. The end of the former leader's lease deleted the next leader's key; the one that was deposed revoked its lease, which deleted the key after that. Until now nothing deleted a leased key by a transaction. PROTOCOL.md: an item has one `lease`, and a lease's keys are removed when it ends.

The test (the lease of an ended term leaves the next leader's key) failed before.

--- a/standins/grid_store.py
+++ b/standins/grid_store.py
@@ -260,12 +260,20 @@
 
     def _end_lease(self, lease_id: int) -> None:
         lease = self._leases.pop(lease_id)
-        if lease.keys:
+        # A key may have been written again since, under another lease.
+        keys = [
+            key for key in sorted(lease.keys) if self._is_bound(key, lease_id)
+        ]
+        if keys:
             self._revision += 1
-        for key in sorted(lease.keys):
+        for key in keys:
             self._delete(key)
         self._changed.notify_all()
 
+    def _is_bound(self, key: str, lease_id: int) -> bool:
+        found = self._items.get(key)
+        return found is not None and found['lease'] == lease_id
+
     def _consume_fault(self, fault: str) -> bool:
         with self._changed:
             remaining = int(self.faults.get(fault, 0))
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -28,7 +28,11 @@
 )
 from gentianpulley.cluster.leader import Leader, LeaderDependencies
 from gentianpulley.cluster.roster import Roster, encode_roster
-from gentianpulley.cluster.takeover_offers import OFFER_KEY, OfferPublisher
+from gentianpulley.cluster.takeover_offers import (
+    OFFER_KEY,
+    OfferPublisher,
+    create_leased_key,
+)
 from gentianpulley.cluster.timing import LEADER_TTL_S, Timing, create_timing
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import now_ms
@@ -250,6 +254,21 @@
     wait_until(lambda: elector.is_leading)
 
 
+def test_the_lease_of_an_ended_term_leaves_the_next_leaders_key(
+    election: Election,
+) -> None:
+    """The stand-in deleted the key of the next leader, and so on for ever."""
+    own = _candidate('killed', SMALL)
+    client = election.dependencies().store
+    body = encode_candidate(own)
+    assert create_leased_key(client, LEADER_KEY, body, LEADER_TTL_S)
+    elector = election.join('killed', SMALL)
+    wait_until(lambda: elector.is_leading)
+    key_entry = election.store.item(LEADER_KEY)
+    time.sleep(LEADER_TTL_S + PAUSE_S)
+    assert election.store.item(LEADER_KEY) == key_entry
+
+
 @pytest.mark.proof('same-machine')
 def test_the_key_of_a_machine_of_the_same_name_stays(
     election: Election,
