--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -270,12 +270,14 @@
     with _worker(store) as worker:
         leader = _leader(store)
         leader.open()
-        handover_state = _handover_state(store)
-        addresses = {WORKER_ID: f'{HOST}:{worker.port}'}
-        roster = handover_state.load_roster()
+        roster = _handover_state(store).load_roster()
+        service = leader.scheduler_service
+        assert service is not None
         assert roster.term is not None
-        assert replace(roster, term=None) == Roster(
-            frozenset((WORKER_ID,)), addresses=addresses
+        assert roster.term.token == service.term.token
+        addresses = {WORKER_ID: f'{HOST}:{worker.port}'}
+        assert roster == Roster(
+            frozenset((WORKER_ID,)), addresses=addresses, term=roster.term
         )
         leader.close()
 
