--- a/tests/test_away.py
+++ b/tests/test_away.py
@@ -73,25 +73,36 @@
     return live is None or live.state.is_final
 
 
-@pytest.mark.proof('read-anew')
+READ_ANEW: Final = pytest.mark.proof('read-anew')
+
+
 @pytest.mark.parametrize(
     ('change', 'is_known'),
     [
-        (
+        pytest.param(
             lambda store, _: store.remove('servers/w1'),
             _worker_is_left_out,
+            id='worker left',
+            marks=READ_ANEW,
+        ),
+        pytest.param(
+            lambda _, worker: worker.register('draining'),
+            _worker_drains,
+            id='worker drains',
+            marks=READ_ANEW,
         ),
-        (lambda _, worker: worker.register('draining'), _worker_drains),
-        (
+        pytest.param(
             lambda store, _: store.put(cancellation_key(JOB_ID), b''),
             _job_is_cancelled,
+            id='job cancelled',
         ),
-        (
+        pytest.param(
             lambda store, _: store.put(job_key(NEW_ID), _spec(NEW_ID)),
             lambda scheduler: NEW_ID in scheduler.jobs,
+            id='new job',
+            marks=READ_ANEW,
         ),
     ],
-    ids=['worker left', 'worker drains', 'job cancelled', 'new job'],
 )
 def test_a_leader_that_was_away_learns_what_changed(
     store: GridStore,
