--- a/tests/test_away.py
+++ b/tests/test_away.py
@@ -9,8 +9,9 @@
 
 from gentianpulley.cluster.job_storage import cancellation_key, job_key
 from gentianpulley.cluster.queues import QueueTable
+from gentianpulley.cluster.read_freshness import Reread
 from gentianpulley.cluster.scheduler import Scheduler
-from gentianpulley.cluster.scheduler_service import Leadership, Reread
+from gentianpulley.cluster.scheduler_service import Leadership
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import deadline_in
 from gentianpulley.http_conn import HttpAddress
@@ -119,7 +120,8 @@
     assert service is not None
     scheduler = service.scheduler
     wait_until(lambda: 'w1' in scheduler.workers and JOB_ID in scheduler.jobs)
-    wait_until(lambda: not any(map(service.is_outdated, Reread)))
+    freshness = service.read_freshness
+    wait_until(lambda: not any(map(freshness.is_outdated, Reread)))
     assert not is_known(scheduler)
     store.put(f'gp/waiting/queue/{NEW_ID}', b'')
     _change_and_forget(store, lambda: change(store, worker))
