Waves: a machine that left amid its upkeep is not looked for for ever

What the platform would have seen, since: a wave is withdrawn, or not requested any more when a leader begins, and a machine of it that had begun its upkeep is gone from the list. The leader then read the list of machines five times a second for good, which counts against the rate of readings of the whole site.

Cause: machines that have begun count as down until they are listed as up, and a withdrawn wave is followed while any counts.

Evidence: scheduling/test_upkeep_withdrawn, "left amid its upkeep", failed before.

Why it works: in a withdrawn wave a machine that a list, requested a maintenance later, doesn't name any more is no longer down. In a wave that goes on nothing changes.

--- a/src/gentianpulley/cluster/maintenance.py
+++ b/src/gentianpulley/cluster/maintenance.py
@@ -298,9 +298,9 @@
         if not is_new:
             return
         is_up = machine is not None and machine.state is MachineState.UP
-        if member.stage is _Stage.STARTED and is_up:
-            member.is_down = False
-        if member.stage is _Stage.WITHDRAWN and (is_up or has_left):
+        is_withdrawn = self.is_withdrawn or member.stage is _Stage.WITHDRAWN
+        is_settled = member.stage in {_Stage.STARTED, _Stage.WITHDRAWN}
+        if is_settled and (is_up or (has_left and is_withdrawn)):
             member.is_down = False
 
     def _start_draining(
--- a/tests/scheduling/test_upkeep_withdrawn.py
+++ b/tests/scheduling/test_upkeep_withdrawn.py
@@ -132,6 +132,23 @@
     assert site.platform.lists - calls < 3
 
 
+def test_a_machine_that_left_amid_its_upkeep_is_not_looked_for_for_ever(
+    site: UpkeepSite,
+) -> None:
+    """The list of machines was read five times a second from then on."""
+    leader = site.elect(create_harness())
+    site.run(FIRST_ORDER_MS, leader)
+    assert site.platform.begun
+    leader.loop.wave_requests = ()
+    site.platform.states.pop('m1')
+    site.platform.begun.clear()
+    site.run(LONG_MS, leader)
+    lists = site.platform.lists
+    site.run(LONG_MS, leader)
+    assert site.platform.lists == lists
+    assert RECORD_KEY not in site.store.entries
+
+
 def _change(leader: UpkeepLeader, *machine_ids: str, at_most: int = 1) -> None:
     """Rewrite the wave under its key."""
     request = WaveRequest(1, machine_ids, START_MS + WITHIN_MS, at_most)
