--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -7,15 +7,12 @@
 """
 
 import enum
-import random
 from collections.abc import Callable
 from contextlib import suppress
 
 from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.worker_protocol import (
-    EndCause,
     Listing,
-    RunKey,
     RunningRow,
     StartOrder,
     StartReply,
@@ -36,22 +33,19 @@
 from gentianpulley.errors import StoreError
 from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.record import JobRecord, create_record, restore_job
-from gentianpulley.jobs.spec import JobSpec, StepSpec, TaskId
+from gentianpulley.jobs.spec import JobSpec, StepSpec
 from tests.scheduling.simulated_leader import (
-    DelayedStart,
     SimulatedLeader,
     NullEventLog,
 )
+from tests.scheduling.simulated_cluster import SimulatedCluster
 from tests.scheduling.simulated_store import SimulatedStore
-from tests.scheduling.simulated_worker import SimulatedWorker, ActiveRun
-from tests.scheduling.harness import START_MS, TIMING, job, step
+from tests.scheduling.simulated_worker import SimulatedWorker
+from tests.scheduling.harness import TIMING, job, step
 
 WeightedAction = tuple[Callable[[], None], int]
 
-ARRIVAL_DELAY_MS = (2000, 12_000)
 FOREVER_MS = 1_000_000
-WORKERS = 3
-CAPACITY_MILLI = 64_000
 
 
 class StartDelivery(enum.Enum):
@@ -67,7 +61,6 @@
 START_DELIVERIES = tuple(StartDelivery)
 START_DELIVERY_WEIGHTS = (5, 10, 15, 10, 60)
 TWO_STEPS_PERCENT = 40
-FAILURE_PERCENT = 10
 ANY_LEADER_PERCENT = 50
 CRASH_PERCENT = 40
 LONG_CUT_MS = 9000
@@ -77,7 +70,7 @@
 JOB_AT_CHANGE_PERCENT = 50
 
 
-class Simulation:
+class Simulation(SimulatedCluster):
     """Leaders, workers and jobs with one clock and one random generator."""
 
     def __init__(
@@ -90,25 +83,9 @@
         """Start with one leader, some workers and some jobs."""
         self._short_terms = short_terms
         self._loses_workers = loses_workers
-        self._durations_ms: tuple[int, ...] = (
-            LONG_RUNS_MS if loses_workers else SHORT_RUNS_MS
-        )
-        self.rng = random.Random(seed)
-        self.now_ms = START_MS
-        self.violations: list[str] = []
-        self.workers = {
-            f'w{number}': SimulatedWorker(
-                f'w{number}',
-                self.rng.choice((1, 0.98)),
-                START_MS - 10_000 - number,
-            )
-            for number in range(WORKERS)
-        }
-        self.specs: dict[str, JobSpec] = {}
+        super().__init__(seed, LONG_RUNS_MS if loses_workers else SHORT_RUNS_MS)
         self.records: dict[str, JobRecord] = {}
-        self.completed_tasks: set[TaskId] = set()
         self.partitions: dict[tuple[int, str], int] = {}
-        self.delayed_starts: list[DelayedStart] = []
         self.token = 6
         self.leaders: list[SimulatedLeader] = []
         self.listed = set(self.workers)
@@ -116,7 +93,6 @@
         self.store = SimulatedStore(self.rng)
         self.down_until_ms: dict[str, int] = {}
         self.waits_ms: list[int] = []
-        self.starts = 0
         self.change_leader()
 
     @property
@@ -443,9 +419,6 @@
                 self._complete_roster(leader, roster)
             )
 
-    def _happens(self, percent: int) -> bool:
-        return self.rng.randrange(100) < percent
-
     def _load_job(self, job_id: str, spec: JobSpec) -> Job | None:
         record = self.records.get(job_id)
         if record is not None and record.state.is_final:
@@ -551,47 +524,6 @@
             scheduler.handle_start_reply(order, reply, self.now_ms)
         )
 
-    def _is_accepted_late(self, late: DelayedStart) -> bool:
-        """Return whether the incarnation that a start is meant for is up.
-
-        An order names it; docs/QUESTIONS.md, 2.
-        """
-        worker = self.workers[late.order.worker_id]
-        return worker.incarnation_ms == late.incarnation_ms
-
-    def _delay(self, order: StartOrder, token: int, lease_ms: int) -> None:
-        """Let a start arrive seconds later."""
-        at_ms = self.now_ms + self.rng.randint(*ARRIVAL_DELAY_MS)
-        worker_start_ms = self.workers[order.worker_id].incarnation_ms
-        self.delayed_starts.append(
-            DelayedStart(at_ms, order, token, lease_ms, worker_start_ms)
-        )
-
-    def _deliver(
-        self, order: StartOrder, token: int, lease_ms: int
-    ) -> StartVerdict:
-        """Deliver a start to its worker, whatever its incarnation."""
-        worker = self.workers[order.worker_id]
-        task_id = order.key.task_id
-        if token < worker.token:
-            return StartVerdict.FENCED
-        worker.token = token
-        if lease_ms <= worker.clock(self.now_ms):
-            return StartVerdict.TOO_LATE
-        limit_ms = worker.clock(self.now_ms) + TIMING.max_lease_ms
-        worker.lease_ms = max(worker.lease_ms, min(lease_ms, limit_ms))
-        existing = worker.runs.get(task_id)
-        if existing is not None and existing.key == order.key:
-            return StartVerdict.ACCEPTED
-        if existing or order.key.run <= worker.rejected_runs.get(task_id, 0):
-            return StartVerdict.OUTDATED
-        self._check_start(worker, order.key)
-        duration_ms = self.rng.choice(self._durations_ms)
-        fails = self._happens(FAILURE_PERCENT)
-        ends_ms = self.now_ms + duration_ms
-        worker.runs[task_id] = ActiveRun(order.key, ends_ms, fails)
-        return StartVerdict.ACCEPTED
-
     def _send_stop(
         self, index: int, leader: SimulatedLeader, order: StopOrder
     ) -> None:
@@ -614,36 +546,6 @@
         self.now_ms += 1
         leader.scheduler.handle_stop_reply(order, self.now_ms)
 
-    # Invariants.
-
-    def _check_start(self, worker: SimulatedWorker, key: RunKey) -> None:
-        self.starts += 1
-        task_id = key.task_id
-        if task_id in self.completed_tasks:
-            self.violations.append(f'{key} started after it was done')
-        for other in self.workers.values():
-            other.advance(self.now_ms)
-            if task_id in other.runs:
-                self.violations.append(f'{key} runs on {other.worker_id} too')
-        used = worker.used_milli(self._needs) + self._needs(task_id)
-        if used > CAPACITY_MILLI:
-            self.violations.append(f'{worker.worker_id} holds {used}')
-
-    def _acknowledge(self, worker: SimulatedWorker, number: int) -> None:
-        for row in worker.ended:
-            is_acked = row.number <= number
-            has_expired = (
-                worker.lease_expiries_at_end[row.number]
-                != worker.lease_expiries
-            )
-            if is_acked and row.cause is EndCause.DONE and not has_expired:
-                self.completed_tasks.add(row.key.task_id)
-        worker.ended = [row for row in worker.ended if row.number > number]
-
-    def _needs(self, task_id: TaskId) -> int:
-        spec = self.specs[task_id.job_id].steps[task_id.step]
-        return spec.resources.processors_milli
-
 
 def run_simulation(
     seed: int,
