Ended terms: the wait covers what a restarted worker accepted unnoticed

What callers could have seen: a task runs twice. A worker restarts under its id, a leader that hasn't noticed sends it a poll or a start, and is killed; the next process ends its term and the successor, which can't reach the worker, starts the task 5.7 s later. The order's deadline is far ahead on the new clock, so the run lasts as long as the cluster allows: 6 or 10 s.

Cause: the term's end counted one lease by the clock that the former process knew.

The test failed with the former time (guard ended-early, red).

Why it works: max_run_ms is how long a run may last in any incarnation, by a slow clock. The price is 0.5 s of the gain where the limit is 6 s, and the gain in waiting where it is 10 s; the key is freed at once as before. That a living leader takes such a lease for over as well is older, and listed.

--- a/src/gentianpulley/cluster/ended_term.py
+++ b/src/gentianpulley/cluster/ended_term.py
@@ -48,7 +48,7 @@
         self._store = store
         self._timing = timing
         self._log = log
-        self._leases_until_ms = 0
+        self._runs_until_ms = 0
         self._is_settled = False
 
     def end(self, at_ms: int) -> None:
@@ -61,8 +61,10 @@
         Raises `StoreError` if the store does not answer or writes of the
         previous process keep arriving.
         """
-        self._leases_until_ms = (
-            self._leases_until_ms or at_ms + self._timing.granted_lease_ms
+        # A worker that restarted unnoticed may have taken the last order, whose
+        # deadline its new clock reaches later.
+        self._runs_until_ms = (
+            self._runs_until_ms or at_ms + self._timing.max_run_ms
         )
         for _ in range(MAX_ATTEMPTS):
             if self._is_settled:
@@ -88,9 +90,9 @@
         entry = self._store.read(ROSTER_KEY)
         puts: tuple[Put, ...] = ()
         if entry is not None:
-            lease_left_ms = max(0, self._leases_until_ms - at_ms)
+            run_left_ms = max(0, self._runs_until_ms - at_ms)
             roster = create_ended_roster(
-                self._decode_roster(entry), token, lease_left_ms
+                self._decode_roster(entry), token, run_left_ms
             )
             if roster is not None:
                 puts = (Put(ROSTER_KEY, encode_roster(roster)),)
@@ -116,18 +118,19 @@
 
 
 def create_ended_roster(
-    roster: Roster, token: int, lease_left_ms: int
+    roster: Roster, token: int, run_left_ms: int
 ) -> Roster | None:
     """Return the roster of a term whose leader is certain to be gone.
 
-    `lease_left_ms` is how long the last lease that it granted may last. Returns
-    None if the roster does not tell what the term left: another term wrote it.
+    `run_left_ms` is how long the last run that it started may last, in any
+    incarnation of its worker. Returns None if the roster does not tell what the
+    term left: another term wrote it.
     """
     term = roster.term
     if term is None or term.token != token:
         return None
     in_use = roster.in_use & term.unanswered_start_ids
-    left_ms = max(lease_left_ms, term.earlier_left_ms)
+    left_ms = max(run_left_ms, term.earlier_left_ms)
     remaining_ms = dict.fromkeys(roster.in_use - in_use, left_ms)
     return replace(
         roster,
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -57,12 +57,6 @@
             int(self.max_lease_ms / (1 - CLOCK_DRIFT)) + LEASE_EXPIRY_MARGIN_MS
         )
 
-    @property
-    def granted_lease_ms(self) -> int:
-        """Return after how long a lease granted now has certainly expired."""
-        lease_ms = self.lease_ms + LEASE_EXPIRY_MARGIN_MS
-        return int(lease_ms / (1 - CLOCK_DRIFT)) + 1
-
     @property
     def max_response_margin_ms(self) -> int:
         """Return the maximum delay for which a worker's response is awaited.
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -38,6 +38,7 @@
 from gentianpulley.cluster.maintenance import MaintenanceWave
 from gentianpulley.cluster.scheduler_state import LeaderTerm, SchedulerState
 from gentianpulley.cluster.takeover import Takeover
+from gentianpulley.cluster.timing import Timing
 from gentianpulley.cluster.wave_records import WaveProgress, WaveRecords
 from gentianpulley.cluster.worker import Reservation, Worker
 from gentianpulley.cluster.worker_lifecycle import FOREVER, WorkerLifecycle
@@ -104,6 +105,11 @@
     )
 
 
+def ended_early() -> None:
+    """Wait after an ended term for its leases by its workers' known clocks."""
+    replace(Timing, 'max_run_ms', property(lambda timing: timing.lease_ms))
+
+
 def ended_term_kept() -> None:
     """Leave the term of the previous process as it is."""
     replace(ended_term.EndedTerm, 'end', lambda *_: None)
@@ -396,6 +402,7 @@
     'earlier-sending': earlier_sending,
     'former-orders': former_orders,
     'earlier-terms': earlier_terms,
+    'ended-early': ended_early,
     'ended-late': ended_late,
     'ended-term': ended_term_kept,
     'handover': handover,
--- a/tests/scheduling/simulated_process_ends.py
+++ b/tests/scheduling/simulated_process_ends.py
@@ -93,8 +93,7 @@
         counted = len(self.waits_ms)
         self.change_leader()
         self.short_waits += sum(
-            wait_ms <= TIMING.granted_lease_ms
-            for wait_ms in self.waits_ms[counted:]
+            wait_ms <= TIMING.max_run_ms for wait_ms in self.waits_ms[counted:]
         )
         self._act(self.rng.randint(*LONG_STEPS))
 
--- a/tests/scheduling/test_ended_term.py
+++ b/tests/scheduling/test_ended_term.py
@@ -13,6 +13,7 @@
 from gentianpulley.cluster.roster import Roster, decode_roster, encode_roster
 from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.term_record import TermRecord
+from gentianpulley.cluster.timing import CLOCK_DRIFT
 from gentianpulley.errors import StoreError
 from gentianpulley.logs import EventLog
 from gentianpulley.store import (
@@ -26,7 +27,7 @@
 OWN = Candidate('n0', address='10.0.0.1:80')
 NO_WORKERS: frozenset[str] = frozenset()
 W1 = frozenset(('w1',))
-LEASE_MS = TIMING.granted_lease_ms
+RUN_MS = TIMING.max_run_ms
 SHORT_MS = 700
 RESTART_MS = 500
 
@@ -132,7 +133,7 @@
     former = Former(led_ms=TIMING.handover_ms + 1)
     former.next_process().end(former.killed_ms + RESTART_MS)
     assert not former.has_key()
-    assert former.successor_wait_ms() == LEASE_MS
+    assert former.successor_wait_ms() == RUN_MS
 
 
 @pytest.mark.proof('earlier-terms')
@@ -153,12 +154,12 @@
 
 
 @pytest.mark.parametrize(
-    'led_ms', [TIMING.handover_ms - LEASE_MS, TIMING.handover_ms + 1]
+    'led_ms', [TIMING.handover_ms - RUN_MS, TIMING.handover_ms + 1]
 )
 def test_the_last_lease_of_that_one_is_waited_out(led_ms: int) -> None:
     former = Former(led_ms=led_ms)
     former.next_process().end(former.killed_ms)
-    assert former.successor_wait_ms() == LEASE_MS
+    assert former.successor_wait_ms() == RUN_MS
 
 
 @pytest.mark.proof('earlier-terms')
@@ -179,7 +180,7 @@
     with pytest.raises(StoreError):
         process.end(former.killed_ms)
     assert former.has_key()
-    process.end(former.killed_ms + LEASE_MS - SHORT_MS)
+    process.end(former.killed_ms + RUN_MS - SHORT_MS)
     assert former.successor_wait_ms() == SHORT_MS
 
 
@@ -242,6 +243,16 @@
     assert former.store.read(ROSTER_KEY) is None
 
 
+@pytest.mark.proof('ended-early')
+def test_what_a_restarted_worker_accepted_ran_on_beside_the_next_run() -> None:
+    """It restarted unnoticed just before the leader's process was killed. The
+    deadline of the last order is far ahead on its new clock."""
+    former = Former(led_ms=TIMING.handover_ms + 1)
+    former.next_process().end(former.killed_ms)
+    longest_ms = TIMING.max_lease_ms / (1 - CLOCK_DRIFT)
+    assert former.successor_wait_ms() > longest_ms
+
+
 def test_what_the_former_leader_told_of_other_workers_stays() -> None:
     roster = Roster(
         frozenset(('used', 'unanswered')),
@@ -249,12 +260,12 @@
         {'used': 'host:80', 'absent': 'host:81'},
         TermRecord(1, SHORT_MS, frozenset(('unanswered', 'none'))),
     )
-    assert create_ended_roster(roster, 1, LEASE_MS) == Roster(
+    assert create_ended_roster(roster, 1, RUN_MS) == Roster(
         frozenset(('unanswered',)),
         {
             'suspended': SHORT_MS,
             'absent': TIMING.handover_ms,
-            'used': LEASE_MS,
+            'used': RUN_MS,
         },
         roster.addresses,
     )
@@ -267,7 +278,7 @@
     with pytest.raises(StoreError):
         process.end(former.killed_ms)
     process.end(former.killed_ms + RESTART_MS)
-    assert former.successor_wait_ms() == LEASE_MS
+    assert former.successor_wait_ms() == RUN_MS
 
 
 @pytest.mark.proof('ended-late')
@@ -295,7 +306,7 @@
     former.store.apply_held_commits()
     former.next_process().end(former.killed_ms + RESTART_MS)
     assert not former.has_key()
-    assert former.successor_wait_ms() == LEASE_MS
+    assert former.successor_wait_ms() == RUN_MS
 
 
 @pytest.mark.proof('ended-late')
