Directory: an old entry ends no worker that was adopted without one

What callers could have seen: a task that is listed as running is started elsewhere. A new leader adopts a worker that answers at its stored address, with its runs; its directory lags, and the entry of the worker's former incarnation arrives. It was taken for a new incarnation, so that what ran on the living one was released at once.

Cause: entries are compared by revision, and a worker that was adopted without an entry has none, so any entry went through.

Evidence: test_old_registrations, an old entry does not end a worker adopted without one, failed before.

Why it works: of the entries for such a worker, one of an earlier incarnation is passed over; the first of its own incarnation gives it a revision, and from then on revisions decide as before.

--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -59,7 +59,7 @@
         nothing: its incarnation may be over, and its drain may have begun.
         """
         existing = self.workers.get(registration.worker_id)
-        if existing and registration.revision < existing.registration.revision:
+        if existing and _is_outdated(existing.registration, registration):
             return []
         if existing is not None and is_new_incarnation(
             existing.registration, registration
@@ -246,6 +246,19 @@
         return orders
 
 
+def _is_outdated(
+    existing: WorkerRegistration, registration: WorkerRegistration
+) -> bool:
+    """Return whether a registration had been replaced when it was read.
+
+    A worker that was adopted without one has no revision; of its registrations,
+    those of earlier incarnations are outdated.
+    """
+    if existing.revision:
+        return registration.revision < existing.revision
+    return 0 < registration.incarnation_ms < existing.incarnation_ms
+
+
 def _may_have_expired(worker: Worker, now_ms: int) -> bool:
     """Return whether a worker's lease has expired or was never granted."""
     clock = worker.clock
--- a/tests/scheduling/test_old_registrations.py
+++ b/tests/scheduling/test_old_registrations.py
@@ -53,6 +53,25 @@
     assert worker.registration.incarnation_ms == incarnation_ms
 
 
+@pytest.mark.proof('old-registrations')
+def test_an_old_entry_does_not_end_a_worker_adopted_without_one() -> None:
+    """It listed its runs to a new leader, whose directory lagged behind."""
+    harness = create_harness()
+    harness.scheduler.add_job(job(step()))
+    harness.add_worker('w1', incarnation_ms=200)
+    harness.start_all()
+    harness.scheduler.update_worker(
+        registration('w1', incarnation_ms=100, revision=OLDER), harness.at_ms
+    )
+    adopted = harness.scheduler.workers['w1']
+    assert adopted.registration.incarnation_ms == 200
+    harness.scheduler.update_worker(
+        registration('w1', incarnation_ms=200, revision=CURRENT), harness.at_ms
+    )
+    assert harness.scheduler.workers['w1'] is adopted
+    assert adopted.registration.revision == CURRENT
+
+
 @pytest.mark.proof('old-registrations')
 def test_a_drain_that_has_begun_is_not_undone() -> None:
     harness = create_harness()
