--- a/review/8/case.py
+++ b/review/8/case.py
@@ -42,7 +42,9 @@
         if is_of_job and time.monotonic() < self.lossy_until:
             self.lost += 1
             threading.Timer(LATE_S, super()._txn, (req,)).start()
+            # A channel on which an answer is lost returns nothing further.
             time.sleep(LATE_S + 1)
+            raise ConnectionAbortedError
         return super()._txn(req)
 
 
