--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -607,8 +607,13 @@
         time.sleep(0.05)
 
 
+def _end_early(number, frame):
+    raise CannotRun(f'ended by signal {number}')
+
+
 def main(case_file, play, **options):
     """Play a case and exit: 0 held, 1 broken, 2 could not run."""
+    signal.signal(signal.SIGTERM, _end_early)
     site = Site(case_file, **options)
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     site.record.note(f'trouble: {has_trouble}')
