--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from gentianpulley.background import Backoff
-from gentianpulley.cluster.job_storage import EntryJobStore, JobStatus
+from gentianpulley.cluster.entry_job_store import EntryJobStore, JobStatus
 from gentianpulley.deadline import has_passed, ms_left, seconds_left
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.jobs.spec import JobSpec
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -12,7 +12,7 @@
 
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.election_policy import Candidate
-from gentianpulley.cluster.job_storage import EntryJobStore
+from gentianpulley.cluster.entry_job_store import EntryJobStore
 from gentianpulley.cluster.leader import LeaderDependencies
 from gentianpulley.cluster.queues import QueueTable
 from gentianpulley.cluster.submissions import Submissions
--- a/tests/answer_guards.py
+++ b/tests/answer_guards.py
@@ -10,8 +10,8 @@
 
 from gentianpulley.cluster import handover_state, submissions
 from gentianpulley.cluster.handover_state import HandoverState
+from gentianpulley.cluster.entry_job_store import EntryJobStore
 from gentianpulley.cluster.job_storage import (
-    EntryJobStore,
     LeaderJobStore,
     job_key,
     waiting_key,
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gentianpulley.cluster.job_storage import EntryJobStore, JobStatus
+from gentianpulley.cluster.entry_job_store import EntryJobStore, JobStatus
 from gentianpulley.cluster.submissions import (
     MAX_STORE_CALL_MS,
     RequestOutcome,
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -11,7 +11,7 @@
 import pytest
 
 from gentianpulley.cluster import prefix_counts
-from gentianpulley.cluster.job_storage import EntryJobStore
+from gentianpulley.cluster.entry_job_store import EntryJobStore
 from gentianpulley.cluster.submissions import (
     RequestResult,
     RequestOutcome,
