Store a tombstone before a cancellation is answered with 410

A POST got 504, the caller left and sent DELETE, which got 410; 5 s later the job was stored, and started 4.8 s after the cancellation was acknowledged (cancel_ms is 3 s).

Cause: the store may apply a write seconds after its caller stopped waiting. The write that creates a job only required that the job does not exist, and a DELETE of an unknown job left nothing behind.

Fix: a DELETE of an unknown job stores a tombstone, if the job does not exist at that revision, and a job is created only if its id has none. The store applies one of them first: the job exists and is cancelled, or it is never created. The leader deletes tombstones that two scans, 35 s apart, found unchanged, which is longer than writes of earlier submissions may take; so submissions now end their writes after 10 s, whatever the caller's deadline.

Evidence: test_lost_answers (found no job) failed before for either instance that answers the DELETE; it and the interleavings of test_tombstones fail with the guards tombstone and tombstone-retention off.

--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -48,6 +48,7 @@
 from gentianpulley.cluster.scheduler import create_scheduler
 from gentianpulley.cluster.scheduler_state import LeaderTerm
 from gentianpulley.cluster.timing import Timing
+from gentianpulley.cluster.tombstones import TombstoneSweeper
 from gentianpulley.cluster.maintenance_loop import MaintenanceLoop
 from gentianpulley.cluster.wave_records import WaveRecords
 from gentianpulley.counters import Counters
@@ -128,6 +129,7 @@
         self._leadership = leadership
         self._store = create_leader_store(dependencies.store, leader_key)
         self._job_store = LeaderJobStore(self._store, dependencies.log)
+        self._tombstone_sweeper = TombstoneSweeper(self._store)
         self._handover_state = HandoverState(self._store, dependencies.log)
         self._token = leader_key.revision
         self._scheduler_service: SchedulerService | None = None
@@ -304,6 +306,8 @@
         self._save(service)
         self._save_interference(service)
         self._job_store.delete_ended(now_ms() - self._dependencies.status_ms)
+        if self._tombstone_sweeper.sweep():
+            service.save_requested.set()
 
     def _save_interference(self, service: SchedulerService) -> None:
         """Write the learned interference if it is due and has changed."""
--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -12,8 +12,22 @@
 from typing import Final
 
 from gentianpulley.background import Backoff
-from gentianpulley.cluster.entry_job_store import EntryJobStore, JobStatus
-from gentianpulley.deadline import has_passed, ms_left, seconds_left
+from gentianpulley.cluster.entry_job_store import (
+    CreateOutcome,
+    EntryJobStore,
+    JobStatus,
+)
+from gentianpulley.cluster.tombstones import (
+    MAX_SUBMIT_MS,
+    TOMBSTONE_RETENTION_MS,
+)
+from gentianpulley.deadline import (
+    MS_PER_SECOND,
+    deadline_in,
+    has_passed,
+    ms_left,
+    seconds_left,
+)
 from gentianpulley.errors import StoreAnswerLostError, StoreError
 from gentianpulley.jobs.spec import JobSpec
 from gentianpulley.logs import EventLog
@@ -63,7 +77,12 @@
     def submit(
         self, spec: JobSpec, cfg_version: int, deadline_ms: int
     ) -> RequestResult:
-        """Store a job; retry while the store may still answer in time."""
+        """Store a job; retry while the store may still answer in time.
+
+        A job that was cancelled before it was stored is refused for as long as
+        its tombstone may exist.
+        """
+        deadline_ms = min(deadline_ms, deadline_in(MAX_SUBMIT_MS))
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         is_uncertain = False
         while True:
@@ -72,7 +91,11 @@
                 return RequestResult(RequestOutcome.OK)
             is_uncertain = is_uncertain or attempt is _Attempt.LOST
             if not is_uncertain:
-                return _retry_later()
+                return _refusal(attempt)
+            if attempt is _Attempt.BARRED:
+                # Earlier writes may outlast a tombstone that is about to be
+                # deleted.
+                return RequestResult(RequestOutcome.UNCERTAIN)
             if ms_left(deadline_ms) < MAX_STORE_CALL_MS:
                 return RequestResult(RequestOutcome.UNCERTAIN)
             _pause(backoff, deadline_ms)
@@ -116,13 +139,16 @@
 
     def _try_to_store(self, spec: JobSpec, cfg_version: int) -> '_Attempt':
         try:
-            self._job_store.create(spec)
+            outcome = self._job_store.create(spec)
         except StoreAnswerLostError as lost:
             self._log.job_not_stored(spec.job_id, 'answer lost', lost.text)
             return _Attempt.LOST
         except StoreError as refused:
             self._log.job_not_stored(spec.job_id, 'refused', refused.text)
             return _Attempt.REFUSED
+        if outcome is CreateOutcome.BARRED:
+            self._log.job_not_stored(spec.job_id, 'refused', 'tombstone')
+            return _Attempt.BARRED
         self._log.job_stored(spec.job_id, spec.policy.queue, cfg_version)
         return _Attempt.STORED
 
@@ -136,6 +162,7 @@
             self._log.store_trouble(exc.text)
             return _retry_later()
         if job_status is None:
+            self._log.tombstone_stored(job_id)
             return RequestResult(RequestOutcome.UNKNOWN_JOB)
         self._log.job_cancelled(job_id)
         return RequestResult(RequestOutcome.OK, job_status)
@@ -146,9 +173,19 @@
 
     STORED = 'stored'
     REFUSED = 'refused'
+    BARRED = 'barred'
     LOST = 'lost'
 
 
+def _refusal(attempt: _Attempt) -> RequestResult:
+    if attempt is _Attempt.BARRED:
+        retry_after_s = TOMBSTONE_RETENTION_MS // MS_PER_SECOND
+        return RequestResult(
+            RequestOutcome.REFUSED, retry_after_s=retry_after_s
+        )
+    return _retry_later()
+
+
 def _retry_later() -> RequestResult:
     return RequestResult(
         RequestOutcome.REFUSED, retry_after_s=random.randint(*RETRY_AFTER_S)
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -135,6 +135,11 @@
         """A caller's cancellation was stored."""
         _write('job_cancelled', job_id=job_id)
 
+    def tombstone_stored(self, job_id: str) -> None:
+        """A caller cancelled a job that is not stored."""
+        if self._sampler.may_write('tombstone_stored', job_id):
+            _write_admitted('tombstone_stored', job_id=job_id)
+
     def job_state(self, job_id: str, state: str, waited_ms: int) -> None:
         """A job reached a final state, `waited_ms` after its submission."""
         self._sampler.report_omitted()
--- a/tests/answer_guards.py
+++ b/tests/answer_guards.py
@@ -8,9 +8,12 @@
 from contextlib import suppress
 from typing import Any, Final
 
-from gentianpulley.cluster import handover_state, submissions
+from gentianpulley.cluster import handover_state, submissions, tombstones
 from gentianpulley.cluster.handover_state import HandoverState
-from gentianpulley.cluster.entry_job_store import EntryJobStore
+from gentianpulley.cluster.entry_job_store import (
+    CreateOutcome,
+    EntryJobStore,
+)
 from gentianpulley.cluster.job_storage import (
     LeaderJobStore,
     job_key,
@@ -22,6 +25,7 @@
 from gentianpulley.cluster.order_sender import OrderSender
 from gentianpulley.cluster.scheduler_service import SchedulerService
 from gentianpulley.cluster.worker_protocol import StartReply, StartVerdict
+from gentianpulley.deadline import MS_PER_SECOND
 from gentianpulley.errors import (
     StoreError,
     StoreRefusedError,
@@ -44,14 +48,25 @@
 def job_once() -> None:
     """Store a job whether or not its id exists."""
 
-    def create(store: Any, spec: Any) -> bool:
+    def create(store: Any, spec: Any) -> CreateOutcome:
         waiting = waiting_key(spec.policy.queue, spec.job_id)
         puts = (Put(job_key(spec.job_id), encode_job(spec)), Put(waiting, b''))
-        return bool(store._store.commit(Transaction((), puts)).applied)
+        store._store.commit(Transaction((), puts))
+        return CreateOutcome.CREATED
 
     replace(EntryJobStore, 'create', create)
 
 
+def tombstone() -> None:
+    """Say that a job does not exist without storing that."""
+    replace(EntryJobStore, '_store_tombstone', lambda *_: True)
+
+
+def tombstone_retention() -> None:
+    """Delete tombstones while writes of earlier submissions may be applied."""
+    replace(tombstones, 'TOMBSTONE_RETENTION_MS', MS_PER_SECOND)
+
+
 def record_again() -> None:
     """Write a record again under the revision that failed."""
 
@@ -153,6 +168,8 @@
     'roster-revision': roster_revision,
     'saved-first': saved_first,
     'stop-again': stop_again,
+    'tombstone': tombstone,
+    'tombstone-retention': tombstone_retention,
     'unanswered-upkeep': unanswered_upkeep,
     'unanswered-write': unanswered_write,
 }
--- a/tests/scheduling/simulated_store.py
+++ b/tests/scheduling/simulated_store.py
@@ -14,6 +14,7 @@
     ABSENT,
     CommitResult,
     Entry,
+    Page,
     Precondition,
     Put,
     Store,
@@ -63,6 +64,15 @@
         """Return an entry, None if it does not exist."""
         return self._entries.get(key)
 
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return all entries below a prefix that come after a key."""
+        entries = tuple(
+            entry
+            for key, entry in sorted(self._entries.items())
+            if key.startswith(prefix) and key > after
+        )
+        return Page(entries, self._revision, is_last=True)
+
     def commit(self, txn: Transaction) -> CommitResult:
         """Apply a transaction, if it arrives and its conditions hold."""
         delivery = self._rng.choices(
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -45,6 +45,8 @@
 TASK_COUNT: Final = 3
 SETTLE_S: Final = 0.3
 OK: Final = 200
+GONE: Final = 410
+REFUSED: Final = 503
 TIMED_OUT: Final = 504
 MAX_TRIES: Final = 4
 _NUMBERS: Final = count(1)
@@ -282,6 +284,46 @@
     assert sum(_starts(site, job_id).values()) == 2
 
 
+def _send_with_late_writes(site: Site, job_id: str, body: object) -> int:
+    """Submit a job whose writes are all applied after its caller was told."""
+    site.store.faults = {'late': MAX_TRIES, 'keys': job_key(job_id)}
+    status, _ = call(site.nodes[0], 'POST', _path(job_id), body)
+    site.store.faults = {}
+    return status
+
+
+@pytest.mark.proof('tombstone')
+@pytest.mark.parametrize('canceller', [0, 1])
+def test_no_job_starts_after_its_cancellation_found_no_job(
+    site: Site, job_id: str, canceller: int
+) -> None:
+    """A write of the job that was applied late made it start (UNASKED).
+
+    Review case 8.
+    """
+    body = job_body({'count': 1}, ms=60)
+    assert _send_with_late_writes(site, job_id, body) == TIMED_OUT
+    node = site.nodes[canceller]
+    assert call(node, 'DELETE', _path(job_id))[0] == GONE
+    _settle(LATE_S + SETTLE_S)
+    assert not site.store.item(job_key(job_id))
+    assert not _starts(site, job_id)
+    assert call(node, 'GET', _path(job_id))[0] == GONE
+    assert call(node, 'POST', _path(job_id), body)[0] == REFUSED
+
+
+def test_a_job_that_is_stored_before_its_cancellation_is_cancelled(
+    site: Site, job_id: str
+) -> None:
+    """A 410 is no answer once a write that was applied late stored the job."""
+    body = job_body({'count': 1, 'long_running': True}, ms=60_000)
+    assert _send_with_late_writes(site, job_id, body) == TIMED_OUT
+    wait_until(lambda: _running(site, job_id))
+    assert call(site.nodes[1], 'DELETE', _path(job_id))[0] == OK
+    wait_until(lambda: not _running(site, job_id))
+    _wait_for_state(site, job_id, 'cancelled')
+
+
 @pytest.mark.parametrize(
     'hop',
     [
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from gentianpulley.cluster.entry_job_store import EntryJobStore, JobStatus
+from gentianpulley.cluster.entry_job_store import (
+    CreateOutcome,
+    EntryJobStore,
+    JobStatus,
+)
 from gentianpulley.cluster.submissions import (
     MAX_STORE_CALL_MS,
     RequestOutcome,
@@ -38,10 +42,10 @@
         self._answers = chain(answers, repeat(answers[-1]))
         self.effects = 0
 
-    def create(self, spec: JobSpec) -> bool:
+    def create(self, spec: JobSpec) -> CreateOutcome:
         """Store a job."""
         self._answer()
-        return True
+        return CreateOutcome.CREATED
 
     def cancel(self, job_id: str) -> JobStatus | None:
         """Store a cancellation."""
