--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 import time
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
+from types import MappingProxyType
 from typing import Any, Final
 
 from soak.site import Instance, SoakSite
@@ -25,11 +26,18 @@
 ACCEPTED: Final = 200
 GONE: Final = 410
 REFUSALS: Final = frozenset((404, 429, 503))
+_SETTLING: Final = MappingProxyType(
+    {
+        'POST': frozenset((ACCEPTED, *REFUSALS)),
+        'DELETE': frozenset((ACCEPTED, GONE)),
+    }
+)
 ENDLESS_MS: Final = 10_000_000
 ENDLESS_SHARE: Final = 0.12
 HOPELESS_SHARE: Final = 0.06
 DEADLY_SHARE: Final = 0.02
 CANCEL_SHARE: Final = 0.15
+LEAVE_SHARE: Final = 0.3
 SUBMIT_SHARE: Final = 0.4
 MOST_ENDLESS: Final = 1
 
@@ -108,6 +116,11 @@
         """Return when its cancellation was first accepted, 0 if never."""
         return self._first('DELETE')
 
+    @property
+    def denied_s(self) -> float:
+        """Return when a cancellation first found no such job, 0 if never."""
+        return self._first('DELETE', GONE)
+
     @property
     def completed_s(self) -> float:
         """Return when it was first reported as completed, 0 if never."""
@@ -127,11 +140,11 @@
         posts = [each for each in self.answers if each.method == 'POST']
         return bool(posts) and all(each.status in REFUSALS for each in posts)
 
-    def _first(self, method: str) -> float:
+    def _first(self, method: str, status: int = ACCEPTED) -> float:
         heard = [
             each.heard_s
             for each in self.answers
-            if each.method == method and each.status == ACCEPTED
+            if each.method == method and each.status == status
         ]
         return min(heard, default=0)
 
@@ -190,11 +203,14 @@
             plan = draw_job(self._rng)
         story = Story(plan)
         self.stories.append(story)
-        answer = self._call(story, 'POST')
-        while answer.status not in {ACCEPTED, *REFUSALS}:
+        method = 'POST'
+        while self._call(story, method).status not in _SETTLING[method]:
+            if self._rng.random() < LEAVE_SHARE:
+                # The caller gives its job up before it learns what became of
+                # it.
+                method = 'DELETE'
             if self._stopping.wait(self._rng.uniform(*PAUSE_S)):
                 return
-            answer = self._call(story, 'POST')
 
     def _call(self, story: Story, method: str) -> Answer:
         instance = self._rng.choice(self._site.instances)
--- a/soak/run_promises.py
+++ b/soak/run_promises.py
@@ -107,6 +107,14 @@
             yield f'UNASKED: {_describe(event)}, after its job was cancelled'
 
 
+def started_after_denial(record: SoakRecord) -> Iterator[str]:
+    """Find starts of jobs whose cancellation found no such job (UNASKED)."""
+    for event in record.starts():
+        story = record.story_of(event.task)
+        if story is not None and 0 < story.denied_s < event.at_s:
+            yield f'UNASKED: {_describe(event)}, after a 410'
+
+
 def running_in_vain(record: SoakRecord) -> Iterator[str]:
     """Find tasks of cancelled jobs that still run at the end (UNASKED)."""
     for task, worker_ids in record.last_runs().items():
@@ -196,6 +204,7 @@
     overfilled,
     out_of_order,
     unasked,
+    started_after_denial,
     running_in_vain,
     sent_where_closed,
 )
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -209,6 +209,18 @@
     assert 'LOST' in _found(rows, ACCEPTED, cut, COMPLETED, faults=(stop,))
 
 
+@pytest.mark.parametrize(('at_s', 'is_found'), [(0.25, False), (0.35, True)])
+def test_a_start_after_a_denial_is_found(
+    at_s: float, *, is_found: bool
+) -> None:
+    """It counts at once, and whatever fault is near."""
+    unanswered = Answer('n0', 'POST', 0, 0.1, 504)
+    denied = Answer('n0', 'DELETE', 0.2, 0.3, 410)
+    fault = Disruption('store late', 'store', 0, 10)
+    found = _found(_run(at_s, FIRST), unanswered, denied, faults=(fault,))
+    assert ('UNASKED' in found) is is_found
+
+
 def test_a_cancelled_task_that_runs_at_the_end_is_found() -> None:
     found = _found(_run(1, FIRST)[:1], ACCEPTED, CANCELLED)
     assert 'UNASKED' in found
