Refuse starts that a worker carries out late

Cause: a start that got no answer was sent when its worker had room, and was carried out 6 s later, as its deadline was that of the lease, 5.5 s. The worker had shrunk 5.2 s before; 4.1 s are allowed. Polls had no answer either, so nothing told the leader to bar the run.

Fix: once a poll has renewed a worker's lease, a start is refused 2 s after it was sent, and never carried out after its leader's time to act. The lease is that of the polls and isn't shortened. Late starts count in the model of capacities now: it had excused them, which the rule does not.

--- a/bench/leader_replay.py
+++ b/bench/leader_replay.py
@@ -30,10 +30,10 @@
 )
 from gentianpulley.cluster.scheduler import Scheduler, create_scheduler
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
-from gentianpulley.cluster.timing import create_timing
+from gentianpulley.cluster.timing import MAX_START_DELAY_MS, create_timing
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.counters import create_counters
-from gentianpulley.deadline import MS_PER_SECOND
+from gentianpulley.deadline import MS_PER_SECOND, deadline_in
 from gentianpulley.http_conn import HttpResponse, parse_address
 from gentianpulley.jobs.job import create_job
 from gentianpulley.jobs.record import encode_record, create_record
@@ -301,7 +301,9 @@
     def _send_start(self, session: Session, order: StartOrder) -> None:
         self._outcome.starts += 1
         if self._service.claim_start_send(order):
-            sent = self._service.order_context(session.known)
+            sent = self._service.start_context(
+                order, session.known, deadline_in(MAX_START_DELAY_MS)
+            )
             reply = _result(session.link.start(order, sent))
             self._service.on_start_reply(order, reply)
 
--- a/src/gentianpulley/cluster/order_sender.py
+++ b/src/gentianpulley/cluster/order_sender.py
@@ -15,6 +15,7 @@
 )
 from gentianpulley.cluster.scheduler_service import SchedulerService
 from gentianpulley.cluster.scheduler_state import Order
+from gentianpulley.cluster.timing import FOREVER, MAX_START_DELAY_MS
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.cluster.worker_poller import WorkerPoller
 from gentianpulley.cluster.worker_protocol import (
@@ -115,7 +116,8 @@
             self._service.withdraw_start(order)
             return
         reply = await self._client.start(
-            order, self._service.order_context(self._worker)
+            order,
+            self._service.start_context(order, self._worker, self._until_ms()),
         )
         if reply.verdict is StartVerdict.FENCED:
             self._service.resign('a start was fenced off')
@@ -126,6 +128,16 @@
         for each in next_orders:
             self.orders.put(QueuedOrder(each, queued_ms))
 
+    def _until_ms(self) -> int:
+        """Return until when a start may be carried out.
+
+        The first starts have the whole lease: without one of a poll, their runs
+        would lapse at the deadline if this leader died.
+        """
+        if self._poller.has_renewed_lease:
+            return deadline_in(MAX_START_DELAY_MS)
+        return FOREVER
+
     async def _send_stop(self, order: StopOrder, queued_ms: int) -> None:
         if not self._service.should_send_stop(order):
             return
--- a/src/gentianpulley/cluster/scheduler_service.py
+++ b/src/gentianpulley/cluster/scheduler_service.py
@@ -157,6 +157,10 @@
         """
         return at_ms - self._until_ms
 
+    def limit(self, deadline_ms: int) -> int:
+        """Return a deadline, at the latest the end of the leadership."""
+        return min(deadline_ms, self._until_ms)
+
     def is_over(self) -> bool:
         """Return whether the leadership has ended permanently."""
         return self._resigned.is_set()
@@ -296,6 +300,27 @@
                 self.term.token, self.scheduler.grant_lease(worker)
             )
 
+    def start_context(
+        self, order: StartOrder, worker: Worker, until_ms: int
+    ) -> OrderContext:
+        """Return the token and the deadline of a start sent now.
+
+        It is not carried out after `until_ms`, as its worker may have less
+        capacity by then, nor once this leader may not act any more. The lease
+        is not shortened, as that of a poll is longer.
+        """
+        with self.lock:
+            deadline_worker_ms = min(
+                worker.clock.worker_ms_at(self.leadership.limit(until_ms)),
+                self.scheduler.grant_lease(worker),
+            )
+            reservation = self.scheduler.reservation_of(order)
+            if reservation is not None:
+                deadline_worker_ms = reservation.extend_start_deadline(
+                    deadline_worker_ms
+                )
+            return OrderContext(self.term.token, deadline_worker_ms)
+
     def on_listing(
         self, worker: Worker, listing: Listing, sent_ms: int
     ) -> None:
--- a/src/gentianpulley/cluster/timing.py
+++ b/src/gentianpulley/cluster/timing.py
@@ -14,6 +14,11 @@
 """How long an order without a reply may still arrive: the platform's workers
 carry out such orders up to twelve seconds later."""
 
+MAX_START_DELAY_MS: Final = 2000
+"""How long after it was sent a worker may carry out a start. A capacity that
+has shrunk counts `contact_ms` and a heartbeat later, and the leader learns of
+it within a heartbeat."""
+
 CLOCK_DRIFT: Final = 0.02
 """Maximum fraction by which a worker's clock is slow, as the platform
 guarantees."""
@@ -150,6 +155,13 @@
         )
         return deadline_worker_ms
 
+    def worker_ms_at(self, at_ms: int) -> int:
+        """Return what the worker's clock shows at a time, if it is not slow.
+
+        It may be ahead of that by the time that its last response took.
+        """
+        return self.seen_worker_ms + at_ms - self.seen_at_ms
+
     def include_stray_lease(
         self, arrived_worker_ms: int, max_lease_ms: int
     ) -> None:
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -50,11 +50,13 @@
     `last_sent_ms` is when the start was last sent, `sent_worker_ms` the latest
     time seen on the worker's clock by then, and `start_deadline_worker_ms` when
     the worker refuses all starts sent so far, on its clock; zero while one is
-    in flight. `sent_ms` is when the start was ordered, `last_progress_ms` when
-    progress last changed, and `latest_finish_ms` when the run has to end at the
-    latest for its job to be on time. `speed_percent` is the speed last ordered
-    from the worker, `UNKNOWN_SPEED_PERCENT` if another sender ordered it, and
-    `target_speed_percent` the speed that the run should have;
+    in flight. `max_start_deadline_worker_ms` is the latest deadline that a
+    start of the run carried. `sent_ms` is when the start was ordered,
+    `last_progress_ms` when progress last changed, and `latest_finish_ms` when
+    the run has to end at the latest for its job to be on time. `speed_percent`
+    is the speed last ordered from the worker, `UNKNOWN_SPEED_PERCENT` if
+    another sender ordered it, and `target_speed_percent` the speed that the run
+    should have;
     `throttled_since_ms` is when that became low, zero while it is not.
     `log_tail_bias` is the deviation of a latency-critical task's tail from the
     one expected of its image, as a logarithm, and `log_smoothed_tail` the
@@ -76,6 +78,7 @@
     last_sent_ms: int = 0
     sent_worker_ms: int = 0
     start_deadline_worker_ms: int = 0
+    max_start_deadline_worker_ms: int = 0
     progress_percent: int = 0
     last_progress_ms: int = 0
     speed_percent: int = FULL_PERCENT
@@ -122,6 +125,17 @@
         was_sent = self.last_sent_ms or self.confirmed_ms
         return not was_sent and not self.is_stopping
 
+    def extend_start_deadline(self, deadline_worker_ms: int) -> int:
+        """Return the deadline of the next sending, on the worker's clock.
+
+        It is not earlier than those before: if the worker refuses a start as
+        too late, none of the run can be carried out any more.
+        """
+        self.max_start_deadline_worker_ms = max(
+            self.max_start_deadline_worker_ms, deadline_worker_ms
+        )
+        return self.max_start_deadline_worker_ms
+
     def is_too_late(self, clock_worker_ms: int) -> bool:
         """Return whether no start sent so far can be carried out any more."""
         return 0 < self.start_deadline_worker_ms < clock_worker_ms
--- a/src/gentianpulley/cluster/worker_poller.py
+++ b/src/gentianpulley/cluster/worker_poller.py
@@ -46,8 +46,9 @@
 class WorkerPoller:
     """Polls one worker incarnation again and again.
 
-    `is_reachable` says whether the latest poll was answered, and `is_closed`
-    whether there are to be no more.
+    `is_reachable` says whether the latest poll was answered, `is_closed`
+    whether there are to be no more, and `has_renewed_lease` whether one that
+    renews the lease was answered.
     """
 
     def __init__(
@@ -56,11 +57,11 @@
         """Prepare to poll."""
         self.is_reachable = False
         self.is_closed = False
+        self.has_renewed_lease = False
         self.signal = Signal()
         self._service = service
         self._worker = worker
         self._client = client
-        self._has_renewed_lease = False
 
     async def run(self) -> None:
         """Poll until this is closed or the incarnation has ended."""
@@ -80,7 +81,7 @@
         await self._wait_to_poll(
             self._are_jobs_loaded,
             LOADING_POLL_INTERVAL_S
-            if self._has_renewed_lease
+            if self.has_renewed_lease
             else FIRST_LEASE_POLL_INTERVAL_S,
         )
         # A poll returns at once while ends are not acknowledged. Most are
@@ -133,7 +134,7 @@
             record_failure(self._service, self._worker, 'looks', exc)
             self._service.on_poll_failed(self._worker)
             return False
-        self._has_renewed_lease |= order.lease_deadline_worker_ms > 0
+        self.has_renewed_lease |= order.lease_deadline_worker_ms > 0
         self._service.on_listing(self._worker, listing, sent_ms)
         self.is_reachable = True
         return True
--- a/src/gentianpulley/cluster/worker_protocol.py
+++ b/src/gentianpulley/cluster/worker_protocol.py
@@ -150,7 +150,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderContext:
-    """The token and the lease under which an order is sent."""
+    """The token and the lease under which an order is sent.
+
+    A worker refuses a start that arrives after the deadline.
+    """
 
     token: int
     lease_deadline_worker_ms: int
--- a/tests/capacity_guards.py
+++ b/tests/capacity_guards.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 
-from gentianpulley.cluster import read_freshness, run_tracker
+from gentianpulley.cluster import order_sender, read_freshness, run_tracker
 from gentianpulley.cluster.worker import Worker
 from gentianpulley.cluster.timing import FOREVER
 from tests.cluster_guards import replace
@@ -26,8 +26,14 @@
     replace(read_freshness, 'MAX_DIRECTORY_AGE_MS', FOREVER)
 
 
+def start_deadline() -> None:
+    """Let starts be carried out for as long as the lease lasts."""
+    replace(order_sender, 'MAX_START_DELAY_MS', FOREVER)
+
+
 CAPACITY_GUARDS: dict[str, Callable[[], None]] = {
     'shrunk-limits': shrunk_limits,
     'shrunk-queued': shrunk_queued,
+    'start-deadline': start_deadline,
     'workers-watched': workers_watched,
 }
--- a/tests/scheduling/simulated_capacities.py
+++ b/tests/scheduling/simulated_capacities.py
@@ -7,6 +7,8 @@
 
 from typing import Final, NamedTuple
 
+from gentianpulley.cluster.timing import MAX_START_DELAY_MS
+from gentianpulley.cluster.worker import Worker
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import TIMING
@@ -33,9 +35,12 @@
 class CapacitySimulation(Simulation):
     """Leaders, and workers whose capacities change.
 
-    `shrunk` counts the starts on workers that have shrunk lately.
+    `shrunk` counts the starts on workers that have shrunk lately, `late` those
+    that workers carried out late.
     """
 
+    arrival_delay_ms = (100, 6000)
+
     def __init__(
         self,
         seed: int,
@@ -45,6 +50,7 @@
     ) -> None:
         """Start with workers of full capacity."""
         self.shrunk = 0
+        self.late = 0
         self._history: dict[str, list[_Change]] = {}
         self._delivers_late = False
         self._known_milli = CAPACITY_MILLI
@@ -81,14 +87,19 @@
         super()._send_start(index, leader, order)
         self._known_milli = CAPACITY_MILLI
 
+    def _start_deadline(self, leader: SimulatedLeader, worker: Worker) -> int:
+        until_ms = leader.leadership.limit(self.now_ms + MAX_START_DELAY_MS)
+        return min(
+            worker.clock.worker_ms_at(until_ms),
+            leader.scheduler.grant_lease(worker),
+        )
+
     def _check_start(self, worker: SimulatedWorker, key: RunKey) -> None:
         super()._check_start(worker, key)
         used = worker.used_milli(self._needs) + self._needs(key.task_id)
         now_milli = worker.capacity.processors_milli
         self.shrunk += now_milli < CAPACITY_MILLI
-        if self._delivers_late:
-            # The rule does not count what a worker carries out late.
-            return
+        self.late += self._delivers_late
         if used > self._allowed_milli(worker):
             self.violations.append(
                 f'{worker.worker_id} holds {used} of {now_milli}'
@@ -97,7 +108,8 @@
     def _allowed_milli(self, worker: SimulatedWorker) -> int:
         """Return the largest capacity that counted within the allowed time.
 
-        No more than what the sender knows, which is stricter than the rule.
+        No more than what the sender knows, which is stricter than the rule; it
+        is not known of a start that is carried out late.
         """
         since_ms = self.now_ms - ALLOWED_MS
         recent = [
--- a/tests/scheduling/simulated_cluster.py
+++ b/tests/scheduling/simulated_cluster.py
@@ -24,7 +24,12 @@
 
 
 class SimulatedCluster:
-    """Workers and jobs with one clock and one random generator."""
+    """Workers and jobs with one clock and one random generator.
+
+    `arrival_delay_ms` is the range of how late starts may be carried out.
+    """
+
+    arrival_delay_ms = ARRIVAL_DELAY_MS
 
     def __init__(self, seed: int, durations_ms: tuple[int, ...]) -> None:
         """Start with some workers; runs last one of the durations."""
@@ -58,7 +63,7 @@
 
     def _delay(self, order: StartOrder, token: int, lease_ms: int) -> None:
         """Let a start arrive seconds later."""
-        at_ms = self.now_ms + self.rng.randint(*ARRIVAL_DELAY_MS)
+        at_ms = self.now_ms + self.rng.randint(*self.arrival_delay_ms)
         worker_start_ms = self.workers[order.worker_id].incarnation_ms
         self.delayed_starts.append(
             DelayedStart(at_ms, order, token, lease_ms, worker_start_ms)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -496,7 +496,7 @@
             # session sends no start before the next poll (`test_session`).
             scheduler.end_incarnation(order.worker_id, self.now_ms)
             return
-        lease_ms = scheduler.grant_lease(existing)
+        lease_ms = self._start_deadline(leader, existing)
         token = scheduler.term.token
         delivery = self.rng.choices(START_DELIVERIES, START_DELIVERY_WEIGHTS)[0]
         verdict = StartVerdict.LOST
@@ -524,6 +524,13 @@
             scheduler.handle_start_reply(order, reply, self.now_ms)
         )
 
+    def _start_deadline(self, leader: SimulatedLeader, worker: Worker) -> int:
+        """Return the deadline of a start, on its worker's clock.
+
+        It is longer than that of a real one, as an older release sends it.
+        """
+        return leader.scheduler.grant_lease(worker)
+
     def _send_stop(
         self, index: int, leader: SimulatedLeader, order: StopOrder
     ) -> None:
--- a/tests/scheduling/test_capacity_interleavings.py
+++ b/tests/scheduling/test_capacity_interleavings.py
@@ -44,3 +44,4 @@
 def test_the_model_of_capacities_does_something() -> None:
     simulations = [_run(seed, {}) for seed in range(10)]
     assert sum(each.shrunk for each in simulations) > 50
+    assert any(each.late for each in simulations)
--- a/tests/scheduling/test_paused.py
+++ b/tests/scheduling/test_paused.py
@@ -210,7 +210,7 @@
     'hook',
     [
         _hook(pause_after, SchedulerService, 'claim_start_send'),
-        _hook(pause_after, SchedulerService, 'order_context'),
+        _hook(pause_after, SchedulerService, 'start_context'),
         _hook(pause_before, ClockedLink, 'start'),
     ],
     ids=['before its lease is read', 'with its lease', 'sent'],
--- a/tests/scheduling/test_shrunk_capacity.py
+++ b/tests/scheduling/test_shrunk_capacity.py
@@ -5,9 +5,14 @@
 
 import pytest
 
+from gentianpulley.cluster.scheduler_service import Leadership, SchedulerService
+from gentianpulley.cluster.timing import FOREVER
 from gentianpulley.cluster.worker_protocol import StartOrder, StartVerdict
+from gentianpulley.counters import create_counters
+from gentianpulley.logs import EventLog
 from gentianpulley.resources import Resources
 from tests.scheduling.harness import (
+    TIMING,
     SchedulerHarness,
     create_harness,
     job,
@@ -116,3 +121,27 @@
     assert not send(harness, second)
     (stop,) = harness.scheduler.stop_incomplete_gangs()
     assert stop.key == first.key
+
+
+def test_a_later_sending_expires_before_an_earlier_one() -> None:
+    """A refusal as too late proves that no sending is carried out any more.
+
+    The task would run twice if an earlier one could be.
+    """
+    harness = create_harness('w1')
+    harness.scheduler.add_job(job(step()))
+    (order,) = harness.plan()
+    worker = harness.scheduler.workers['w1']
+    at_ms = worker.clock.seen_at_ms
+    service = SchedulerService(
+        harness.scheduler,
+        Leadership(at_ms + 10_000, at_ms + 10_000),
+        create_counters(),
+        EventLog(),
+    )
+    deadlines = [
+        service.start_context(order, worker, until_ms).lease_deadline_worker_ms
+        for until_ms in (FOREVER, at_ms + 2000, at_ms + 1000, at_ms + 4000)
+    ]
+    assert deadlines == sorted(deadlines)
+    assert deadlines[-1] == worker.clock.seen_worker_ms + TIMING.lease_ms
