Add the value types of customers

The cfg's customers, a job's customer, and the listener's method, without any effect yet, so that keys and ceilings can be built side by side.

--- a/src/gentianpulley/cluster/operators.py
+++ b/src/gentianpulley/cluster/operators.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from gentianpulley.cluster.customers import Customers
 from gentianpulley.cluster.machines import WaveRequest
 
 
@@ -15,3 +16,6 @@
     @abstractmethod
     def replace_wave_requests(self, requests: tuple[WaveRequest, ...]) -> None:
         """Set the maintenance waves to carry out."""
+
+    def replace_customers(self, customers: Customers) -> None:
+        """Set the customers of the cfg in force; by default of no effect."""
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -143,7 +143,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
-    """One accepted job."""
+    """One accepted job.
+
+    `customer` names the customer whose key submitted it, empty for none.
+    """
 
     job_id: str
     payload: str
@@ -151,6 +154,7 @@
     steps: tuple[StepSpec, ...]
     submitted_ms: int
     schedule: Schedule = Schedule()
+    customer: str = ''
 
     def is_endless(self) -> bool:
         """Return whether the job runs until it is cancelled."""
