Check the key of each call of a customer

A call with an unknown key was accepted on a deployment with customers.

The cfg's customers and public queues are decoded and come into force in the same step as the queues. Where the cfg names customers, or the settings' contracts name them, a call on a queue that is not public needs a key of the cfg in force: 401 otherwise, before the store is read. A job is stored with its customer, in its record too; status, cancel and a repeated submission by another customer get 403. 503 while the cfg may be outdated.

--- a/src/gentianpulley/cluster/entry_job_store.py
+++ b/src/gentianpulley/cluster/entry_job_store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from gentianpulley.cluster.customer_keys import UNRESTRICTED, Caller
 from gentianpulley.cluster.job_storage import (
     cancellation_key,
     job_key,
@@ -15,10 +16,11 @@
 from gentianpulley.cluster.tombstones import tombstone_key
 from gentianpulley.jobs.job import JobState
 from gentianpulley.jobs.record import JobRecord, decode_record
-from gentianpulley.jobs.spec import JobSpec, encode_job
+from gentianpulley.jobs.spec import JobSpec, decode_owner, encode_job
 from gentianpulley.logs import EventLog
 from gentianpulley.store import (
     ABSENT,
+    CommitResult,
     Entry,
     Precondition,
     Put,
@@ -29,16 +31,25 @@
 
 @dataclass(frozen=True, slots=True)
 class JobStatus:
-    """The status of a job that callers may request."""
+    """The status of a job that callers may request.
+
+    `owner` names the customer that the job belongs to, empty for none.
+    """
 
     state: JobState
+    owner: str = ''
 
 
 class CreateOutcome(Enum):
-    """The outcome of creating a job; `BARRED` means that it has a tombstone."""
+    """The outcome of creating a job.
+
+    `BARRED` means that it has a tombstone, `FOREIGN` that a job of another
+    customer has its id.
+    """
 
     CREATED = 'created'
     EXISTS = 'exists'
+    FOREIGN = 'foreign'
     BARRED = 'barred'
 
 
@@ -51,7 +62,9 @@
         self._log = log
         self._counts = SharedPrefixCounts(store)
 
-    def create(self, spec: JobSpec) -> CreateOutcome:
+    def create(
+        self, spec: JobSpec, caller: Caller = UNRESTRICTED
+    ) -> CreateOutcome:
         """Store a job unless its id exists or has a tombstone."""
         key = job_key(spec.job_id)
         txn = Transaction(
@@ -67,9 +80,12 @@
         commit = self._store.commit(txn)
         if commit.applied:
             return CreateOutcome.CREATED
-        if any(entry.key == key for entry in commit.current):
+        stored = _find_entry(commit, key)
+        if stored is None:
+            return CreateOutcome.BARRED
+        if caller.may_access(self._owner(stored)):
             return CreateOutcome.EXISTS
-        return CreateOutcome.BARRED
+        return CreateOutcome.FOREIGN
 
     def status(self, job_id: str) -> JobStatus | None:
         """Return a job's status, or None if there is no such job."""
@@ -77,24 +93,24 @@
         if entry is not None:
             record = self._record(entry)
             if record is not None:
-                return JobStatus(record.state)
-        if self._store.read(job_key(job_id)) is None:
-            return None
-        return JobStatus(JobState.QUEUED)
+                return JobStatus(record.state, record.customer)
+        stored = self._store.read(job_key(job_id))
+        return None if stored is None else self._queued(stored)
 
-    def cancel(self, job_id: str) -> JobStatus | None:
+    def cancel(
+        self, job_id: str, caller: Caller = UNRESTRICTED
+    ) -> JobStatus | None:
         """Store a cancellation; return the status before, None if no job.
 
         After None, a write that was sent to create the job before has no
-        effect.
+        effect. Nothing is stored if `caller` may not access the job.
         """
         job_status = self.status(job_id)
         if job_status is None:
-            if self._store_tombstone(job_id):
-                return None
-            # The job was created after its status was read.
-            job_status = JobStatus(JobState.QUEUED)
-        if job_status.state.is_final:
+            job_status = self._store_tombstone(job_id)
+        if job_status is None or job_status.state.is_final:
+            return job_status
+        if not caller.may_access(job_status.owner):
             return job_status
         key = cancellation_key(job_id)
         is_absent = Precondition(key, ABSENT)
@@ -108,13 +124,35 @@
         """
         return self._counts.count(waiting_key(queue, ''), deadline_ms)
 
-    def _store_tombstone(self, job_id: str) -> bool:
-        """Store or renew a tombstone; return False if the job exists."""
-        is_absent = Precondition(job_key(job_id), ABSENT)
+    def _store_tombstone(self, job_id: str) -> JobStatus | None:
+        """Store or renew a tombstone; return the job's status if it exists.
+
+        It exists if it was created after its status was read.
+        """
+        key = job_key(job_id)
+        is_absent = Precondition(key, ABSENT)
         tombstone = Put(tombstone_key(job_id), b'')
-        return self._store.commit(
-            Transaction((is_absent,), (tombstone,))
-        ).applied
+        commit = self._store.commit(Transaction((is_absent,), (tombstone,)))
+        if commit.applied:
+            return None
+        stored = _find_entry(commit, key)
+        return (
+            JobStatus(JobState.QUEUED)
+            if stored is None
+            else self._queued(stored)
+        )
+
+    def _queued(self, stored: Entry) -> JobStatus:
+        """Return the status of a stored job without a record."""
+        return JobStatus(JobState.QUEUED, self._owner(stored))
+
+    def _owner(self, stored: Entry) -> str:
+        """Return whose job was stored; nobody's if it is corrupt."""
+        try:
+            return decode_owner(stored.body)
+        except msgspec.DecodeError as exc:
+            self._log.document_damaged(stored.key, str(exc))
+        return ''
 
     def _record(self, entry: Entry) -> JobRecord | None:
         try:
@@ -122,3 +160,9 @@
         except msgspec.DecodeError as exc:
             self._log.document_damaged(entry.key, str(exc))
         return None
+
+
+def _find_entry(commit: CommitResult, key: str) -> Entry | None:
+    """Return the entry at a key that a transaction has met, or None."""
+    found = (entry for entry in commit.current if entry.key == key)
+    return next(found, None)
--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -9,9 +9,11 @@
 import threading
 from dataclasses import dataclass
 from enum import Enum
+from types import MappingProxyType
 from typing import Final
 
 from gentianpulley.background import Backoff
+from gentianpulley.cluster.customer_keys import UNRESTRICTED, Caller
 from gentianpulley.cluster.entry_job_store import (
     CreateOutcome,
     EntryJobStore,
@@ -49,6 +51,7 @@
 
     OK = 'ok'
     UNKNOWN_JOB = 'unknown job'
+    FORBIDDEN = 'forbidden'
     REFUSED = 'refused'
     UNCERTAIN = 'uncertain'
 
@@ -75,20 +78,26 @@
         self._log = log
 
     def submit(
-        self, spec: JobSpec, cfg_version: int, deadline_ms: int
+        self,
+        spec: JobSpec,
+        cfg_version: int,
+        deadline_ms: int,
+        caller: Caller = UNRESTRICTED,
     ) -> RequestResult:
         """Store a job; retry while the store may still answer in time.
 
         A job that was cancelled before it was stored is refused for as long as
-        its tombstone may exist.
+        its tombstone may exist. One whose id has a job that the caller may not
+        access is forbidden.
         """
         deadline_ms = min(deadline_ms, deadline_in(MAX_SUBMIT_MS))
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         is_uncertain = False
         while True:
-            attempt = self._try_to_store(spec, cfg_version)
-            if attempt is _Attempt.STORED:
-                return RequestResult(RequestOutcome.OK)
+            attempt = self._try_to_store(spec, cfg_version, caller)
+            decided = _DECIDED.get(attempt)
+            if decided is not None:
+                return RequestResult(decided)
             is_uncertain = is_uncertain or attempt is _Attempt.LOST
             if not is_uncertain:
                 return _refusal(attempt)
@@ -100,7 +109,9 @@
                 return RequestResult(RequestOutcome.UNCERTAIN)
             _pause(backoff, deadline_ms)
 
-    def status(self, job_id: str) -> RequestResult:
+    def status(
+        self, job_id: str, caller: Caller = UNRESTRICTED
+    ) -> RequestResult:
         """Return a job's status."""
         try:
             job_status = self._job_store.status(job_id)
@@ -109,9 +120,11 @@
             return _retry_later()
         if job_status is None:
             return RequestResult(RequestOutcome.UNKNOWN_JOB)
-        return RequestResult(RequestOutcome.OK, job_status)
+        return _status_result(job_status, caller)
 
-    def cancel(self, job_id: str, deadline_ms: int) -> RequestResult:
+    def cancel(
+        self, job_id: str, deadline_ms: int, caller: Caller = UNRESTRICTED
+    ) -> RequestResult:
         """Cancel a job; storing the cancellation twice is harmless.
 
         The outcome is uncertain if the answer to any attempt was lost.
@@ -119,7 +132,7 @@
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         failure = _retry_later()
         while True:
-            response = self._try_to_cancel(job_id)
+            response = self._try_to_cancel(job_id, caller)
             if response.outcome not in _FAILURES:
                 return response
             if response.outcome is RequestOutcome.UNCERTAIN:
@@ -137,9 +150,11 @@
             return _retry_later()
         return RequestResult(RequestOutcome.OK, waiting=waiting)
 
-    def _try_to_store(self, spec: JobSpec, cfg_version: int) -> '_Attempt':
+    def _try_to_store(
+        self, spec: JobSpec, cfg_version: int, caller: Caller
+    ) -> '_Attempt':
         try:
-            outcome = self._job_store.create(spec)
+            outcome = self._job_store.create(spec, caller)
         except StoreAnswerLostError as lost:
             self._log.job_not_stored(spec.job_id, 'answer lost', lost.text)
             return _Attempt.LOST
@@ -149,12 +164,16 @@
         if outcome is CreateOutcome.BARRED:
             self._log.job_not_stored(spec.job_id, 'refused', 'tombstone')
             return _Attempt.BARRED
-        self._log.job_stored(spec.job_id, spec.policy.queue, cfg_version)
+        if outcome is CreateOutcome.FOREIGN:
+            return _Attempt.FOREIGN
+        self._log.job_stored(
+            spec.job_id, spec.policy.queue, cfg_version, spec.customer
+        )
         return _Attempt.STORED
 
-    def _try_to_cancel(self, job_id: str) -> RequestResult:
+    def _try_to_cancel(self, job_id: str, caller: Caller) -> RequestResult:
         try:
-            job_status = self._job_store.cancel(job_id)
+            job_status = self._job_store.cancel(job_id, caller)
         except StoreAnswerLostError as lost:
             self._log.store_trouble(lost.text)
             return RequestResult(RequestOutcome.UNCERTAIN)
@@ -164,8 +183,10 @@
         if job_status is None:
             self._log.tombstone_stored(job_id)
             return RequestResult(RequestOutcome.UNKNOWN_JOB)
-        self._log.job_cancelled(job_id)
-        return RequestResult(RequestOutcome.OK, job_status)
+        cancelled = _status_result(job_status, caller)
+        if cancelled.outcome is RequestOutcome.OK:
+            self._log.job_cancelled(job_id)
+        return cancelled
 
 
 class _Attempt(Enum):
@@ -174,9 +195,25 @@
     STORED = 'stored'
     REFUSED = 'refused'
     BARRED = 'barred'
+    FOREIGN = 'foreign'
     LOST = 'lost'
 
 
+_DECIDED: Final = MappingProxyType(
+    {
+        _Attempt.STORED: RequestOutcome.OK,
+        _Attempt.FOREIGN: RequestOutcome.FORBIDDEN,
+    }
+)
+"""The outcomes of attempts after which the caller's answer is certain."""
+
+
+def _status_result(job_status: JobStatus, caller: Caller) -> RequestResult:
+    if caller.may_access(job_status.owner):
+        return RequestResult(RequestOutcome.OK, job_status)
+    return RequestResult(RequestOutcome.FORBIDDEN)
+
+
 def _refusal(attempt: _Attempt) -> RequestResult:
     if attempt is _Attempt.BARRED:
         retry_after_s = TOMBSTONE_RETENTION_MS // MS_PER_SECOND
--- a/src/gentianpulley/jobs/record.py
+++ b/src/gentianpulley/jobs/record.py
@@ -43,13 +43,17 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """The stored state of a job; `ended_ms` is zero until the job ends."""
+    """The stored state of a job; `ended_ms` is zero until the job ends.
+
+    `customer` names the customer that the job belongs to, empty for none.
+    """
 
     state: JobState
     queue: str
     ended_ms: int = 0
     ends: tuple[CompletedTasks, ...] = ()
     traces: tuple[UnfinishedTask, ...] = ()
+    customer: str = ''
 
 
 def create_record(job: Job, now_ms: int) -> JobRecord:
@@ -59,13 +63,15 @@
     """
     state = job.state
     queue = job.spec.policy.queue
+    customer = job.spec.customer
     if state.is_final:
-        return JobRecord(state, queue, now_ms)
+        return JobRecord(state, queue, now_ms, customer=customer)
     return JobRecord(
         state,
         queue,
         ends=tuple(_completed_tasks(job)),
         traces=tuple(_unfinished_tasks(job)),
+        customer=customer,
     )
 
 
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -230,6 +230,20 @@
     return msgspec.json.encode(spec)
 
 
+class _Owner(msgspec.Struct, frozen=True):
+    """The part of a stored job that tells whose it is."""
+
+    customer: str = ''
+
+
+_OWNER_DECODER: Final = msgspec.json.Decoder(_Owner)
+
+
+def decode_owner(body: bytes) -> str:
+    """Return the customer of a stored job; raises `msgspec.DecodeError`."""
+    return decode_json(_OWNER_DECODER, body).customer
+
+
 _SPEC_DECODER: Final = msgspec.json.Decoder(JobSpec)
 
 
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -115,12 +115,18 @@
                 repeated=repeated,
             )
 
-    def job_stored(self, job_id: str, queue: str, cfg_version: int) -> None:
-        """A job was accepted under a version of the cfg."""
+    def job_stored(
+        self, job_id: str, queue: str, cfg_version: int, customer: str
+    ) -> None:
+        """A customer's job was accepted under a version of the cfg."""
         self._sampler.report_omitted()
         if self._sampler.may_write('job_stored', job_id):
             _write_admitted(
-                'job_stored', job_id=job_id, queue=queue, cfg=cfg_version
+                'job_stored',
+                job_id=job_id,
+                queue=queue,
+                cfg=cfg_version,
+                customer=customer,
             )
 
     def job_refused(self, job_id: str, reason: str) -> None:
@@ -339,9 +345,42 @@
         """A candidate offered a takeover, or the leader hands over to it."""
         _write('candidacy', state=state, candidate=candidate)
 
-    def cfg_in_force(self, version: int, queues: int) -> None:
+    def cfg_in_force(self, version: int, queues: int, customers: int) -> None:
         """A newer cfg is active."""
-        _write('cfg_in_force', version=version, queues=queues)
+        _write(
+            'cfg_in_force',
+            version=version,
+            queues=queues,
+            customers=customers,
+        )
+
+    def cfg_rejected(self, version: int, reason: str) -> None:
+        """A cfg is invalid; the one in force stays."""
+        _write('cfg_rejected', version=version, reason=reason)
+
+    def call_refused(
+        self,
+        job_id: str,
+        queue: str,
+        reason: str,
+        *,
+        customer: str,
+        cfg_version: int,
+    ) -> None:
+        """A call was refused because of its key.
+
+        `customer` holds the key, empty if nobody does; the key is not logged.
+        """
+        self._sampler.report_omitted()
+        if self._sampler.may_write('call_refused', job_id):
+            _write_admitted(
+                'call_refused',
+                job_id=job_id,
+                queue=queue,
+                reason=reason,
+                customer=customer,
+                cfg=cfg_version,
+            )
 
     def dependency(self, name: str, state: str, detail: str = '') -> None:
         """A dependency was lost or regained."""
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -10,6 +10,7 @@
 
 from cheroot.wsgi import Server
 
+from gentianpulley.cluster.caller_check import CallerCheck
 from gentianpulley.cluster.leader_elector import LeaderElector
 from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.entry_job_store import EntryJobStore
@@ -104,7 +105,14 @@
         self._watch = OperatorWatch(store, self._table, self._elector, log)
         submissions = Submissions(EntryJobStore(store, log), log)
         ingress = Ingress(
-            self._table, submissions, self._stopping, counters, log
+            self._table,
+            CallerCheck(
+                self._is_cfg_fresh, always_in_force=settings.has_customers
+            ),
+            submissions,
+            self._stopping,
+            counters,
+            log,
         )
         self._front_server = create_server(
             settings.front, ingress, FRONT_THREADS
@@ -183,6 +191,11 @@
             return
         self._log.settings_reloaded(_differences(self._settings, settings))
 
+    def _is_cfg_fresh(self) -> bool:
+        """Return whether a newer cfg would be known within its limit."""
+        age_ms = now_ms() - self._watch.known_until_ms
+        return age_ms < self._settings.bounds.config_apply_ms
+
     def _servers(self) -> tuple[Server, ...]:
         return self._front_server, self._ready_server, self._metrics_server
 
--- a/src/gentianpulley/platform/daemon_settings.py
+++ b/src/gentianpulley/platform/daemon_settings.py
@@ -20,6 +20,9 @@
 DEFAULT_METRICS_PORT: Final = 9464
 """The port given in the deploy file, which is the same on all machines."""
 
+CUSTOMERS_CONTRACT: Final = 'tenants'
+"""The contract under which each call needs the key of a customer."""
+
 BYTES_PER_MBIT: Final = 125_000
 """Bytes per second in one Mbit/s."""
 
@@ -38,6 +41,7 @@
     status_ms: int
     upkeep_ms: int
     restore_ms: int
+    config_apply_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +50,8 @@
 
     `instance` and `failure_domain` identify it. `front`, `ready`, `store` and
     `metrics` are addresses. `adviser` and `machines` are addresses too, or
-    None if the cluster has no such service.
+    None if the cluster has no such service. `contracts` names what the cluster
+    holds its instances to.
     """
 
     instance: str
@@ -59,6 +64,12 @@
     machines: HttpAddress | None
     bounds: SiteBounds
     capacity: InstanceCapacity
+    contracts: frozenset[str] = frozenset()
+
+    @property
+    def has_customers(self) -> bool:
+        """Return whether calls need keys even if the cfg names no customer."""
+        return CUSTOMERS_CONTRACT in self.contracts
 
 
 def load_platform_daemon_settings(path: Path) -> PlatformDaemonSettings:
@@ -95,11 +106,21 @@
             status_ms=_number(settings, 'bounds.status_s', 1000),
             restore_ms=_number(settings, 'bounds.restore_ms', default='100'),
             upkeep_ms=_number(settings, 'bounds.upkeep_s', 1000, default='2'),
+            config_apply_ms=_number(
+                settings, 'bounds.config_apply_ms', default='3000'
+            ),
         ),
         capacity=_capacity(settings),
+        contracts=_names(settings, 'contracts'),
     )
 
 
+def _names(settings: Mapping[str, str], name: str) -> frozenset[str]:
+    """Return the names in a list that is separated by commas."""
+    names = map(str.strip, settings.get(name, '').split(','))
+    return frozenset(filter(None, names))
+
+
 def _capacity(settings: Mapping[str, str]) -> InstanceCapacity:
     """Return the limits given in the settings, with defaults for the rest."""
     return InstanceCapacity(
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -13,7 +13,9 @@
 import msgspec
 from cheroot.wsgi import Server
 
-from gentianpulley.cluster.queues import QueueCfg, QueueRule, QueueTable
+from gentianpulley.cluster.caller_check import CallerCheck
+from gentianpulley.cluster.customer_keys import Caller, KeyRefusal
+from gentianpulley.cluster.queues import ActiveCfg, QueueRule, QueueTable
 from gentianpulley.cluster.submissions import (
     RequestResult,
     RequestOutcome,
@@ -77,6 +79,8 @@
 
 OK: Final = '200 OK'
 BAD_REQUEST: Final = '400 Bad Request'
+UNAUTHORIZED: Final = '401 Unauthorized'
+FORBIDDEN: Final = '403 Forbidden'
 NOT_FOUND: Final = '404 Not Found'
 METHOD_NOT_ALLOWED: Final = '405 Method Not Allowed'
 GONE: Final = '410 Gone'
@@ -89,12 +93,41 @@
     {
         RequestOutcome.OK: OK,
         RequestOutcome.UNKNOWN_JOB: GONE,
+        RequestOutcome.FORBIDDEN: FORBIDDEN,
         RequestOutcome.REFUSED: SERVICE_UNAVAILABLE,
         RequestOutcome.UNCERTAIN: GATEWAY_TIMEOUT,
     }
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A call on a queue; `job_id` is empty for a count of waiting jobs."""
+
+    environ: Environ
+    active: ActiveCfg
+    rule: QueueRule
+    job_id: str
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return str(self.environ['REQUEST_METHOD'])
+
+    @property
+    def key(self) -> bytes:
+        """Return the key of a customer that was sent, empty for none.
+
+        The server decodes headers as Latin-1, and cfgs are in UTF-8.
+        """
+        sent_key = str(self.environ.get('HTTP_X_CREDENTIAL', ''))
+        return sent_key.encode('latin-1', 'replace')
+
+    def deadline_ms(self, fraction: float) -> int:
+        """Return until when a fraction of the caller's time is over."""
+        return _deadline_ms(self.environ, self.rule, fraction)
+
+
 class ShutdownFlag:
     """Set while the process shuts down; connections are then closed."""
 
@@ -109,6 +142,7 @@
     def __init__(
         self,
         table: QueueTable,
+        caller_check: CallerCheck,
         submissions: Submissions,
         shutdown_flag: ShutdownFlag,
         counters: Counters,
@@ -117,6 +151,7 @@
         """Serve the queues defined in `table`."""
         self._counters = counters
         self._table = table
+        self._caller_check = caller_check
         self._submissions = submissions
         self._shutdown_flag = shutdown_flag
         self._log = log
@@ -149,59 +184,96 @@
             return Response(INTERNAL_SERVER_ERROR)
 
     def _route(self, environ: Environ) -> Response:
-        cfg = self._table.cfg
-        if cfg is None:
+        is_fresh = self._caller_check.is_fresh()
+        active = self._table.active
+        if active is None:
             return Response(SERVICE_UNAVAILABLE, retry_after_s=1)
         path = environ.get('PATH_INFO', '')
-        rule = self._table.find(environ.get('HTTP_HOST', ''), path)
+        rule = active.find(environ.get('HTTP_HOST', ''), path)
         if rule is None:
             return Response(NOT_FOUND)
         job_id = path[len(rule.route.prefix) :]
-        method = environ['REQUEST_METHOD']
-        if not job_id and method == 'GET':
-            return self._count_waiting(environ, rule)
-        if not _is_job_id(job_id):
+        call = _Call(environ, active, rule, job_id)
+        if not _is_job_id(job_id) and (job_id or call.method != 'GET'):
             return Response(NOT_FOUND)
-        return self._handle_job(environ, rule, job_id, cfg)
+        caller = self._caller_check.identify(
+            active, rule, call.key, is_fresh=is_fresh
+        )
+        if isinstance(caller, KeyRefusal):
+            return self._refuse(call, caller)
+        return self._serve(call, caller)
 
-    def _count_waiting(self, environ: Environ, rule: QueueRule) -> Response:
-        deadline_ms = _deadline_ms(environ, rule, COUNT_DEADLINE_FRACTION)
-        queue = rule.policy.queue
-        return _count_response(
-            self._submissions.count_waiting(queue, deadline_ms)
+    def _refuse(self, call: _Call, refusal: KeyRefusal) -> Response:
+        self._report_refusal(call, refusal.value, '')
+        if refusal is KeyRefusal.STALE_CFG:
+            return Response(SERVICE_UNAVAILABLE, retry_after_s=1)
+        return Response(UNAUTHORIZED)
+
+    def _report_refusal(self, call: _Call, reason: str, customer: str) -> None:
+        self._counters.add(f'front_key_{reason.replace(" ", "_")}')
+        self._log.call_refused(
+            call.job_id,
+            call.rule.policy.queue,
+            reason,
+            customer=customer,
+            cfg_version=call.active.cfg.version,
         )
 
-    def _handle_job(
-        self, environ: Environ, rule: QueueRule, job_id: str, cfg: QueueCfg
-    ) -> Response:
-        method = environ['REQUEST_METHOD']
-        if method == 'GET':
-            return _status_response(self._submissions.status(job_id))
-        if method == 'DELETE':
-            deadline_ms = _deadline_ms(environ, rule, CANCEL_DEADLINE_FRACTION)
-            return _outcome_response(
-                self._submissions.cancel(job_id, deadline_ms)
+    def _serve(self, call: _Call, caller: Caller) -> Response:
+        if not call.job_id:
+            return self._count_waiting(call)
+        if call.method == 'POST':
+            return self._submit(call, caller)
+        if call.method == 'GET':
+            outcome = self._submissions.status(call.job_id, caller)
+            return self._status_response(call, caller, outcome)
+        if call.method == 'DELETE':
+            outcome = self._submissions.cancel(
+                call.job_id, call.deadline_ms(CANCEL_DEADLINE_FRACTION), caller
             )
-        if method == 'POST':
-            return self._submit(environ, rule, job_id, cfg)
+            return self._outcome_response(call, caller, outcome)
         return Response(METHOD_NOT_ALLOWED)
 
-    def _submit(
-        self, environ: Environ, rule: QueueRule, job_id: str, cfg: QueueCfg
-    ) -> Response:
-        deadline_ms = _deadline_ms(environ, rule, SUBMIT_DEADLINE_FRACTION)
-        length = int(environ.get('CONTENT_LENGTH') or 0)
+    def _count_waiting(self, call: _Call) -> Response:
+        deadline_ms = call.deadline_ms(COUNT_DEADLINE_FRACTION)
+        queue = call.rule.policy.queue
+        return _count_response(
+            self._submissions.count_waiting(queue, deadline_ms)
+        )
+
+    def _submit(self, call: _Call, caller: Caller) -> Response:
+        deadline_ms = call.deadline_ms(SUBMIT_DEADLINE_FRACTION)
+        cfg = call.active.cfg
+        length = int(call.environ.get('CONTENT_LENGTH') or 0)
         if length > cfg.max_body_bytes:
             return Response(CONTENT_TOO_LARGE)
         try:
-            wire = decode_json(JOB_DECODER, environ['wsgi.input'].read(length))
-            spec = job_spec(job_id, wire, rule)
+            wire = decode_json(
+                JOB_DECODER, call.environ['wsgi.input'].read(length)
+            )
+            spec = job_spec(call.job_id, wire, call.rule, caller.customer)
         except (msgspec.DecodeError, ValueError) as exc:
-            self._log.job_refused(job_id, str(exc))
+            self._log.job_refused(call.job_id, str(exc))
             return Response(BAD_REQUEST)
-        return _outcome_response(
-            self._submissions.submit(spec, cfg.version, deadline_ms)
+        outcome = self._submissions.submit(
+            spec, cfg.version, deadline_ms, caller
         )
+        return self._outcome_response(call, caller, outcome)
+
+    def _status_response(
+        self, call: _Call, caller: Caller, request_result: RequestResult
+    ) -> Response:
+        if request_result.job_status is None:
+            return self._outcome_response(call, caller, request_result)
+        state = request_result.job_status.state.value
+        return Response(OK, msgspec.json.encode({'state': state}))
+
+    def _outcome_response(
+        self, call: _Call, caller: Caller, request_result: RequestResult
+    ) -> Response:
+        if request_result.outcome is RequestOutcome.FORBIDDEN:
+            self._report_refusal(call, 'foreign', caller.customer)
+        return _outcome_response(request_result)
 
 
 class MetricsApp:
@@ -258,8 +330,10 @@
     return server
 
 
-def job_spec(job_id: str, wire: WireJob, rule: QueueRule) -> JobSpec:
-    """Return the job described by a submission.
+def job_spec(
+    job_id: str, wire: WireJob, rule: QueueRule, customer: str = ''
+) -> JobSpec:
+    """Return the job described by a customer's submission.
 
     Raises `ValueError` with the reason if the job is invalid.
     """
@@ -275,6 +349,7 @@
         steps=steps,
         submitted_ms=now_ms(),
         schedule=schedule,
+        customer=customer,
     )
 
 
@@ -318,13 +393,6 @@
     )
 
 
-def _status_response(request_result: RequestResult) -> Response:
-    if request_result.job_status is None:
-        return _outcome_response(request_result)
-    state = request_result.job_status.state.value
-    return Response(OK, msgspec.json.encode({'state': state}))
-
-
 def _count_response(request_result: RequestResult) -> Response:
     if request_result.outcome is not RequestOutcome.OK:
         return _outcome_response(request_result)
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gentianpulley.background import BackgroundLoop
+from gentianpulley.cluster.customers import Customer, create_customers
 from gentianpulley.cluster.machines import WaveRequest
 from gentianpulley.cluster.operators import OperatorListener
 from gentianpulley.cluster.queues import (
@@ -24,7 +25,9 @@
     WireAdvicePolicy,
     WireCfg,
     WireRoute,
+    WireTenant,
 )
+from gentianpulley.resources import Resources
 from gentianpulley.store import ChangeBatch, Entry, Store
 
 OPERATOR_PREFIX: Final = 'op/'
@@ -60,6 +63,7 @@
         self._has_store = True
         self._has_read = False
         self.last_contact_ms = 0
+        self.known_until_ms = 0
 
     def step(self) -> None:
         """Read everything, then apply changes until the watch fails."""
@@ -71,6 +75,7 @@
             self._has_store = False
 
     def _follow(self) -> None:
+        asked_ms = now_ms()
         snapshot = self._store.read_prefix(OPERATOR_PREFIX)
         self._update_last_contact()
         closed = {
@@ -86,9 +91,11 @@
             self._update_cfg(entry)
             self._add_wave(entry)
         self._publish_waves()
+        self.known_until_ms = asked_ms
         for batch in self._store.watch(OPERATOR_PREFIX, snapshot.revision):
             self._update_last_contact()
             self._apply_batch(batch)
+            self.known_until_ms = now_ms()
             if self.is_stopping:
                 break
 
@@ -158,15 +165,35 @@
         except msgspec.DecodeError as exc:
             self.log.document_damaged(entry.key, str(exc))
             return
-        self._table.update(queue_cfg(wire))
+        try:
+            cfg = queue_cfg(wire)
+        except ValueError as invalid:
+            self.log.cfg_rejected(wire.version, str(invalid))
+            return
+        if self._table.update(cfg):
+            self._listener.replace_customers(cfg.customers)
 
 
 def queue_cfg(wire: WireCfg) -> QueueCfg:
-    """Return the queues defined in a cfg."""
+    """Return the queues and customers defined in a cfg.
+
+    Raises `ValueError` with the reason if the customers are invalid.
+    """
     return QueueCfg(
         wire.version,
         tuple(map(_rule, wire.routes)),
         wire.limits.max_body_bytes,
+        create_customers(wire.version, map(_customer, wire.customers)),
+    )
+
+
+def _customer(wire: WireTenant) -> Customer:
+    most = wire.ceiling
+    return Customer(
+        wire.name,
+        wire.weight,
+        Resources(most.cpu, most.mem_mb, most.gpus),
+        frozenset(wire.keys),
     )
 
 
@@ -187,4 +214,4 @@
         advice=_advice(route.advice),
     )
     address = QueueRoute(route.host, route.prefix)
-    return QueueRule(address, policy, route.timeout_ms)
+    return QueueRule(address, policy, route.timeout_ms, route.is_public)
--- a/src/gentianpulley/platform/wire.py
+++ b/src/gentianpulley/platform/wire.py
@@ -316,6 +316,20 @@
     max_attempts: BoundedInt = 1
     stretch: BoundedFloat = 1
     advice: WireAdvicePolicy | None = None
+    # Calls on a public queue need no key of a customer.
+    is_public: bool = field(name='public', default=False)
+
+
+class WireTenant(Struct, frozen=True):
+    """A customer."""
+
+    name: str = ''
+    keys: tuple[str, ...] = field(name='api_keys', default=())
+    # Has no defined meaning; unlike the priority of a route it is not used.
+    priority: BoundedInt = 0
+    weight: BoundedInt = 0
+    # The maximum of what runs at once; a resource of 0 has no limit.
+    ceiling: WireCapacity = field(name='at_most', default=WireCapacity())
 
 
 class WireService(Struct, frozen=True):
@@ -342,6 +356,7 @@
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
     limits: WireLimits = WireLimits()
+    customers: tuple[WireTenant, ...] = field(name='tenants', default=())
 
 
 REGISTRATION_DECODER = Decoder(WireRegistration)
--- a/standins/grid_site.py
+++ b/standins/grid_site.py
@@ -5,7 +5,7 @@
 
 import json
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
@@ -72,8 +72,15 @@
     )
 
 
-def cfg_document(version: int, routes: Any = ROUTES) -> dict[str, Any]:
-    """Return a configuration document in the form that operators write."""
+def cfg_document(
+    version: int,
+    routes: Any = ROUTES,
+    customers: Mapping[str, Iterable[str]] = PLAIN,
+) -> dict[str, Any]:
+    """Return a configuration document in the form that operators write.
+
+    `customers` gives the keys of each customer.
+    """
     return {
         'version': version,
         'routes': [
@@ -93,6 +100,18 @@
         ],
         'services': [{'name': 'fitting'}],
         'limits': {'max_body_bytes': 10_000},
+        'tenants': [_tenant(name, keys) for name, keys in customers.items()],
+    }
+
+
+def _tenant(name: str, keys: Iterable[str]) -> dict[str, Any]:
+    """Return a customer without a ceiling."""
+    return {
+        'name': name,
+        'api_keys': list(keys),
+        'priority': 1,
+        'weight': 1,
+        'at_most': {'cpu': 0, 'mem_mb': 0, 'gpus': 0},
     }
 
 
@@ -118,12 +137,13 @@
         store_port: int = 0,
         cpu_share: float = 1.0,
         link_mbps: float = 1000.0,
+        contracts: str = '',
     ) -> PlatformDaemon:
         """Start a node with these limits and wait until it is ready.
 
         If it does not become ready, the whole cluster is closed.
         `store_port` is the port of a proxy to the store, or 0 to connect
-        directly.
+        directly. `contracts` is the setting of that name.
         """
         name = f'n{len(self.nodes)}'
         text = node_file(
@@ -132,7 +152,10 @@
             _address_of(self.adviser),
             _address_of(self.machines),
         )
-        limits = f'limits.cpu_share={cpu_share}\nlimits.link_mbps={link_mbps}'
+        limits = (
+            f'limits.cpu_share={cpu_share}\nlimits.link_mbps={link_mbps}\n'
+            f'contracts={contracts}'
+        )
         node = PlatformDaemon(
             parse_platform_daemon_settings(f'{text}\n{limits}'), EventLog()
         )
@@ -188,8 +211,12 @@
     path: str,
     body: object = None,
     host: str = 'fit.example',
+    key: str = '',
 ) -> tuple[int, dict[str, Any]]:
-    """Send a request to a node's HTTP front; return status and response."""
+    """Send a request to a node's HTTP front; return status and response.
+
+    `key` is the key of a customer, empty to send none.
+    """
     address = node.front_address
     conn = HTTPConnection(address.host, address.port, timeout=5)
     encoded = body if isinstance(body, bytes) else json.dumps(body)
@@ -197,7 +224,7 @@
         method,
         path,
         None if body is None else encoded,
-        {'Host': host, 'X-Deadline-Ms': '3000'},
+        {'Host': host, 'X-Deadline-Ms': '3000', **key_header(key)},
     )
     resp = conn.getresponse()
     payload = resp.read()
@@ -205,6 +232,11 @@
     return resp.status, json.loads(payload or b'{}')
 
 
+def key_header(key: str) -> dict[str, str]:
+    """Return the header that carries a customer's key, if it is not empty."""
+    return {'X-Credential': key} if key else {}
+
+
 def fetch(address: HttpAddress, path: str) -> tuple[int, str]:
     """Return the status and body of a GET request to an address."""
     conn = HTTPConnection(address.host, address.port, timeout=5)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -13,6 +13,7 @@
 
 from gentianpulley.cluster.election_policy import decode_candidate
 from gentianpulley.cluster.interference import create_interference_model
+from gentianpulley.cluster.caller_check import CallerCheck
 from gentianpulley.cluster.queues import QueueTable
 from gentianpulley.cluster.roster import decode_roster
 from gentianpulley.cluster.submissions import (
@@ -36,11 +37,10 @@
 from gentianpulley.jobs.spec import TaskId, decode_job
 from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
-from gentianpulley.platform import kv_store, machine_client
+from gentianpulley.platform import kv_store, machine_client, operator_watch
 from gentianpulley.platform.directory import StoreDirectory
 from gentianpulley.platform.ingress import Ingress, ShutdownFlag
 from gentianpulley.platform.kv_store import KvStore
-from gentianpulley.platform.operator_watch import queue_cfg
 from gentianpulley.platform.wire import (
     ADVICE_DECODER,
     CFG_DECODER,
@@ -164,7 +164,7 @@
 
 def _cfg(body: bytes) -> None:
     table = QueueTable(EventLog())
-    table.update(queue_cfg(decode_json(CFG_DECODER, body)))
+    table.update(operator_watch.queue_cfg(decode_json(CFG_DECODER, body)))
     table.find('host', '/path')
 
 
@@ -178,9 +178,10 @@
     table = QueueTable(EventLog())
     route = {'host': 'h', 'prefix': '/', 'name': 'q', 'service': 's'}
     cfg = {'version': 1, 'routes': [route], 'limits': {}}
-    table.update(queue_cfg(CFG_DECODER.decode(json.dumps(cfg))))
+    table.update(operator_watch.queue_cfg(CFG_DECODER.decode(json.dumps(cfg))))
     front = Ingress(
         table,
+        CallerCheck(lambda: True, always_in_force=False),
         _Accepting(),  # type: ignore[arg-type]
         ShutdownFlag(),
         create_counters(),
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gentianpulley.cluster.customer_keys import UNRESTRICTED, Caller
 from gentianpulley.cluster.entry_job_store import (
     CreateOutcome,
     EntryJobStore,
@@ -42,12 +43,16 @@
         self._answers = chain(answers, repeat(answers[-1]))
         self.effects = 0
 
-    def create(self, spec: JobSpec) -> CreateOutcome:
+    def create(
+        self, spec: JobSpec, caller: Caller = UNRESTRICTED
+    ) -> CreateOutcome:
         """Store a job."""
         self._answer()
         return CreateOutcome.CREATED
 
-    def cancel(self, job_id: str) -> JobStatus | None:
+    def cancel(
+        self, job_id: str, caller: Caller = UNRESTRICTED
+    ) -> JobStatus | None:
         """Store a cancellation."""
         self._answer()
         return JobStatus(JobState.RUNNING)
--- a/tests/test_tombstones.py
+++ b/tests/test_tombstones.py
@@ -10,6 +10,7 @@
 
 from gentianpulley.cluster import tombstones
 from gentianpulley.cluster.election_policy import Candidate
+from gentianpulley.cluster.customer_keys import UNRESTRICTED, Caller
 from gentianpulley.cluster.entry_job_store import CreateOutcome, EntryJobStore
 from gentianpulley.cluster.job_storage import LEADER_KEY, job_key
 from gentianpulley.cluster.leader_store import create_leader_store
@@ -120,7 +121,9 @@
         """Use no store."""
         self._is_lost = False
 
-    def create(self, spec: JobSpec) -> CreateOutcome:
+    def create(
+        self, spec: JobSpec, caller: Caller = UNRESTRICTED
+    ) -> CreateOutcome:
         """Return what the next attempt of the creation meets."""
         if self._is_lost:
             return CreateOutcome.BARRED
