Separate latency-critical images on clusters with many workers

With ten latency-critical and eighteen best-effort images on 246 workers, a worker with several latency-critical images is closed to most best-effort ones. Each other image now costs 0.05 to 1.0 of a worker, by the workers for each image, the share of workers without long-running tasks, and whether there is best-effort work; best-effort candidates are ranked by the violations that they are expected to add as well as by load. Up to four workers for each of at least ten images, both are as before.

--- a/src/gentianpulley/cluster/interference_risk.py
+++ b/src/gentianpulley/cluster/interference_risk.py
@@ -42,36 +42,48 @@
 ) -> bool:
     """Return whether one more best-effort task costs more than it earns.
 
-    The margins of the worker's tasks without it, and the images that interfere
-    too much, are cached until the worker changes.
+    The margins of the worker's tasks without it, the images that interfere too
+    much, and the violations that others add are cached until the worker
+    changes.
     """
     smallest = worker.interference_limits_milli.get(image)
     if smallest is not None and processors >= smallest:
         return True
+    if (image, processors) in worker.added_violations:
+        return False
+    added = _added_violations(worker, model, image, processors)
+    if added > MAX_EXPECTED_VIOLATIONS:
+        worker.interference_limits_milli[image] = processors
+        return True
+    worker.added_violations[(image, processors)] = added
+    return False
+
+
+def expected_violations(worker: Worker, image: str, processors: int) -> float:
+    """Return how many violations one more best-effort task should add.
+
+    Call `is_interference_excessive` before. Where that is so, this is the
+    maximum, so that load decides among such workers.
+    """
+    return worker.added_violations.get(
+        (image, processors), MAX_EXPECTED_VIOLATIONS
+    )
+
+
+def _added_violations(
+    worker: Worker, model: InterferenceModel, image: str, processors: int
+) -> float:
     if worker.serving_margins is None:
         worker.serving_margins = _margins(worker, model)
     capacity = max(1, worker.registration.capacity.processors_milli)
     share = processors / capacity
-    if not _raises_tails_too_much(worker.serving_margins, model, image, share):
-        return False
-    worker.interference_limits_milli[image] = processors
-    return True
-
-
-def _raises_tails_too_much(
-    margins: list[ServingMargin],
-    model: InterferenceModel,
-    image: str,
-    share: float,
-) -> bool:
-    """Return whether an image's share of a worker raises tails too much."""
-    expected_violations: float = 0
-    for serving in margins:
+    added: float = 0
+    for serving in worker.serving_margins:
         after = serving.margin + share * model.coefficient(serving.image, image)
         if after > _MAX_LOG_MARGIN:
-            return True
-        expected_violations += _risk(after) - serving.risk
-    return expected_violations > MAX_EXPECTED_VIOLATIONS
+            return math.inf
+        added += _risk(after) - serving.risk
+    return added
 
 
 def _margins(worker: Worker, model: InterferenceModel) -> list[ServingMargin]:
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -12,6 +12,7 @@
 from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
+from gentianpulley.cluster.image_separation import ImageSeparation
 from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
@@ -66,6 +67,7 @@
         self._waits = WaitingSteps()
         self._unplaceable = UnplaceableShapes()
         self._holds = CapacityHolds()
+        self._separation = ImageSeparation()
         self._start_limiter = create_start_limiter(term.link_bytes_s)
 
     def plan(self, now_ms: int) -> list[StartOrder]:
@@ -78,9 +80,9 @@
         self._start_limiter.remove_answered(self.workers, now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
-        self._unplaceable.begin_plan(view)
         self._waits.begin_plan(now_ms)
         steps = self._free_steps(now_ms)
+        self._begin_placing(steps, view)
         overdue = overdue_steps(steps, now_ms)
         for step in overdue:
             restarts = step.overdue_restarts(now_ms)
@@ -124,6 +126,13 @@
                 return query
         return None
 
+    def _begin_placing(
+        self, steps: list[StepRun], view: PlacementContext
+    ) -> None:
+        """Update what one plan keeps for its steps."""
+        self._unplaceable.begin_plan(view)
+        self._separation.begin_plan(view.workers, steps, view.now_ms)
+
     def _renew_holds(
         self, overdue: list[StepRun], view: PlacementContext
     ) -> None:
@@ -163,6 +172,7 @@
             self.tickets,
             is_busy(workers),
             self._holds,
+            self._separation,
         )
 
     def _free_steps(self, now_ms: int) -> list[StepRun]:
--- a/src/gentianpulley/cluster/task_placement.py
+++ b/src/gentianpulley/cluster/task_placement.py
@@ -16,8 +16,12 @@
     CapacityHolds,
     HoldableWorkers,
 )
+from gentianpulley.cluster.image_separation import ImageSeparation
 from gentianpulley.cluster.interference import InterferenceModel
-from gentianpulley.cluster.interference_risk import is_interference_excessive
+from gentianpulley.cluster.interference_risk import (
+    expected_violations,
+    is_interference_excessive,
+)
 from gentianpulley.cluster.schedulable_workers import (
     SchedulableWorkers,
     IndexedWorker,
@@ -48,11 +52,6 @@
 COLD_START_COST: Final = 1.0
 """Cost of a worker that has just started and is still slow (cold)."""
 
-OTHER_IMAGE_COST: Final = 0.05
-"""Cost of each other image with latency-critical tasks on the worker. It is
-small, as filling up a worker comes first: that leaves other workers without
-any task that best-effort tasks could interfere with."""
-
 INTERFERENCE_COST: Final = 100.0
 """Cost of a worker where a best-effort task is expected to interfere with
 latency-critical tasks or to crowd other best-effort tasks."""
@@ -89,6 +88,7 @@
     tickets: TicketCache
     is_busy: bool = False
     holds: CapacityHolds = field(default_factory=CapacityHolds)
+    separation: ImageSeparation = field(default_factory=ImageSeparation)
 
     def held_ids(self, step: StepRun) -> Collection[str]:
         """Return the workers that are held for overdue restarts of others.
@@ -389,9 +389,16 @@
         cost += QUARANTINE_COST
     if rack and worker.registration.rack != rack:
         cost += CROSS_RACK_COST
+    separation = view.separation.decision(step.job.spec.policy.service)
     if spec.is_endless:
-        return cost + _packing_cost(worker, spec)
-    return cost + _load(worker)
+        other_image_cost = separation.other_image_cost
+        return cost + _packing_cost(worker, spec, other_image_cost)
+    cost += _load(worker)
+    if spec.fills_spare and separation.violation_cost:
+        need = spec.resources.processors_milli
+        added = expected_violations(worker, spec.image, need)
+        cost += separation.violation_cost * added
+    return cost
 
 
 def _load(worker: Worker) -> float:
@@ -401,7 +408,9 @@
     ) / capacity
 
 
-def _packing_cost(worker: Worker, spec: StepSpec) -> float:
+def _packing_cost(
+    worker: Worker, spec: StepSpec, other_image_cost: float
+) -> float:
     """Return a cost that packs latency-critical tasks densely.
 
     Tasks of one image go together where they fit. This leaves workers on
@@ -409,6 +418,6 @@
     """
     capacity = max(1, worker.registration.capacity.processors_milli)
     free = 1 - worker.reserved_processors_milli / capacity
-    images = worker.serving_images()
-    other_images = len(images - {spec.image})
-    return free + other_images * OTHER_IMAGE_COST
+    images = worker.serving_images
+    other_images = len(images) - (spec.image in images)
+    return free + other_images * other_image_cost
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -261,10 +261,12 @@
     is the newest one of its reports. `serving_margins` is None until it is
     computed for the current runs, and `interference_limits_milli` holds, by
     image, the processors from which another best-effort task interferes too
-    much; `state_version` increases when both are invalidated and with each run
-    that is added or released. `unanswered_starts` are runs whose starts got no
-    reply since the worker last answered an order for them or listed them.
-    `is_suspended` is set while the stored roster may not show the worker as
+    much, `added_violations`, by image and processors, how many violations one
+    that does not is expected to add; `state_version` increases when these are
+    invalidated and with each run that is added or released. `serving_images`
+    counts the long-running tasks by image. `unanswered_starts` are runs whose
+    starts got no reply since the worker last answered an order for them or
+    listed them. `is_suspended` is set while the stored roster may not show the worker as
     used: then it is sent no starts, and no longer lease than
     `max_lease_worker_ms`. `trial_runs` are runs of tasks that may have
     crashed a worker and have not outlasted their start here.
@@ -298,10 +300,12 @@
         self.reserved_accelerators = 0
         self.best_effort_milli = 0
         self.long_running_milli = 0
+        self.serving_images: dict[str, int] = {}
         self.sample = Sample()
         self.best_effort_paused_until_ms = 0
         self.serving_margins: list[ServingMargin] | None = None
         self.interference_limits_milli: dict[str, int] = {}
+        self.added_violations: dict[tuple[str, int], float] = {}
         self.state_version = 0
         self.foreign_runs: set[RunKey] = set()
         self.unanswered_starts: set[RunKey] = set()
@@ -320,14 +324,6 @@
         """Return whether the incarnation is about to end as planned."""
         return self.registration.is_draining or self.is_leaving
 
-    def serving_images(self) -> set[str]:
-        """Return the images of the long-running tasks on the worker."""
-        return {
-            reservation.spec.image
-            for reservation in self.reservations.values()
-            if reservation.spec.is_endless
-        }
-
     @property
     def is_drained(self) -> bool:
         """Return whether nothing runs there and no run is sent there any more.
@@ -434,6 +430,7 @@
         self.state_version += 1
         self.serving_margins = None
         self.interference_limits_milli.clear()
+        self.added_violations.clear()
 
     def record_success(self) -> None:
         """Record a run that ended as done: the worker is healthy."""
@@ -461,6 +458,15 @@
             self.best_effort_milli += sign * need.processors_milli
         if reservation.spec.is_endless:
             self.long_running_milli += sign * need.processors_milli
+            self._count_image(reservation.spec.image, sign)
+
+    def _count_image(self, image: str, sign: int) -> None:
+        """Count a long-running task that is added or released."""
+        count = self.serving_images.get(image, 0) + sign
+        if count:
+            self.serving_images[image] = count
+        else:
+            self.serving_images.pop(image, None)
 
 
 def create_worker(registration: WorkerRegistration, now_ms: int) -> Worker:
