--- a/src/gentianpulley/cluster/image_separation.py
+++ b/src/gentianpulley/cluster/image_separation.py
@@ -129,7 +129,7 @@
         steps: Iterable[StepRun],
         now_ms: int,
     ) -> None:
-        """Use the workers of a plan and the steps that wait in it."""
+        """Use the workers of a plan and the steps that waited after the last."""
         self._workers = workers
         self._decisions.clear()
         self._now_ms = now_ms
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -80,9 +80,9 @@
         self._start_limiter.remove_answered(self.workers, now_ms)
         view = self._view(now_ms)
         orders: list[StartOrder] = []
+        self._unplaceable.begin_plan(view)
         self._waits.begin_plan(now_ms)
         steps = self._free_steps(now_ms)
-        self._begin_placing(steps, view)
         overdue = overdue_steps(steps, now_ms)
         for step in overdue:
             restarts = step.overdue_restarts(now_ms)
@@ -126,13 +126,6 @@
                 return query
         return None
 
-    def _begin_placing(
-        self, steps: list[StepRun], view: PlacementContext
-    ) -> None:
-        """Update what one plan keeps for its steps."""
-        self._unplaceable.begin_plan(view)
-        self._separation.begin_plan(view.workers, steps, view.now_ms)
-
     def _renew_holds(
         self, overdue: list[StepRun], view: PlacementContext
     ) -> None:
@@ -165,8 +158,10 @@
 
     def _view(self, now_ms: int) -> PlacementContext:
         workers = self.workers.values()
+        usable = SchedulableWorkers(workers, self.closed_domains, now_ms)
+        self._separation.begin_plan(usable, self._waits.reasons, now_ms)
         return PlacementContext(
-            SchedulableWorkers(workers, self.closed_domains, now_ms),
+            usable,
             now_ms,
             self.interference,
             self.tickets,
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -266,10 +266,10 @@
     invalidated and with each run that is added or released. `serving_images`
     counts the long-running tasks by image. `unanswered_starts` are runs whose
     starts got no reply since the worker last answered an order for them or
-    listed them. `is_suspended` is set while the stored roster may not show the worker as
-    used: then it is sent no starts, and no longer lease than
-    `max_lease_worker_ms`. `trial_runs` are runs of tasks that may have
-    crashed a worker and have not outlasted their start here.
+    listed them. `is_suspended` is set while the stored roster may not show the
+    worker as used: then it is sent no starts, and no longer lease than
+    `max_lease_worker_ms`. `trial_runs` are runs of tasks that may have crashed
+    a worker and have not outlasted their start here.
     """
 
     def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
