--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -12,6 +12,7 @@
 from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
+from gentianpulley.cluster.image_separation import ImageSeparation
 from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
@@ -66,6 +67,7 @@
         self._waits = WaitingSteps()
         self._unplaceable = UnplaceableShapes()
         self._holds = CapacityHolds()
+        self._separation = ImageSeparation()
         self._start_limiter = create_start_limiter(term.link_bytes_s)
 
     def plan(self, now_ms: int) -> list[StartOrder]:
@@ -156,13 +158,16 @@
 
     def _view(self, now_ms: int) -> PlacementContext:
         workers = self.workers.values()
+        usable = SchedulableWorkers(workers, self.closed_domains, now_ms)
+        self._separation.begin_plan(usable, self._waits.reasons, now_ms)
         return PlacementContext(
-            SchedulableWorkers(workers, self.closed_domains, now_ms),
+            usable,
             now_ms,
             self.interference,
             self.tickets,
             is_busy(workers),
             self._holds,
+            self._separation,
         )
 
     def _free_steps(self, now_ms: int) -> list[StepRun]:
