Keep customers within their ceilings

Cause: a customer had 265,400 milli-cores running with a ceiling of 255,088, as nothing compared what runs with the cfg.

Change: the leader keeps what each customer has running, from the order of a run until its end is certain, and checks it before each start, whatever made it place the task. What a new leader inherits and has not seen counts as well. The customers come from the cfg by LeaderElector and Leader.replace_customers. The wait reason is 'ceiling'; log lines ceiling_reached and customers_in_force; gauges by customer. The interference of the previous leader is loaded by HandoverState, as the leader's module had become too large.

--- a/src/gentianpulley/cluster/handover_state.py
+++ b/src/gentianpulley/cluster/handover_state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from gentianpulley.cluster.interference import InterferenceModel
 from gentianpulley.cluster.roster import (
     UNKNOWN_ROSTER,
     Roster,
@@ -95,10 +96,16 @@
         """Write the learned interference between images."""
         self._put(INTERFERENCE_KEY, body)
 
-    def load_interference(self) -> bytes | None:
-        """Return the interference that the previous leader learned, if any."""
+    def restore_interference(self, model: InterferenceModel) -> None:
+        """Load what the previous leader learned into a model, if anything."""
         entry = self.store.read(INTERFERENCE_KEY)
-        return entry.body if entry else None
+        if entry is None:
+            return
+        try:
+            model.load(entry.body)
+        except msgspec.DecodeError as exc:
+            # The leader learns it from scratch, as the first leader did.
+            self._log.document_damaged(INTERFERENCE_KEY, str(exc))
 
     def _apply_stored(self, entry: Entry) -> None:
         self._roster_revision = entry.revision
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -14,11 +14,10 @@
 from itertools import chain
 from typing import Final
 
-import msgspec
-
 from gentianpulley.cluster.advice import AdviceService
 from gentianpulley.cluster.advice_loop import AdviceLoop
 from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
+from gentianpulley.cluster.customers import Customers
 from gentianpulley.cluster.directory import DirectoryPage, WorkerDirectory
 from gentianpulley.cluster.job_storage import (
     LeaderJobStore,
@@ -26,7 +25,7 @@
     split_into_batches,
 )
 from gentianpulley.cluster.job_watches import CancellationWatch, JobWatch
-from gentianpulley.cluster.handover_state import INTERFERENCE_KEY, HandoverState
+from gentianpulley.cluster.handover_state import HandoverState
 from gentianpulley.cluster.leader_store import (
     DeposedError,
     create_leader_store,
@@ -137,6 +136,7 @@
         self._operator_lock = threading.Lock()
         self._closed_domains: frozenset[str] = frozenset()
         self._wave_requests: tuple[WaveRequest, ...] = ()
+        self._customers = Customers()
         self._next_interference_save_ms = 0
         self._saved_interference = b''
         self._maintenance_loop: MaintenanceLoop | None = None
@@ -190,6 +190,16 @@
                     service.scheduler.closed_domains = domains
                 service.plan_requested.set()
 
+    def replace_customers(self, customers: Customers) -> None:
+        """Apply these customers' ceilings and weights from now on."""
+        with self._operator_lock:
+            self._customers = customers
+            service = self._scheduler_service
+            if service is not None:
+                with service.lock:
+                    service.scheduler.replace_customers(customers)
+                service.plan_requested.set()
+
     def replace_wave_requests(self, requests: tuple[WaveRequest, ...]) -> None:
         """Carry out these maintenance waves from now on."""
         with self._operator_lock:
@@ -231,25 +241,19 @@
         service = SchedulerService(
             scheduler, self._leadership, self._dependencies.counters, self._log
         )
-        self._load_interference(service)
+        call_with_retries(
+            partial(
+                self._handover_state.restore_interference,
+                scheduler.interference,
+            ),
+            self._log,
+        )
         with self._operator_lock:
             scheduler.closed_domains = self._closed_domains
+            scheduler.replace_customers(self._customers)
             self._scheduler_service = service
         return service
 
-    def _load_interference(self, service: SchedulerService) -> None:
-        """Start with the interference that the previous leader learned."""
-        body = call_with_retries(
-            self._handover_state.load_interference, self._log
-        )
-        if body is None:
-            return
-        try:
-            service.scheduler.interference.load(body)
-        except msgspec.DecodeError as exc:
-            # The leader learns it from scratch, as the first leader did.
-            self._log.document_damaged(INTERFERENCE_KEY, str(exc))
-
     def _start_loops(
         self, service: SchedulerService, worker_watch: WorkerWatch
     ) -> None:
--- a/src/gentianpulley/cluster/leader_elector.py
+++ b/src/gentianpulley/cluster/leader_elector.py
@@ -14,6 +14,8 @@
 from typing import Final
 
 from gentianpulley.background import BackgroundLoop
+from gentianpulley.cluster.customers import Customers
+from gentianpulley.cluster.customer_usage import remember_former
 from gentianpulley.cluster.ended_term import EndedTerm
 from gentianpulley.cluster.election_policy import Candidate, encode_candidate
 from gentianpulley.cluster.election_state import ElectionState
@@ -80,6 +82,7 @@
         self._token = 0
         self._closed_domains: frozenset[str] | None = None
         self._wave_requests: tuple[WaveRequest, ...] = ()
+        self._customers = Customers()
 
     @property
     def is_leading(self) -> bool:
@@ -103,6 +106,16 @@
             if self._informed_leader is not None:
                 self._informed_leader.replace_wave_requests(requests)
 
+    def replace_customers(self, customers: Customers) -> None:
+        """Apply these customers' ceilings and weights while leading.
+
+        A customer that is missing keeps those that this process knew last.
+        """
+        with self._operator_lock:
+            self._customers = remember_former(self._customers, customers)
+            if self._informed_leader is not None:
+                self._informed_leader.replace_customers(self._customers)
+
     def step(self) -> None:
         """Continue leading if this instance leads, else run for leader."""
         try:
@@ -197,24 +210,17 @@
             self._informed_leader = leader
             leader.replace_closed_domains(self._closed_domains or frozenset())
             leader.replace_wave_requests(self._wave_requests)
+            leader.replace_customers(self._customers)
         self._leadership = leadership
         with ExitStack() as undo:
             undo.callback(self._revoke_lease)
             self._lease_renewer = LeaseRenewer(
                 renewal.renew_once, sent_ms, self.log
             )
-            self._open_leader(leader)
+            _open_leader(leader, self._election_state)
             undo.pop_all()
         self._leader = leader
 
-    def _open_leader(self, leader: Leader) -> None:
-        """Open a leader; close it again and back off if that fails."""
-        with ExitStack() as undo:
-            undo.callback(self._election_state.back_off)
-            undo.callback(leader.close)
-            leader.open()
-            undo.pop_all()
-
     def _continue_leading(self, leader: Leader) -> None:
         leadership = self._leadership
         if leadership is None or leadership.is_over():
@@ -257,6 +263,15 @@
             self.log.store_trouble(exc.text)
 
 
+def _open_leader(leader: Leader, election_state: ElectionState) -> None:
+    """Open a leader; close it again and back off if that fails."""
+    with ExitStack() as undo:
+        undo.callback(election_state.back_off)
+        undo.callback(leader.close)
+        leader.open()
+        undo.pop_all()
+
+
 def _wait_for_store(leadership: Leadership, until_ms: int) -> None:
     """Wait until a renewal of the leader's key was answered lately."""
     while not leadership.is_over() and not has_passed(until_ms):
--- a/src/gentianpulley/cluster/migration.py
+++ b/src/gentianpulley/cluster/migration.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from gentianpulley.cluster.customer_usage import CustomerUsage
 from gentianpulley.cluster.worker_protocol import StopOrder
 from gentianpulley.cluster.task_placement import (
     PlacementContext,
@@ -30,17 +31,18 @@
 
 
 def plan_migrations(
-    state: SchedulerState, view: PlacementContext
+    state: SchedulerState, view: PlacementContext, usage: CustomerUsage
 ) -> list[StopOrder]:
     """Return the stops of tasks that run better elsewhere.
 
     On a busy cluster they are stopped and wait to be placed in the order of all
     steps. Otherwise they stay until a worker without excessive interference has
-    free capacity.
+    free capacity. Tasks of a customer above its ceiling stay as well, as they
+    could not start again.
     """
     orders: list[StopOrder] = []
     reserved_ids: set[str] = set()
-    for worker, reservation, step in _throttled(state, view.now_ms):
+    for worker, reservation, step in _throttled(state, usage, view.now_ms):
         target_id = _find_safe_worker(
             reserved_ids | {worker.worker_id}, step, view
         )
@@ -58,7 +60,7 @@
 
 
 def _throttled(
-    state: SchedulerState, now_ms: int
+    state: SchedulerState, usage: CustomerUsage, now_ms: int
 ) -> Iterator[tuple[Worker, Reservation, StepRun]]:
     """Yield the tasks that have been throttled for long enough."""
     restoring_ms = RESTORE_TIME_FACTOR * state.term.timing.restore_ms
@@ -67,11 +69,20 @@
         for reservation in worker.reservations.values():
             if not _should_migrate(reservation, now_ms, wait_ms):
                 continue
-            step = state.step_of(reservation.key.task_id)
+            step = _step_to_move(reservation, state, usage)
             if step is not None:
                 yield worker, reservation, step
 
 
+def _step_to_move(
+    reservation: Reservation, state: SchedulerState, usage: CustomerUsage
+) -> StepRun | None:
+    """Return the step of a run, None if its task could not start again."""
+    if usage.exceeds_ceiling(reservation.customer):
+        return None
+    return state.step_of(reservation.key.task_id)
+
+
 def _should_migrate(
     reservation: Reservation, now_ms: int, wait_ms: int
 ) -> bool:
--- a/src/gentianpulley/cluster/operators.py
+++ b/src/gentianpulley/cluster/operators.py
@@ -18,4 +18,8 @@
         """Set the maintenance waves to carry out."""
 
     def replace_customers(self, customers: Customers) -> None:
-        """Set the customers of the cfg in force; by default of no effect."""
+        """Set the customers of the cfg in force; by default of no effect.
+
+        If a cfg is stored, this is called before the first call of
+        `replace_closed_domains`, after which the instance may lead.
+        """
--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from gentianpulley.cluster.customer_report import customer_metrics
 from gentianpulley.cluster.plan_report import PlanReport, WaitingStep
 from gentianpulley.cluster.restart_report import WaitingRestart
 from gentianpulley.cluster.wait_reasons import WaitReason
@@ -94,7 +95,7 @@
         }
         self._costs_s = []
         self._lags_s = []
-        self._set_gauges(metrics)
+        self._set_gauges({**metrics, **customer_metrics(report.customers)})
         self._log.plan_report(
             metrics,
             **_step_fields('oldest', report.oldest),
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -6,6 +6,10 @@
 from heapq import nlargest
 from typing import Final
 
+from gentianpulley.cluster.customer_report import (
+    CustomerReport,
+    create_customer_reports,
+)
 from gentianpulley.cluster.restart_report import (
     WaitingRestart,
     find_waiting_restart,
@@ -13,6 +17,7 @@
 from gentianpulley.cluster.scheduler_state import SchedulerState
 from gentianpulley.cluster.wait_reasons import WaitingSteps
 from gentianpulley.cluster.worker import Reservation, Worker
+from gentianpulley.cluster.worker_lifecycle import WorkerLifecycle
 from gentianpulley.jobs.job import StepRun
 
 HIGH_QUANTILE: Final = 0.95
@@ -72,7 +77,8 @@
     """Waiting tasks by reason, reserved capacity by state, workers by state.
 
     Reserved capacity is in thousandths of a processor. `awaited` are the
-    workers that inherited work waits for the longest.
+    workers that inherited work waits for the longest, `customers` what each
+    customer holds.
     """
 
     waiting: Mapping[str, int]
@@ -84,10 +90,11 @@
     workers: Mapping[str, int]
     listing_ages: ListingAges
     awaited: tuple[AwaitedWorker, ...] = ()
+    customers: tuple[CustomerReport, ...] = ()
 
 
 def create_plan_report(
-    state: SchedulerState, waits: WaitingSteps, held_count: int, now_ms: int
+    state: WorkerLifecycle, waits: WaitingSteps, held_count: int, now_ms: int
 ) -> PlanReport:
     """Return a report on the state after the latest plan.
 
@@ -108,6 +115,7 @@
         _conditions(state, now_ms),
         _listing_ages(workers, now_ms),
         _longest_awaited(state, now_ms),
+        create_customer_reports(state.usage),
     )
 
 
--- a/src/gentianpulley/cluster/run_tracker.py
+++ b/src/gentianpulley/cluster/run_tracker.py
@@ -358,7 +358,9 @@
             worker.foreign_runs.add(row.key)
             self.log.run_unknown(row.key, worker.worker_id)
             return [stop]
-        reservation = worker.reserve(row.key, step.spec, now_ms)
+        reservation = worker.reserve(
+            row.key, step.spec, now_ms, job.spec.customer
+        )
         self.begin_trial(worker, step, row.key)
         reservation.latest_finish_ms = step.latest_finish_ms
         reservation.confirmed_ms = now_ms
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -12,6 +12,7 @@
 from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
+from gentianpulley.cluster.ceiling_waits import record_ceiling_wait
 from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
@@ -104,7 +105,7 @@
         if now_ms < self._next_migrations_ms:
             return []
         self._next_migrations_ms = now_ms + MIGRATION_INTERVAL_MS
-        return plan_migrations(self, self._view(now_ms))
+        return plan_migrations(self, self._view(now_ms), self.usage)
 
     def next_advice_query(self, now_ms: int) -> AdviceQuery | None:
         """Return the next query to the advice service, None if none is due."""
@@ -118,6 +119,8 @@
         view = self._view(now_ms)
         overdue = overdue_steps(advised, now_ms)
         for step in (*overdue, *sort_steps(advised, now_ms)):
+            if not self.usage.allows(step):
+                continue
             allowed = feasible_workers(step, view)
             query = query_for(step, allowed, self.tickets, now_ms)
             if query is not None:
@@ -127,9 +130,14 @@
     def _renew_holds(
         self, overdue: list[StepRun], view: PlacementContext
     ) -> None:
-        """Hold workers for overdue restarts that have found no capacity."""
+        """Hold workers for overdue restarts that have found no capacity.
+
+        None is held for a restart that waits for the ceiling of its customer.
+        """
         for worker in self._holds.renew(
-            overdue, PlaceableWorkers(view), view.now_ms
+            filter(self.usage.allows, overdue),
+            PlaceableWorkers(view),
+            view.now_ms,
         ):
             self._unplaceable.mark_worker_changed(worker)
 
@@ -167,6 +175,7 @@
 
     def _free_steps(self, now_ms: int) -> list[StepRun]:
         """Return the steps that this leader may start now."""
+        self.count_unseen_tasks(now_ms)
         steps = self.ready_steps(now_ms)
         if self.is_handover_complete(now_ms):
             return steps
@@ -204,7 +213,13 @@
         indexes: set[int],
         view: PlacementContext,
     ) -> list[StartOrder]:
-        """Place the given tasks of a step unless they are unplaceable."""
+        """Place the given tasks of a step unless they are unplaceable.
+
+        Every start goes through here, and so through the check of the ceiling.
+        """
+        if not self.usage.allows(step):
+            record_ceiling_wait(step, self._waits, self.usage, self.log)
+            return []
         if not self._start_limiter.has_capacity:
             self._waits.record(step, WaitReason.LINK_SATURATED)
             return []
@@ -215,6 +230,7 @@
         orders = self._place_step(step, indexes, view)
         is_tried = (
             self._start_limiter.has_capacity
+            and self.usage.allows(step)
             and not _has_extra_constraints(step)
             and not step.has_suspects(indexes & step.waiting)
         )
@@ -231,6 +247,8 @@
             orders = self._place_gang(step, ranked, view)
         else:
             orders = self._place_each(step, indexes, ranked, view)
+        if step.waiting and not self.usage.allows(step):
+            record_ceiling_wait(step, self._waits, self.usage, self.log)
         if step.waiting:
             reason = (
                 ranked.wait_reason if allowed else _no_worker_reason(step, view)
@@ -251,7 +269,8 @@
         orders = []
         tasks = [step.tasks[index] for index in sorted(indexes)]
         for task in filterfalse(self.is_crash_unsaved, tasks):
-            if not self._start_limiter.has_capacity:
+            has_link = self._start_limiter.has_capacity
+            if not has_link or not self.usage.allows(step):
                 break
             worker = ranked.pop_best(task)
             if worker is None:
@@ -305,7 +324,7 @@
     ) -> StartOrder:
         key = RunKey(task.task_id, run)
         worker.reserve(
-            key, step.spec, view.now_ms
+            key, step.spec, view.now_ms, step.job.spec.customer
         ).latest_finish_ms = step.latest_finish_ms
         self.begin_trial(worker, step, key)
         self._unplaceable.mark_worker_changed(worker)
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -3,13 +3,15 @@
 from dataclasses import replace
 from typing import NamedTuple
 
+from gentianpulley.cluster.customers import Customers
 from gentianpulley.cluster.worker_protocol import Listing, WorkerRegistration
 from gentianpulley.cluster.roster import Roster
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
 from gentianpulley.cluster.term_record import TermRecord
+from gentianpulley.cluster.unseen_tasks import UnseenTasks
 from gentianpulley.cluster.worker_suspension import WorkerSuspension
 from gentianpulley.cluster.worker import Worker
-from gentianpulley.jobs.job import StepRun
+from gentianpulley.jobs.job import Job, StepRun
 from gentianpulley.logs import EventLog
 
 
@@ -35,6 +37,21 @@
         super().__init__(term, log)
         self._buffered_listings: dict[str, _BufferedListing] = {}
         self._buffers_listings = False
+        self._unseen_tasks = UnseenTasks()
+
+    def replace_customers(self, customers: Customers) -> None:
+        """Apply these customers' ceilings and weights from now on."""
+        self.usage.replace_customers(customers)
+        if customers.by_name:
+            self.log.customers_in_force(
+                customers.version, len(customers.by_name)
+            )
+
+    def add_job(self, job: Job) -> None:
+        """Add an accepted job; it may have tasks that run unseen."""
+        super().add_job(job)
+        if self.jobs.get(job.spec.job_id) is job:
+            self._unseen_tasks.add_job(job)
 
     def buffer_listings(self) -> None:
         """Buffer the workers' listings until jobs are loaded."""
@@ -90,6 +107,17 @@
             certain_ms > until for until in self.unseen_runs_until_ms.values()
         )
 
+    def count_unseen_tasks(self, now_ms: int) -> None:
+        """Count what customers may have running on workers not seen yet."""
+        if self._unseen_tasks.is_empty:
+            return
+        if not self.is_handover_complete(now_ms):
+            self.usage.replace_unseen(self._unseen_tasks.count(now_ms))
+            return
+        self.usage.replace_unseen({})
+        if self.certain_ms(now_ms) > self.term.handover_until_ms:
+            self._unseen_tasks.clear()
+
     def is_drained(self, registration: WorkerRegistration) -> bool:
         """Return whether nothing can run on a worker with this registration."""
         existing = self.workers.get(registration.worker_id)
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -13,6 +13,7 @@
     same plan, so this one was not tried. LINK_SATURATED means that starts in
     flight take up the leader's link. TRIAL means that tasks that may have
     crashed a worker wait for one without such a task, or for their record.
+    CEILING means that their customer has as much running as it may have.
     """
 
     NO_ROOM = 'no_room'
@@ -24,6 +25,7 @@
     TICKET = 'ticket'
     LINK_SATURATED = 'link'
     TRIAL = 'trial'
+    CEILING = 'ceiling'
 
 
 class WaitingSteps:
@@ -31,7 +33,7 @@
 
     def __init__(self) -> None:
         """Start without waiting steps."""
-        self._now_ms = 0
+        self.now_ms = 0
         self._previous_since_ms: dict[StepRun, int] = {}
         self._previous_reasons: dict[StepRun, WaitReason] = {}
         self.since_ms: dict[StepRun, int] = {}
@@ -39,7 +41,7 @@
 
     def begin_plan(self, now_ms: int) -> None:
         """Discard the reasons of the previous plan, but not the start times."""
-        self._now_ms = now_ms
+        self.now_ms = now_ms
         self._previous_since_ms = self.since_ms
         self._previous_reasons = self.reasons
         self.since_ms = {}
@@ -49,6 +51,10 @@
         """Return whether only the leader's link held up the previous plan."""
         return self._previous_reasons.get(step) is WaitReason.LINK_SATURATED
 
+    def waits_newly(self, step: StepRun) -> bool:
+        """Return whether a step waits for another reason than before."""
+        return self.reasons.get(step) is not self._previous_reasons.get(step)
+
     def record_all(self, steps: Iterable[StepRun], reason: WaitReason) -> None:
         """Record for all steps why their tasks keep waiting."""
         for step in steps:
@@ -60,7 +66,5 @@
         The first reason in a plan is kept: later ones only follow from it.
         """
         if step.waiting:
-            self.since_ms[step] = self._previous_since_ms.get(
-                step, self._now_ms
-            )
+            self.since_ms[step] = self._previous_since_ms.get(step, self.now_ms)
             self.reasons.setdefault(step, reason)
--- a/src/gentianpulley/cluster/worker.py
+++ b/src/gentianpulley/cluster/worker.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
+from gentianpulley.cluster.customer_usage import CustomerUsage
 from gentianpulley.cluster.worker_protocol import RunKey, WorkerRegistration
 from gentianpulley.cluster.timing import WorkerClock
 from gentianpulley.jobs.spec import StepSpec, TaskId
@@ -63,7 +64,7 @@
     moving average of its reports; `over_target_since_ms` is since when that may
     have exceeded its target, zero while it does not, and `unharmed_ms` until
     when it is certain to have suffered no interference. `checkpoint` is the one
-    listed last.
+    listed last, and `customer` the one that the run counts for, empty for none.
     """
 
     key: RunKey
@@ -92,6 +93,7 @@
     unharmed_ms: int = 0
     checkpoint: str = ''
     latest_finish_ms: int = 0
+    customer: str = ''
 
     def can_be_on_time(self, now_ms: int) -> bool:
         """Return whether the run, at full speed, ends in time for its job."""
@@ -270,9 +272,15 @@
     crashed a worker and have not outlasted their start here.
     """
 
-    def __init__(self, registration: WorkerRegistration, now_ms: int) -> None:
-        """Start without reservations."""
+    def __init__(
+        self,
+        registration: WorkerRegistration,
+        now_ms: int,
+        usage: CustomerUsage,
+    ) -> None:
+        """Start without reservations; `usage` counts them by customer."""
         self.registration = registration
+        self._usage = usage
         self.clock = WorkerClock()
         self.token = 0
         self.reservations: dict[RunKey, Reservation] = {}
@@ -402,13 +410,16 @@
             return False
         return spec.resources.fits_in(self.registration.capacity)
 
-    def reserve(self, key: RunKey, spec: StepSpec, now_ms: int) -> Reservation:
+    def reserve(
+        self, key: RunKey, spec: StepSpec, now_ms: int, customer: str = ''
+    ) -> Reservation:
         """Reserve what a run needs; an existing reservation is kept."""
         existing = self.reservations.get(key)
         if existing is not None:
             return existing
-        reservation = Reservation(key, spec, now_ms)
+        reservation = Reservation(key, spec, now_ms, customer=customer)
         self.reservations[key] = reservation
+        self._usage.add_run(customer, spec.resources)
         self._update_totals(reservation, 1)
         return reservation
 
@@ -418,6 +429,7 @@
         self.trial_runs.discard(key)
         released = self.reservations.pop(key, None)
         if released is not None:
+            self._usage.remove_run(released.customer, released.spec.resources)
             self._update_totals(released, -1)
         return released
 
@@ -463,9 +475,11 @@
             self.long_running_milli += sign * need.processors_milli
 
 
-def create_worker(registration: WorkerRegistration, now_ms: int) -> Worker:
+def create_worker(
+    registration: WorkerRegistration, now_ms: int, usage: CustomerUsage
+) -> Worker:
     """Return a worker that is not fenced yet."""
-    return Worker(registration, now_ms)
+    return Worker(registration, now_ms, usage)
 
 
 def has_fresh_trial(worker: Worker, now_ms: int) -> bool:
--- a/src/gentianpulley/cluster/worker_lifecycle.py
+++ b/src/gentianpulley/cluster/worker_lifecycle.py
@@ -13,6 +13,7 @@
     ClaimTracker,
     is_new_incarnation,
 )
+from gentianpulley.cluster.customer_usage import CustomerUsage
 from gentianpulley.cluster.worker_protocol import (
     StartOrder,
     StopOrder,
@@ -29,11 +30,15 @@
 
 
 class WorkerLifecycle(ClaimTracker):
-    """Tracks the workers' incarnations and requeues what ended with them."""
+    """Tracks the workers' incarnations and requeues what ended with them.
+
+    `usage` counts what customers have running, on workers or kept beyond them.
+    """
 
     def __init__(self, term: LeaderTerm, log: EventLog) -> None:
         """Start without workers."""
         super().__init__(term, log)
+        self.usage = CustomerUsage()
         self._unanswered_starts: dict[str, list[Reservation]] = {}
         self._certain_until_ms = FOREVER
         self._restarted_ids: set[str] = set()
@@ -137,7 +142,7 @@
         ]
         for reservation in kept:
             worker.release(reservation.key)
-            _keep_beyond_incarnation(reservation, now_ms)
+            _keep_beyond_incarnation(reservation, self.usage, now_ms)
             self.keep_late_start(worker, reservation)
             self.mark_run_missing(reservation.key)
         if kept:
@@ -216,7 +221,7 @@
     def _start_incarnation(
         self, registration: WorkerRegistration, now_ms: int
     ) -> list[Order]:
-        worker = create_worker(registration, now_ms)
+        worker = create_worker(registration, now_ms, self.usage)
         worker.token = self.token_of(registration.worker_id)
         worker.is_restarted = registration.worker_id in self._restarted_ids
         self.workers[registration.worker_id] = worker
@@ -224,7 +229,10 @@
         for reservation in self._unanswered_starts.pop(
             registration.worker_id, ()
         ):
-            kept = worker.reserve(reservation.key, reservation.spec, now_ms)
+            _discount(reservation, self.usage)
+            kept = worker.reserve(
+                reservation.key, reservation.spec, now_ms, reservation.customer
+            )
             kept.is_stopping = True
             kept.late_start_until_ms = reservation.late_start_until_ms
             kept.past_orders_until_ms = reservation.past_orders_until_ms
@@ -237,6 +245,7 @@
     def _requeue_unanswered(self, worker_id: str) -> None:
         """Requeue runs whose starts cannot arrive any more."""
         for reservation in self._unanswered_starts.pop(worker_id):
+            _discount(reservation, self.usage)
             self.log.run_returned(
                 reservation.key, worker_id, 'cannot arrive any more', 0
             )
@@ -287,8 +296,14 @@
     return not clock.seen_at_ms or clock.has_lease_expired(now_ms)
 
 
-def _keep_beyond_incarnation(reservation: Reservation, now_ms: int) -> None:
-    """Record until when orders to the incarnation that ends may arrive."""
+def _keep_beyond_incarnation(
+    reservation: Reservation, usage: CustomerUsage, now_ms: int
+) -> None:
+    """Record until when orders to the incarnation that ends may arrive.
+
+    Until then the run keeps counting for its customer.
+    """
+    usage.add_run(reservation.customer, reservation.spec.resources)
     until_ms = now_ms + MAX_ORDER_DELAY_MS
     reservation.sent_ms = now_ms
     if reservation.is_in_flight:
@@ -300,6 +315,11 @@
     )
 
 
+def _discount(reservation: Reservation, usage: CustomerUsage) -> None:
+    """Stop counting a run that was kept beyond its incarnation."""
+    usage.remove_run(reservation.customer, reservation.spec.resources)
+
+
 def _late_runs_until_ms(
     reservations: Iterable[Reservation], timing: Timing
 ) -> int:
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -273,7 +273,8 @@
     `is_dirty` means that the job's record has to be written, `has_started` that
     a task has started at some time. `idle_since_ms` is the time from which no
     task of the job runs although one could start; zero while one runs. The
-    steps that may start are cached until a task or the state changes.
+    steps that may start are cached until a task or the state changes, which
+    increases `progress_number`.
 
     Only the scheduler changes a job, but records are created meanwhile. So
     `steps`, and failed runs and crashes of tasks, are replaced, never changed
@@ -288,6 +289,7 @@
         self.spec = spec
         self._state = JobState.QUEUED
         self._ready: tuple[StepRun, ...] | None = None
+        self.progress_number = 0
         self.is_inherited = is_inherited
         self.is_dirty = False
         self.has_started = False
@@ -309,6 +311,7 @@
     def invalidate_ready_steps(self) -> None:
         """Invalidate the cached steps that may start."""
         self._ready = None
+        self.progress_number += 1
 
     def create_due_occurrences(self, now_ms: int) -> None:
         """Create every occurrence that is due soon."""
@@ -390,6 +393,11 @@
         self.idle_since_ms = self.idle_since_ms or now_ms
         return now_ms - self.idle_since_ms
 
+    def restart_idle_time(self, now_ms: int) -> None:
+        """Count the idle time anew: until now, no task could have started."""
+        if self.idle_since_ms:
+            self.idle_since_ms = now_ms
+
     def mark_started(self) -> None:
         """Record that a worker has started a task.
 
@@ -417,6 +425,15 @@
         elif self.has_started and self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
 
+    def may_start(self, step: StepRun, now_ms: int) -> bool:
+        """Return whether a step is due and the steps before it are done."""
+        if self.spec.schedule.scheduled_start_ms(step.occurrence) > now_ms:
+            return False
+        return all(
+            self.steps[(step.occurrence, before)].is_done
+            for before in step.spec.after
+        )
+
     def _find_ready(self, now_ms: int) -> tuple[StepRun, ...]:
         """Find the steps that may start.
 
@@ -428,20 +445,12 @@
             ready = tuple(
                 step
                 for step in self.steps.values()
-                if step.waiting and self._may_start(step, now_ms)
+                if step.waiting and self.may_start(step, now_ms)
             )
         if not self.spec.schedule.occurrences:
             self._ready = ready
         return ready
 
-    def _may_start(self, step: StepRun, now_ms: int) -> bool:
-        if self.spec.schedule.scheduled_start_ms(step.occurrence) > now_ms:
-            return False
-        return all(
-            self.steps[(step.occurrence, before)].is_done
-            for before in step.spec.after
-        )
-
 
 def _shape_of(job: JobSpec, step: StepSpec) -> Shape:
     return Shape(
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -246,6 +246,31 @@
         """A job has failed: a task of it crashes the workers that start it."""
         _write_run('job_given_up', key, worker, crashes=crashes)
 
+    def customers_in_force(self, version: int, customers: int) -> None:
+        """A leader applies the ceilings and weights of a cfg."""
+        _write('customers_in_force', version=version, customers=customers)
+
+    def ceiling_reached(
+        self,
+        job_id: str,
+        customer: str,
+        **amounts: tuple[int, int, int],
+    ) -> None:
+        """A step waits because its customer has as much running as it may.
+
+        The amounts are processors, memory and accelerators. Each customer has
+        one line in several seconds.
+        """
+        repeated = self._sampler.count_suppressed('ceiling_reached', customer)
+        if repeated is not None:
+            _write(
+                'ceiling_reached',
+                job_id=job_id,
+                customer=customer,
+                repeated=repeated,
+                **{name: _slashed(amount) for name, amount in amounts.items()},
+            )
+
     def plan_report(
         self, metric_values: Mapping[str, int], **names: str
     ) -> None:
@@ -404,6 +429,10 @@
     }
 
 
+def _slashed(amount: tuple[int, int, int]) -> str:
+    return '/'.join(map(str, amount))
+
+
 def start_log(instance: str, failure_domain: str) -> EventLog:
     """Log events to standard output, labelled with the instance."""
     # The library logs each failed connection, which is also logged as an event.
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -29,6 +29,7 @@
 from tests.capacity_guards import CAPACITY_GUARDS
 from tests.cluster_guards import CLUSTER_GUARDS, replace
 from tests.crash_guards import CRASH_GUARDS
+from tests.customer_guards import CUSTOMER_GUARDS
 from tests.input_guards import INPUT_GUARDS
 from tests.pause_guards import PAUSE_GUARDS
 from tests.silence_guards import SILENCE_GUARDS
@@ -224,6 +225,7 @@
     **CAPACITY_GUARDS,
     **CLUSTER_GUARDS,
     **CRASH_GUARDS,
+    **CUSTOMER_GUARDS,
     **INPUT_GUARDS,
     **PAUSE_GUARDS,
     **SILENCE_GUARDS,
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -1,8 +1,10 @@
 """A scheduler with in-memory workers, driven by the test without sockets."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
+from gentianpulley.cluster.customers import Customer, Customers
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
     EndedRow,
@@ -78,6 +80,25 @@
     return create_job(spec, is_inherited=inherited)
 
 
+def customers_with(version: int, **ceilings_milli: int) -> Customers:
+    """Return a cfg's customers, with ceilings of processors."""
+    return Customers(
+        version,
+        {
+            name: Customer(name, ceiling=Resources(milli, 0))
+            for name, milli in ceilings_milli.items()
+        },
+    )
+
+
+def customer_job(
+    customer: str, *steps: StepSpec, inherited: bool = False, **changes: Any
+) -> Job:
+    """Return a job that a customer has submitted."""
+    spec = replace(job(*steps, **changes).spec, customer=customer)
+    return create_job(spec, is_inherited=inherited)
+
+
 @dataclass
 class SchedulerHarness:
     """A scheduler whose workers list the runs that the test gives them."""
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -54,7 +54,7 @@
 )
 from standins.grid_store import HOST, GridStore
 from standins.grid_worker import GridWorker
-from tests.scheduling.harness import job, step
+from tests.scheduling.harness import customers_with, job, step
 
 SMALL = 516
 LARGEST = 8000
@@ -227,6 +227,34 @@
     worker.server_close()
 
 
+@pytest.mark.proof('customers-amid-load')
+def test_a_ceiling_changed_while_the_leader_loads_has_no_effect(
+    election: Election, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a leader that keeps the customers it began with."""
+    elector = election.create('only', SMALL)
+    load = LeaderJobStore.load
+
+    def slow_load(job_store: LeaderJobStore) -> LoadedJobs:
+        loaded = load(job_store)
+        elector.replace_customers(customers_with(2, c=2000))
+        return loaded
+
+    monkeypatch.setattr(LeaderJobStore, 'load', slow_load)
+    elector.replace_customers(customers_with(1, c=1000))
+    elector.replace_closed_domains(frozenset())
+    elector.start()
+    wait_until(lambda: elector.is_leading)
+    leader = elector._leader
+    assert leader is not None
+    assert leader.scheduler_service is not None
+    usage = leader.scheduler_service.scheduler.usage
+    assert usage.ceiling_of('c').processors_milli == 2000
+    elector.replace_customers(customers_with(3))
+    assert usage.customers.version == 3
+    assert usage.ceiling_of('c').processors_milli == 2000
+
+
 @pytest.mark.proof('domains-first')
 def test_one_that_has_not_read_the_closed_domains_does_not_lead(
     election: Election,
