Order waiting batch steps by the worth of their remaining work

Cause: with less capacity than a burst needs, the earliest objective first spreads the capacity over all jobs of the burst, and most of them are late.

Change: within a priority and deadline class, a batch step goes first whose job is worth most for each unit of its work that remains (delay_cost). Equal steps keep the earliest objective.

--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -117,7 +117,7 @@
             return None
         view = self._view(now_ms)
         overdue = overdue_steps(advised, now_ms)
-        for step in (*overdue, *sort_steps(advised, now_ms)):
+        for step in (*overdue, *sort_steps(advised, now_ms, self._delay_costs)):
             allowed = feasible_workers(step, view)
             query = query_for(step, allowed, self.tickets, now_ms)
             if query is not None:
@@ -144,7 +144,7 @@
         for starved in link_starved_steps(others, self._waits, view):
             first = {min(starved.waiting)}
             orders.extend(self._try_step(starved, first, view))
-        for group in sort_tasks(others, view.now_ms):
+        for group in sort_tasks(others, view.now_ms, self._delay_costs):
             step = group.step
             if group.kind is WorkKind.FIRST_START and step.waiting_restarts:
                 # Its restarts have just found no capacity of the same size.
@@ -187,10 +187,10 @@
             return []
         orders: list[StartOrder] = []
         restarting = [step for step in steps if step.waiting_restarts]
-        for waiter in sort_steps(restarting, view.now_ms):
+        for waiter in sort_steps(restarting, view.now_ms, self._delay_costs):
             restarts = waiter.waiting_restarts
             orders.extend(self._try_step(waiter, restarts, view))
-        for step in sort_steps(eligible, view.now_ms):
+        for step in sort_steps(eligible, view.now_ms, self._delay_costs):
             overdue = step.overdue_first_starts(view.now_ms)
             started = self._try_step(step, overdue, view)
             if started:
--- a/src/gentianpulley/cluster/scheduler_state.py
+++ b/src/gentianpulley/cluster/scheduler_state.py
@@ -10,6 +10,7 @@
 
 from gentianpulley.cluster.advice import AdviceQuery, Permit, TicketCache
 from gentianpulley.cluster.capacity import DEFAULT_LINK_BYTES_S
+from gentianpulley.cluster.delay_cost import create_delay_costs
 from gentianpulley.cluster.ended_jobs import EndedJobs
 from gentianpulley.cluster.interference import create_interference_model
 from gentianpulley.cluster.worker_protocol import (
@@ -100,6 +101,7 @@
         self.change_number = 0
         self.interference = create_interference_model()
         self.tickets = TicketCache()
+        self._delay_costs = create_delay_costs()
         self._ended = EndedJobs()
         self.unseen_runs_until_ms = term.unseen_runs_until_ms()
         self._grants_leases = True
@@ -110,6 +112,7 @@
         if job_id in self.jobs or self._ended.is_evicted(job_id):
             return
         self.jobs[job_id] = job
+        self._delay_costs.record_job(job)
         if job.is_dirty or not job.state.is_final:
             self.live_jobs[job_id] = job
 
--- a/src/gentianpulley/cluster/step_ordering.py
+++ b/src/gentianpulley/cluster/step_ordering.py
@@ -2,7 +2,7 @@
 
 Handles urgent jobs that arrive while wide batch steps wait. The queue with
 the higher priority goes first; within it, jobs that can still meet their
-objective, then later steps of jobs in progress, then the earliest objective.
+objective, then the steps whose delay costs most for the work that remains.
 Under overload the jobs that are too late anyway go last, instead of making
 every job late.
 """
@@ -11,17 +11,18 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
+from gentianpulley.cluster.delay_cost import (
+    DeadlineClass,
+    DelayCosts,
+    deadline_class,
+)
 from gentianpulley.jobs.job import StepRun
 
-MAX_LATENESS_FACTOR = 3
-"""A job that ends within this multiple of its objective is late. A job that
-ends after that is expired: its result is of no use to the caller."""
-
 FIRST_START_INTERVAL_MS: Final = 500
 """Minimum interval, across the whole cluster, between two first starts of
 long-running tasks that go before other work, as many may arrive at once."""
 
-SortKey = tuple[int, int, int, bool, int]
+SortKey = tuple[int, int, int, float, int]
 
 
 class WorkKind(enum.IntEnum):
@@ -40,33 +41,21 @@
     kind: WorkKind
 
 
-class DeadlineClass(enum.IntEnum):
-    """Whether a job can still meet its objective."""
-
-    ON_TIME = 0
-    LATE = 1
-    EXPIRED = 2
-
+def sort_key(
+    step: StepRun, kind: WorkKind, now_ms: int, costs: DelayCosts
+) -> SortKey:
+    """Return the sort key of a step's tasks; the smallest goes first.
 
-def deadline_class(step: StepRun, now_ms: int) -> DeadlineClass:
-    """Return the deadline class of a step's job if the step starts now."""
-    if step.spec.is_endless:
-        return DeadlineClass.ON_TIME
-    ends_ms = now_ms + step.critical_path_ms
-    if ends_ms <= step.objective_ms:
-        return DeadlineClass.ON_TIME
-    allowed_ms = step.objective_ms - step.release_ms
-    last_ms = step.release_ms + MAX_LATENESS_FACTOR * allowed_ms
-    return DeadlineClass.LATE if ends_ms <= last_ms else DeadlineClass.EXPIRED
-
-
-def sort_key(step: StepRun, kind: WorkKind, now_ms: int) -> SortKey:
-    """Return the sort key of a step's tasks; the smallest goes first."""
+    Long-running tasks have no end that could be late, and no work that ends.
+    """
+    priority = step.job.spec.policy.priority
+    if kind is not WorkKind.BATCH:
+        return priority, kind, DeadlineClass.ON_TIME, 0, step.objective_ms
     return (
-        step.job.spec.policy.priority,
+        priority,
         kind,
         deadline_class(step, now_ms),
-        not step.spec.after,
+        -costs.worth_of_work(step),
         step.objective_ms,
     )
 
@@ -109,7 +98,9 @@
         self._next_ms = now_ms + FIRST_START_INTERVAL_MS
 
 
-def sort_tasks(steps: list[StepRun], now_ms: int) -> list[TaskGroup]:
+def sort_tasks(
+    steps: list[StepRun], now_ms: int, costs: DelayCosts
+) -> list[TaskGroup]:
     """Return the waiting tasks of steps in placement order.
 
     Long-running tasks that have run before precede new ones: those would take
@@ -122,7 +113,8 @@
         else:
             groups.append(TaskGroup(step, step.waiting, WorkKind.BATCH))
     return sorted(
-        groups, key=lambda group: sort_key(group.step, group.kind, now_ms)
+        groups,
+        key=lambda group: sort_key(group.step, group.kind, now_ms, costs),
     )
 
 
@@ -134,10 +126,12 @@
         yield TaskGroup(step, step.waiting - restarts, WorkKind.FIRST_START)
 
 
-def sort_steps(steps: list[StepRun], now_ms: int) -> list[StepRun]:
+def sort_steps(
+    steps: list[StepRun], now_ms: int, costs: DelayCosts
+) -> list[StepRun]:
     """Return the steps in placement order."""
     return sorted(
-        steps, key=lambda step: sort_key(step, _kind_of(step), now_ms)
+        steps, key=lambda step: sort_key(step, _kind_of(step), now_ms, costs)
     )
 
 
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -108,6 +108,8 @@
     """One step of one occurrence of a job.
 
     `critical_path_ms` is the estimated critical path that starts at this step.
+    `task_work` is the estimated processor time of each of its tasks, and
+    `later_work` that of the steps after it.
     The latency of the occurrence counts from `release_ms`; it is on time until
     `objective_ms`.
     """
@@ -130,6 +132,8 @@
         self.done_count = 0
         self.tasks_per_worker: dict[str, int] = {}
         self.critical_path_ms = job.spec.remaining_critical_path_ms(number)
+        self.task_work = self.spec.task_work
+        self.later_work = job.spec.work_from(number + 1)
         self._next_deadline_ms = 0
         self.release_ms = job.spec.release_ms(occurrence)
         self.objective_ms = job.spec.objective_ms(occurrence)
@@ -272,8 +276,9 @@
 
     `is_dirty` means that the job's record has to be written, `has_started` that
     a task has started at some time. `idle_since_ms` is the time from which no
-    task of the job runs although one could start; zero while one runs. The
-    steps that may start are cached until a task or the state changes.
+    task of the job runs although one could start; zero while one runs. `work`
+    is the estimated processor time of an occurrence. The steps that may start
+    are cached until a task or the state changes.
 
     Only the scheduler changes a job, but records are created meanwhile. So
     `steps`, and failed runs and crashes of tasks, are replaced, never changed
@@ -293,6 +298,7 @@
         self.has_started = False
         self.steps: Mapping[tuple[int, int], StepRun] = {}
         self.idle_since_ms = 0
+        self.work = spec.work_from(0)
         self._created_count = 0
         self.create_due_occurrences(0)
 
--- a/src/gentianpulley/jobs/spec.py
+++ b/src/gentianpulley/jobs/spec.py
@@ -75,6 +75,11 @@
             return replace(self.resources, processors_milli=0)
         return self.resources
 
+    @property
+    def task_work(self) -> int:
+        """Return the estimated processor time of a task, at least 1."""
+        return max(1, self.estimated_ms * self.resources.processors_milli)
+
 
 class Shape(NamedTuple):
     """What decides, apart from its size, where a task of a step may run."""
@@ -179,6 +184,12 @@
             path_ms[later] = self.steps[later].estimated_ms + longest_ms
         return path_ms[number]
 
+    def work_from(self, number: int) -> int:
+        """Return the estimated processor time of a step and those after it."""
+        return sum(
+            step.task_count * step.task_work for step in self.steps[number:]
+        )
+
     def release_ms(self, occurrence: int) -> int:
         """Return from when the latency of an occurrence counts.
 
--- a/tests/scheduling/link_load.py
+++ b/tests/scheduling/link_load.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from gentianpulley.cluster.start_limiter import START_OVERHEAD_BYTES
-from gentianpulley.cluster.step_ordering import DeadlineClass
+from gentianpulley.cluster.delay_cost import DeadlineClass
 from gentianpulley.cluster.worker_protocol import (
     EndCause,
     EndedRow,
--- a/tests/scheduling/test_link_load.py
+++ b/tests/scheduling/test_link_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gentianpulley.cluster.step_ordering import DeadlineClass
+from gentianpulley.cluster.delay_cost import DeadlineClass
 from tests.scheduling.link_load import JobKind, LinkLoad, LoadOutcome, play
 
 URGENT = JobKind('urgent', 0, 0.4, 2, 9, 8000, 1000)
