--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -19,6 +19,7 @@
 from gentianpulley.jobs.spec import AdvicePolicy, QueuePolicy
 from gentianpulley.json_decoding import decode_json
 from gentianpulley.logs import EventLog
+from gentianpulley.platform.kv_store import WATCH_WAIT_MS
 from gentianpulley.platform.wire import (
     CFG_DECODER,
     WAVE_DECODER,
@@ -38,11 +39,17 @@
 RETRY_DELAY_S: Final = 0.2
 """Pause after the watch has failed, before everything is re-read."""
 
+MAX_ANSWER_AGE_MS: Final = 700
+"""Maximum age of an answer of the watch; after an older one, everything is
+re-read. The next answer may take the wait of a watch and its margin, 2.3 s,
+and a cfg may be used for 3 s after it was known to be the newest."""
+
 
 class OperatorWatch(BackgroundLoop):
     """Keeps the queue table, closed failure domains and waves up to date.
 
-    `last_contact_ms` is the time of the last response of the store.
+    `last_contact_ms` is the time of the last response of the store. All changes
+    that the store applied before `known_until_ms` are known.
     """
 
     def __init__(
@@ -92,11 +99,14 @@
             self._add_wave(entry)
         self._publish_waves()
         self.known_until_ms = asked_ms
+        asked_ms = now_ms()
         for batch in self._store.watch(OPERATOR_PREFIX, snapshot.revision):
             self._update_last_contact()
             self._apply_batch(batch)
-            self.known_until_ms = now_ms()
-            if self.is_stopping:
+            self.known_until_ms = _known_until_ms(batch, asked_ms)
+            asked_ms = now_ms()
+            is_old = asked_ms > self.known_until_ms + MAX_ANSWER_AGE_MS
+            if is_old or self.is_stopping:
                 break
 
     def _update_last_contact(self) -> None:
@@ -174,6 +184,18 @@
             self._listener.replace_customers(cfg.customers)
 
 
+def _known_until_ms(batch: ChangeBatch, asked_ms: int) -> int:
+    """Return until when the answer to a watch contains all changes.
+
+    The time of its arrival does not tell: the answer may have been delayed on
+    the link, or the process may have been paused. With changes, the store may
+    have sent it at once; without any, it has waited first.
+    """
+    if batch.changes:
+        return asked_ms
+    return min(now_ms(), asked_ms + WATCH_WAIT_MS)
+
+
 def queue_cfg(wire: WireCfg) -> QueueCfg:
     """Return the queues and customers defined in a cfg.
 
--- a/tests/test_node_file.py
+++ b/tests/test_node_file.py
@@ -40,6 +40,23 @@
     assert settings.bounds.status_ms == 120_000
 
 
+@pytest.mark.parametrize(
+    ('contracts', 'has_customers'),
+    [
+        ('jobs,tenants,quota', True),
+        (' tenants ', True),
+        ('jobs,subtenants', False),
+        ('', False),
+    ],
+)
+def test_contracts_tell_whether_there_are_customers(
+    contracts: str, *, has_customers: bool
+) -> None:
+    settings = parse_platform_daemon_settings(_text('contracts', contracts))
+    assert settings.has_customers is has_customers
+    assert settings.bounds.config_apply_ms == 3000
+
+
 def test_fractions_are_allowed_where_lengths_are_told() -> None:
     settings = parse_platform_daemon_settings(_text('bounds.grace_s', '1.5'))
     assert settings.bounds.grace_ms == 1500
