Soak: customers whose keys come and go

One caller submits to a queue that needs keys, with keys in force, unknown and withdrawn ones, and calls about jobs with the key of another customer; it also adds and withdraws keys. Checked: an unknown key is never accepted, nor a withdrawn one 3 s after the acknowledgement of its cfg; a key in force is not refused with 401 after 3 s; no access to jobs of another customer. Versions of the cfg are written under a lock, as changes of keys and of queues overlap.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,11 +15,14 @@
 import threading
 import time
 from contextlib import ExitStack
+from itertools import chain
 from operator import attrgetter
 from typing import Final
 
 from soak.answer_promises import ANSWER_CHECKS
 from soak.callers import FINAL_STATES, Caller, Story
+from soak.key_callers import KeyCaller
+from soak.key_promises import KEY_CHECKS
 from soak.process import ENTRY_PROGRAM
 from soak.record import SoakRecord
 from soak.run_promises import RUN_CHECKS
@@ -43,9 +46,10 @@
         self._site = site
         self._has_former_calls = has_former_calls
         self._rng = rng
-        self._callers = [
+        self._callers: list[Caller] = [
             Caller(site, rng.getrandbits(SEED_BITS)) for _ in range(CALLERS)
         ]
+        self._key_callers: list[KeyCaller] = []
         self._is_over = threading.Event()
 
     def play(self, seconds: float) -> list[str]:
@@ -76,6 +80,10 @@
             self._rng, seconds, has_former_calls=self._has_former_calls
         )
         runner = FaultRunner(self._site, episodes, _print_line)
+        # Drawn last, so that a seed draws the same faults and jobs as before.
+        seed = self._rng.getrandbits(SEED_BITS)
+        self._key_callers.append(KeyCaller(self._site, seed))
+        self._callers.extend(self._key_callers)
         for caller in self._callers:
             caller.start()
         runner.start()
@@ -118,7 +126,8 @@
             for story in caller.stories
         }
         faults = tuple(runner.disruptions.values())
-        return SoakRecord(tuple(events), stories, faults)
+        calls = (caller.key_calls for caller in self._key_callers)
+        return SoakRecord(tuple(events), stories, faults, tuple(chain(*calls)))
 
     def _process_failures(self) -> list[str]:
         processes = {
@@ -134,7 +143,7 @@
 
 def breaches(record: SoakRecord) -> list[str]:
     """Return a line for each violation of a guarantee."""
-    checks = (*RUN_CHECKS, *ANSWER_CHECKS)
+    checks = (*RUN_CHECKS, *ANSWER_CHECKS, *KEY_CHECKS)
     return [line for check in checks for line in check(record)]
 
 
@@ -186,7 +195,8 @@
     starts = sum(1 for _ in record.starts())
     return (
         f'{len(record.stories)} jobs, {len(accepted)} accepted, '
-        f'{starts} starts, {len(record.disruptions)} faults'
+        f'{starts} starts, {len(record.disruptions)} faults, '
+        f'{len(record.key_calls)} calls with keys'
     )
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,7 @@
 from typing import Any, Final
 
 from soak.site import Instance, SoakSite
+from standins.grid_site import key_header
 
 ANSWER_S: Final = 3.5
 DEADLINE_MS: Final = 3000
@@ -24,8 +25,10 @@
 COMPLETED: Final = 'completed'
 FINAL_STATES: Final = frozenset((COMPLETED, 'failed'))
 ACCEPTED: Final = 200
+UNAUTHORIZED: Final = 401
+FORBIDDEN: Final = 403
 GONE: Final = 410
-REFUSALS: Final = frozenset((404, 429, 503))
+REFUSALS: Final = frozenset((UNAUTHORIZED, FORBIDDEN, 404, 429, 503))
 _SETTLING: Final = MappingProxyType(
     {
         'POST': frozenset((ACCEPTED, *REFUSALS)),
@@ -173,7 +176,17 @@
 
     def ask(self, story: Story) -> str:
         """Return the state of a job as reported by a random instance."""
-        return self._call(story, 'GET').state
+        return self.call(story, 'GET').state
+
+    def call(self, story: Story, method: str, key: str = '') -> Answer:
+        """Call a random instance about a job, and record the response."""
+        instance = self._rng.choice(self._site.instances)
+        sent_s = time.monotonic()
+        status, state = self._exchange(instance, story.plan, method, key)
+        heard_s = time.monotonic()
+        answer = Answer(instance.name, method, sent_s, heard_s, status, state)
+        story.answers.append(answer)
+        return answer
 
     def _run(self) -> None:
         while not self._stopping.wait(self._rng.uniform(*PAUSE_S)):
@@ -188,14 +201,14 @@
         if not open_stories or self._rng.random() < SUBMIT_SHARE:
             self._submit(sum(_is_long_running(each) for each in open_stories))
         elif self._rng.random() < CANCEL_SHARE:
-            self._call(self._rng.choice(open_stories), 'DELETE')
+            self.call(self._rng.choice(open_stories), 'DELETE')
         else:
-            self._call(self._rng.choice(open_stories), 'GET')
+            self.call(self._rng.choice(open_stories), 'GET')
 
     def _cancel_latest(self, open_stories: list[Story]) -> None:
         """Cancel the job that has most likely not started."""
         for story in open_stories[-1:]:
-            self._call(story, 'DELETE')
+            self.call(story, 'DELETE')
 
     def _submit(self, long_running: int) -> None:
         plan = draw_job(self._rng)
@@ -204,7 +217,7 @@
         story = Story(plan)
         self.stories.append(story)
         method = 'POST'
-        while self._call(story, method).status not in _SETTLING[method]:
+        while self.call(story, method).status not in _SETTLING[method]:
             if self._rng.random() < LEAVE_SHARE:
                 # The caller gives its job up before it learns what became of
                 # it.
@@ -212,20 +225,15 @@
             if self._stopping.wait(self._rng.uniform(*PAUSE_S)):
                 return
 
-    def _call(self, story: Story, method: str) -> Answer:
-        instance = self._rng.choice(self._site.instances)
-        sent_s = time.monotonic()
-        status, state = self._exchange(instance, story.plan, method)
-        heard_s = time.monotonic()
-        answer = Answer(instance.name, method, sent_s, heard_s, status, state)
-        story.answers.append(answer)
-        return answer
-
     def _exchange(
-        self, instance: Instance, plan: JobPlan, method: str
+        self, instance: Instance, plan: JobPlan, method: str, key: str
     ) -> tuple[int, str]:
         body = plan.body() if method == 'POST' else None
-        headers = {'Host': HOST_NAME, 'X-Deadline-Ms': str(DEADLINE_MS)}
+        headers = {
+            'Host': HOST_NAME,
+            'X-Deadline-Ms': str(DEADLINE_MS),
+            **key_header(key),
+        }
         conn = self._conn_to(instance)
         try:
             conn.request(method, plan.path, body, headers)
--- a/soak/record.py
+++ b/soak/record.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from soak.callers import StepPlan, Story
+from soak.key_callers import KeyCall
 from soak.schedule import Disruption
 from standins.grid_worker import EventKind, WorkerEvent
 
@@ -43,6 +44,7 @@
     events: tuple[WorkerEvent, ...]
     stories: Mapping[str, Story]
     disruptions: tuple[Disruption, ...]
+    key_calls: tuple[KeyCall, ...] = ()
 
     def story_of(self, task: str) -> Story | None:
         """Return the history of a task's job, None if it was not submitted."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -11,10 +11,12 @@
 from dataclasses import dataclass, field
 from http.client import HTTPException
 from pathlib import Path
+from threading import Lock
 from typing import Final
 
 from gentianpulley.cluster.job_storage import LEADER_KEY
 from gentianpulley.http_conn import HttpAddress
+from soak.key_ring import CUSTOMERS, KeyRing
 from soak.process import ENTRY_PROGRAM, InstanceProcess
 from standins.grid_site import Route, cfg_document, fetch, node_file
 from standins.grid_machines import GridMachines
@@ -36,9 +38,14 @@
 READY_PATH: Final = '/gentianpulley/ready'
 
 ROUTES: Final[tuple[Route, ...]] = (
-    ('r-quick', 'fit.example', '/quick/', 0, 3, {}),
-    ('r-batch', 'fit.example', '/batch/', 2, 3, {}),
+    ('r-quick', 'fit.example', '/quick/', 0, 3, {'public': True}),
+    ('r-batch', 'fit.example', '/batch/', 2, 3, {'public': True}),
+    ('r-owned', 'fit.example', '/owned/', 2, 3, {}),
 )
+"""Only one queue needs keys, so most callers do not depend on them."""
+
+KEY_BITS: Final = 96
+FIRST_KEYS_SEED: Final = 1
 NEW_ROUTE: Final[Route] = ('r-new', 'new.example', '/new/', 1, 3, {})
 
 
@@ -88,6 +95,8 @@
     folder: Path
     machines: GridMachines
     cfg_version: int = 1
+    cfg_lock: Lock = field(default_factory=Lock)
+    key_ring: KeyRing = field(default_factory=KeyRing)
     cancel_requests: int = 0
     wave_number: int = 0
     instances: list[Instance] = field(default_factory=list)
@@ -104,9 +113,20 @@
 
     def write_cfg(self, *more: Route) -> None:
         """Write the next cfg version, with `more` routes."""
-        self.cfg_version += 1
-        routes = (*ROUTES, *more)
-        self.store.put('op/config', cfg_document(self.cfg_version, routes))
+        with self.cfg_lock:
+            self._put_cfg(*more)
+
+    def change_keys(self, rng: random.Random, *customers: str) -> None:
+        """Add a key of each customer, and withdraw the oldest ones.
+
+        Without any customers, those of a random one are changed.
+        """
+        with self.cfg_lock:
+            for customer in customers or (rng.choice(CUSTOMERS),):
+                text = f'{rng.getrandbits(KEY_BITS):x}'
+                self.key_ring.begin_change(customer, text)
+            self._put_cfg()
+            self.key_ring.end_change()
 
     def request_wave(self, linked: list[LinkedWorker], within_s: int) -> str:
         """Request a maintenance wave of one machine at a time.
@@ -165,6 +185,13 @@
         self.machines.shutdown()
         self.store.shutdown()
 
+    def _put_cfg(self, *more: Route) -> None:
+        self.cfg_version += 1
+        document = cfg_document(
+            self.cfg_version, (*ROUTES, *more), self.key_ring.as_cfg()
+        )
+        self.store.put('op/config', document)
+
 
 def create_soak_site(
     size: SiteSize, rng: random.Random, program: str = ENTRY_PROGRAM
@@ -181,7 +208,7 @@
     machines.run_in_background()
     folder = Path(tempfile.mkdtemp(prefix='soak-'))
     site = SoakSite(store, folder, machines)
-    site.write_cfg()
+    site.change_keys(random.Random(FIRST_KEYS_SEED), *CUSTOMERS)
     site.workers = workers
     site.instances = [
         _create_instance(site, number, program)
