--- a/tests/customer_guards.py
+++ b/tests/customer_guards.py
@@ -1,18 +1,16 @@
-"""Disables the guards of customers' keys, ceilings and shares, one at a time.
+"""Disables the checks of customers' keys, one at a time.
 
 As in `tests.guards`, every function replaces a member from the outside.
 """
 
 from collections.abc import Callable
-from typing import Any
 
-from gentianpulley.cluster import worker_lifecycle
+from gentianpulley.cluster import customers
 from gentianpulley.cluster.caller_check import CallerCheck
-from gentianpulley.cluster.customer_keys import UNRESTRICTED
-from gentianpulley.cluster.customer_usage import CustomerUsage
-from gentianpulley.cluster.customers import Customers
-from gentianpulley.cluster.leader import Leader
-from gentianpulley.cluster.unseen_tasks import UnseenTasks
+from gentianpulley.cluster.customer_keys import UNRESTRICTED, Caller
+from gentianpulley.cluster.timing import FOREVER
+from gentianpulley.platform import operator_watch
+from gentianpulley.platform.daemon import PlatformDaemon
 from tests.cluster_guards import replace
 
 
@@ -21,43 +19,30 @@
     replace(CallerCheck, 'identify', lambda *_, is_fresh: UNRESTRICTED)
 
 
-def ceilings() -> None:
-    """Start tasks whatever their customers have running."""
-    replace(CustomerUsage, 'allows', lambda *_: True)
+def cfg_freshness() -> None:
+    """Use a cfg however long ago it was known to be the newest."""
+    replace(PlatformDaemon, '_is_cfg_fresh', lambda _: True)
 
 
-def unseen_usage() -> None:
-    """Count only the runs that workers have listed to this leader."""
-    replace(UnseenTasks, 'count', lambda *_: {})
+def answer_age() -> None:
+    """Take each answer of the watch for one that is never outdated."""
+    replace(operator_watch, '_known_until_ms', lambda *_: FOREVER)
 
 
-def kept_usage() -> None:
-    """Stop counting runs once the incarnation of their worker has ended."""
-    keep = worker_lifecycle._keep_beyond_incarnation
+def cfg_validation() -> None:
+    """Activate each cfg that can be decoded."""
+    replace(customers, '_error', lambda *_: '')
 
-    def keep_uncounted(reservation: Any, usage: Any, now_ms: int) -> None:
-        keep(reservation, CustomerUsage(), now_ms)
 
-    replace(worker_lifecycle, '_keep_beyond_incarnation', keep_uncounted)
-    replace(worker_lifecycle, '_discount', lambda *_: None)
-
-
-def customers_amid_load() -> None:
-    """Tell a leader that has not loaded yet of no other customers."""
-    tell = Leader.replace_customers
-
-    def replace_customers(leader: Any, customers: Customers) -> None:
-        service = leader.scheduler_service
-        if service is None or service.are_jobs_loaded:
-            tell(leader, customers)
-
-    replace(Leader, 'replace_customers', replace_customers)
+def job_owner() -> None:
+    """Let each customer access the jobs of all."""
+    replace(Caller, 'may_access', lambda *_: True)
 
 
 CUSTOMER_GUARDS: dict[str, Callable[[], None]] = {
+    'answer-age': answer_age,
     'caller-check': caller_check,
-    'ceilings': ceilings,
-    'customers-amid-load': customers_amid_load,
-    'kept-usage': kept_usage,
-    'unseen-usage': unseen_usage,
+    'cfg-freshness': cfg_freshness,
+    'cfg-validation': cfg_validation,
+    'job-owner': job_owner,
 }
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -27,6 +27,7 @@
 from gentianpulley.worker_reconciler import WorkerReconciler
 from tests.answer_guards import ANSWER_GUARDS
 from tests.capacity_guards import CAPACITY_GUARDS
+from tests.ceiling_guards import CEILING_GUARDS
 from tests.cluster_guards import CLUSTER_GUARDS, replace
 from tests.crash_guards import CRASH_GUARDS
 from tests.customer_guards import CUSTOMER_GUARDS
@@ -223,6 +224,7 @@
     'stopped-is-cancelled': stopped_is_cancelled,
     **ANSWER_GUARDS,
     **CAPACITY_GUARDS,
+    **CEILING_GUARDS,
     **CLUSTER_GUARDS,
     **CRASH_GUARDS,
     **CUSTOMER_GUARDS,
