--- a/bench/leader_replay.py
+++ b/bench/leader_replay.py
@@ -7,7 +7,7 @@
 import hashlib
 import random
 from collections import deque
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeVar, cast
@@ -35,7 +35,7 @@
 from gentianpulley.counters import create_counters
 from gentianpulley.deadline import MS_PER_SECOND, deadline_in
 from gentianpulley.http_conn import HttpResponse, parse_address
-from gentianpulley.jobs.job import create_job
+from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.record import encode_record, create_record
 from gentianpulley.log_sampler import JobLogSampler
 from gentianpulley.logs import EventLog
@@ -157,11 +157,20 @@
 class Replay:
     """Simulates one cluster."""
 
-    def __init__(self, shape: Shape, parts: Parts) -> None:
+    def __init__(
+        self,
+        shape: Shape,
+        parts: Parts,
+        callers: Callers,
+        workers: Iterable[QuietWorker],
+    ) -> None:
         """Create the cluster; jobs arrive as simulated time passes."""
         self._shape = shape
         self._parts = parts
-        self._at_ms = BEGIN_MS
+        self._callers = callers
+        self.at_ms = BEGIN_MS
+        self.jobs: list[Job] = []
+        self.on_change: Callable[[Job], None] = _discard_report
         self._digest = Digest()
         log = EventLog(sampler=JobLogSampler(_discard_report))
         term = LeaderTerm(7, BEGIN_MS, frozenset(), TIMING)
@@ -172,10 +181,7 @@
             create_counters(),
             log,
         )
-        self._sessions = [
-            self._session(worker)
-            for worker in create_workers(shape.workers, shape.seed)
-        ]
+        self._sessions = [self._session(worker) for worker in workers]
         self._outcome = Outcome('')
 
     def play(self) -> Outcome:
@@ -184,18 +190,19 @@
         random.seed(shape.seed)
         settled_ms = BEGIN_MS + shape.settle_s * MS_PER_SECOND
         end_ms = settled_ms + shape.measured_s * MS_PER_SECOND
-        jobs = deque(_arrivals(shape, end_ms))
+        jobs = deque(_arrivals(shape, self._callers, end_ms))
         with ExitStack() as stack:
             clock = 'gentianpulley.cluster.scheduler_service.now_ms'
-            stack.enter_context(patch(clock, lambda: self._at_ms))
-            while self._at_ms < end_ms:
-                if self._at_ms == settled_ms:
-                    self._start_measuring()
+            stack.enter_context(patch(clock, lambda: self.at_ms))
+            while self.at_ms < end_ms:
+                if self.at_ms == settled_ms:
+                    self.start_measuring()
                 self._tick(jobs)
         self._outcome.digest = self._digest.text
         return self._outcome
 
-    def _start_measuring(self) -> None:
+    def start_measuring(self) -> None:
+        """Forget the figures of the settling time."""
         self._parts.clear()
         self._outcome = Outcome('')
 
@@ -207,9 +214,10 @@
         return session
 
     def _tick(self, jobs: deque[Arrival]) -> None:
-        self._at_ms += TICK_MS
-        while jobs and jobs[0].at_ms <= self._at_ms:
+        self.at_ms += TICK_MS
+        while jobs and jobs[0].at_ms <= self.at_ms:
             job = create_job(jobs.popleft().spec, is_inherited=False)
+            self.jobs.append(job)
             self._parts.time('jobs', lambda: self._service.add_job(job))
         for session in self._sessions:
             self._advance(session)
@@ -219,26 +227,27 @@
             self._parts.time('save', self._save)
 
     def _is_at_multiple(self, gap_ms: int) -> bool:
-        return self._at_ms % gap_ms == 0
+        return self.at_ms % gap_ms == 0
 
     def _plan(self) -> None:
         if self._service.plan_requested.is_set():
             self._service.plan_requested.clear()
             self._outcome.plans += 1
             self._parts.time('plan', self._service.plan)
-            waiting = self._scheduler.create_report(self._at_ms).waiting
+            waiting = self._scheduler.create_report(self.at_ms).waiting
             self._outcome.waiting_tasks.append(sum(waiting.values()))
 
     def _save(self) -> None:
         number = self._scheduler.change_number
         for job in self._scheduler.changed_jobs():
-            self._digest.note(encode_record(create_record(job, self._at_ms)))
+            self.on_change(job)
+            self._digest.note(encode_record(create_record(job, self.at_ms)))
         self._service.acknowledge_saved_ends(number)
 
     def _advance(self, session: Session) -> None:
         worker = session.worker
-        if worker.next_ms <= self._at_ms:
-            worker.advance(self._at_ms)
+        if worker.next_ms <= self.at_ms:
+            worker.advance(self.at_ms)
         if worker.orders:
             self._carry_out(session, worker.orders.popleft())
         if session.looked is not None:
@@ -247,10 +256,10 @@
             self._send_poll(session)
 
     def _may_poll(self, session: Session) -> bool:
-        if self._at_ms < session.rests_until_ms:
+        if self.at_ms < session.rests_until_ms:
             return False
         late_ms = session.rests_until_ms + LONGEST_ACK_MS
-        return not session.known.unacked_ends or self._at_ms >= late_ms
+        return not session.known.unacked_ends or self.at_ms >= late_ms
 
     def _send_poll(self, session: Session) -> None:
         known = session.known
@@ -260,17 +269,17 @@
         )
         session.worker.acknowledge(order)
         session.looked = order
-        session.looked_ms = self._at_ms
+        session.looked_ms = self.at_ms
 
     def _answer_poll(self, session: Session, order: PollOrder) -> None:
-        waited_ms = self._at_ms - session.looked_ms
+        waited_ms = self.at_ms - session.looked_ms
         is_due = session.worker.has_ends or waited_ms >= order.wait_ms
         if waited_ms < ANSWER_MS or not is_due:
             return
-        body = session.worker.lists(self._at_ms)
+        body = session.worker.lists(self.at_ms)
         session.looks.answer = HttpResponse(200, body)
         session.looked = None
-        session.rests_until_ms = self._at_ms + LOOK_GAP_MS
+        session.rests_until_ms = self.at_ms + LOOK_GAP_MS
         self._outcome.looks += 1
         self._parts.time('look', lambda: self._handle_listing(session, order))
 
@@ -284,7 +293,7 @@
             spec = reservation.spec
             name = type(order).__name__
             self._parts.time(name, lambda: self._send(session, order))
-            session.worker.carry_out(order, spec, self._at_ms)
+            session.worker.carry_out(order, spec, self.at_ms)
 
     def _send(self, session: Session, order: Order) -> None:
         if isinstance(order, StartOrder):
@@ -317,9 +326,8 @@
     raise RuntimeError('the call waits')
 
 
-def _arrivals(shape: Shape, end_ms: int) -> Iterator[Arrival]:
+def _arrivals(shape: Shape, callers: Callers, end_ms: int) -> Iterator[Arrival]:
     """Yield the initial jobs, then the arriving ones."""
-    callers = Callers(shape.seed)
     standing = callers.standing(
         shape.endless_jobs, shape.filling_jobs, BEGIN_MS
     )
@@ -334,4 +342,6 @@
 
 def play(shape: Shape, parts: Parts) -> Outcome:
     """Simulate one cluster from the start."""
-    return Replay(shape, parts).play()
+    callers = Callers(shape.seed)
+    workers = create_workers(shape.workers, shape.seed)
+    return Replay(shape, parts, callers, workers).play()
--- a/bench/leader_work.py
+++ b/bench/leader_work.py
@@ -37,11 +37,17 @@
     processors_milli: int
     memory_mib: int
     run_ms: int
+    is_endless: bool = False
+    fills_spare: bool = False
 
 
 URGENT: Final = Kind('urgent', 0, 2, 5.5, 1.6, 10, 11_000, 22_000, 1000)
-FILLING: Final = Kind('filling', 2, 3, 13, 2, 20, 7000, 13_000, 1700)
-ENDLESS: Final = Kind('endless', 0, 3, 0.45, 1, 14, 13_000, 26_000, 320)
+FILLING: Final = Kind(
+    'filling', 2, 3, 13, 2, 20, 7000, 13_000, 1700, fills_spare=True
+)
+ENDLESS: Final = Kind(
+    'endless', 0, 3, 0.45, 1, 14, 13_000, 26_000, 320, is_endless=True
+)
 KINDS: Final = (URGENT, FILLING, ENDLESS)
 
 
@@ -56,8 +62,9 @@
 class Callers:
     """Draws jobs from one random generator."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, kinds: tuple[Kind, ...] = KINDS) -> None:
         """Create callers; the same seed draws the same jobs."""
+        self._kinds = kinds
         self._rng = random.Random(seed)
         self._count = 0
 
@@ -65,13 +72,20 @@
         self, long_running: int, best_effort: int, at_ms: int
     ) -> list[JobSpec]:
         """Return the jobs that a cluster has at the start."""
-        kinds = (*(ENDLESS,) * long_running, *(FILLING,) * best_effort)
-        return [self._job(kind, at_ms) for kind in kinds]
+        counts = (
+            (long_running, [kind for kind in self._kinds if kind.is_endless]),
+            (best_effort, [kind for kind in self._kinds if kind.fills_spare]),
+        )
+        return [
+            self._job(kind, at_ms)
+            for count, kinds in counts
+            for kind in kinds * count
+        ]
 
     def arrivals(self, begin_ms: int, end_ms: int) -> Iterator[Arrival]:
         """Yield the jobs of a time span in order of arrival."""
         drawn: list[Arrival] = []
-        for kind in KINDS:
+        for kind in self._kinds:
             at_ms = float(begin_ms)
             while at_ms < end_ms:
                 gap_s = self._rng.expovariate(kind.jobs_s)
@@ -99,7 +113,7 @@
         )
 
     def _step(self, kind: Kind, number: int) -> StepSpec:
-        is_endless = kind is ENDLESS
+        is_endless = kind.is_endless
         is_apart = self._rng.random() < APART_SHARE
         return StepSpec(
             self._draw_around(kind.tasks),
@@ -109,18 +123,18 @@
             ),
             self._draw_around(kind.run_ms),
             after=(number - 1,) if number else (),
-            max_per_worker=int(is_apart and kind is not FILLING),
-            checkpoints=kind is FILLING and self._rng.random() < SAVING_SHARE,
+            max_per_worker=int(is_apart and not kind.fills_spare),
+            checkpoints=kind.fills_spare and self._rng.random() < SAVING_SHARE,
             is_endless=is_endless,
-            fills_spare=kind is FILLING,
+            fills_spare=kind.fills_spare,
             image=self._image(kind),
             tail_target_ms=TAIL_TARGET_MS if is_endless else 0,
         )
 
     def _image(self, kind: Kind) -> str:
-        if kind is URGENT:
+        if not (kind.is_endless or kind.fills_spare):
             return ''
-        images = SERVING_IMAGES if kind is ENDLESS else FILLING_IMAGES
+        images = SERVING_IMAGES if kind.is_endless else FILLING_IMAGES
         return f'{kind.queue}-{self._rng.randrange(images)}'
 
     def _draw_around(self, mean: float) -> int:
--- a/bench/leader_workers.py
+++ b/bench/leader_workers.py
@@ -79,8 +79,8 @@
         self.facts = facts
         self.orders: deque[Order] = deque()
         self.next_ms: float = FOREVER_MS
-        self._rng = random.Random(seed)
-        self._runs: dict[RunKey, Run] = {}
+        self.rng = random.Random(seed)
+        self.runs: dict[RunKey, Run] = {}
         self._ended: list[tuple[object, ...]] = []
         self._last_end_number = 0
         self._at_ms = 0
@@ -105,24 +105,24 @@
             self._start(order, spec)
         elif isinstance(order, StopOrder):
             self._end(order.key, 'stopped')
-        elif isinstance(order, PaceOrder) and order.key in self._runs:
-            self._runs[order.key].percent = order.speed_percent
-        self._set_speeds()
+        elif isinstance(order, PaceOrder) and order.key in self.runs:
+            self.runs[order.key].percent = order.speed_percent
+        self.set_speeds()
 
     def advance(self, at_ms: int) -> None:
         """Advance the runs to a time and end those that are complete."""
         passed_ms = at_ms - self._at_ms
         self._at_ms = at_ms
-        for run in tuple(self._runs.values()):
+        for run in tuple(self.runs.values()):
             run.left_ms -= passed_ms * run.speed
             if run.spec.checkpoints:
                 done_ms = run.spec.estimated_ms - run.left_ms
                 saved = int(done_ms // SAVE_MS)
                 run.checkpoint = f'{saved:016x}' if saved else run.checkpoint
             if run.left_ms <= 0:
-                fails = self._rng.random() < FAILING_SHARE
+                fails = self.rng.random() < FAILING_SHARE
                 self._end(run.key, 'failed' if fails else 'done')
-        self._set_speeds()
+        self.set_speeds()
 
     def lists(self, at_ms: int) -> bytes:
         """Return the response to a poll."""
@@ -132,29 +132,17 @@
                 'clock_ms': at_ms,
                 'born': self.facts.incarnation_ms,
                 'running': [
-                    run.row(self._measure(run)) for run in self._runs.values()
+                    run.row(self.measure(run)) for run in self.runs.values()
                 ],
                 'ended': self._ended,
             }
         )
 
-    def _start(self, order: StartOrder, spec: StepSpec) -> None:
-        left_ms = FOREVER_MS if spec.is_endless else spec.estimated_ms
-        name = task_name(order.key.task_id)
-        self._runs[order.key] = Run(order.key, spec, name, left_ms)
-
-    def _end(self, key: RunKey, how: str) -> None:
-        run = self._runs.pop(key, None)
-        if run is None:
-            return
-        self._last_end_number += 1
-        row = (self._last_end_number, run.name, key.run, how, run.checkpoint)
-        self._ended.append(row)
-
-    def _set_speeds(self) -> None:
+    def set_speeds(self) -> None:
+        """Set the speeds of all runs and when the next one ends."""
         spare = float(self.facts.capacity.processors_milli)
         best_effort: float = 0
-        for run in self._runs.values():
+        for run in self.runs.values():
             need = run.spec.resources.processors_milli
             if run.spec.fills_spare:
                 best_effort += need * run.percent / FULL
@@ -164,28 +152,48 @@
                 spare -= need
         share = min(1, max(0, spare) / max(1, best_effort))
         self.next_ms = FOREVER_MS
-        for each in self._runs.values():
+        for each in self.runs.values():
             if each.spec.fills_spare:
                 each.speed = share * each.percent / FULL
             if each.speed > 0:
                 ends_ms = self._at_ms + each.left_ms / each.speed
                 self.next_ms = min(self.next_ms, ends_ms)
 
-    def _measure(self, run: Run) -> int:
+    def measure(self, run: Run) -> int:
+        """Return what a listing shows as measured for a run."""
         if run.spec.is_endless:
-            return self._tail_ms(run)
+            return self.tail_ms(run, self.rng.gauss(0, NOISE))
         return int(run.spec.resources.processors_milli * run.speed)
 
-    def _tail_ms(self, critical: Run) -> int:
+    def interference(self, critical: str, best_effort: str) -> float:
+        """Return the coefficient of a pair of images."""
+        return pair_harm(critical, best_effort)
+
+    def tail_ms(self, critical: Run, noise: float) -> int:
+        """Return a tail that its own load and its neighbours have raised."""
         capacity = self.facts.capacity.processors_milli
-        log_increase = self._rng.gauss(0, NOISE) + self._swing(critical)
-        for run in self._runs.values():
+        log_increase = noise + self._swing(critical)
+        for run in self.runs.values():
             if run.spec.fills_spare:
                 used = run.spec.resources.processors_milli * run.speed
-                interference = pair_harm(critical.spec.image, run.spec.image)
-                log_increase += interference * used / capacity
+                image = critical.spec.image
+                pair = self.interference(image, run.spec.image)
+                log_increase += pair * used / capacity
         return max(1, round(QUIET_TAIL_MS * math.exp(log_increase)))
 
+    def _start(self, order: StartOrder, spec: StepSpec) -> None:
+        left_ms = FOREVER_MS if spec.is_endless else spec.estimated_ms
+        name = task_name(order.key.task_id)
+        self.runs[order.key] = Run(order.key, spec, name, left_ms)
+
+    def _end(self, key: RunKey, how: str) -> None:
+        run = self.runs.pop(key, None)
+        if run is None:
+            return
+        self._last_end_number += 1
+        row = (self._last_end_number, run.name, key.run, how, run.checkpoint)
+        self._ended.append(row)
+
     def _swing(self, critical: Run) -> float:
         """Return by how much a task's own load raises its log tail now."""
         phase = zlib.crc32(critical.name.encode()) + self._at_ms
@@ -201,18 +209,27 @@
 
 
 def create_workers(count: int, seed: int) -> Iterator[QuietWorker]:
-    """Yield workers spread over racks and failure domains."""
+    """Yield workers that never fail."""
+    for number, facts in enumerate(registrations(count)):
+        yield QuietWorker(facts, seed + number)
+
+
+def registrations(
+    count: int,
+    processors_milli: int = PROCESSORS_MILLI,
+    memory_mib: int = MEMORY_MIB,
+) -> Iterator[WorkerRegistration]:
+    """Yield workers of three sizes spread over racks and failure domains."""
     for number in range(count):
         size = SIZES[number % len(SIZES)]
         rack = f'r{number // RACK}'
-        facts = WorkerRegistration(
+        yield WorkerRegistration(
             f'i-{number:08x}',
             SERVICE,
             f'10.0.{number // FULL}.{number % FULL}:80',
             f'zone-{number % ZONES}',
-            Resources(int(PROCESSORS_MILLI * size), int(MEMORY_MIB * size)),
+            Resources(int(processors_milli * size), int(memory_mib * size)),
             frozenset(('a', rack)),
             rack,
             incarnation_ms=1,
         )
-        yield QuietWorker(facts, seed + number)
--- a/src/gentianpulley/cluster/image_separation.py
+++ b/src/gentianpulley/cluster/image_separation.py
@@ -53,6 +53,9 @@
 BEST_EFFORT_MEMORY_MS: Final = 60_000
 """Time without best-effort work after which separation begins to decrease."""
 
+NOTICEABLE_CHANGE: Final = 0.1
+"""Change of the degree of separation that is logged."""
+
 BEST_EFFORT_FORGOTTEN_MS: Final = 300_000
 """Time without best-effort work after which images are packed densely, as
 there is nothing to separate them from."""
@@ -74,9 +77,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Separation:
-    """How far images are separated: `degree` is 0 (packed) to 1 (separate)."""
+    """How far images are separated: `degree` is 0 (packed) to 1 (separate).
+
+    `ranking` is how far expected violations count among the workers for a
+    best-effort task, from 0 (only load counts) to 1.
+    """
 
     degree: float = 0
+    ranking: float = 0
 
     @property
     def other_image_cost(self) -> float:
@@ -87,7 +95,20 @@
     @property
     def violation_cost(self) -> float:
         """Return the cost of each violation that a task is expected to add."""
-        return self.degree * VIOLATION_COST
+        return self.ranking * VIOLATION_COST
+
+
+@dataclass(frozen=True, slots=True)
+class DecidedSeparation:
+    """A decision and what it was made from."""
+
+    load: SeparationLoad
+    separation: Separation
+
+    def differs_from(self, other: 'DecidedSeparation | None') -> bool:
+        """Return whether the cost has changed noticeably."""
+        before = PACKED if other is None else other.separation
+        return abs(self.separation.degree - before.degree) >= NOTICEABLE_CHANGE
 
 
 PACKED: Final = Separation()
@@ -102,15 +123,15 @@
     if not load.workers:
         return PACKED
     per_image = load.workers / max(MIN_IMAGES, load.images)
-    degree = _ramp(
+    ranking = _ramp(
         per_image, PACKED_WORKERS_PER_IMAGE, SEPARATE_WORKERS_PER_IMAGE
     )
     free_share = load.free_workers / load.workers
-    degree *= _ramp(free_share, MIN_FREE_SHARE, AMPLE_FREE_SHARE)
+    degree = ranking * _ramp(free_share, MIN_FREE_SHARE, AMPLE_FREE_SHARE)
     degree *= 1 - _ramp(
         load.idle_ms, BEST_EFFORT_MEMORY_MS, BEST_EFFORT_FORGOTTEN_MS
     )
-    return Separation(degree)
+    return Separation(degree, ranking)
 
 
 class ImageSeparation:
@@ -120,6 +141,7 @@
         """Start without workers."""
         self._workers: SchedulableWorkers | None = None
         self._decisions: dict[str, Separation] = {}
+        self._latest: dict[str, DecidedSeparation] = {}
         self._best_effort_ms = 0
         self._now_ms = 0
 
@@ -129,7 +151,7 @@
         steps: Iterable[StepRun],
         now_ms: int,
     ) -> None:
-        """Use the workers of a plan and the steps that waited after the last."""
+        """Use the workers of a plan and the steps that waited before it."""
         self._workers = workers
         self._decisions.clear()
         self._now_ms = now_ms
@@ -143,10 +165,20 @@
         """Return the decision for the workers of a service."""
         found = self._decisions.get(service)
         if found is None:
-            found = decide_separation(self._load(service))
+            load = self._load(service)
+            found = decide_separation(load)
             self._decisions[service] = found
+            self._latest[service] = DecidedSeparation(load, found)
         return found
 
+    def latest(self) -> DecidedSeparation | None:
+        """Return the latest decision for the service with most workers."""
+        return max(
+            self._latest.values(),
+            key=lambda decided: decided.load.workers,
+            default=None,
+        )
+
     def _load(self, service: str) -> SeparationLoad:
         if self._workers is None:
             return SeparationLoad(0, 0, 0)
--- a/src/gentianpulley/cluster/plan_metrics.py
+++ b/src/gentianpulley/cluster/plan_metrics.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from gentianpulley.cluster.image_separation import DecidedSeparation
 from gentianpulley.cluster.plan_report import PlanReport, WaitingStep
 from gentianpulley.cluster.restart_report import WaitingRestart
 from gentianpulley.cluster.wait_reasons import WaitReason
@@ -17,6 +18,8 @@
 
 _US_PER_S: Final = 1_000_000
 
+_MILLI: Final = 1000
+
 MetricValues = dict[str, int]
 
 
@@ -55,6 +58,7 @@
         self._ordered: Counter[str] = Counter()
         self._ordered_lock = threading.Lock()
         self._published: set[str] = set()
+        self._logged_separation: DecidedSeparation | None = None
         self._next_s = time.monotonic() + REPORT_INTERVAL_S
 
     def record_plan(self, cost_s: float, lag_s: float) -> None:
@@ -102,6 +106,14 @@
             **_restart_fields(report.restart),
             **_awaited_field(report),
         )
+        self._log_separation(report.separation)
+
+    def _log_separation(self, decided: DecidedSeparation | None) -> None:
+        """Log a decision that differs noticeably from the one logged last."""
+        if decided is None or not decided.differs_from(self._logged_separation):
+            return
+        self._logged_separation = decided
+        self._log.images_separated(_separation_metrics(decided))
 
     def _take_ordered(self) -> Counter[str]:
         """Return the orders by kind, and start to count the next ones."""
@@ -127,6 +139,7 @@
         **_restart_metrics(report.restart),
         **_prefixed('reserved_milli', report.reserved_milli),
         **_prefixed('workers', report.workers),
+        **_separation_metrics(report.separation),
         'workers_held': report.held_count,
         'lists_half_ms': report.listing_ages.median_ms,
         'lists_most_ms': report.listing_ages.p95_ms,
@@ -134,6 +147,21 @@
     }
 
 
+def _separation_metrics(decided: DecidedSeparation | None) -> MetricValues:
+    """Return the costs in thousandths, and what they were decided from."""
+    if decided is None:
+        return {}
+    separation = decided.separation
+    return {
+        'separation_cost_milli': round(separation.other_image_cost * _MILLI),
+        'violation_cost_milli': round(separation.violation_cost * _MILLI),
+        'separation_images': decided.load.images,
+        'separation_workers': decided.load.workers,
+        'separation_free_workers': decided.load.free_workers,
+        'best_effort_idle_ms': decided.load.idle_ms,
+    }
+
+
 def _prefixed(prefix: str, counts: Mapping[str, int]) -> MetricValues:
     return {f'{prefix}_{name}': count for name, count in counts.items()}
 
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -6,6 +6,7 @@
 from heapq import nlargest
 from typing import Final
 
+from gentianpulley.cluster.image_separation import DecidedSeparation
 from gentianpulley.cluster.restart_report import (
     WaitingRestart,
     find_waiting_restart,
@@ -72,7 +73,8 @@
     """Waiting tasks by reason, reserved capacity by state, workers by state.
 
     Reserved capacity is in thousandths of a processor. `awaited` are the
-    workers that inherited work waits for the longest.
+    workers that inherited work waits for the longest, and `separation` is the
+    latest decision on how far latency-critical images are separated.
     """
 
     waiting: Mapping[str, int]
@@ -84,6 +86,7 @@
     workers: Mapping[str, int]
     listing_ages: ListingAges
     awaited: tuple[AwaitedWorker, ...] = ()
+    separation: DecidedSeparation | None = None
 
 
 def create_plan_report(
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import replace
 from itertools import filterfalse
 from typing import Final
 
@@ -97,9 +98,10 @@
 
     def create_report(self, now_ms: int) -> PlanReport:
         """Return a report on the state after the latest plan."""
-        return create_plan_report(
+        report = create_plan_report(
             self, self._waits, len(self._holds.worker_ids), now_ms
         )
+        return replace(report, separation=self._separation.latest())
 
     def plan_migrations(self, now_ms: int) -> list[StopOrder]:
         """Return the stops of tasks that should migrate to other workers."""
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -253,6 +253,13 @@
         self._sampler.report_omitted()
         _write('plan_report', **metric_values, **names)
 
+    def images_separated(self, metric_values: Mapping[str, int]) -> None:
+        """A leader separates latency-critical images more, or less.
+
+        At most one line a second, and only for a noticeable change.
+        """
+        _write('images_separated', **metric_values)
+
     def upkeep(self, machine: str, wave: int, verdict: str) -> None:
         """A machine was ordered to go down for maintenance."""
         _write('upkeep', machine=machine, wave=wave, verdict=verdict)
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -14,6 +14,7 @@
     draining,
     ended_term,
     handover_state,
+    image_separation,
     maintenance,
     maintenance_loop,
     pacing,
@@ -445,6 +446,15 @@
     replace(WorkerClock, 'include_stray_lease', lambda *_: None)
 
 
+def images_packed() -> None:
+    """Pack latency-critical images densely, however many workers there are."""
+    replace(
+        image_separation,
+        'decide_separation',
+        lambda _: image_separation.PACKED,
+    )
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
     'ack-after-failure': ack_after_failure,
     'held-ends': held_ends,
@@ -469,6 +479,7 @@
     'handover': handover,
     'held-placements': held_placements,
     'held-starts': held_starts,
+    'image-separation': images_packed,
     'lapse-certainty': lapse_certainty,
     'look-before-start': poll_before_start,
     'nesting': nesting,
