--- a/bench/leader_replay.py
+++ b/bench/leader_replay.py
@@ -203,7 +203,8 @@
         self._shape = shape
         self._site = site
         self._parts = parts
-        self._at_ms = BEGIN_MS
+        self.at_ms = BEGIN_MS
+        self.jobs: list[Job] = []
         self._digest = Digest()
         log = EventLog(sampler=JobLogSampler(_discard_report))
         term = LeaderTerm(7, BEGIN_MS, frozenset(), TIMING)
@@ -228,15 +229,16 @@
         jobs = deque(self._site.arrivals(end_ms))
         with ExitStack() as stack:
             clock = 'gentianpulley.cluster.scheduler_service.now_ms'
-            stack.enter_context(patch(clock, lambda: self._at_ms))
-            while self._at_ms < end_ms:
-                if self._at_ms == settled_ms:
-                    self._start_measuring()
+            stack.enter_context(patch(clock, lambda: self.at_ms))
+            while self.at_ms < end_ms:
+                if self.at_ms == settled_ms:
+                    self.start_measuring()
                 self._tick(jobs)
         self._outcome.digest = self._digest.text
         return self._outcome
 
-    def _start_measuring(self) -> None:
+    def start_measuring(self) -> None:
+        """Forget the figures of the settling time."""
         self._parts.clear()
         self._outcome = Outcome('')
 
@@ -248,9 +250,10 @@
         return session
 
     def _tick(self, jobs: deque[Arrival]) -> None:
-        self._at_ms += TICK_MS
-        while jobs and jobs[0].at_ms <= self._at_ms:
+        self.at_ms += TICK_MS
+        while jobs and jobs[0].at_ms <= self.at_ms:
             job = create_job(jobs.popleft().spec, is_inherited=False)
+            self.jobs.append(job)
             self._parts.time('jobs', lambda: self._service.add_job(job))
         for session in self._sessions:
             self._advance(session)
@@ -260,27 +263,27 @@
             self._parts.time('save', self._save)
 
     def _is_at_multiple(self, gap_ms: int) -> bool:
-        return self._at_ms % gap_ms == 0
+        return self.at_ms % gap_ms == 0
 
     def _plan(self) -> None:
         if self._service.plan_requested.is_set():
             self._service.plan_requested.clear()
             self._outcome.plans += 1
             self._parts.time('plan', self._service.plan)
-            waiting = self._scheduler.create_report(self._at_ms).waiting
+            waiting = self._scheduler.create_report(self.at_ms).waiting
             self._outcome.waiting_tasks.append(sum(waiting.values()))
 
     def _save(self) -> None:
         number = self._scheduler.change_number
         for job in self._scheduler.changed_jobs():
-            self._site.note_saved(job, self._at_ms)
-            self._digest.note(encode_record(create_record(job, self._at_ms)))
+            self._site.note_saved(job, self.at_ms)
+            self._digest.note(encode_record(create_record(job, self.at_ms)))
         self._service.acknowledge_saved_ends(number)
 
     def _advance(self, session: Session) -> None:
         worker = session.worker
-        if worker.next_ms <= self._at_ms:
-            worker.advance(self._at_ms)
+        if worker.next_ms <= self.at_ms:
+            worker.advance(self.at_ms)
         if worker.orders:
             self._carry_out(session, worker.orders.popleft())
         if session.looked is not None:
@@ -289,10 +292,10 @@
             self._send_poll(session)
 
     def _may_poll(self, session: Session) -> bool:
-        if self._at_ms < session.rests_until_ms:
+        if self.at_ms < session.rests_until_ms:
             return False
         late_ms = session.rests_until_ms + LONGEST_ACK_MS
-        return not session.known.unacked_ends or self._at_ms >= late_ms
+        return not session.known.unacked_ends or self.at_ms >= late_ms
 
     def _send_poll(self, session: Session) -> None:
         known = session.known
@@ -302,17 +305,17 @@
         )
         session.worker.acknowledge(order)
         session.looked = order
-        session.looked_ms = self._at_ms
+        session.looked_ms = self.at_ms
 
     def _answer_poll(self, session: Session, order: PollOrder) -> None:
-        waited_ms = self._at_ms - session.looked_ms
+        waited_ms = self.at_ms - session.looked_ms
         is_due = session.worker.has_ends or waited_ms >= order.wait_ms
         if waited_ms < ANSWER_MS or not is_due:
             return
-        body = session.worker.lists(self._at_ms)
+        body = session.worker.lists(self.at_ms)
         session.looks.answer = HttpResponse(200, body)
         session.looked = None
-        session.rests_until_ms = self._at_ms + LOOK_GAP_MS
+        session.rests_until_ms = self.at_ms + LOOK_GAP_MS
         self._outcome.looks += 1
         self._parts.time('look', lambda: self._handle_listing(session, order))
 
@@ -326,7 +329,7 @@
             spec = reservation.spec
             name = type(order).__name__
             self._parts.time(name, lambda: self._send(session, order))
-            session.worker.carry_out(order, spec, self._at_ms)
+            session.worker.carry_out(order, spec, self.at_ms)
 
     def _send(self, session: Session, order: Order) -> None:
         if isinstance(order, StartOrder):
--- a/bench/order_replay.py
+++ b/bench/order_replay.py
@@ -68,7 +68,7 @@
         for key in due:
             self._stops_ms.pop(key)
             self._finish_stop(key)
-        self._set_speeds()
+        self.set_speeds()
         self.next_ms = min(self.next_ms, *self._stops_ms.values(), FOREVER_MS)
 
     def _start(self, order: StartOrder, spec: StepSpec) -> None:
--- a/src/gentianpulley/cluster/plan_report.py
+++ b/src/gentianpulley/cluster/plan_report.py
@@ -10,6 +10,7 @@
     CustomerReport,
     create_customer_reports,
 )
+from gentianpulley.cluster.image_separation import DecidedSeparation
 from gentianpulley.cluster.restart_report import (
     WaitingRestart,
     find_waiting_restart,
@@ -78,7 +79,8 @@
 
     Reserved capacity is in thousandths of a processor. `awaited` are the
     workers that inherited work waits for the longest, `customers` what each
-    customer holds.
+    customer holds, and `separation` the latest decision on how far
+    latency-critical images are separated.
     """
 
     waiting: Mapping[str, int]
@@ -91,6 +93,7 @@
     listing_ages: ListingAges
     awaited: tuple[AwaitedWorker, ...] = ()
     customers: tuple[CustomerReport, ...] = ()
+    separation: DecidedSeparation | None = None
 
 
 def create_plan_report(
