Refuse jobs that would end too late, by a digest of the load

Cause: with a backlog of more urgent work, a batch job is accepted although it is certain to end after it is of any use, and its caller waits in vain.

Change: the leader measures, twice a second and only for queues of which a job has waited as long as such jobs are of use, the work that is placed before a new job and the rate at which such work ends (load_meter, ended_work). It closes and opens queues with hysteresis (admission) and writes gp/load only while one is closed, and once more when the last one opens (load_loop). Instances follow the key with one waiting call each 25 s (load_watch) and answer 429 with Retry-After before anything is written. The store is read for the id first.

--- a/src/gentianpulley/cluster/entry_job_store.py
+++ b/src/gentianpulley/cluster/entry_job_store.py
@@ -71,6 +71,10 @@
             return CreateOutcome.EXISTS
         return CreateOutcome.BARRED
 
+    def exists(self, job_id: str) -> bool:
+        """Return whether a job was accepted, and is still stored."""
+        return self._store.read(job_key(job_id)) is not None
+
     def status(self, job_id: str) -> JobStatus | None:
         """Return a job's status, or None if there is no such job."""
         entry = self._store.read(record_key(job_id))
--- a/src/gentianpulley/cluster/leader.py
+++ b/src/gentianpulley/cluster/leader.py
@@ -32,13 +32,13 @@
     create_leader_store,
     call_with_retries,
 )
+from gentianpulley.cluster.leader_loops import start_view_loops
 from gentianpulley.cluster.leader_watches import (
     RETRY_DELAY_S,
     WorkerWatch,
 )
 from gentianpulley.cluster.worker_protocol import WorkerClientFactory
 from gentianpulley.cluster.machines import MachineProvider, WaveRequest
-from gentianpulley.cluster.roster_loop import RosterLoop
 from gentianpulley.cluster.scheduler_service import (
     EXCLUSIVE_MS,
     Leadership,
@@ -269,7 +269,7 @@
             AdviceLoop(service, self._dependencies.advice_service).start()
         _start('plan', lambda: self._plan_loop(service))
         _start('save', lambda: self._save_loop(service))
-        RosterLoop(service, worker_watch).start()
+        start_view_loops(service, worker_watch, self._store)
 
     def _plan_loop(self, service: SchedulerService) -> None:
         while not self._leadership.is_over():
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -9,10 +9,11 @@
 from itertools import filterfalse
 from typing import Final
 
-from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
 from gentianpulley.cluster.link_starvation import link_starved_steps
+from gentianpulley.cluster.load_meter import LoadMeter
+from gentianpulley.cluster.load_tracker import LoadTracker
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
 from gentianpulley.cluster.migration import plan_migrations
@@ -54,7 +55,7 @@
 without a write."""
 
 
-class Scheduler(AbsentWorkers):
+class Scheduler(LoadTracker):
     """State and decisions of one leader."""
 
     def __init__(self, term: LeaderTerm, log: EventLog) -> None:
@@ -64,6 +65,7 @@
         self._next_migrations_ms = 0
         self._first_starts = FirstStartLimiter()
         self._waits = WaitingSteps()
+        self.load_meter = LoadMeter(self._waits, self.ended_work)
         self._unplaceable = UnplaceableShapes()
         self._holds = CapacityHolds()
         self._start_limiter = create_start_limiter(term.link_bytes_s)
--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from gentianpulley.background import Backoff
+from gentianpulley.cluster.admission import AdmissionGate
 from gentianpulley.cluster.entry_job_store import (
     CreateOutcome,
     EntryJobStore,
@@ -51,6 +52,7 @@
     UNKNOWN_JOB = 'unknown job'
     REFUSED = 'refused'
     UNCERTAIN = 'uncertain'
+    OVERLOADED = 'overloaded'
 
 
 _FAILURES: Final = frozenset((RequestOutcome.REFUSED, RequestOutcome.UNCERTAIN))
@@ -69,10 +71,16 @@
 class Submissions:
     """Serves callers from the store within their deadlines."""
 
-    def __init__(self, job_store: EntryJobStore, log: EventLog) -> None:
-        """Read and write jobs through `job_store`."""
+    def __init__(
+        self,
+        job_store: EntryJobStore,
+        log: EventLog,
+        gate: AdmissionGate | None = None,
+    ) -> None:
+        """Read and write jobs through `job_store`, if `gate` accepts them."""
         self._job_store = job_store
         self._log = log
+        self._gate = gate
 
     def submit(
         self, spec: JobSpec, cfg_version: int, deadline_ms: int
@@ -80,8 +88,12 @@
         """Store a job; retry while the store may still answer in time.
 
         A job that was cancelled before it was stored is refused for as long as
-        its tombstone may exist.
+        its tombstone may exist. One that would end too late is refused before
+        anything is written.
         """
+        rejection = self._reject_overload(spec)
+        if rejection is not None:
+            return rejection
         deadline_ms = min(deadline_ms, deadline_in(MAX_SUBMIT_MS))
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         is_uncertain = False
@@ -137,6 +149,26 @@
             return _retry_later()
         return RequestResult(RequestOutcome.OK, waiting=waiting)
 
+    def _reject_overload(self, spec: JobSpec) -> RequestResult | None:
+        """Return the refusal of a new job that would end too late, else None.
+
+        A job that was accepted by an earlier call is never refused.
+        """
+        refusal = self._gate.refusal(spec) if self._gate else None
+        if refusal is None:
+            return None
+        try:
+            if self._job_store.exists(spec.job_id):
+                return None
+        except StoreError as exc:
+            # Whether the job was accepted before is unknown.
+            self._log.store_trouble(exc.text)
+            return _retry_later()
+        self._log.job_rejected(spec.job_id, spec.policy.queue, refusal.fields())
+        return RequestResult(
+            RequestOutcome.OVERLOADED, retry_after_s=refusal.retry_after_s
+        )
+
     def _try_to_store(self, spec: JobSpec, cfg_version: int) -> '_Attempt':
         try:
             outcome = self._job_store.create(spec)
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -1,7 +1,7 @@
 """Why steps wait: recorded by the scheduler for each step as it plans."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from gentianpulley.jobs.job import StepRun
 
@@ -37,6 +37,11 @@
         self.since_ms: dict[StepRun, int] = {}
         self.reasons: dict[StepRun, WaitReason] = {}
 
+    @property
+    def planned_ms(self) -> int:
+        """Return when the latest plan was made."""
+        return self._now_ms
+
     def begin_plan(self, now_ms: int) -> None:
         """Discard the reasons of the previous plan, but not the start times."""
         self._now_ms = now_ms
@@ -45,6 +50,12 @@
         self.since_ms = {}
         self.reasons = {}
 
+    def rows(self) -> Iterator[tuple[StepRun, WaitReason, int]]:
+        """Yield the steps that wait, why, and since when."""
+        for step, reason in self.reasons.items():
+            if step.waiting:
+                yield step, reason, self.since_ms[step]
+
     def waited_for_link(self, step: StepRun) -> bool:
         """Return whether only the leader's link held up the previous plan."""
         return self._previous_reasons.get(step) is WaitReason.LINK_SATURATED
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -127,6 +127,16 @@
         """A submission could not be decoded; nothing was stored."""
         _write('job_refused', job_id=job_id, reason=reason)
 
+    def job_rejected(
+        self, job_id: str, queue: str, fields: Mapping[str, int]
+    ) -> None:
+        """A job was refused as not run, because it would end too late."""
+        self._sampler.report_omitted()
+        if self._sampler.may_write('job_rejected', job_id):
+            _write_admitted(
+                'job_rejected', job_id=job_id, queue=queue, **fields
+            )
+
     def job_not_stored(self, job_id: str, outcome: str, detail: str) -> None:
         """An attempt to store a job was refused, or the response was lost."""
         _write('job_not_stored', job_id=job_id, outcome=outcome, detail=detail)
@@ -347,6 +357,22 @@
         """A dependency was lost or regained."""
         _write('dependency', name=name, state=state, detail=detail)
 
+    def queue_admission(
+        self, queue: str, *, is_closed: bool, inputs: Mapping[str, int]
+    ) -> None:
+        """The leader closes a queue to jobs that would end too late, or opens
+        it; without inputs, no job of the queue waits any more."""
+        state = 'closed' if is_closed else 'open'
+        _write('queue_admission', queue=queue, state=state, **inputs)
+
+    def closed_queues(self, queues: list[str], detail: str) -> None:
+        """An entry instance takes other queues to be closed than before.
+
+        `detail` is the leader's token and the digest's number, or why no
+        digest counts any more.
+        """
+        _write('closed_queues', queues=','.join(queues), detail=detail)
+
     def settings_reloaded(self, changed: str) -> None:
         """The settings were re-read; `changed` lists the differences."""
         _write('settings_reloaded', changed=changed)
--- a/src/gentianpulley/platform/daemon.py
+++ b/src/gentianpulley/platform/daemon.py
@@ -14,6 +14,7 @@
 from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.entry_job_store import EntryJobStore
 from gentianpulley.cluster.leader import LeaderDependencies
+from gentianpulley.cluster.load_watch import create_load_watch
 from gentianpulley.cluster.queues import QueueTable
 from gentianpulley.cluster.submissions import Submissions
 from gentianpulley.cluster.timing import create_timing
@@ -102,7 +103,10 @@
             local_candidate, components, self.is_ready
         )
         self._watch = OperatorWatch(store, self._table, self._elector, log)
-        submissions = Submissions(EntryJobStore(store, log), log)
+        self._load_watch = create_load_watch(store, counters, log)
+        submissions = Submissions(
+            EntryJobStore(store, log), log, self._load_watch
+        )
         ingress = Ingress(
             self._table, submissions, self._stopping, counters, log
         )
@@ -142,6 +146,7 @@
             server.prepare()
             _run(partial(_serve, server, self._log))
         self._watch.start()
+        self._load_watch.start()
         self._elector.start()
         self._log.process_state('started')
 
--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -81,6 +81,7 @@
 METHOD_NOT_ALLOWED: Final = '405 Method Not Allowed'
 GONE: Final = '410 Gone'
 CONTENT_TOO_LARGE: Final = '413 Content Too Large'
+TOO_MANY_REQUESTS: Final = '429 Too Many Requests'
 INTERNAL_SERVER_ERROR: Final = '500 Internal Server Error'
 SERVICE_UNAVAILABLE: Final = '503 Service Unavailable'
 GATEWAY_TIMEOUT: Final = '504 Gateway Timeout'
@@ -91,6 +92,7 @@
         RequestOutcome.UNKNOWN_JOB: GONE,
         RequestOutcome.REFUSED: SERVICE_UNAVAILABLE,
         RequestOutcome.UNCERTAIN: GATEWAY_TIMEOUT,
+        RequestOutcome.OVERLOADED: TOO_MANY_REQUESTS,
     }
 )
 
--- a/src/gentianpulley/platform/kv_store.py
+++ b/src/gentianpulley/platform/kv_store.py
@@ -218,9 +218,7 @@
         """
         after = revision
         for wait_ms in repeat(WATCH_WAIT_MS):
-            path = _watch_path(prefix, after, wait_ms)
-            response = self._fetch(path, wait_ms + WATCH_RESPONSE_MARGIN_MS)
-            batch = _batch(response, prefix, after)
+            batch = self.wait_for_changes(prefix, after, wait_ms)
             after = batch.revision
             yield batch
 
@@ -233,6 +231,17 @@
         response = self._fetch(path, IDLE_TIMEOUT_MS)
         return _batch(response, prefix, revision)
 
+    def wait_for_changes(
+        self, prefix: str, revision: int, wait_ms: int
+    ) -> ChangeBatch:
+        """Return the next changes below `prefix`, none after `wait_ms`.
+
+        Raises `StoreCompactedError` if that history has been compacted.
+        """
+        path = _watch_path(prefix, revision, wait_ms)
+        response = self._fetch(path, wait_ms + WATCH_RESPONSE_MARGIN_MS)
+        return _batch(response, prefix, revision)
+
     def call_count(self) -> int:
         """Return the number of calls sent so far."""
         return self._counters.count('store_calls')
@@ -244,7 +253,7 @@
         body: bytes = b'',
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> HttpResponse:
-        with self._counted(path):
+        with _counted(self._counters, path):
             response = self._conn.call(
                 method,
                 f'/gentianpulley/{path}',
@@ -260,31 +269,32 @@
             deadline_in(idle_ms + MAX_RESPONSE_TRANSFER_MS),
             idle_ms / MS_PER_SECOND,
         )
-        with self._counted(path):
+        with _counted(self._counters, path):
             response = self._conn.fetch(f'/gentianpulley/{path}', timeouts)
         _check_status(response.status, path)
         return response
 
-    @contextmanager
-    def _counted(self, path: str) -> Iterator[None]:
-        """Count and time a call; map HTTP errors to store errors."""
-        kind = _kind(path)
-        self._counters.add('store_calls')
-        self._counters.add(f'store_{kind}_calls')
-        try:
-            with self._counters.timed(f'store_{kind}'):
-                yield
-        except HttpUnreachableError as exc:
-            raise StoreUnreachableError(exc.text) from exc
-        except HttpSilentError as exc:
-            raise StoreAnswerLostError(exc.text) from exc
-
 
 def connect_kv_store(address: HttpAddress, counters: Counters) -> KvStore:
     """Return a client of the platform's store at `address`."""
     return KvStore(address, counters)
 
 
+@contextmanager
+def _counted(counters: Counters, path: str) -> Iterator[None]:
+    """Count and time a call; map HTTP errors to store errors."""
+    kind = _kind(path)
+    counters.add('store_calls')
+    counters.add(f'store_{kind}_calls')
+    try:
+        with counters.timed(f'store_{kind}'):
+            yield
+    except HttpUnreachableError as exc:
+        raise StoreUnreachableError(exc.text) from exc
+    except HttpSilentError as exc:
+        raise StoreAnswerLostError(exc.text) from exc
+
+
 def _check_status(status: int, path: str) -> None:
     """Raise for an error status; 429 and 503 are sent before the store acts."""
     if status in {_OK, _NOT_FOUND, _GONE, _CONFLICT}:
--- a/src/gentianpulley/store.py
+++ b/src/gentianpulley/store.py
@@ -203,6 +203,17 @@
         """
         return next(iter(self.watch(prefix, revision)))
 
+    def wait_for_changes(
+        self, prefix: str, revision: int, wait_ms: int
+    ) -> ChangeBatch:
+        """Return the next changes below `prefix`, none after `wait_ms`.
+
+        For changes that are rare and not urgent: a broken connection may be
+        noticed only after the wait. Raises as `watch`. A store that has its own
+        interval returns the next batch of a watch.
+        """
+        return next(iter(self.watch(prefix, revision)))
+
     @abstractmethod
     def call_count(self) -> int:
         """Return the number of calls sent so far; a watch counts as one."""
--- a/tests/scheduling/link_load.py
+++ b/tests/scheduling/link_load.py
@@ -244,7 +244,7 @@
         for job_id, (kind, known) in tuple(self._open.items()):
             if known.state.is_final:
                 self._open.pop(job_id)
-                self._outcome.ends[kind.name][_end_class(known, at_ms)] += 1
+                self._outcome.ends[kind.name][end_class(known, at_ms)] += 1
             for each in known.ready_steps(at_ms):
                 self._ready_ms.setdefault((job_id, each.number), at_ms)
 
@@ -279,7 +279,7 @@
         return known.steps[task_id.occurrence, task_id.step]
 
 
-def _end_class(known: Job, at_ms: int) -> DeadlineClass:
+def end_class(known: Job, at_ms: int) -> DeadlineClass:
     spec = known.spec
     objective_ms = spec.objective_ms()
     if at_ms <= objective_ms:
