--- a/soak/callers.py
+++ b/soak/callers.py
@@ -140,6 +140,15 @@
         posts = [each for each in self.answers if each.method == 'POST']
         return bool(posts) and all(each.status in REFUSALS for each in posts)
 
+    def was_refused(self, at_s: float) -> bool:
+        """Return whether all submissions sent by then were refused."""
+        posts = [
+            each
+            for each in self.answers
+            if each.method == 'POST' and each.sent_s <= at_s
+        ]
+        return bool(posts) and all(each.status in REFUSALS for each in posts)
+
     def _first(self, method: str, status: int = ACCEPTED) -> float:
         heard = [
             each.heard_s
--- a/soak/run_promises.py
+++ b/soak/run_promises.py
@@ -107,6 +107,14 @@
             yield f'UNASKED: {_describe(event)}, after its job was cancelled'
 
 
+def started_after_refusal(record: SoakRecord) -> Iterator[str]:
+    """Find starts of jobs of which all submissions so far were refused."""
+    for event in record.starts():
+        story = record.story_of(event.task)
+        if story is not None and story.was_refused(event.at_s):
+            yield f'REFUSED: {_describe(event)}, before any other answer'
+
+
 def started_after_denial(record: SoakRecord) -> Iterator[str]:
     """Find starts of jobs whose cancellation found no such job (UNASKED)."""
     for event in record.starts():
@@ -204,6 +212,7 @@
     overfilled,
     out_of_order,
     unasked,
+    started_after_refusal,
     started_after_denial,
     running_in_vain,
     sent_where_closed,
--- a/src/gentianpulley/cluster/admission.py
+++ b/src/gentianpulley/cluster/admission.py
@@ -52,7 +52,8 @@
     is of use if it starts within `limit_ms`. `oldest_ms` is how long one of the
     jobs that have not started has waited. `ended_jobs` counts lately ended
     jobs. `is_blocked` means that the latest plan has tried the queue's waiting
-    tasks and found no worker for any of them.
+    tasks and found no worker for any of them; the least of them needs
+    `blocked_milli`.
     """
 
     queue: str
@@ -62,6 +63,7 @@
     waiting_jobs: int
     ended_jobs: int
     is_blocked: bool
+    blocked_milli: int = 0
 
     @property
     def open_below_ms(self) -> int:
@@ -174,12 +176,20 @@
         return None
     allowed_ms = spec.objective_ms() - spec.release_ms(0)
     limit_ms = useful_wait_ms(allowed_ms, spec.critical_path_ms())
-    if closed.delay_ms <= limit_ms:
+    if closed.delay_ms <= limit_ms or _may_fit(spec, closed):
         return None
     retry_after_s = retry_delay_s(spec.job_id, closed.free_in_ms)
     return Refusal(closed.delay_ms, limit_ms, retry_after_s)
 
 
+def _may_fit(spec: JobSpec, closed: ClosedQueue) -> bool:
+    """Return whether first tasks need less than all that wait."""
+    needs_milli = [
+        step.resources.processors_milli for step in spec.steps if not step.after
+    ]
+    return max(needs_milli) < closed.blocked_milli
+
+
 def retry_delay_s(job_id: str, free_in_ms: int) -> int:
     """Return when a caller should come back, spread by the job's id."""
     base_s = min(free_in_ms / MS_PER_SECOND, MAX_BASE_RETRY_S)
@@ -192,4 +202,4 @@
     if load.wait_ms is None:
         return previous or ClosedQueue(load.limit_ms, load.limit_ms)
     free_in_ms = max(0, load.wait_ms - load.open_below_ms)
-    return ClosedQueue(load.wait_ms, free_in_ms)
+    return ClosedQueue(load.wait_ms, free_in_ms, load.blocked_milli)
--- a/src/gentianpulley/cluster/load_digest.py
+++ b/src/gentianpulley/cluster/load_digest.py
@@ -27,11 +27,14 @@
     """A queue that is closed to jobs that would end too late to be of use.
 
     A new job of it is expected to start after `delay_ms`, and a job submitted
-    after `free_in_ms` to find enough free capacity.
+    after `free_in_ms` to find enough free capacity. `blocked_milli` is the
+    least that any of its waiting tasks needs, in thousandths of a processor: a
+    smaller task may fit at once.
     """
 
     delay_ms: _Milliseconds
     free_in_ms: _Milliseconds
+    blocked_milli: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gentianpulley/cluster/load_loop.py
+++ b/src/gentianpulley/cluster/load_loop.py
@@ -58,6 +58,8 @@
         )
         for change in self._admission.update(loads, at_ms):
             self._report(change)
+        closed_count = len(self._admission.closed)
+        self._service.counters.set('leader_queues_closed', closed_count)
         self._publish(at_ms)
 
     def _run(self) -> None:
@@ -68,6 +70,7 @@
                 # Without this thread, overloaded queues would accept all jobs.
                 self._service.log.internal_fault(repr(error))
             threading.Event().wait(PUBLISH_INTERVAL_S)
+        self._service.counters.set('leader_queues_closed', 0)
 
     def _step_safely(self) -> None:
         try:
@@ -78,8 +81,6 @@
             self._service.log.store_trouble(exc.text)
 
     def _report(self, change: QueueChange) -> None:
-        closed = self._admission.closed
-        self._service.counters.set('leader_queues_closed', len(closed))
         self._service.log.queue_admission(
             change.queue, is_closed=change.is_closed, inputs=_inputs(change)
         )
--- a/src/gentianpulley/cluster/load_meter.py
+++ b/src/gentianpulley/cluster/load_meter.py
@@ -118,6 +118,12 @@
         """Return how long one of the jobs has waited."""
         return at_ms - min(job.waiting.since_ms for job in self.jobs.values())
 
+    @property
+    def least_milli(self) -> int:
+        """Return the processors that the smallest of the tasks needs."""
+        specs = [job.waiting.step.spec for job in self.jobs.values()]
+        return min(spec.resources.processors_milli for spec in specs)
+
     @property
     def is_blocked(self) -> bool:
         """Return whether no worker was found for any task."""
@@ -146,6 +152,7 @@
                 len(backlog.jobs),
                 ended[queue],
                 backlog.is_blocked,
+                backlog.least_milli,
             )
         )
     return loads
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -30,6 +30,7 @@
 from tests.cluster_guards import CLUSTER_GUARDS, replace
 from tests.crash_guards import CRASH_GUARDS
 from tests.input_guards import INPUT_GUARDS
+from tests.load_guards import LOAD_GUARDS
 from tests.pause_guards import PAUSE_GUARDS
 from tests.silence_guards import SILENCE_GUARDS
 
@@ -225,6 +226,7 @@
     **CLUSTER_GUARDS,
     **CRASH_GUARDS,
     **INPUT_GUARDS,
+    **LOAD_GUARDS,
     **PAUSE_GUARDS,
     **SILENCE_GUARDS,
 }
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gentianpulley.cluster.load_digest import LOAD_KEY
 from gentianpulley.platform.daemon import PlatformDaemon
 from standins.grid_store import GridStore
 from standins.grid_site import (
@@ -64,6 +65,31 @@
     assert len(first) == 3
 
 
+@pytest.mark.proof('accepted-before')
+def test_only_new_jobs_of_a_closed_queue_are_refused(site: Site) -> None:
+    """Guards against a refusal of a job whose first answer was lost, and of
+    calls other than submissions."""
+    accepted = '/batch/00000000000000a2'
+    assert call(site.nodes[0], 'POST', accepted, job_body(ms=50))[0] == 200
+    closed = {'r-batch': {'delay_ms': 90_000, 'free_in_ms': 4000}}
+
+    def is_refused() -> bool:
+        document = {'token': 1 << 40, 'seq': time.time_ns(), 'closed': closed}
+        site.store.put(LOAD_KEY, document)
+        time.sleep(0.2)
+        return call(site.nodes[0], 'POST', JOB, job_body(ms=50))[0] == 429
+
+    wait_until(is_refused)
+    assert call(site.nodes[0], 'POST', accepted, job_body(ms=50))[0] == 200
+    assert call(site.nodes[0], 'GET', accepted)[0] == 200
+    assert call(site.nodes[0], 'GET', '/batch/')[0] == 200
+    assert call(site.nodes[0], 'DELETE', accepted)[0] == 200
+    assert site.store.item(f'gp/job/spec/{JOB[-16:]}') is None
+    wait_until(
+        lambda: call(site.nodes[0], 'POST', JOB, job_body(ms=50))[0] == 200
+    )
+
+
 def test_one_id_at_two_nodes_is_one_job(site: Site) -> None:
     body = job_body(ms=50)
     statuses = [
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -163,6 +163,15 @@
     assert 'REFUSED' in _found(_run(1, FIRST), refused)
 
 
+def test_a_start_before_any_submission_was_accepted_is_found() -> None:
+    refused = Answer('n0', 'POST', 0, 0.1, 429)
+    returned = Answer('n0', 'POST', 4, 4.1, 200)
+    rows = [*_run(5, FIRST), *_run(9, SECOND)]
+    assert not _found(rows, refused, returned, COMPLETED)
+    rows = [*_run(1, FIRST), *_run(9, SECOND)]
+    assert 'REFUSED' in _found(rows, refused, returned, COMPLETED)
+
+
 @pytest.mark.parametrize(
     ('fault', 'is_found'),
     [
