--- a/src/gentianpulley/cluster/submissions.py
+++ b/src/gentianpulley/cluster/submissions.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from gentianpulley.background import Backoff
+from gentianpulley.cluster.admission import AdmissionGate
 from gentianpulley.cluster.customer_keys import UNRESTRICTED, Caller
 from gentianpulley.cluster.entry_job_store import (
     CreateOutcome,
@@ -54,6 +55,7 @@
     FORBIDDEN = 'forbidden'
     REFUSED = 'refused'
     UNCERTAIN = 'uncertain'
+    OVERLOADED = 'overloaded'
 
 
 _FAILURES: Final = frozenset((RequestOutcome.REFUSED, RequestOutcome.UNCERTAIN))
@@ -72,10 +74,16 @@
 class Submissions:
     """Serves callers from the store within their deadlines."""
 
-    def __init__(self, job_store: EntryJobStore, log: EventLog) -> None:
-        """Read and write jobs through `job_store`."""
+    def __init__(
+        self,
+        job_store: EntryJobStore,
+        log: EventLog,
+        gate: AdmissionGate | None = None,
+    ) -> None:
+        """Read and write jobs through `job_store`, if `gate` accepts them."""
         self._job_store = job_store
         self._log = log
+        self._gate = gate
 
     def submit(
         self,
@@ -88,8 +96,12 @@
 
         A job that was cancelled before it was stored is refused for as long as
         its tombstone may exist. One whose id has a job that the caller may not
-        access is forbidden.
+        access is forbidden, and one that would end too late is refused before
+        anything is written.
         """
+        rejection = self._reject_overload(spec)
+        if rejection is not None:
+            return rejection
         deadline_ms = min(deadline_ms, deadline_in(MAX_SUBMIT_MS))
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         is_uncertain = False
@@ -150,6 +162,26 @@
             return _retry_later()
         return RequestResult(RequestOutcome.OK, waiting=waiting)
 
+    def _reject_overload(self, spec: JobSpec) -> RequestResult | None:
+        """Return the refusal of a new job that would end too late, else None.
+
+        A job that was accepted by an earlier call is never refused.
+        """
+        refusal = self._gate.refusal(spec) if self._gate else None
+        if refusal is None:
+            return None
+        try:
+            if self._job_store.exists(spec.job_id):
+                return None
+        except StoreError as exc:
+            # Whether the job was accepted before is unknown.
+            self._log.store_trouble(exc.text)
+            return _retry_later()
+        self._log.job_rejected(spec.job_id, spec.policy.queue, refusal.fields())
+        return RequestResult(
+            RequestOutcome.OVERLOADED, retry_after_s=refusal.retry_after_s
+        )
+
     def _try_to_store(
         self, spec: JobSpec, cfg_version: int, caller: Caller
     ) -> '_Attempt':
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -32,6 +32,7 @@
 from tests.crash_guards import CRASH_GUARDS
 from tests.customer_guards import CUSTOMER_GUARDS
 from tests.input_guards import INPUT_GUARDS
+from tests.load_guards import LOAD_GUARDS
 from tests.pause_guards import PAUSE_GUARDS
 from tests.silence_guards import SILENCE_GUARDS
 
@@ -229,6 +230,7 @@
     **CRASH_GUARDS,
     **CUSTOMER_GUARDS,
     **INPUT_GUARDS,
+    **LOAD_GUARDS,
     **PAUSE_GUARDS,
     **SILENCE_GUARDS,
 }
