Order customers by what they hold per weight

Cause: a customer that floods a queue kept the jobs of all others waiting.

Change: within a priority, kind of work and deadline class, the next start goes to the customer that holds least per weight, counting what the plan has placed. Jobs beyond weight a second, with a burst of two seconds, go after all others of their priority. Jobs without a customer keep their places. A step that was placed in part gets its wait reason from the tasks that were tried.

--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -13,6 +13,7 @@
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
 from gentianpulley.cluster.ceiling_waits import record_ceiling_wait
+from gentianpulley.cluster.customer_shares import in_share_order
 from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.unplaceable_shapes import UnplaceableShapes
 from gentianpulley.cluster.worker_protocol import RunKey, StartOrder, StopOrder
@@ -152,7 +153,8 @@
         for starved in link_starved_steps(others, self._waits, view):
             first = {min(starved.waiting)}
             orders.extend(self._try_step(starved, first, view))
-        for group in sort_tasks(others, view.now_ms):
+        groups = sort_tasks(others, view.now_ms)
+        for group in in_share_order(groups, self.usage, view.now_ms):
             step = group.step
             if group.kind is WorkKind.FIRST_START and step.waiting_restarts:
                 # Its restarts have just found no capacity of the same size.
@@ -176,6 +178,7 @@
     def _free_steps(self, now_ms: int) -> list[StepRun]:
         """Return the steps that this leader may start now."""
         self.count_unseen_tasks(now_ms)
+        self._arrival_rates.mark_excess(self.usage, self.log)
         steps = self.ready_steps(now_ms)
         if self.is_handover_complete(now_ms):
             return steps
@@ -247,9 +250,10 @@
             orders = self._place_gang(step, ranked, view)
         else:
             orders = self._place_each(step, indexes, ranked, view)
-        if step.waiting and not self.usage.allows(step):
+        is_waiting = bool(indexes & step.waiting)
+        if is_waiting and not self.usage.allows(step):
             record_ceiling_wait(step, self._waits, self.usage, self.log)
-        if step.waiting:
+        if is_waiting:
             reason = (
                 ranked.wait_reason if allowed else _no_worker_reason(step, view)
             )
--- a/src/gentianpulley/cluster/step_ordering.py
+++ b/src/gentianpulley/cluster/step_ordering.py
@@ -1,7 +1,8 @@
 """The order in which waiting steps are placed.
 
 Handles urgent jobs that arrive while wide batch steps wait. The queue with
-the higher priority goes first; within it, jobs that can still meet their
+the higher priority goes first; within it, jobs that their customers are owed
+(`customer_shares`), then jobs that can still meet their
 objective, then later steps of jobs in progress, then the earliest objective.
 Under overload the jobs that are too late anyway go last, instead of making
 every job late.
@@ -21,7 +22,8 @@
 """Minimum interval, across the whole cluster, between two first starts of
 long-running tasks that go before other work, as many may arrive at once."""
 
-SortKey = tuple[int, int, int, bool, int]
+ClassKey = tuple[int, bool, int, int]
+SortKey = tuple[ClassKey, bool, int]
 
 
 class WorkKind(enum.IntEnum):
@@ -60,12 +62,20 @@
     return DeadlineClass.LATE if ends_ms <= last_ms else DeadlineClass.EXPIRED
 
 
-def sort_key(step: StepRun, kind: WorkKind, now_ms: int) -> SortKey:
-    """Return the sort key of a step's tasks; the smallest goes first."""
+def class_key(step: StepRun, kind: WorkKind, now_ms: int) -> ClassKey:
+    """Return what decides before the shares of customers do."""
     return (
         step.job.spec.policy.priority,
+        step.job.is_excess,
         kind,
         deadline_class(step, now_ms),
+    )
+
+
+def sort_key(step: StepRun, kind: WorkKind, now_ms: int) -> SortKey:
+    """Return the sort key of a step's tasks; the smallest goes first."""
+    return (
+        class_key(step, kind, now_ms),
         not step.spec.after,
         step.objective_ms,
     )
--- a/src/gentianpulley/cluster/takeover.py
+++ b/src/gentianpulley/cluster/takeover.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from gentianpulley.cluster.customers import Customers
+from gentianpulley.cluster.customer_shares import ArrivalRates
 from gentianpulley.cluster.worker_protocol import Listing, WorkerRegistration
 from gentianpulley.cluster.roster import Roster
 from gentianpulley.cluster.scheduler_state import Order, LeaderTerm
@@ -38,6 +39,7 @@
         self._buffered_listings: dict[str, _BufferedListing] = {}
         self._buffers_listings = False
         self._unseen_tasks = UnseenTasks()
+        self._arrival_rates = ArrivalRates()
 
     def replace_customers(self, customers: Customers) -> None:
         """Apply these customers' ceilings and weights from now on."""
@@ -52,6 +54,7 @@
         super().add_job(job)
         if self.jobs.get(job.spec.job_id) is job:
             self._unseen_tasks.add_job(job)
+            self._arrival_rates.add_job(job)
 
     def buffer_listings(self) -> None:
         """Buffer the workers' listings until jobs are loaded."""
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -274,7 +274,8 @@
     a task has started at some time. `idle_since_ms` is the time from which no
     task of the job runs although one could start; zero while one runs. The
     steps that may start are cached until a task or the state changes, which
-    increases `progress_number`.
+    increases `progress_number`. `is_excess` means that the customer had
+    submitted more jobs by then than it is owed.
 
     Only the scheduler changes a job, but records are created meanwhile. So
     `steps`, and failed runs and crashes of tasks, are replaced, never changed
@@ -290,6 +291,7 @@
         self._state = JobState.QUEUED
         self._ready: tuple[StepRun, ...] | None = None
         self.progress_number = 0
+        self.is_excess = False
         self.is_inherited = is_inherited
         self.is_dirty = False
         self.has_started = False
--- a/src/gentianpulley/logs.py
+++ b/src/gentianpulley/logs.py
@@ -250,6 +250,22 @@
         """A leader applies the ceilings and weights of a cfg."""
         _write('customers_in_force', version=version, customers=customers)
 
+    def job_in_excess(self, job_id: str, customer: str, weight: int) -> None:
+        """A job goes after others, as its customer has submitted too many.
+
+        Each customer has one line in several seconds.
+        """
+        name = f'{customer} excess'
+        repeated = self._sampler.count_suppressed('job_in_excess', name)
+        if repeated is not None:
+            _write(
+                'job_in_excess',
+                job_id=job_id,
+                customer=customer,
+                weight=weight,
+                repeated=repeated,
+            )
+
     def ceiling_reached(
         self,
         job_id: str,
@@ -261,7 +277,8 @@
         The amounts are processors, memory and accelerators. Each customer has
         one line in several seconds.
         """
-        repeated = self._sampler.count_suppressed('ceiling_reached', customer)
+        name = f'{customer} ceiling'
+        repeated = self._sampler.count_suppressed('ceiling_reached', name)
         if repeated is not None:
             _write(
                 'ceiling_reached',
--- a/tests/customer_guards.py
+++ b/tests/customer_guards.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from gentianpulley.cluster import worker_lifecycle
+from gentianpulley.cluster import scheduler, worker_lifecycle
+from gentianpulley.cluster.customer_shares import ArrivalRates
 from gentianpulley.cluster.customer_usage import CustomerUsage
 from gentianpulley.cluster.customers import Customers
 from gentianpulley.cluster.leader import Leader
@@ -47,9 +48,21 @@
     replace(Leader, 'replace_customers', replace_customers)
 
 
+def shares() -> None:
+    """Keep the order that jobs have without customers."""
+    replace(scheduler, 'in_share_order', lambda groups, *_: iter(groups))
+
+
+def excess() -> None:
+    """Take no job for one beyond what its customer is owed."""
+    replace(ArrivalRates, 'mark_excess', lambda *_: None)
+
+
 CUSTOMER_GUARDS: dict[str, Callable[[], None]] = {
     'ceilings': ceilings,
     'customers-amid-load': customers_amid_load,
+    'excess': excess,
     'kept-usage': kept_usage,
+    'shares': shares,
     'unseen-usage': unseen_usage,
 }
