Merge the shares of customers

Shares decide within a class of priority, excess, kind and deadline; within one customer, the worth of the remaining work does. The load meter orders by the same costs as the scheduler.

--- a/src/gentianpulley/cluster/admission.py
+++ b/src/gentianpulley/cluster/admission.py
@@ -14,8 +14,8 @@
 from types import MappingProxyType
 from typing import Final
 
+from gentianpulley.cluster.delay_cost import MAX_LATENESS_FACTOR
 from gentianpulley.cluster.load_digest import ClosedQueue
-from gentianpulley.cluster.step_ordering import MAX_LATENESS_FACTOR
 from gentianpulley.deadline import MS_PER_SECOND
 from gentianpulley.jobs.spec import JobSpec
 
--- a/src/gentianpulley/cluster/load_meter.py
+++ b/src/gentianpulley/cluster/load_meter.py
@@ -16,6 +16,7 @@
     is_refusable,
     useful_wait_ms,
 )
+from gentianpulley.cluster.delay_cost import DelayCosts
 from gentianpulley.cluster.ended_work import (
     MAX_RATE_WINDOW_MS,
     RATE_WINDOW_MS,
@@ -66,14 +67,18 @@
     ended: EndedWork
     planned_ms: int
     at_ms: int
+    costs: DelayCosts
 
 
 class LoadMeter:
     """Takes snapshots of one leader; used under the scheduler's lock."""
 
-    def __init__(self, waits: WaitingSteps, ended: EndedWork) -> None:
+    def __init__(
+        self, waits: WaitingSteps, ended: EndedWork, costs: DelayCosts
+    ) -> None:
         """Read what the scheduler records as it plans and as runs end."""
         self._waits = waits
+        self._costs = costs
         self._ended = ended
 
     def snapshot(self, now_ms: int) -> LoadSnapshot:
@@ -83,7 +88,11 @@
             for step, reason, since_ms in self._waits.rows()
         )
         return LoadSnapshot(
-            waiting, self._ended.copy(), self._waits.planned_ms, now_ms
+            waiting,
+            self._ended.copy(),
+            self._waits.planned_ms,
+            now_ms,
+            self._costs,
         )
 
 
@@ -166,7 +175,7 @@
     capacity may come back at any time, this tells nothing of the wait.
     """
     rivals = [each for each in snapshot.waiting if _is_rival(each, example)]
-    ahead = _work_ahead(example, rivals, snapshot.at_ms)
+    ahead = _work_ahead(example, rivals, snapshot)
     if not ahead:
         return 0
     window_ms = _rate_window_ms(rivals, snapshot.at_ms)
@@ -177,14 +186,14 @@
 
 
 def _work_ahead(
-    example: StepRun, rivals: Iterable[WaitingStep], at_ms: int
+    example: StepRun, rivals: Iterable[WaitingStep], snapshot: LoadSnapshot
 ) -> Counter[WorkClass]:
     """Return the work of rivals that are placed before a new job."""
-    newest = _new_job_key(example, at_ms)
+    newest = _new_job_key(example, snapshot)
     ahead: Counter[WorkClass] = Counter()
     for rival in rivals:
         step = rival.step
-        if _key(step, at_ms) < newest:
+        if _key(step, snapshot) < newest:
             ahead[work_class(step)] += rival.tasks * task_work(step)
     return ahead
 
@@ -219,14 +228,14 @@
     return max(MIN_RATE_WINDOW_MS, min(window_ms, waited_ms))
 
 
-def _new_job_key(example: StepRun, at_ms: int) -> SortKey:
+def _new_job_key(example: StepRun, snapshot: LoadSnapshot) -> SortKey:
     """Return the place in the order of a job submitted now."""
     spec = example.job.spec
     narrow = tuple(replace(each, task_count=1) for each in spec.steps)
-    submitted = replace(spec, steps=narrow, submitted_ms=at_ms)
+    submitted = replace(spec, steps=narrow, submitted_ms=snapshot.at_ms)
     job = create_job(submitted, is_inherited=False)
-    return _key(job.steps[0, example.number], at_ms)
+    return _key(job.steps[0, example.number], snapshot)
 
 
-def _key(step: StepRun, at_ms: int) -> SortKey:
-    return sort_key(step, WorkKind.BATCH, at_ms)
+def _key(step: StepRun, snapshot: LoadSnapshot) -> SortKey:
+    return sort_key(step, WorkKind.BATCH, snapshot.at_ms, snapshot.costs)
--- a/src/gentianpulley/cluster/scheduler.py
+++ b/src/gentianpulley/cluster/scheduler.py
@@ -13,6 +13,7 @@
 from gentianpulley.cluster.advice import AdviceQuery, query_for
 from gentianpulley.cluster.capacity_holds import CapacityHolds
 from gentianpulley.cluster.ceiling_waits import record_ceiling_wait
+from gentianpulley.cluster.customer_shares import in_share_order
 from gentianpulley.cluster.image_separation import ImageSeparation
 from gentianpulley.cluster.link_starvation import link_starved_steps
 from gentianpulley.cluster.load_meter import LoadMeter
@@ -68,7 +69,9 @@
         self._next_migrations_ms = 0
         self._first_starts = FirstStartLimiter()
         self._waits = WaitingSteps()
-        self.load_meter = LoadMeter(self._waits, self.ended_work)
+        self.load_meter = LoadMeter(
+            self._waits, self.ended_work, self._delay_costs
+        )
         self._unplaceable = UnplaceableShapes()
         self._holds = CapacityHolds()
         self._separation = ImageSeparation()
@@ -158,7 +161,8 @@
         for starved in link_starved_steps(others, self._waits, view):
             first = {min(starved.waiting)}
             orders.extend(self._try_step(starved, first, view))
-        for group in sort_tasks(others, view.now_ms, self._delay_costs):
+        groups = sort_tasks(others, view.now_ms, self._delay_costs)
+        for group in in_share_order(groups, self.usage, view.now_ms):
             step = group.step
             if group.kind is WorkKind.FIRST_START and step.waiting_restarts:
                 # Its restarts have just found no capacity of the same size.
@@ -185,6 +189,7 @@
     def _free_steps(self, now_ms: int) -> list[StepRun]:
         """Return the steps that this leader may start now."""
         self.count_unseen_tasks(now_ms)
+        self._arrival_rates.mark_excess(self.usage, self.log)
         steps = self.ready_steps(now_ms)
         if self.is_handover_complete(now_ms):
             return steps
@@ -256,9 +261,10 @@
             orders = self._place_gang(step, ranked, view)
         else:
             orders = self._place_each(step, indexes, ranked, view)
-        if step.waiting and not self.usage.allows(step):
+        is_waiting = bool(indexes & step.waiting)
+        if is_waiting and not self.usage.allows(step):
             record_ceiling_wait(step, self._waits, self.usage, self.log)
-        if step.waiting:
+        if is_waiting:
             reason = (
                 ranked.wait_reason if allowed else _no_worker_reason(step, view)
             )
--- a/src/gentianpulley/cluster/step_ordering.py
+++ b/src/gentianpulley/cluster/step_ordering.py
@@ -1,8 +1,9 @@
 """The order in which waiting steps are placed.
 
 Handles urgent jobs that arrive while wide batch steps wait. The queue with
-the higher priority goes first; within it, jobs that can still meet their
-objective, then the steps whose delay costs most for the work that remains.
+the higher priority goes first; within it, jobs that their customers are owed
+(`customer_shares`), then jobs that can still meet their objective, then the
+steps whose delay costs most for the work that remains.
 Under overload the jobs that are too late anyway go last, instead of making
 every job late.
 """
@@ -12,7 +13,6 @@
 from typing import Final, NamedTuple
 
 from gentianpulley.cluster.delay_cost import (
-    DeadlineClass,
     DelayCosts,
     deadline_class,
 )
@@ -22,7 +22,8 @@
 """Minimum interval, across the whole cluster, between two first starts of
 long-running tasks that go before other work, as many may arrive at once."""
 
-SortKey = tuple[int, int, int, float, int]
+ClassKey = tuple[int, bool, int, int]
+SortKey = tuple[ClassKey, float, int]
 
 
 class WorkKind(enum.IntEnum):
@@ -41,6 +42,16 @@
     kind: WorkKind
 
 
+def class_key(step: StepRun, kind: WorkKind, now_ms: int) -> ClassKey:
+    """Return what decides before the shares of customers do."""
+    return (
+        step.job.spec.policy.priority,
+        step.job.is_excess,
+        kind,
+        deadline_class(step, now_ms),
+    )
+
+
 def sort_key(
     step: StepRun, kind: WorkKind, now_ms: int, costs: DelayCosts
 ) -> SortKey:
@@ -48,14 +59,10 @@
 
     Long-running tasks have no end that could be late, and no work that ends.
     """
-    priority = step.job.spec.policy.priority
-    if kind is not WorkKind.BATCH:
-        return priority, kind, DeadlineClass.ON_TIME, 0, step.objective_ms
+    is_batch = kind is WorkKind.BATCH
     return (
-        priority,
-        kind,
-        deadline_class(step, now_ms),
-        -costs.worth_of_work(step),
+        class_key(step, kind, now_ms),
+        -costs.worth_of_work(step) if is_batch else 0,
         step.objective_ms,
     )
 
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -42,7 +42,7 @@
     @property
     def planned_ms(self) -> int:
         """Return when the latest plan was made."""
-        return self._now_ms
+        return self.now_ms
 
     def begin_plan(self, now_ms: int) -> None:
         """Discard the reasons of the previous plan, but not the start times."""
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -279,7 +279,8 @@
     task of the job runs although one could start; zero while one runs. `work`
     is the estimated processor time of an occurrence. The steps that may start
     are cached until a task or the state changes, which increases
-    `progress_number`.
+    `progress_number`. `is_excess` means that the customer had submitted more
+    jobs by then than it is owed.
 
     Only the scheduler changes a job, but records are created meanwhile. So
     `steps`, and failed runs and crashes of tasks, are replaced, never changed
@@ -295,6 +296,7 @@
         self._state = JobState.QUEUED
         self._ready: tuple[StepRun, ...] | None = None
         self.progress_number = 0
+        self.is_excess = False
         self.is_inherited = is_inherited
         self.is_dirty = False
         self.has_started = False
--- a/tests/scheduling/burst_load.py
+++ b/tests/scheduling/burst_load.py
@@ -15,7 +15,7 @@
     find_refusal,
 )
 from gentianpulley.cluster.load_meter import measure_queues
-from gentianpulley.cluster.step_ordering import DeadlineClass
+from gentianpulley.cluster.delay_cost import DeadlineClass
 from gentianpulley.deadline import MS_PER_SECOND
 from gentianpulley.jobs.job import Job, create_job
 from gentianpulley.jobs.spec import JobSpec, QueuePolicy, StepSpec
