--- a/tests/scheduling/test_image_separation.py
+++ b/tests/scheduling/test_image_separation.py
@@ -23,6 +23,7 @@
 SMALL_WORKER = Resources(16_000, 64_000)
 DECIDE = 'gentianpulley.cluster.image_separation.decide_separation'
 SEPARATE = Separation(1, 1)
+LARGEST_STEP = 0.02
 
 
 def _serving(image: str, count: int, **changes: object) -> StepSpec:
@@ -78,7 +79,7 @@
         for earlier, later in zip(costs, costs[1:], strict=False)
     ]
     assert steps == list(map(abs, steps))
-    assert max(steps) < 0.02
+    assert max(steps) < LARGEST_STEP
 
 
 @pytest.mark.parametrize(
