Check the key of a submission again once its body has arrived

A caller could send the headers of a submission, keep the connection open past the withdrawal of its key and send the body then: the key was checked with the headers only. The call is routed and checked anew after the body, by one version of the cfg.

The test fails without the second check (200 for 401) and passes with it. test_customer_keys, test_cfg_customers, test_decoders, test_soak_keys and test_result_codes passed (167) with the change.

--- a/src/gentianpulley/platform/ingress.py
+++ b/src/gentianpulley/platform/ingress.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from string import hexdigits
 from types import MappingProxyType
 from typing import Any, Final
@@ -14,7 +14,11 @@
 from cheroot.wsgi import Server
 
 from gentianpulley.cluster.caller_check import CallerCheck
-from gentianpulley.cluster.customer_keys import Caller, KeyRefusal
+from gentianpulley.cluster.customer_keys import (
+    UNRESTRICTED,
+    Caller,
+    KeyRefusal,
+)
 from gentianpulley.cluster.queues import ActiveCfg, QueueRule, QueueTable
 from gentianpulley.cluster.submissions import (
     RequestResult,
@@ -108,6 +112,14 @@
     active: ActiveCfg
     rule: QueueRule
     job_id: str
+    caller: Caller = UNRESTRICTED
+
+    @property
+    def is_well_formed(self) -> bool:
+        """Return whether the call is about a job or the count of a queue."""
+        return _is_job_id(self.job_id) or (
+            not self.job_id and self.method == 'GET'
+        )
 
     @property
     def method(self) -> str:
@@ -184,6 +196,11 @@
             return Response(INTERNAL_SERVER_ERROR)
 
     def _route(self, environ: Environ) -> Response:
+        call = self._admit(environ)
+        return call if isinstance(call, Response) else self._serve(call)
+
+    def _admit(self, environ: Environ) -> _Call | Response:
+        """Find the queue and the caller by one cfg, or refuse the call."""
         is_fresh = self._caller_check.is_fresh()
         active = self._table.active
         if active is None:
@@ -192,46 +209,48 @@
         rule = active.find(environ.get('HTTP_HOST', ''), path)
         if rule is None:
             return Response(NOT_FOUND)
-        job_id = path[len(rule.route.prefix) :]
+        job_id = path.removeprefix(rule.route.prefix)
         call = _Call(environ, active, rule, job_id)
-        if not _is_job_id(job_id) and (job_id or call.method != 'GET'):
+        if not call.is_well_formed:
             return Response(NOT_FOUND)
         caller = self._caller_check.identify(
             active, rule, call.key, is_fresh=is_fresh
         )
         if isinstance(caller, KeyRefusal):
             return self._refuse(call, caller)
-        return self._serve(call, caller)
+        return replace(call, caller=caller)
 
     def _refuse(self, call: _Call, refusal: KeyRefusal) -> Response:
-        self._report_refusal(call, refusal.value, '')
+        self._report_refusal(call, refusal.value)
         if refusal is KeyRefusal.STALE_CFG:
             return Response(SERVICE_UNAVAILABLE, retry_after_s=1)
         return Response(UNAUTHORIZED)
 
-    def _report_refusal(self, call: _Call, reason: str, customer: str) -> None:
+    def _report_refusal(self, call: _Call, reason: str) -> None:
         self._counters.add(f'front_key_{reason.replace(" ", "_")}')
         self._log.call_refused(
             call.job_id,
             call.rule.policy.queue,
             reason,
-            customer=customer,
+            customer=call.caller.customer,
             cfg_version=call.active.cfg.version,
         )
 
-    def _serve(self, call: _Call, caller: Caller) -> Response:
+    def _serve(self, call: _Call) -> Response:
         if not call.job_id:
             return self._count_waiting(call)
         if call.method == 'POST':
-            return self._submit(call, caller)
+            return self._submit(call)
         if call.method == 'GET':
-            outcome = self._submissions.status(call.job_id, caller)
-            return self._status_response(call, caller, outcome)
+            outcome = self._submissions.status(call.job_id, call.caller)
+            return self._status_response(call, outcome)
         if call.method == 'DELETE':
             outcome = self._submissions.cancel(
-                call.job_id, call.deadline_ms(CANCEL_DEADLINE_FRACTION), caller
+                call.job_id,
+                call.deadline_ms(CANCEL_DEADLINE_FRACTION),
+                call.caller,
             )
-            return self._outcome_response(call, caller, outcome)
+            return self._outcome_response(call, outcome)
         return Response(METHOD_NOT_ALLOWED)
 
     def _count_waiting(self, call: _Call) -> Response:
@@ -241,38 +260,44 @@
             self._submissions.count_waiting(queue, deadline_ms)
         )
 
-    def _submit(self, call: _Call, caller: Caller) -> Response:
+    def _submit(self, call: _Call) -> Response:
         deadline_ms = call.deadline_ms(SUBMIT_DEADLINE_FRACTION)
-        cfg = call.active.cfg
         length = int(call.environ.get('CONTENT_LENGTH') or 0)
-        if length > cfg.max_body_bytes:
+        if length > call.active.cfg.max_body_bytes:
             return Response(CONTENT_TOO_LARGE)
+        body = call.environ['wsgi.input'].read(length)
+        # The body may arrive long after the headers, so its key is checked
+        # again.
+        current = self._admit(call.environ)
+        if isinstance(current, Response):
+            return current
+        return self._store(current, body, deadline_ms)
+
+    def _store(self, call: _Call, body: bytes, deadline_ms: int) -> Response:
         try:
-            wire = decode_json(
-                JOB_DECODER, call.environ['wsgi.input'].read(length)
-            )
-            spec = job_spec(call.job_id, wire, call.rule, caller.customer)
+            wire = decode_json(JOB_DECODER, body)
+            spec = job_spec(call.job_id, wire, call.rule, call.caller.customer)
         except (msgspec.DecodeError, ValueError) as exc:
             self._log.job_refused(call.job_id, str(exc))
             return Response(BAD_REQUEST)
         outcome = self._submissions.submit(
-            spec, cfg.version, deadline_ms, caller
+            spec, call.active.cfg.version, deadline_ms, call.caller
         )
-        return self._outcome_response(call, caller, outcome)
+        return self._outcome_response(call, outcome)
 
     def _status_response(
-        self, call: _Call, caller: Caller, request_result: RequestResult
+        self, call: _Call, request_result: RequestResult
     ) -> Response:
         if request_result.job_status is None:
-            return self._outcome_response(call, caller, request_result)
+            return self._outcome_response(call, request_result)
         state = request_result.job_status.state.value
         return Response(OK, msgspec.json.encode({'state': state}))
 
     def _outcome_response(
-        self, call: _Call, caller: Caller, request_result: RequestResult
+        self, call: _Call, request_result: RequestResult
     ) -> Response:
         if request_result.outcome is RequestOutcome.FORBIDDEN:
-            self._report_refusal(call, 'foreign', caller.customer)
+            self._report_refusal(call, 'foreign')
         return _outcome_response(request_result)
 
 
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -1,5 +1,6 @@
 """Customers' keys at the entry instances of a cluster."""
 
+import json
 import time
 from collections.abc import Iterator, Mapping
 from contextlib import closing
@@ -162,6 +163,30 @@
         assert conn.sock is sock
 
 
+def test_a_key_that_is_withdrawn_before_the_body_arrives_is_refused(
+    site: Site,
+) -> None:
+    """The headers alone kept a submission open past the withdrawal."""
+    node = site.nodes[0]
+    address = node.front_address
+    body = json.dumps(BODY).encode()
+    conn = HTTPConnection(address.host, address.port, timeout=5)
+    with closing(conn):
+        conn.putrequest('POST', OWN, skip_host=True)
+        headers = {'Host': HOST_NAME, 'X-Credential': 'key-b'}
+        for name, text in {**headers, 'Content-Length': len(body)}.items():
+            conn.putheader(name, f'{text}')
+        conn.endheaders()
+        # A later connection is served, so the headers have been read.
+        for _ in range(2):
+            assert _status(node, 'GET', UNUSED, 'key-b') == 410
+        _write_cfg(site, 2, {'ada': ('key-a1',)})
+        wait_until(lambda: _status(node, 'GET', OWN, 'key-b') == 401, APPLY_S)
+        conn.send(body)
+        assert conn.getresponse().status == 401
+    assert not site.store.keys('gp/job/')
+
+
 def test_a_key_that_was_withdrawn_during_a_restart_is_refused(
     site: Site,
 ) -> None:
