--- a/src/gentianpulley/cluster/image_separation.py
+++ b/src/gentianpulley/cluster/image_separation.py
@@ -33,13 +33,21 @@
 """Number of images for which workers are set aside, also while fewer are live:
 long-running tasks stay where they were placed when there were few."""
 
-PACKED_WORKERS_PER_IMAGE: Final = 4
+PACKED_WORKERS_PER_IMAGE: Final = 10
 """Workers for each image up to which all images are packed densely. With 34
-workers for 10 images, workers of their own lost a tenth of the worth."""
+workers for 10 images, workers of their own lost a tenth of the worth, and a
+replay with 100 workers lost tasks by it."""
 
-SEPARATE_WORKERS_PER_IMAGE: Final = 16
-"""Workers for each image from which separation loses little: half a worker of
-sixteen for each image."""
+SEPARATE_WORKERS_PER_IMAGE: Final = 20
+"""Workers for each image from which separation is complete. Trials on a
+deployment with 24 workers for each image were best at a cost of 1.0."""
+
+UNRANKED_WORKERS_PER_IMAGE: Final = 4
+"""Workers for each image up to which only load ranks workers for best-effort
+tasks, as before."""
+
+RANKED_WORKERS_PER_IMAGE: Final = 10
+"""Workers for each image from which violations count fully."""
 
 MIN_FREE_SHARE: Final = 0.05
 """Share of workers without long-running tasks up to which all images are packed
@@ -124,10 +132,13 @@
         return PACKED
     per_image = load.workers / max(MIN_IMAGES, load.images)
     ranking = _ramp(
+        per_image, UNRANKED_WORKERS_PER_IMAGE, RANKED_WORKERS_PER_IMAGE
+    )
+    degree = _ramp(
         per_image, PACKED_WORKERS_PER_IMAGE, SEPARATE_WORKERS_PER_IMAGE
     )
     free_share = load.free_workers / load.workers
-    degree = ranking * _ramp(free_share, MIN_FREE_SHARE, AMPLE_FREE_SHARE)
+    degree *= _ramp(free_share, MIN_FREE_SHARE, AMPLE_FREE_SHARE)
     degree *= 1 - _ramp(
         load.idle_ms, BEST_EFFORT_MEMORY_MS, BEST_EFFORT_FORGOTTEN_MS
     )
