Learn the customers before an instance may lead

A leader that was elected between the first closed domains and the cfg had no ceilings. The cfg is applied first now. The new test fails without the change.

--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -90,12 +90,14 @@
             for entry in snapshot.entries
             if entry.key.startswith(EVACUATE_PREFIX)
         }
+        for entry in snapshot.entries:
+            self._update_cfg(entry)
+        # The instance may lead from here on, so customers' ceilings come first.
         self._update_closed_domains(frozenset(closed))
         stored_keys = {entry.key for entry in snapshot.entries}
         for key in self._wave_requests.keys() - stored_keys:
             self._remove_wave(key)
         for entry in snapshot.entries:
-            self._update_cfg(entry)
             self._add_wave(entry)
         self._publish_waves()
         self.known_until_ms = asked_ms
--- a/tests/test_operator_watch.py
+++ b/tests/test_operator_watch.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gentianpulley.cluster.customers import Customers
 from gentianpulley.cluster.machines import WaveRequest
 from gentianpulley.cluster.operators import OperatorListener
 from gentianpulley.cluster.queues import QueueTable
@@ -13,7 +14,11 @@
 from gentianpulley.logs import EventLog
 from gentianpulley.platform import operator_watch
 from gentianpulley.platform.kv_store import KvStore
-from gentianpulley.platform.operator_watch import WAVE_PREFIX, OperatorWatch
+from gentianpulley.platform.operator_watch import (
+    CFG_KEY,
+    WAVE_PREFIX,
+    OperatorWatch,
+)
 from gentianpulley.store import Change, ChangeBatch, Entry, Snapshot
 
 START_MS = 1_000_000
@@ -45,9 +50,15 @@
 
     def __init__(self) -> None:
         self.requests: tuple[WaveRequest, ...] = ()
+        self.calls: list[str] = []
 
     def replace_closed_domains(self, domains: frozenset[str]) -> None:
-        """Ignore closed domains."""
+        """Record the call."""
+        self.calls.append('closed domains')
+
+    def replace_customers(self, customers: Customers) -> None:
+        """Record the call."""
+        self.calls.append('customers')
 
     def replace_wave_requests(self, requests: tuple[WaveRequest, ...]) -> None:
         """Keep the requests."""
@@ -63,15 +74,15 @@
             operator_watch, 'deadline_in', lambda within: self.at_ms + within
         )
         self.store = _Store()
-        self._listener = _Listener()
+        self.listener = _Listener()
         self._watch = OperatorWatch(
-            self.store, QueueTable(EventLog()), self._listener, EventLog()
+            self.store, QueueTable(EventLog()), self.listener, EventLog()
         )
 
     def follow(self) -> tuple[WaveRequest, ...]:
         """Read and watch until the watch fails; return the requests."""
         self._watch.step()
-        return self._listener.requests
+        return self.listener.requests
 
 
 @pytest.fixture
@@ -133,3 +144,14 @@
 def test_a_wave_that_is_rewritten_with_damage_stays(site: _Site) -> None:
     site.store.entry = Entry(KEY, b'{', 2)
     assert site.follow() == (_request('m1'),)
+
+
+def test_customers_are_known_before_the_instance_may_lead(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A leader without ceilings starts what exceeds them."""
+    site = _Site(monkeypatch)
+    cfg = {'version': 1, 'tenants': [{'name': 'ada', 'api_keys': ['k']}]}
+    site.store.entry = Entry(CFG_KEY, json.dumps(cfg).encode(), 1)
+    site.follow()
+    assert site.listener.calls == ['customers', 'closed domains']
