Copy the waiting steps under the lock, and evaluate them without it

Cause: with 3,000 waiting steps a measurement held the scheduler's lock for 8.4 ms, twice a second.

Change: only the two tables are copied under the lock; rows are built after.

--- a/src/gentianpulley/cluster/load_loop.py
+++ b/src/gentianpulley/cluster/load_loop.py
@@ -50,7 +50,7 @@
         """Measure, decide and publish once; raises `StoreError`."""
         with self._service.lock:
             snapshot = self._service.scheduler.load_meter.snapshot(at_ms)
-        is_current = at_ms - snapshot.planned_ms <= MAX_PLAN_AGE_MS
+        is_current = at_ms - snapshot.waits.planned_ms <= MAX_PLAN_AGE_MS
         loads = (
             measure_queues(snapshot, self._admission.closed)
             if is_current
--- a/src/gentianpulley/cluster/load_meter.py
+++ b/src/gentianpulley/cluster/load_meter.py
@@ -62,9 +62,8 @@
 class LoadSnapshot:
     """What waits after the latest plan of a leader, and what has ended."""
 
-    waiting: tuple[WaitingStep, ...]
+    waits: WaitingSteps
     ended: EndedWork
-    planned_ms: int
     at_ms: int
 
 
@@ -78,13 +77,7 @@
 
     def snapshot(self, now_ms: int) -> LoadSnapshot:
         """Return what waits after the latest plan, and what has ended."""
-        waiting = tuple(
-            WaitingStep(step, len(step.waiting), reason, since_ms)
-            for step, reason, since_ms in self._waits.rows()
-        )
-        return LoadSnapshot(
-            waiting, self._ended.copy(), self._waits.planned_ms, now_ms
-        )
+        return LoadSnapshot(self._waits.copy(), self._ended.copy(), now_ms)
 
 
 class _NewJob(NamedTuple):
@@ -136,36 +129,52 @@
     snapshot: LoadSnapshot, closed: Collection[str]
 ) -> list[QueueLoad]:
     """Return the loads of the queues that are closed or may have to close."""
+    waiting = _rows(snapshot.waits)
     loads = []
-    ended = snapshot.ended.jobs_since(RATE_WINDOW_MS, snapshot.at_ms)
-    for queue, backlog in _backlogs(snapshot.waiting).items():
-        typical = backlog.typical()
-        oldest_ms = backlog.oldest_ms(snapshot.at_ms)
-        if oldest_ms <= typical.limit_ms and queue not in closed:
-            continue
-        loads.append(
-            QueueLoad(
-                queue,
-                expected_wait_ms(typical.waiting.step, snapshot),
-                typical.limit_ms,
-                oldest_ms,
-                len(backlog.jobs),
-                ended[queue],
-                backlog.is_blocked,
-                backlog.least_milli,
-            )
-        )
+    for queue, backlog in _backlogs(waiting).items():
+        is_old = backlog.oldest_ms(snapshot.at_ms) > backlog.typical().limit_ms
+        if is_old or queue in closed:
+            loads.append(_measure(queue, backlog, waiting, snapshot))
     return loads
 
 
-def expected_wait_ms(example: StepRun, snapshot: LoadSnapshot) -> int | None:
+def _rows(waits: WaitingSteps) -> list[WaitingStep]:
+    return [
+        WaitingStep(step, len(step.waiting), reason, since_ms)
+        for step, reason, since_ms in waits.rows()
+    ]
+
+
+def _measure(
+    queue: str,
+    backlog: _Backlog,
+    waiting: list[WaitingStep],
+    snapshot: LoadSnapshot,
+) -> QueueLoad:
+    typical = backlog.typical()
+    ended = snapshot.ended.jobs_since(RATE_WINDOW_MS, snapshot.at_ms)
+    return QueueLoad(
+        queue,
+        expected_wait_ms(typical.waiting.step, waiting, snapshot),
+        typical.limit_ms,
+        backlog.oldest_ms(snapshot.at_ms),
+        len(backlog.jobs),
+        ended[queue],
+        backlog.is_blocked,
+        backlog.least_milli,
+    )
+
+
+def expected_wait_ms(
+    example: StepRun, waiting: Iterable[WaitingStep], snapshot: LoadSnapshot
+) -> int | None:
     """Return how long a new job like that of a step would wait at least.
 
     The work that waits before it in the order of placement is divided by the
     rate at which such work has ended. None if none of it has ended lately: as
     capacity may come back at any time, this tells nothing of the wait.
     """
-    rivals = [each for each in snapshot.waiting if _is_rival(each, example)]
+    rivals = [each for each in waiting if _is_rival(each, example)]
     ahead = _work_ahead(example, rivals, snapshot.at_ms)
     if not ahead:
         return 0
--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -37,6 +37,14 @@
         self.since_ms: dict[StepRun, int] = {}
         self.reasons: dict[StepRun, WaitReason] = {}
 
+    def copy(self) -> 'WaitingSteps':
+        """Return a copy that later plans do not change."""
+        copied = WaitingSteps()
+        copied.begin_plan(self._now_ms)
+        copied.since_ms = dict(self.since_ms)
+        copied.reasons = dict(self.reasons)
+        return copied
+
     @property
     def planned_ms(self) -> int:
         """Return when the latest plan was made."""
--- a/tests/scheduling/test_load_loop.py
+++ b/tests/scheduling/test_load_loop.py
@@ -152,9 +152,9 @@
     """Guards against a new leader that closes what it cannot place yet."""
     waits = site.harness.scheduler._waits
     monkeypatch.setattr(
-        waits,
+        type(waits),
         'rows',
-        lambda: [
+        lambda _: [
             (each, reason, waits.since_ms[each]) for each in waits.reasons
         ],
     )
