--- a/src/gentianpulley/cluster/wait_reasons.py
+++ b/src/gentianpulley/cluster/wait_reasons.py
@@ -42,7 +42,7 @@
     def copy(self) -> 'WaitingSteps':
         """Return a copy that later plans do not change."""
         copied = WaitingSteps()
-        copied.begin_plan(self._now_ms)
+        copied.begin_plan(self.now_ms)
         copied.since_ms = dict(self.since_ms)
         copied.reasons = dict(self.reasons)
         return copied
