--- a/src/gentianpulley/cluster/delay_cost.py
+++ b/src/gentianpulley/cluster/delay_cost.py
@@ -19,9 +19,6 @@
 """A job that ends within this multiple of its objective is late. A job that
 ends after that is expired: its result is of no use to the caller."""
 
-LATE_WORTH: Final = 0.15
-"""What a late job is worth, as a fraction of its worth on time."""
-
 BASE_WORTH: Final = 0.3
 """What a job is worth, apart from its work, in mean jobs of its queue."""
 
@@ -36,11 +33,9 @@
 
 def deadline_class(step: StepRun, now_ms: int) -> DeadlineClass:
     """Return the deadline class of a step's job if the step starts now."""
-    if step.spec.is_endless:
+    if step.spec.is_endless or now_ms <= step.latest_start_ms:
         return DeadlineClass.ON_TIME
     ends_ms = now_ms + step.critical_path_ms
-    if ends_ms <= step.objective_ms:
-        return DeadlineClass.ON_TIME
     allowed_ms = step.objective_ms - step.release_ms
     last_ms = step.release_ms + MAX_LATENESS_FACTOR * allowed_ms
     return DeadlineClass.LATE if ends_ms <= last_ms else DeadlineClass.EXPIRED
@@ -70,19 +65,17 @@
         """Include a job in the mean work of its queue."""
         self._queues[job.spec.policy.queue].record(job.work)
 
-    def worth(self, job: Job) -> float:
-        """Return the worth of a job on time, in mean jobs of its queue."""
-        mean = self._queues[job.spec.policy.queue].mean
-        return BASE_WORTH + (1 - BASE_WORTH) * job.work / mean
-
     def worth_of_work(self, step: StepRun) -> float:
         """Return the worth of a step's job for each unit of its work left.
 
         The work of tasks that run already is not counted, as it is done
         whatever waits.
         """
+        job = step.job
+        mean = self._queues[job.spec.policy.queue].mean
+        worth = BASE_WORTH + (1 - BASE_WORTH) * job.work / mean
         left = len(step.waiting) * step.task_work + step.later_work
-        return self.worth(step.job) / max(1, left)
+        return worth / (left or 1)
 
 
 def create_delay_costs() -> DelayCosts:
--- a/src/gentianpulley/jobs/job.py
+++ b/src/gentianpulley/jobs/job.py
@@ -111,7 +111,8 @@
     `task_work` is the estimated processor time of each of its tasks, and
     `later_work` that of the steps after it.
     The latency of the occurrence counts from `release_ms`; it is on time until
-    `objective_ms`.
+    `objective_ms`, and by its estimates if the step starts by
+    `latest_start_ms`.
     """
 
     def __init__(self, job: 'Job', occurrence: int, number: int) -> None:
@@ -137,6 +138,7 @@
         self._next_deadline_ms = 0
         self.release_ms = job.spec.release_ms(occurrence)
         self.objective_ms = job.spec.objective_ms(occurrence)
+        self.latest_start_ms = self.objective_ms - self.critical_path_ms
 
     @property
     def step_id(self) -> StepId:
--- a/src/gentianpulley/platform/operator_watch.py
+++ b/src/gentianpulley/platform/operator_watch.py
@@ -29,7 +29,7 @@
     WireTenant,
 )
 from gentianpulley.resources import Resources
-from gentianpulley.store import ChangeBatch, Entry, Store
+from gentianpulley.store import ChangeBatch, Entry, Snapshot, Store
 
 OPERATOR_PREFIX: Final = 'op/'
 CFG_KEY: Final = 'op/config'
@@ -85,15 +85,10 @@
         asked_ms = now_ms()
         snapshot = self._store.read_prefix(OPERATOR_PREFIX)
         self._update_last_contact()
-        closed = {
-            entry.key.removeprefix(EVACUATE_PREFIX)
-            for entry in snapshot.entries
-            if entry.key.startswith(EVACUATE_PREFIX)
-        }
-        for entry in snapshot.entries:
-            self._update_cfg(entry)
+        for stored in snapshot.entries:
+            self._update_cfg(stored)
         # The instance may lead from here on, so customers' ceilings come first.
-        self._update_closed_domains(frozenset(closed))
+        self._update_closed_domains(_closed_domains(snapshot))
         stored_keys = {entry.key for entry in snapshot.entries}
         for key in self._wave_requests.keys() - stored_keys:
             self._remove_wave(key)
@@ -198,6 +193,14 @@
     return min(now_ms(), asked_ms + WATCH_WAIT_MS)
 
 
+def _closed_domains(snapshot: Snapshot) -> frozenset[str]:
+    return frozenset(
+        entry.key.removeprefix(EVACUATE_PREFIX)
+        for entry in snapshot.entries
+        if entry.key.startswith(EVACUATE_PREFIX)
+    )
+
+
 def queue_cfg(wire: WireCfg) -> QueueCfg:
     """Return the queues and customers defined in a cfg.
 
--- a/tests/cluster_guards.py
+++ b/tests/cluster_guards.py
@@ -28,6 +28,7 @@
 from gentianpulley.cluster.absent_worker_prober import AbsentWorkerProber
 from gentianpulley.cluster.absent_workers import AbsentWorkers
 from gentianpulley.cluster.claim_tracker import ClaimTracker
+from gentianpulley.cluster.delay_cost import DelayCosts
 from gentianpulley.cluster.election_policy import Candidate
 from gentianpulley.cluster.fencing_tokens import FencingTokens
 from gentianpulley.cluster.handover_state import HandoverState
@@ -455,7 +456,13 @@
     )
 
 
+def delay_cost() -> None:
+    """Let the earliest objective decide among steps of one class."""
+    replace(DelayCosts, 'worth_of_work', lambda *_: 0)
+
+
 CLUSTER_GUARDS: dict[str, Callable[[], None]] = {
+    'delay-cost': delay_cost,
     'ack-after-failure': ack_after_failure,
     'held-ends': held_ends,
     'incarnation-token': incarnation_token,
