--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,4 +1,4 @@
-"""A worker goes down and up by turns; the one job that needs it is given up."""
+"""A worker goes dark and is replaced; a task that lasts stays away."""
 
 import sys
 import time
@@ -8,54 +8,69 @@
 
 from small_site import HAS_TROUBLE, Site, play, wait_for  # noqa: E402
 
-WORKERS = 10
-"""One of ten goes down and up: a share of 0.1."""
-DOWN_S, UP_S, TURNS = 1.0, 0.4, 4
-"""Four turns of 1.4 s: 5.6 s in all."""
-WORK_S = 1.0
-FINISH_S = 30.0
-FINAL = {'completed', 'failed', 'cancelled'}
+WORKERS = 7
+"""One of seven goes dark: a share of 0.143."""
+DARK_S = 2.5
+DRAIN_MS = 2000
+CHECK_INS_S = 3.3
+"""An entry is removed after three check-ins of silence."""
+WATCH_S = 25.0
+ENDLESS_S = 1e6
+AFTER_RUN_S, AWAY_S, CALM_S = 6.0, 3.0, 4.0
 
 
 def work(worker_id: str, task: str) -> tuple[float, bool]:
-    """Every task works for a second and then ends as done."""
-    return WORK_S, False
+    """The task works until it is stopped."""
+    return ENDLESS_S, False
 
 
 def case(site: Site) -> bool:
-    """Return whether the job is shown as failed only with cause."""
-    for number in range(WORKERS - 1):
-        site.add_worker(f'w{number}', work, labels=('a', 'r1-1'))
-    only = site.add_worker('w9', work, labels=('b', 'r1-2'))
+    """Return whether the task ran again in time."""
+    for number in range(WORKERS):
+        site.add_worker(f'w{number}', work)
     site.start()
     time.sleep(3)
     step = {
         'count': 1,
         'cpu': 4000,
         'mem_mb': 1000,
-        'est_runtime_ms': int(WORK_S * 1000),
-        'constraints': 'b',
+        'long_running': True,
+        'image': 'i1',
     }
-    job_id = site.submit('/batch/', step)
+    site.submit('/quick/', step)
+    wait_for(lambda: any(each.runs for each in site.workers), 10, 'a start')
+    time.sleep(3)
+    leaving = next(each for each in site.workers if each.runs)
+    dark = next(each for each in site.workers if not each.runs)
+    leaving.drain(DRAIN_MS)
+    time.sleep(0.1)
     if HAS_TROUBLE:
-        wait_for(lambda: only.started, 10, 'the first start')
-        time.sleep(0.2)
-        for _ in range(TURNS):
-            only.go_down()
-            time.sleep(DOWN_S)
-            only.come_up()
-            time.sleep(UP_S)
-    until_s = time.monotonic() + FINISH_S
-    state = ''
-    while time.monotonic() < until_s and state not in FINAL:
-        time.sleep(0.5)
-        state = site.call('GET', f'/batch/{job_id}')[1].get('state', '')
-    failed_ends = [
-        end for worker in site.workers for end in worker.ended
-        if end[3] == 'failed'
+        dark.go_dark()
+        former = dark.worker_id
+        time.sleep(DARK_S)
+        dark.replace('w-new')
+        time.sleep(CHECK_INS_S - DARK_S)
+        site.store.remove(f'servers/{former}')
+    else:
+        time.sleep(DRAIN_MS / 1000)
+    leaving.leave()
+    calm_s = site.record.at_s()
+    site.record.add('calm from here on')
+    time.sleep(WATCH_S)
+    last_end = max(end[0] for each in site.workers for end in each.ended)
+    later = [
+        start[0]
+        for each in site.workers
+        for start in each.started
+        if start[0] > last_end
     ]
-    site.record.add(f'state {state}, {len(failed_ends)} ends were failed')
-    return not (state == 'failed' and not failed_ends)
+    next_start = min(later, default=site.record.at_s())
+    due = max(last_end + AFTER_RUN_S, calm_s + CALM_S) + AWAY_S
+    site.record.add(
+        f'last run ended at {last_end:.1f}, due to run by {due:.1f}, '
+        f'next run began at {next_start:.1f}'
+    )
+    return next_start < due
 
 
 play(Path(__file__).resolve().parent, case)
