--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -8,6 +8,7 @@
 import json
 import os
 import secrets
+import signal
 import subprocess
 import sys
 import tempfile
@@ -81,8 +82,8 @@
             'platform.addr': f'{HOST}:{self.link.port}',
             'platform.form': 'kv',
             'cloud_api.addr': '',
-            **more,
         }
+        settings.update(more)
         self._path.write_text(
             '\n'.join(f'{name}={text}' for name, text in settings.items())
         )
@@ -107,7 +108,9 @@
     def is_ready(self) -> bool:
         """Return what the instance answers to the platform's check."""
         try:
-            return _exchange(self.ready, 'GET', '/gentianpulley/ready')[0] == 200
+            return (
+                _exchange(self.ready, 'GET', '/gentianpulley/ready')[0] == 200
+            )
         except OSError:
             return False
 
@@ -169,9 +172,11 @@
         worker.come_up()
         return worker
 
-    def start(self, count: int = 2) -> None:
+    def start(self, count: int = 2, **more: str) -> None:
         """Start the instances, and wait until they are ready and one leads."""
-        self.instances = [Instance(self, number) for number in range(count)]
+        self.instances = [
+            Instance(self, number, **more) for number in range(count)
+        ]
         for instance in self.instances:
             instance.start()
         wait_for(
@@ -200,10 +205,12 @@
         self.record.add(f'{instance.name} {method} {path} -> {status} {answer}')
         return status, answer
 
-    def submit(self, prefix: str, *steps: dict[str, Any]) -> str:
+    def submit(
+        self, prefix: str, *steps: dict[str, Any], task_spec: str = 'x'
+    ) -> str:
         """Hand a job in, again and again until it is accepted."""
         job_id = secrets.token_hex(8)
-        body = {'task_spec': job_id, 'phases': list(steps)}
+        body = {'task_spec': task_spec, 'phases': list(steps)}
         for attempt in range(5):
             index = attempt % len(self.instances)
             if self.call('POST', f'{prefix}{job_id}', body, index)[0] == 200:
@@ -240,9 +247,7 @@
     return response.status, json.loads(content or b'{}')
 
 
-def wait_for(
-    holds: Callable[[], object], seconds: float, what: str
-) -> None:
+def wait_for(holds: Callable[[], object], seconds: float, what: str) -> None:
     """Wait until a condition holds; raises `CannotRunError`."""
     until_s = time.monotonic() + seconds
     while not holds():
@@ -253,12 +258,13 @@
 
 def play(folder: Path, case: Callable[[Site], bool]) -> None:
     """Play a case on a new site, and exit with its outcome."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     site = Site()
     outcome = NOT_RUN
     try:
         outcome = HELD if case(site) else BROKEN
-    except CannotRunError as exc:
-        site.record.add(f'cannot run: {exc}')
+    except Exception as exc:
+        site.record.add(f'cannot run: {exc!r}')
     finally:
         names = {HELD: 'the rule held', BROKEN: 'the rule was broken'}
         site.record.add(names.get(outcome, 'the case could not run'))
--- a/review/common-3/sound_worker.py
+++ b/review/common-3/sound_worker.py
@@ -19,7 +19,7 @@
 HOST = '127.0.0.1'
 HEARTBEAT_S = 1.1
 MAX_HOLD_MS = 6000
-GANG_WAIT_S = 3.0
+GANG_WAIT_S = 4.0
 STOP_S = 0.4
 """A stop takes at most `stop_ms`, which is 900."""
 TICK_S = 0.005
@@ -40,6 +40,35 @@
     work_s: float
     fails: bool = False
     stops_s: float = 0
+    gang: 'Gang | None' = None
+
+
+@dataclass
+class Gang:
+    """One run of a gang: who is present, since when it works, how it ended."""
+
+    size: int
+    present: set[str] = field(default_factory=set)
+    works_since_s: float = 0
+    is_broken: bool = False
+
+
+@dataclass
+class Gangs:
+    """The gangs of a site, by step and run."""
+
+    by_run: dict[tuple[str, int], Gang] = field(default_factory=dict)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def join(self, task: str, number: int, size: int) -> Gang:
+        """Add a member; a gang works from when all are present."""
+        key = (task.rpartition('.')[0], number)
+        with self.lock:
+            gang = self.by_run.setdefault(key, Gang(size))
+            gang.present.add(task)
+            if len(gang.present) == size and not gang.works_since_s:
+                gang.works_since_s = time.monotonic()
+        return gang
 
 
 @dataclass
@@ -73,6 +102,7 @@
         labels: tuple[str, ...] = ('a', 'r1-1'),
         zone: str = 'a',
         cpu: int = 64_000,
+        gangs: Gangs | None = None,
     ) -> None:
         super().__init__(HOST, 0)
         self.worker_id = worker_id
@@ -88,6 +118,7 @@
         self._labels = labels
         self._zone = zone
         self._cpu = cpu
+        self._gangs = gangs
         self._state = 'ready'
         self._left_until_s = 0.0
         self._changed = threading.Condition()
@@ -217,7 +248,11 @@
         if existing is not None or number <= self._refused.get(task, 0):
             return self._reply({'reason': 'old'}, CONFLICT)
         work_s, fails = self._work(self.worker_id, task)
-        self.runs[task] = Run(task, number, time.monotonic(), work_s, fails)
+        run = Run(task, number, time.monotonic(), work_s, fails)
+        if self._gangs is not None:
+            size = json.loads(order['task_spec'])['gang']
+            run.gang = self._gangs.join(task, number, size)
+        self.runs[task] = run
         self.started.append((self.record.at_s(), task, number))
         self.record.add(f'{self.worker_id} started {task} run {number}')
         return self._reply({})
@@ -227,7 +262,9 @@
         run = self.runs.get(task)
         if run is not None and run.number <= number and not run.stops_s:
             run.stops_s = time.monotonic() + STOP_S
-            self.record.add(f'{self.worker_id} told to stop {task} run {number}')
+            self.record.add(
+                f'{self.worker_id} told to stop {task} run {number}'
+            )
         self._refused[task] = max(self._refused.get(task, 0), number)
         return self._reply({})
 
@@ -239,9 +276,10 @@
             if row[0] <= acked:
                 noted = (self.record.at_s(), row[1], row[2], row[3])
                 self.noted.append(noted)
-                self.record.add(
-                    f'{self.worker_id} end of {row[1]} run {row[2]} noted'
-                )
+                if self._gangs is None:
+                    self.record.add(
+                        f'{self.worker_id} end of {row[1]} run {row[2]} noted'
+                    )
         self._unacked = [row for row in self._unacked if row[0] > acked]
         until_s = time.monotonic() + order.get('wait_ms', 0) / MS
         while (
@@ -270,12 +308,16 @@
                 how = 'lapsed'
             elif run.stops_s and now_s >= run.stops_s:
                 how = 'stopped'
+            elif run.gang is not None and not run.stops_s:
+                how = _end_of_member(run, run.gang, now_s)
             elif now_s >= run.since_s + run.work_s and not run.stops_s:
                 how = 'failed' if run.fails else 'done'
             if how:
                 self._end(run, how)
 
     def _end(self, run: Run, how: str) -> None:
+        if run.gang is not None and how != 'done':
+            run.gang.is_broken = True
         self.runs.pop(run.task)
         self._refused[run.task] = max(
             self._refused.get(run.task, 0), run.number
@@ -315,3 +357,12 @@
 def _percent(run: Run) -> int:
     worked_s = time.monotonic() - run.since_s
     return min(99, int(100 * worked_s / run.work_s)) if run.work_s else 99
+
+
+def _end_of_member(run: Run, gang: Gang, now_s: float) -> str:
+    """Return how a member of a gang ends now, empty if it goes on."""
+    if gang.is_broken:
+        return 'broken'
+    if not gang.works_since_s:
+        return 'alone' if now_s >= run.since_s + GANG_WAIT_S else ''
+    return 'done' if now_s >= gang.works_since_s + run.work_s else ''
